--- /dev/null
+++ b/src/config/fleettables.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "fleet/resources.h"
+
+#include <map>
+#include <string>
+#include <string_view>
+
+namespace laburnumspread::config {
+
+template <typename T> using Table = std::map<std::string, T, std::less<>>;
+
+/// All declared objects in force at an entry, by kind and name.
+struct FleetTables {
+  Table<fleet::Pool> Pools_;
+  Table<fleet::Vm> Vms_;
+  Table<fleet::Team> Teams_;
+  Table<fleet::Key> Keys_;
+  Table<fleet::Wave> Waves_;
+  /// Key names by the hash of their secret.
+  std::map<std::string, std::string, std::less<>> KeyBySecret_;
+
+  template <typename T> Table<T> &of();
+  template <typename T> const Table<T> &of() const {
+    return const_cast<FleetTables *>(this)->of<T>();
+  }
+  template <typename T> const T *find(std::string_view Name) const {
+    const auto At = of<T>().find(Name);
+    return At == of<T>().end() ? nullptr : &At->second;
+  }
+};
+
+template <> inline Table<fleet::Pool> &FleetTables::of() { return Pools_; }
+template <> inline Table<fleet::Vm> &FleetTables::of() { return Vms_; }
+template <> inline Table<fleet::Team> &FleetTables::of() { return Teams_; }
+template <> inline Table<fleet::Key> &FleetTables::of() { return Keys_; }
+template <> inline Table<fleet::Wave> &FleetTables::of() { return Waves_; }
+
+/// Calls \p Visit with a null pointer of the C++ type of \p Of.
+template <typename Visitor>
+decltype(auto) visitKind(fleet::Kind Of, Visitor &&Visit) {
+  switch (Of) {
+  case fleet::Kind::Pools:
+    return Visit(static_cast<fleet::Pool *>(nullptr));
+  case fleet::Kind::Vms:
+    return Visit(static_cast<fleet::Vm *>(nullptr));
+  case fleet::Kind::Teams:
+    return Visit(static_cast<fleet::Team *>(nullptr));
+  case fleet::Kind::Keys:
+    return Visit(static_cast<fleet::Key *>(nullptr));
+  case fleet::Kind::Waves:
+    break;
+  }
+  return Visit(static_cast<fleet::Wave *>(nullptr));
+}
+
+} // namespace laburnumspread::config
--- /dev/null
+++ b/src/config/objectwriter.h
@@ -0,0 +1,226 @@
+#pragma once
+
+#include "config/configtypes.h"
+#include "config/shards.h"
+#include "fleet/resourcejson.h"
+#include "framework/clock/clock.h"
+#include "store/kvstore.h"
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+
+#include <absl/status/statusor.h>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+
+namespace laburnumspread::config {
+
+/// A stored value while it is being changed.
+struct OpenShard {
+  store::KeyValue Before_;
+  boost::json::object Items_;
+  /// Larger than the resource version of any object in the value.
+  Revision Stamp_;
+};
+
+absl::StatusOr<OpenShard> openShard(const std::string &Key,
+                                    const store::RangeResult &Read);
+std::string shardText(const OpenShard &Open);
+
+/// Whether \p Read holds what \p Wanted would have written. Tells, after a
+/// write whose answer was lost, whether it took effect.
+bool holdsWrite(const store::RangeResult &Read, const std::string &Key,
+                std::string_view Wanted);
+
+/// What an accepted write made.
+template <typename T> struct Written {
+  T Object_;
+  /// Revision from which the change is in the store.
+  Revision Revision_;
+  bool Changed_ = false;
+};
+
+/// Changes declared objects by compare-and-swap on the values that hold them.
+///
+/// A write whose answer was lost may have taken effect. The value is then read
+/// back, so that an operator is never told "failed" of a change that is in
+/// force, nor the other way round.
+template <store::KeyValueStore Store> class ObjectWriter {
+public:
+  ObjectWriter(Store &Into, std::string Prefix)
+      : Store_(Into), Prefix_(std::move(Prefix)) {}
+
+  /// Tries of one write against racing writers, and read-backs after a lost
+  /// answer.
+  static constexpr int Tries = 8;
+
+  /// Writes the spec of an object, making it if need be. Aborted when
+  /// \p IfMatch is given and is not the object's resource version; nothing is
+  /// written when the spec is as wanted already.
+  template <typename T>
+  absl::StatusOr<Written<T>>
+  putSpec(const T &Wanted, std::optional<Revision> IfMatch, bool DryRun,
+          framework::clock::TimePoint Deadline) {
+    return change<T>(
+        Wanted.Metadata_.Name_,
+        [&](std::optional<T> &Object) -> absl::Status {
+          if (absl::Status Match = checkMatch(Object, IfMatch); !Match.ok())
+            return Match;
+          if (Object && toJson(Object->Spec_) == toJson(Wanted.Spec_))
+            return absl::OkStatus();
+          const Generation Before =
+              Object ? Object->Metadata_.Generation_ : Generation(0);
+          if (!Object)
+            Object.emplace();
+          Object->Metadata_.Name_ = Wanted.Metadata_.Name_;
+          Object->Metadata_.Generation_ = Before.next();
+          Object->Spec_ = Wanted.Spec_;
+          return absl::OkStatus();
+        },
+        DryRun, Deadline);
+  }
+
+  /// NotFound when there is no such object.
+  template <typename T>
+  absl::StatusOr<Written<T>>
+  remove(const std::string &Name, std::optional<Revision> IfMatch, bool DryRun,
+         framework::clock::TimePoint Deadline) {
+    return change<T>(
+        Name,
+        [&](std::optional<T> &Object) -> absl::Status {
+          if (!Object)
+            return absl::NotFoundError("no such object");
+          if (absl::Status Match = checkMatch(Object, IfMatch); !Match.ok())
+            return Match;
+          Object.reset();
+          return absl::OkStatus();
+        },
+        DryRun, Deadline);
+  }
+
+  /// Changes an object by \p Edit, which sees it as it stands in the store, so
+  /// that a decision made on an older state can be dropped by an error.
+  template <typename T>
+  absl::StatusOr<Written<T>>
+  change(const std::string &Name,
+         const std::function<absl::Status(std::optional<T> &)> &Edit,
+         bool DryRun, framework::clock::TimePoint Deadline) {
+    const std::string Key = shardKey(Prefix_, fleet::KindOf<T>::Value, Name);
+    for (int Try = 0; Try < Tries; ++Try) {
+      absl::StatusOr<store::RangeResult> Read =
+          Store_.range(Key, Revision(0), Deadline);
+      if (!Read.ok())
+        return absl::UnavailableError(std::string(Read.status().message()));
+      absl::StatusOr<OpenShard> Open = openShard(Key, *Read);
+      if (!Open.ok())
+        return Open.status();
+      std::optional<T> Object = readFrom<T>(*Open, Name);
+      const boost::json::value Before = stored(Object);
+      std::optional<T> Last = Object;
+      if (absl::Status Edited = Edit(Object); !Edited.ok())
+        return Edited;
+      if (stored(Object) == Before)
+        return Written<T>{Object.value_or(T()), Open->Before_.ModRevision_,
+                          false};
+      if (Object)
+        Object->Metadata_.ResourceVersion_ = Open->Stamp_;
+      if (DryRun)
+        return Written<T>{Object ? *Object : *Last, Open->Before_.ModRevision_,
+                          true};
+      writeInto(*Open, Name, Object);
+      absl::StatusOr<std::optional<Revision>> Done =
+          commit(Key, *Open, Deadline);
+      if (!Done.ok())
+        return Done.status();
+      if (*Done)
+        return Written<T>{Object ? *Object : *Last, **Done, true};
+    }
+    return absl::UnavailableError("not written: too many racing writers");
+  }
+
+private:
+  using Generation = fleet::Generation;
+
+  template <typename T>
+  static absl::Status checkMatch(const std::optional<T> &Object,
+                                 std::optional<Revision> IfMatch) {
+    if (!IfMatch)
+      return absl::OkStatus();
+    const Revision Now =
+        Object ? Object->Metadata_.ResourceVersion_ : Revision(0);
+    if (Now == *IfMatch)
+      return absl::OkStatus();
+    return absl::AbortedError("resource version is " +
+                              std::to_string(Now.value()));
+  }
+
+  template <typename T>
+  static std::optional<T> readFrom(const OpenShard &Open,
+                                   const std::string &Name) {
+    const boost::json::value *Item = Open.Items_.if_contains(Name);
+    if (!Item)
+      return std::nullopt;
+    framework::settings::FieldErrors Ignored;
+    return fleet::readStored<T>(Name, *Item, Ignored);
+  }
+
+  template <typename T>
+  static boost::json::value stored(const std::optional<T> &Object) {
+    if (!Object)
+      return nullptr;
+    return fleet::toStored(*Object);
+  }
+
+  template <typename T>
+  static void writeInto(OpenShard &Open, const std::string &Name,
+                        const std::optional<T> &Object) {
+    if (Object)
+      Open.Items_[Name] = fleet::toStored(*Object);
+    else
+      Open.Items_.erase(Name);
+  }
+
+  /// The revision of the write; an empty optional if another writer was first.
+  absl::StatusOr<std::optional<Revision>>
+  commit(const std::string &Key, const OpenShard &Open,
+         framework::clock::TimePoint Deadline) {
+    const std::string Text = shardText(Open);
+    store::Transaction Txn;
+    Txn.Compares_.push_back({Key, Open.Before_.ModRevision_});
+    Txn.Puts_.push_back({Key, Text});
+    absl::StatusOr<store::TransactionResult> Result =
+        Store_.commit(Txn, Deadline);
+    if (Result.ok() && Result->Succeeded_)
+      return std::optional<Revision>(Result->StoreRevision_);
+    if (Result.ok())
+      return std::optional<Revision>();
+    return readBack(Key, Text, Deadline, Result.status());
+  }
+
+  absl::StatusOr<std::optional<Revision>>
+  readBack(const std::string &Key, const std::string &Text,
+           framework::clock::TimePoint Deadline, const absl::Status &Why) {
+    for (int Try = 0; Try < Tries; ++Try) {
+      absl::StatusOr<store::RangeResult> Read =
+          Store_.range(Key, Revision(0), Deadline);
+      if (!Read.ok())
+        continue;
+      if (holdsWrite(*Read, Key, Text))
+        return std::optional<Revision>(Read->StoreRevision_);
+      // Not there: either it never arrived, or another writer came after it.
+      // Trying again is right in both cases, since the edit starts from what
+      // is there now.
+      return std::optional<Revision>();
+    }
+    return absl::UnknownError("the store's answer was lost and it cannot be "
+                              "read now; the change may be in force: " +
+                              std::string(Why.message()));
+  }
+
+  Store &Store_;
+  std::string Prefix_;
+};
+
+} // namespace laburnumspread::config
--- /dev/null
+++ b/src/config/tests/fakestore.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "store/kvstore.h"
+
+#include <map>
+
+namespace laburnumspread::config {
+
+/// A store in memory that fails on command.
+class FakeStore {
+public:
+  /// The next commit takes effect and its answer is lost.
+  bool LoseNextAnswer_ = false;
+  /// The next commit never arrives, and the sender cannot know.
+  bool LoseNextRequest_ = false;
+  bool Down_ = false;
+  /// Runs once just before the next commit: a racing writer.
+  std::function<void()> BeforeCommit_;
+  int Commits_ = 0;
+
+  absl::StatusOr<store::RangeResult>
+  range(const std::string &Prefix, store::Revision Since, store::TimePoint) {
+    if (Down_)
+      return absl::UnavailableError("down");
+    store::RangeResult Result;
+    Result.StoreRevision_ = Revision_;
+    for (const auto &[Key, Item] : Items_)
+      if (Key.starts_with(Prefix) && Item.ModRevision_ >= Since)
+        Result.Items_.push_back(Item);
+    return Result;
+  }
+
+  absl::StatusOr<store::TransactionResult> commit(const store::Transaction &Txn,
+                                                  store::TimePoint) {
+    if (auto Racer = std::exchange(BeforeCommit_, nullptr))
+      Racer();
+    if (std::exchange(LoseNextRequest_, false))
+      return absl::DeadlineExceededError("no answer");
+    for (const store::Compare &Item : Txn.Compares_)
+      if (Items_[Item.Key_].ModRevision_ != Item.ModRevision_)
+        return store::TransactionResult{false, Revision_};
+    Revision_ = Revision_.next();
+    ++Commits_;
+    for (const store::Put &Item : Txn.Puts_)
+      Items_[Item.Key_] = {Item.Key_, Item.Value_, Revision_};
+    if (std::exchange(LoseNextAnswer_, false))
+      return absl::DeadlineExceededError("no answer");
+    return store::TransactionResult{true, Revision_};
+  }
+
+  absl::Status watch(const std::string &, store::Revision,
+                     const std::function<bool(const store::WatchBatch &)> &) {
+    return absl::UnimplementedError("not used");
+  }
+  absl::StatusOr<std::int64_t> grantLease(std::int64_t, store::TimePoint) {
+    return 1;
+  }
+  absl::StatusOr<bool> keepLease(std::int64_t, store::TimePoint) {
+    return true;
+  }
+
+  store::Revision Revision_;
+
+private:
+  std::map<std::string, store::KeyValue> Items_;
+};
+
+static_assert(store::KeyValueStore<FakeStore>);
+
+} // namespace laburnumspread::config
--- /dev/null
+++ b/src/config/tests/objectwritertest.cpp
@@ -0,0 +1,125 @@
+#include "config/objectwriter.h"
+
+#include "config/tests/fakestore.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace laburnumspread::config;
+using laburnumspread::fleet::Generation;
+using laburnumspread::fleet::PoolName;
+using laburnumspread::fleet::Revision;
+using laburnumspread::fleet::Team;
+using laburnumspread::fleet::Vm;
+using laburnumspread::framework::clock::TimePoint;
+
+namespace {
+
+const TimePoint Later{std::chrono::hours(1)};
+
+Team teamWithLimit(std::uint32_t Limit) {
+  Team Result;
+  Result.Metadata_.Name_ = "orders";
+  Result.Spec_.Limit_ = Limit;
+  return Result;
+}
+
+struct Fixture {
+  FakeStore Store_;
+  ObjectWriter<FakeStore> Writer_{Store_, "/l/"};
+
+  std::uint32_t storedLimit() {
+    Team Stored;
+    const auto Seen = Writer_.change<Team>(
+        "orders",
+        [&](std::optional<Team> &Object) {
+          Stored = Object.value_or(Team());
+          return absl::OkStatus();
+        },
+        true, Later);
+    BOOST_REQUIRE(Seen.ok());
+    return Stored.Spec_.Limit_;
+  }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_CASE(UnchangedSpecWritesNothing, Fixture) {
+  const auto First =
+      Writer_.putSpec(teamWithLimit(5), std::nullopt, false, Later);
+  const auto Second =
+      Writer_.putSpec(teamWithLimit(5), std::nullopt, false, Later);
+  BOOST_REQUIRE(First.ok() && Second.ok());
+  BOOST_TEST(Store_.Commits_ == 1);
+  BOOST_TEST(Second->Object_.Metadata_.Generation_ == Generation(1));
+  BOOST_TEST(!Second->Changed_);
+}
+
+// The store does the write and its answer is lost. The operator must be told
+// that the change is in force, not that it failed: a second try by hand might
+// undo what another operator did in between.
+BOOST_FIXTURE_TEST_CASE(LostAnswerIsResolvedByReadingBack, Fixture) {
+  Store_.LoseNextAnswer_ = true;
+  const auto Done =
+      Writer_.putSpec(teamWithLimit(5), std::nullopt, false, Later);
+  BOOST_REQUIRE(Done.ok());
+  BOOST_TEST(Store_.Commits_ == 1);
+  BOOST_TEST(storedLimit() == 5u);
+}
+
+BOOST_FIXTURE_TEST_CASE(LostRequestIsSentAgain, Fixture) {
+  Store_.LoseNextRequest_ = true;
+  BOOST_REQUIRE(
+      Writer_.putSpec(teamWithLimit(5), std::nullopt, false, Later).ok());
+  BOOST_TEST(storedLimit() == 5u);
+}
+
+// Two operators change one team at the same time, both from the version that
+// they have seen. The second must be refused with the present version, and the
+// first one's change must stand.
+BOOST_FIXTURE_TEST_CASE(RacingOperatorsNeverLoseAnUpdate, Fixture) {
+  const auto First =
+      Writer_.putSpec(teamWithLimit(1), std::nullopt, false, Later);
+  const Revision Seen = First->Object_.Metadata_.ResourceVersion_;
+  Store_.BeforeCommit_ = [&] {
+    BOOST_REQUIRE(Writer_.putSpec(teamWithLimit(2), Seen, false, Later).ok());
+  };
+  const auto Second = Writer_.putSpec(teamWithLimit(3), Seen, false, Later);
+  BOOST_TEST(Second.status().code() == absl::StatusCode::kAborted);
+  BOOST_TEST(storedLimit() == 2u);
+}
+
+// Two planners move one VM to different pools. There is one record of the VM,
+// so it ends in the pool of the later write and was never in both.
+BOOST_FIXTURE_TEST_CASE(VmMovedByTwoIsInOnePool, Fixture) {
+  auto moveTo = [&](const char *Pool) {
+    return Writer_.change<Vm>(
+        "vm-1",
+        [&](std::optional<Vm> &Object) {
+          if (!Object)
+            Object.emplace();
+          Object->Metadata_.Name_ = "vm-1";
+          Object->Spec_.Pool_ = PoolName(Pool);
+          return absl::OkStatus();
+        },
+        false, Later);
+  };
+  Store_.BeforeCommit_ = [&] { BOOST_REQUIRE(moveTo("menus").ok()); };
+  const auto Moved = moveTo("orders");
+  BOOST_REQUIRE(Moved.ok());
+  BOOST_TEST(Moved->Object_.Spec_.Pool_ == PoolName("orders"));
+  BOOST_TEST(
+      Store_.range("/l/config/vms/", Revision(0), Later)->Items_.size() == 1u);
+}
+
+BOOST_FIXTURE_TEST_CASE(StoreOutageIsAnErrorNotALoss, Fixture) {
+  Store_.Down_ = true;
+  BOOST_TEST(Writer_.putSpec(teamWithLimit(5), std::nullopt, false, Later)
+                 .status()
+                 .code() == absl::StatusCode::kUnavailable);
+}
+
+BOOST_FIXTURE_TEST_CASE(DryRunWritesNothing, Fixture) {
+  BOOST_REQUIRE(
+      Writer_.putSpec(teamWithLimit(5), std::nullopt, true, Later).ok());
+  BOOST_TEST(Store_.Commits_ == 0);
+}
--- /dev/null
+++ b/src/fleet/fleettypes.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "framework/clock/clock.h"
+#include "framework/ids/strongid.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace laburnumspread::fleet {
+
+using PoolName = framework::ids::StrongName<struct PoolNameTag>;
+using VmName = framework::ids::StrongName<struct VmNameTag>;
+using TeamName = framework::ids::StrongName<struct TeamNameTag>;
+using KeyName = framework::ids::StrongName<struct KeyNameTag>;
+using WaveName = framework::ids::StrongName<struct WaveNameTag>;
+using EntryName = framework::ids::StrongName<struct EntryNameTag>;
+using ZoneName = framework::ids::StrongName<struct ZoneNameTag>;
+using RackName = framework::ids::StrongName<struct RackNameTag>;
+
+/// Revision of the platform's store. Grows with every write to it.
+using Revision = framework::ids::StrongNumber<struct RevisionTag>;
+/// Counts the changes of one object's spec.
+using Generation = framework::ids::StrongNumber<struct GenerationTag>;
+/// Start time of a process in microseconds; a later start has a greater one.
+using Incarnation = framework::ids::StrongNumber<struct IncarnationTag>;
+
+/// Places for one request each on an endpoint.
+using Slots = framework::ids::StrongNumber<struct SlotsTag, std::uint32_t>;
+using Megabytes =
+    framework::ids::StrongNumber<struct MegabytesTag, std::uint64_t>;
+using MilliCpus =
+    framework::ids::StrongNumber<struct MilliCpusTag, std::uint64_t>;
+using Accelerators =
+    framework::ids::StrongNumber<struct AcceleratorsTag, std::uint32_t>;
+
+/// Resources that a request asks for or that a VM has.
+struct Size {
+  MilliCpus Cpus_;
+  Megabytes Memory_;
+  Accelerators Accelerators_;
+
+  bool fitsInto(const Size &Room) const {
+    return Cpus_ <= Room.Cpus_ && Memory_ <= Room.Memory_ &&
+           Accelerators_ <= Room.Accelerators_;
+  }
+};
+
+enum class RequestClass { Urgent, Normal, Batch };
+std::string_view nameOf(RequestClass Class);
+
+/// What is known of a request's execution. The caller reads it in
+/// `Request-Outcome`.
+enum class Outcome { Ran, NotRun, Unknown };
+std::string_view nameOf(Outcome Value);
+
+} // namespace laburnumspread::fleet
--- /dev/null
+++ b/src/framework/fibers/asioscheduler.cpp
@@ -0,0 +1,57 @@
+#include "framework/fibers/asioscheduler.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/fiber/context.hpp>
+#include <boost/fiber/operations.hpp>
+
+namespace laburnumspread::framework::fibers {
+
+using TimePoint = std::chrono::steady_clock::time_point;
+
+AsioScheduler::AsioScheduler(boost::asio::io_context &Io)
+    : Io_(Io), Work_(Io.get_executor()), Wake_(Io), WakeAt_(TimePoint::max()) {}
+
+void AsioScheduler::awakened(boost::fibers::context *Fiber) noexcept {
+  Fiber->ready_link(Ready_);
+}
+
+boost::fibers::context *AsioScheduler::pick_next() noexcept {
+  if (Ready_.empty())
+    return nullptr;
+  boost::fibers::context *Next = &Ready_.front();
+  Ready_.pop_front();
+  // The dispatcher comes round once for each turn of the ready queue. Without
+  // this poll, fibers that wake each other for ever would starve all input.
+  if (Next->is_context(boost::fibers::type::dispatcher_context))
+    Io_.poll();
+  return Next;
+}
+
+bool AsioScheduler::has_ready_fibers() const noexcept {
+  return !Ready_.empty();
+}
+
+void AsioScheduler::suspend_until(const TimePoint &Until) noexcept {
+  if (Until != WakeAt_) {
+    WakeAt_ = Until;
+    // Setting the expiry cancels the wait before it.
+    Wake_.expires_at(Until);
+    if (Until != TimePoint::max())
+      Wake_.async_wait([this](const boost::system::error_code &Error) {
+        if (!Error)
+          WakeAt_ = TimePoint::max();
+      });
+  }
+  Io_.run_one();
+  Io_.poll();
+}
+
+void AsioScheduler::notify() noexcept {
+  boost::asio::post(Io_, [] {});
+}
+
+void useAsioScheduler(boost::asio::io_context &Io) {
+  boost::fibers::use_scheduling_algorithm<AsioScheduler>(Io);
+}
+
+} // namespace laburnumspread::framework::fibers
--- /dev/null
+++ b/src/framework/fibers/asioscheduler.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/fiber/algo/algorithm.hpp>
+#include <boost/fiber/scheduler.hpp>
+
+namespace laburnumspread::framework::fibers {
+
+/// Fiber scheduler that runs one io_context on its thread: ready fibers go
+/// round robin, and while none is ready the thread waits inside the
+/// io_context. Handlers run on the scheduler's stack and must not block; they
+/// only wake fibers.
+class AsioScheduler final : public boost::fibers::algo::algorithm {
+public:
+  explicit AsioScheduler(boost::asio::io_context &Io);
+
+  void awakened(boost::fibers::context *Fiber) noexcept override;
+  boost::fibers::context *pick_next() noexcept override;
+  bool has_ready_fibers() const noexcept override;
+  void suspend_until(
+      const std::chrono::steady_clock::time_point &Until) noexcept override;
+  void notify() noexcept override;
+
+private:
+  boost::asio::io_context &Io_;
+  boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
+      Work_;
+  boost::asio::steady_timer Wake_;
+  std::chrono::steady_clock::time_point WakeAt_;
+  boost::fibers::scheduler::ready_queue_type Ready_;
+};
+
+/// Installs the scheduler on the calling thread.
+void useAsioScheduler(boost::asio::io_context &Io);
+
+} // namespace laburnumspread::framework::fibers
--- /dev/null
+++ b/src/framework/http/httpclient.cpp
@@ -0,0 +1,290 @@
+#include "framework/http/httpclient.h"
+
+#include "framework/fibers/await.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <netinet/tcp.h>
+
+namespace laburnumspread::framework::http {
+
+namespace beast = boost::beast;
+namespace bhttp = boost::beast::http;
+using boost::asio::ip::tcp;
+using fibers::await;
+using fibers::IoOutcome;
+
+namespace {
+
+constexpr std::size_t AnswerHeaderBytes = 16 * 1024;
+constexpr std::size_t PartBytes = 16 * 1024;
+
+/// Unacknowledged data for this long ends a connection. A path that has
+/// forgotten the connection gives no error of its own; without this bound the
+/// kernel would resend for a quarter of an hour.
+constexpr unsigned TcpUserTimeoutMs = 5000;
+
+std::chrono::steady_clock::time_point toSteady(clock::TimePoint Deadline) {
+  return std::chrono::steady_clock::now() +
+         (Deadline - clock::SystemClock().now());
+}
+
+absl::Status toStatus(const beast::error_code &Error, std::string_view What) {
+  std::string Text = std::string(What) + ": " + Error.message();
+  if (Error == beast::error::timeout)
+    return absl::DeadlineExceededError(Text);
+  if (Error == bhttp::error::body_limit || Error == bhttp::error::header_limit)
+    return absl::ResourceExhaustedError(Text);
+  return absl::UnavailableError(Text);
+}
+
+class TcpConnection final : public Connection {
+public:
+  explicit TcpConnection(boost::asio::io_context &Io) : Stream_(Io) {}
+
+  absl::Status connect(const Address &To, clock::TimePoint Deadline) override {
+    beast::error_code Error;
+    const tcp::endpoint Endpoint(boost::asio::ip::make_address(To.Ip_, Error),
+                                 To.Port_);
+    if (Error)
+      return absl::InvalidArgumentError("bad address " + To.str());
+    Stream_.expires_at(toSteady(Deadline));
+    const IoOutcome Outcome =
+        await([&](auto Done) { Stream_.async_connect(Endpoint, Done); });
+    if (Outcome.Error_)
+      return toStatus(Outcome.Error_, "connect to " + To.str());
+    setOptions();
+    heard();
+    return absl::OkStatus();
+  }
+
+  absl::Status send(const Request &Message, std::uint64_t Length,
+                    clock::TimePoint Deadline) override {
+    Parser_.emplace();
+    Parser_->header_limit(AnswerHeaderBytes);
+    Parser_->body_limit(boost::none);
+    Sent_ = false;
+    Finished_ = false;
+    bhttp::request<bhttp::empty_body> Head;
+    Head.version(11);
+    Head.method_string(Message.Method_);
+    Head.target(Message.Target_);
+    for (const Header &Field : Message.Headers_.all())
+      Head.set(Field.Name_, Field.Value_);
+    if (Length > 0 || Message.Method_ != "GET")
+      Head.content_length(Length);
+    HeadOnly_ = Message.Method_ == "HEAD";
+    return sendHead(Head, Message.Body_, Deadline);
+  }
+
+  absl::Status write(std::string_view Part,
+                     clock::TimePoint Deadline) override {
+    Stream_.expires_at(toSteady(Deadline));
+    const IoOutcome Outcome = await([&](auto Done) {
+      boost::asio::async_write(
+          Stream_, boost::asio::const_buffer(Part.data(), Part.size()), Done);
+    });
+    if (Outcome.Error_)
+      return toStatus(Outcome.Error_, "send body");
+    return absl::OkStatus();
+  }
+
+  absl::StatusOr<Response> readHead(clock::TimePoint Deadline) override {
+    Stream_.expires_at(toSteady(Deadline));
+    const IoOutcome Outcome = await([&](auto Done) {
+      bhttp::async_read_header(Stream_, Buffer_, *Parser_, Done);
+    });
+    if (Outcome.Error_)
+      return toStatus(Outcome.Error_, "read answer head");
+    heard();
+    Response Answer;
+    Answer.Status_ = static_cast<int>(Parser_->get().result_int());
+    for (const auto &Field : Parser_->get())
+      Answer.Headers_.add(
+          std::string_view(Field.name_string().data(),
+                           Field.name_string().size()),
+          std::string_view(Field.value().data(), Field.value().size()));
+    Finished_ = Parser_->is_done();
+    return Answer;
+  }
+
+  absl::StatusOr<bool> readSome(std::string &Into, std::size_t Max,
+                                clock::TimePoint Deadline) override {
+    if (Parser_->is_done())
+      return false;
+    const std::size_t Before = Into.size();
+    Into.resize(Before + Max);
+    auto &Body = Parser_->get().body();
+    Body.data = Into.data() + Before;
+    Body.size = Max;
+    Body.more = true;
+    Stream_.expires_at(toSteady(Deadline));
+    IoOutcome Outcome = await([&](auto Done) {
+      bhttp::async_read_some(Stream_, Buffer_, *Parser_, Done);
+    });
+    Into.resize(Before + Max - Body.size);
+    if (Outcome.Error_ && Outcome.Error_ != bhttp::error::need_buffer)
+      return toStatus(Outcome.Error_, "read answer body");
+    heard();
+    Finished_ = Parser_->is_done();
+    return !Finished_;
+  }
+
+  std::optional<std::uint64_t> answerLength() const override {
+    if (auto Length = Parser_->content_length())
+      return *Length;
+    return std::nullopt;
+  }
+
+  bool bytesSent() const override { return Sent_; }
+
+  bool reusable() const override {
+    return Finished_ && Stream_.socket().is_open() && Parser_->keep_alive() &&
+           Buffer_.size() == 0;
+  }
+
+  bool stale() override {
+    char Byte;
+    beast::error_code Error;
+    Stream_.socket().non_blocking(true, Error);
+    Stream_.socket().receive(boost::asio::buffer(&Byte, 1),
+                             tcp::socket::message_peek, Error);
+    // Bytes that answer no request would be read as the answer to the next.
+    return Error != boost::asio::error::would_block;
+  }
+
+  clock::TimePoint provenAt() const override { return ProvenAt_; }
+
+  void close() override {
+    beast::error_code Ignored;
+    Stream_.socket().cancel(Ignored);
+    Stream_.socket().shutdown(tcp::socket::shutdown_both, Ignored);
+    Finished_ = false;
+  }
+
+private:
+  absl::Status sendHead(bhttp::request<bhttp::empty_body> &Head,
+                        std::string_view Body, clock::TimePoint Deadline) {
+    bhttp::request_serializer<bhttp::empty_body> Serializer(Head);
+    Serializer.split(true);
+    std::string Bytes;
+    beast::error_code Error;
+    Serializer.next(Error, [&](beast::error_code &, const auto &Buffers) {
+      Bytes = beast::buffers_to_string(Buffers);
+    });
+    // Head and body leave in one segment: one system call, and no wait of one
+    // for the acknowledgement of the other.
+    Bytes += Body;
+    Stream_.expires_at(toSteady(Deadline));
+    const IoOutcome Outcome = await([&](auto Done) {
+      boost::asio::async_write(Stream_, boost::asio::buffer(Bytes), Done);
+    });
+    Sent_ = Outcome.Bytes_ > 0;
+    if (Outcome.Error_)
+      return toStatus(Outcome.Error_, "send request");
+    return absl::OkStatus();
+  }
+
+  void setOptions() {
+    beast::error_code Ignored;
+    Stream_.socket().set_option(tcp::no_delay(true), Ignored);
+    const boost::asio::detail::socket_option::integer<IPPROTO_TCP,
+                                                      TCP_USER_TIMEOUT>
+        UserTimeout(TcpUserTimeoutMs);
+    Stream_.socket().set_option(UserTimeout, Ignored);
+  }
+
+  void heard() { ProvenAt_ = clock::SystemClock().now(); }
+
+  beast::tcp_stream Stream_;
+  beast::flat_buffer Buffer_;
+  std::optional<bhttp::response_parser<bhttp::buffer_body>> Parser_;
+  clock::TimePoint ProvenAt_{};
+  bool Sent_ = false;
+  bool Finished_ = false;
+  bool HeadOnly_ = false;
+};
+
+} // namespace
+
+std::shared_ptr<Connection> Connection::make(boost::asio::io_context &Io) {
+  return std::make_shared<TcpConnection>(Io);
+}
+
+Client::Client(boost::asio::io_context &Io, Address To)
+    : Io_(Io), To_(std::move(To)) {}
+
+Client::~Client() = default;
+
+std::shared_ptr<Connection> Client::takeIdle() {
+  while (!Idle_.empty()) {
+    auto Candidate = std::move(Idle_.back());
+    Idle_.pop_back();
+    if (!Candidate->stale())
+      return Candidate;
+  }
+  return nullptr;
+}
+
+absl::StatusOr<Response> Client::exchange(const Request &Message,
+                                          clock::TimePoint Deadline,
+                                          std::size_t MaxBody) {
+  auto Link = takeIdle();
+  if (!Link) {
+    Link = Connection::make(Io_);
+    if (absl::Status Status = Link->connect(To_, Deadline); !Status.ok())
+      return absl::UnavailableError("not sent: " +
+                                    std::string(Status.message()));
+  }
+  if (absl::Status Status = Link->send(Message, Message.Body_.size(), Deadline);
+      !Status.ok())
+    return Status;
+  absl::StatusOr<Response> Answer = Link->readHead(Deadline);
+  if (!Answer.ok())
+    return Answer.status();
+  for (bool More = true; More;) {
+    if (Answer->Body_.size() > MaxBody)
+      return absl::ResourceExhaustedError("answer is too large");
+    absl::StatusOr<bool> Next =
+        Link->readSome(Answer->Body_, PartBytes, Deadline);
+    if (!Next.ok())
+      return Next.status();
+    More = *Next;
+  }
+  if (Link->reusable())
+    Idle_.push_back(std::move(Link));
+  return Answer;
+}
+
+absl::Status
+Client::stream(const Request &Message, clock::TimePoint ConnectBy,
+               const std::function<clock::TimePoint()> &PartDeadline,
+               const std::function<bool(const Response &)> &OnHead,
+               const std::function<bool(std::string_view)> &OnPart) {
+  auto Link = Connection::make(Io_);
+  if (absl::Status Status = Link->connect(To_, ConnectBy); !Status.ok())
+    return Status;
+  if (absl::Status Status =
+          Link->send(Message, Message.Body_.size(), ConnectBy);
+      !Status.ok())
+    return Status;
+  absl::StatusOr<Response> Head = Link->readHead(ConnectBy);
+  if (!Head.ok())
+    return Head.status();
+  if (!OnHead(*Head))
+    return absl::OkStatus();
+  std::string Part;
+  for (bool More = true; More;) {
+    Part.clear();
+    absl::StatusOr<bool> Next = Link->readSome(Part, PartBytes, PartDeadline());
+    if (!Next.ok())
+      return Next.status();
+    if (!Part.empty() && !OnPart(Part))
+      break;
+    More = *Next;
+  }
+  return absl::OkStatus();
+}
+
+} // namespace laburnumspread::framework::http
--- /dev/null
+++ b/src/framework/http/httpserver.cpp
@@ -0,0 +1,435 @@
+#include "framework/http/httpserver.h"
+
+#include "framework/fibers/await.h"
+#include "framework/fibers/spawn.h"
+#include "framework/fibers/waiter.h"
+
+#include <set>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <boost/beast/version.hpp>
+
+namespace laburnumspread::framework::http {
+
+namespace beast = boost::beast;
+namespace bhttp = boost::beast::http;
+using boost::asio::ip::tcp;
+using fibers::await;
+using fibers::IoOutcome;
+
+namespace {
+
+constexpr std::size_t ReadBufferBytes = 8 * 1024;
+
+/// Pause after a failed accept (out of descriptors, say), so that the loop
+/// does not spin.
+constexpr clock::Duration AcceptRetryPause = std::chrono::milliseconds(100);
+
+std::chrono::steady_clock::time_point steadyIn(clock::Duration Time) {
+  return std::chrono::steady_clock::now() + Time;
+}
+
+absl::Status bodyError(const beast::error_code &Error) {
+  if (Error == bhttp::error::body_limit)
+    return absl::ResourceExhaustedError("body is larger than the limit");
+  if (Error == beast::error::timeout)
+    return absl::DeadlineExceededError("body was not sent in time");
+  if (Error == bhttp::error::end_of_stream ||
+      Error == bhttp::error::partial_message ||
+      Error == boost::asio::error::connection_reset)
+    return absl::UnavailableError("connection lost while reading the body");
+  return absl::InvalidArgumentError("malformed body: " + Error.message());
+}
+
+} // namespace
+
+/// One accepted connection, kept alive by its fiber and its pending
+/// operations.
+class ServerSession final : public Exchange,
+                            public std::enable_shared_from_this<ServerSession> {
+public:
+  ServerSession(tcp::socket Socket, const ServerLimits &Limits)
+      : Stream_(std::move(Socket)), Limits_(Limits),
+        Buffer_(Limits.HeaderBytes_ + ReadBufferBytes) {}
+
+  /// Serves requests until the connection ends or \p Stopping is set.
+  void run(const Server::Handler &Handle, const Server::FaultReply &OnFault,
+           const bool &Stopping) {
+    while (!Broken_ && !Stopping) {
+      if (!readHeader(OnFault))
+        break;
+      Handle(*this);
+      if (!Answered_)
+        abort();
+      finishExchange();
+    }
+    beast::error_code Ignored;
+    Stream_.socket().shutdown(tcp::socket::shutdown_send, Ignored);
+    Stream_.close();
+  }
+
+  void closeIfIdle() {
+    if (Idle_)
+      Stream_.cancel();
+  }
+
+  const Request &head() const override { return Head_; }
+
+  std::optional<std::uint64_t> contentLength() const override {
+    if (auto Length = Parser_->content_length())
+      return *Length;
+    if (Parser_->chunked())
+      return std::nullopt;
+    return 0;
+  }
+
+  absl::StatusOr<bool> readSome(std::string &Into, std::size_t Max) override {
+    if (Parser_->is_done())
+      return false;
+    if (ExpectsContinue_ && !sendContinue())
+      return absl::UnavailableError("connection lost");
+    const std::size_t Before = Into.size();
+    Into.resize(Before + Max);
+    auto &Body = Parser_->get().body();
+    Body.data = Into.data() + Before;
+    Body.size = Max;
+    Stream_.expires_at(steadyIn(Limits_.IoTimeout_));
+    IoOutcome Outcome = await([&](auto Done) {
+      bhttp::async_read_some(Stream_, Buffer_, *Parser_, Done);
+    });
+    Into.resize(Before + Max - Body.size);
+    if (Outcome.Error_ == bhttp::error::need_buffer)
+      Outcome.Error_ = {};
+    if (Outcome.Error_) {
+      Broken_ = Outcome.Error_ != bhttp::error::body_limit;
+      KeepAlive_ = false;
+      return bodyError(Outcome.Error_);
+    }
+    return !Parser_->is_done();
+  }
+
+  void reply(const Response &Answer) override {
+    bhttp::response<bhttp::string_body> Message;
+    fillHead(Message, Answer);
+    Message.body() = Answer.Body_;
+    Message.prepare_payload();
+    Answered_ = true;
+    Stream_.expires_at(steadyIn(Limits_.IoTimeout_));
+    const IoOutcome Outcome =
+        await([&](auto Done) { bhttp::async_write(Stream_, Message, Done); });
+    noteWrite(Outcome.Error_);
+  }
+
+  void beginReply(const Response &Head,
+                  std::optional<std::uint64_t> Length) override {
+    Streaming_.emplace();
+    fillHead(*Streaming_, Head);
+    Chunked_ = !Length.has_value();
+    if (Length)
+      Streaming_->content_length(*Length);
+    else
+      Streaming_->chunked(true);
+    Answered_ = true;
+    bhttp::response_serializer<bhttp::empty_body> Serializer(*Streaming_);
+    Stream_.expires_at(steadyIn(Limits_.IoTimeout_));
+    const IoOutcome Outcome = await([&](auto Done) {
+      bhttp::async_write_header(Stream_, Serializer, Done);
+    });
+    noteWrite(Outcome.Error_);
+  }
+
+  absl::Status write(std::string_view Part) override {
+    if (Broken_)
+      return absl::UnavailableError("connection lost");
+    if (Part.empty())
+      return absl::OkStatus();
+    const boost::asio::const_buffer Data(Part.data(), Part.size());
+    Stream_.expires_at(steadyIn(Limits_.IoTimeout_));
+    const IoOutcome Outcome = await([&](auto Done) {
+      if (Chunked_)
+        boost::asio::async_write(Stream_, bhttp::make_chunk(Data), Done);
+      else
+        boost::asio::async_write(Stream_, Data, Done);
+    });
+    noteWrite(Outcome.Error_);
+    return Broken_ ? absl::UnavailableError("connection lost")
+                   : absl::OkStatus();
+  }
+
+  void endReply() override {
+    if (!Chunked_ || Broken_)
+      return;
+    Stream_.expires_at(steadyIn(Limits_.IoTimeout_));
+    const IoOutcome Outcome = await([&](auto Done) {
+      boost::asio::async_write(Stream_, bhttp::make_chunk_last(), Done);
+    });
+    noteWrite(Outcome.Error_);
+  }
+
+  void abort() override {
+    Broken_ = true;
+    Answered_ = true;
+    Stream_.close();
+  }
+
+  void onCallerGone(std::function<void()> Gone) override {
+    CallerGone_ = std::move(Gone);
+    watchForClose();
+  }
+
+private:
+  bool readHeader(const Server::FaultReply &OnFault) {
+    Parser_.emplace();
+    Parser_->header_limit(Limits_.HeaderBytes_);
+    Parser_->body_limit(Limits_.BodyBytes_);
+    Answered_ = false;
+    ++Exchanges_;
+    if (!waitForFirstByte())
+      return false;
+    Stream_.expires_at(steadyIn(Limits_.IoTimeout_));
+    const IoOutcome Outcome = await([&](auto Done) {
+      bhttp::async_read_header(Stream_, Buffer_, *Parser_, Done);
+    });
+    if (Outcome.Error_)
+      return replyToBadHeader(Outcome.Error_, OnFault);
+    takeHead();
+    return true;
+  }
+
+  /// Waits on the socket without a buffer, so that an idle connection costs
+  /// only its fiber.
+  bool waitForFirstByte() {
+    if (Buffer_.size() > 0)
+      return true;
+    Buffer_.shrink_to_fit();
+    Idle_ = true;
+    Stream_.expires_at(steadyIn(Limits_.IdleTimeout_));
+    // A read of no bytes would return at once; read one small part instead.
+    const IoOutcome Outcome = await([&](auto Done) {
+      Stream_.async_read_some(Buffer_.prepare(FirstReadBytes), Done);
+    });
+    Idle_ = false;
+    Buffer_.commit(Outcome.Bytes_);
+    return !Outcome.Error_;
+  }
+
+  bool replyToBadHeader(const beast::error_code &Error,
+                        const Server::FaultReply &OnFault) {
+    KeepAlive_ = false;
+    if (Error == bhttp::error::header_limit ||
+        Error == bhttp::error::buffer_overflow)
+      reply(OnFault(431, "header is larger than the limit of " +
+                             std::to_string(Limits_.HeaderBytes_) + " bytes"));
+    else if (Error == beast::error::timeout)
+      reply(OnFault(408, "header was not sent in time"));
+    else if (Error == bhttp::error::body_limit)
+      reply(OnFault(413, "body is larger than the limit of " +
+                             std::to_string(Limits_.BodyBytes_) + " bytes"));
+    else if (Error != bhttp::error::end_of_stream &&
+             Error.category() ==
+                 bhttp::make_error_code(bhttp::error::bad_method).category())
+      reply(OnFault(400, "malformed header: " + Error.message()));
+    drainBriefly();
+    return false;
+  }
+
+  void takeHead() {
+    const auto &Message = Parser_->get();
+    Head_ = Request();
+    Head_.Method_ = std::string(Message.method_string());
+    Head_.Target_ = std::string(Message.target());
+    for (const auto &Field : Message)
+      Head_.Headers_.add(
+          std::string_view(Field.name_string().data(),
+                           Field.name_string().size()),
+          std::string_view(Field.value().data(), Field.value().size()));
+    KeepAlive_ = Message.keep_alive();
+    ExpectsContinue_ =
+        beast::iequals(Message[bhttp::field::expect], "100-continue");
+  }
+
+  bool sendContinue() {
+    ExpectsContinue_ = false;
+    bhttp::response<bhttp::empty_body> Go(bhttp::status::continue_, 11);
+    Stream_.expires_at(steadyIn(Limits_.IoTimeout_));
+    const IoOutcome Outcome =
+        await([&](auto Done) { bhttp::async_write(Stream_, Go, Done); });
+    noteWrite(Outcome.Error_);
+    return !Broken_;
+  }
+
+  template <typename Message>
+  void fillHead(Message &Into, const Response &From) {
+    Into.version(11);
+    Into.result(static_cast<unsigned>(From.Status_));
+    for (const Header &Field : From.Headers_.all())
+      Into.set(Field.Name_, Field.Value_);
+    // An unread body would be taken for the next request.
+    if (!Parser_->is_done())
+      KeepAlive_ = false;
+    Into.keep_alive(KeepAlive_);
+  }
+
+  void noteWrite(const beast::error_code &Error) {
+    if (Error)
+      Broken_ = true;
+  }
+
+  void finishExchange() {
+    CallerGone_ = nullptr;
+    Stream_.expires_never();
+    if (!Broken_ && !KeepAlive_) {
+      drainBriefly();
+      Broken_ = true;
+    }
+  }
+
+  /// Reads and drops what the caller still sends, within bounds. Closing a
+  /// socket with unread input makes the kernel reset the connection, and the
+  /// caller would lose the answer that it was just sent.
+  void drainBriefly() {
+    if (Broken_)
+      return;
+    beast::error_code Ignored;
+    Stream_.socket().shutdown(tcp::socket::shutdown_send, Ignored);
+    Stream_.expires_at(steadyIn(DrainTime));
+    std::size_t Drained = 0;
+    std::array<char, 4096> Sink;
+    while (Drained < DrainBytes) {
+      const IoOutcome Outcome = await([&](auto Done) {
+        Stream_.async_read_some(boost::asio::buffer(Sink), Done);
+      });
+      if (Outcome.Error_)
+        return;
+      Drained += Outcome.Bytes_;
+    }
+  }
+
+  void watchForClose() {
+    auto Self = shared_from_this();
+    const std::uint64_t Exchange = Exchanges_;
+    Stream_.socket().async_wait(
+        tcp::socket::wait_read,
+        [Self, Exchange](const beast::error_code &Error) {
+          if (Error || Exchange != Self->Exchanges_ || !Self->CallerGone_)
+            return;
+          char Byte;
+          beast::error_code PeekError;
+          Self->Stream_.socket().non_blocking(true, PeekError);
+          Self->Stream_.socket().receive(boost::asio::buffer(&Byte, 1),
+                                         tcp::socket::message_peek, PeekError);
+          // A readable byte is a pipelined request: stop watching.
+          if (!PeekError || PeekError == boost::asio::error::would_block)
+            return;
+          auto Gone = std::move(Self->CallerGone_);
+          Self->CallerGone_ = nullptr;
+          Gone();
+        });
+  }
+
+  static constexpr std::size_t FirstReadBytes = 2048;
+  static constexpr std::size_t DrainBytes = 1024 * 1024;
+  static constexpr clock::Duration DrainTime = std::chrono::milliseconds(500);
+
+  beast::tcp_stream Stream_;
+  const ServerLimits &Limits_;
+  beast::flat_buffer Buffer_;
+  std::optional<bhttp::request_parser<bhttp::buffer_body>> Parser_;
+  std::optional<bhttp::response<bhttp::empty_body>> Streaming_;
+  Request Head_;
+  std::function<void()> CallerGone_;
+  std::uint64_t Exchanges_ = 0;
+  bool KeepAlive_ = false;
+  bool ExpectsContinue_ = false;
+  bool Answered_ = false;
+  bool Broken_ = false;
+  bool Chunked_ = false;
+  bool Idle_ = false;
+};
+
+struct Server::State : std::enable_shared_from_this<Server::State> {
+  State(boost::asio::io_context &Io, ServerLimits Limits, Handler Handle,
+        FaultReply OnFault)
+      : Acceptor_(Io), Limits_(Limits), Handle_(std::move(Handle)),
+        OnFault_(std::move(OnFault)) {}
+
+  void acceptLoop() {
+    while (!Stopping_) {
+      tcp::socket Socket(Acceptor_.get_executor());
+      const IoOutcome Outcome =
+          await([&](auto Done) { Acceptor_.async_accept(Socket, Done); });
+      if (Stopping_)
+        return;
+      if (Outcome.Error_)
+        fibers::sleepFor(AcceptRetryPause);
+      else
+        serve(std::move(Socket));
+    }
+  }
+
+  void serve(tcp::socket Socket) {
+    beast::error_code Ignored;
+    Socket.set_option(tcp::no_delay(true), Ignored);
+    auto Session = std::make_shared<ServerSession>(std::move(Socket), Limits_);
+    if (Sessions_.size() >= Limits_.Connections_)
+      return;
+    Sessions_.insert(Session);
+    fibers::spawn([Self = shared_from_this(), Session] {
+      Session->run(Self->Handle_, Self->OnFault_, Self->Stopping_);
+      Self->Sessions_.erase(Session);
+    });
+  }
+
+  tcp::acceptor Acceptor_;
+  ServerLimits Limits_;
+  Handler Handle_;
+  FaultReply OnFault_;
+  std::set<std::shared_ptr<ServerSession>> Sessions_;
+  bool Stopping_ = false;
+};
+
+Server::Server(boost::asio::io_context &Io, ServerLimits Limits, Handler Handle,
+               FaultReply OnFault)
+    : State_(std::make_shared<State>(Io, Limits, std::move(Handle),
+                                     std::move(OnFault))) {}
+
+Server::~Server() { stopAccepting(); }
+
+absl::Status Server::listen(const Address &At) {
+  beast::error_code Error;
+  const tcp::endpoint Endpoint(boost::asio::ip::make_address(At.Ip_, Error),
+                               At.Port_);
+  if (!Error)
+    State_->Acceptor_.open(Endpoint.protocol(), Error);
+  if (!Error)
+    State_->Acceptor_.set_option(tcp::acceptor::reuse_address(true), Error);
+  if (!Error)
+    State_->Acceptor_.bind(Endpoint, Error);
+  if (!Error)
+    State_->Acceptor_.listen(boost::asio::socket_base::max_listen_connections,
+                             Error);
+  if (Error)
+    return absl::UnavailableError("cannot listen on " + At.str() + ": " +
+                                  Error.message());
+  fibers::spawn([State = State_] { State->acceptLoop(); });
+  return absl::OkStatus();
+}
+
+std::uint16_t Server::port() const {
+  beast::error_code Ignored;
+  return State_->Acceptor_.local_endpoint(Ignored).port();
+}
+
+void Server::stopAccepting() {
+  State_->Stopping_ = true;
+  beast::error_code Ignored;
+  State_->Acceptor_.close(Ignored);
+  for (const auto &Session : State_->Sessions_)
+    Session->closeIfIdle();
+}
+
+std::size_t Server::openConnections() const { return State_->Sessions_.size(); }
+
+} // namespace laburnumspread::framework::http
--- /dev/null
+++ b/src/framework/http/httptypes.cpp
@@ -0,0 +1,109 @@
+#include "framework/http/httptypes.h"
+
+#include <algorithm>
+#include <charconv>
+
+#include <boost/asio/ip/address.hpp>
+
+namespace laburnumspread::framework::http {
+
+namespace {
+
+bool equalsIgnoringCase(std::string_view A, std::string_view B) {
+  return std::equal(A.begin(), A.end(), B.begin(), B.end(),
+                    [](unsigned char X, unsigned char Y) {
+                      return std::tolower(X) == std::tolower(Y);
+                    });
+}
+
+int hexDigit(char C) {
+  if (C >= '0' && C <= '9')
+    return C - '0';
+  if (C >= 'a' && C <= 'f')
+    return C - 'a' + 10;
+  if (C >= 'A' && C <= 'F')
+    return C - 'A' + 10;
+  return -1;
+}
+
+std::string percentDecoded(std::string_view Text) {
+  std::string Result;
+  for (std::size_t I = 0; I < Text.size(); ++I) {
+    if (Text[I] == '%' && I + 2 < Text.size() && hexDigit(Text[I + 1]) >= 0 &&
+        hexDigit(Text[I + 2]) >= 0) {
+      Result +=
+          static_cast<char>(hexDigit(Text[I + 1]) * 16 + hexDigit(Text[I + 2]));
+      I += 2;
+    } else {
+      Result += Text[I];
+    }
+  }
+  return Result;
+}
+
+template <typename Visitor>
+void splitAt(std::string_view Text, char Separator, Visitor &&Visit) {
+  while (!Text.empty()) {
+    const std::size_t End = std::min(Text.find(Separator), Text.size());
+    if (End > 0)
+      Visit(Text.substr(0, End));
+    Text.remove_prefix(std::min(End + 1, Text.size()));
+  }
+}
+
+} // namespace
+
+std::optional<Address> parseAddress(std::string_view Text) {
+  const std::size_t Colon = Text.rfind(':');
+  if (Colon == std::string_view::npos)
+    return std::nullopt;
+  Address Result;
+  Result.Ip_ = std::string(Text.substr(0, Colon));
+  const std::string_view Port = Text.substr(Colon + 1);
+  const auto Parsed =
+      std::from_chars(Port.data(), Port.data() + Port.size(), Result.Port_);
+  boost::system::error_code Error;
+  boost::asio::ip::make_address(Result.Ip_, Error);
+  if (Error || Parsed.ec != std::errc() ||
+      Parsed.ptr != Port.data() + Port.size())
+    return std::nullopt;
+  return Result;
+}
+
+void Headers::add(std::string_view Name, std::string_view Value) {
+  All_.push_back({std::string(Name), std::string(Value)});
+}
+
+std::optional<std::string_view> Headers::find(std::string_view Name) const {
+  for (const Header &Field : All_)
+    if (equalsIgnoringCase(Field.Name_, Name))
+      return Field.Value_;
+  return std::nullopt;
+}
+
+std::optional<std::string_view> Target::query(std::string_view Name) const {
+  for (const Header &Parameter : Query_)
+    if (Parameter.Name_ == Name)
+      return Parameter.Value_;
+  return std::nullopt;
+}
+
+Target parseTarget(std::string_view Text) {
+  Target Result;
+  const std::size_t Mark = std::min(Text.find('?'), Text.size());
+  splitAt(Text.substr(0, Mark), '/', [&](std::string_view Segment) {
+    Result.Segments_.push_back(percentDecoded(Segment));
+  });
+  if (Mark == Text.size())
+    return Result;
+  splitAt(Text.substr(Mark + 1), '&', [&](std::string_view Pair) {
+    const std::size_t Equals = std::min(Pair.find('='), Pair.size());
+    const std::string_view Value =
+        Equals < Pair.size() ? Pair.substr(Equals + 1) : std::string_view();
+    Result.Query_.push_back(
+        {percentDecoded(Pair.substr(0, Equals)), percentDecoded(Value)});
+  });
+  return Result;
+}
+
+} // namespace laburnumspread::framework::http
--- /dev/null
+++ b/src/framework/http/httptypes.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "framework/clock/clock.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace laburnumspread::framework::http {
+
+/// Numeric IP address and port.
+struct Address {
+  std::string Ip_;
+  std::uint16_t Port_ = 0;
+
+  auto operator<=>(const Address &) const = default;
+  std::string str() const { return Ip_ + ":" + std::to_string(Port_); }
+};
+
+/// Reads "ip:port". Empty when the text is not of that form.
+std::optional<Address> parseAddress(std::string_view Text);
+
+struct Header {
+  std::string Name_;
+  std::string Value_;
+};
+
+/// Header fields in order; look-up ignores case.
+class Headers {
+public:
+  void add(std::string_view Name, std::string_view Value);
+  std::optional<std::string_view> find(std::string_view Name) const;
+  const std::vector<Header> &all() const { return All_; }
+
+private:
+  std::vector<Header> All_;
+};
+
+struct Request {
+  std::string Method_;
+  std::string Target_;
+  Headers Headers_;
+  std::string Body_;
+};
+
+struct Response {
+  int Status_ = 0;
+  Headers Headers_;
+  std::string Body_;
+};
+
+/// Path and decoded query parameters of a request target.
+struct Target {
+  std::vector<std::string> Segments_;
+  std::vector<Header> Query_;
+
+  std::optional<std::string_view> query(std::string_view Name) const;
+};
+
+Target parseTarget(std::string_view Text);
+
+} // namespace laburnumspread::framework::http
--- /dev/null
+++ b/src/framework/metrics/metrics.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace laburnumspread::framework::metrics {
+
+/// Counts upwards from the start of the process.
+class Counter {
+public:
+  void add(std::uint64_t By = 1) { Value_ += By; }
+  std::uint64_t value() const { return Value_; }
+
+private:
+  std::uint64_t Value_ = 0;
+};
+
+/// A level that goes up and down.
+class Gauge {
+public:
+  void set(double Value) { Value_ = Value; }
+  double value() const { return Value_; }
+
+private:
+  double Value_ = 0;
+};
+
+/// Distribution of a measured quantity: count, sum and streaming estimates of
+/// the median and the 99th percentile (Boost.Accumulators, P-square).
+class Summary {
+public:
+  Summary();
+  ~Summary();
+  Summary(Summary &&) noexcept;
+  void record(double Value);
+  std::uint64_t count() const;
+  double sum() const;
+  double median() const;
+  double percentile99() const;
+
+private:
+  struct Accumulators;
+  std::unique_ptr<Accumulators> Accumulators_;
+};
+
+/// All metrics of a process by name. Labels are part of the name, in text
+/// exposition form: `requests_total{outcome="ran"}`.
+class Registry {
+public:
+  Counter &counter(std::string_view Name);
+  Gauge &gauge(std::string_view Name);
+  Summary &summary(std::string_view Name);
+
+  /// The text exposition format.
+  std::string exposition() const;
+
+private:
+  std::map<std::string, Counter, std::less<>> Counters_;
+  std::map<std::string, Gauge, std::less<>> Gauges_;
+  std::map<std::string, Summary, std::less<>> Summaries_;
+};
+
+} // namespace laburnumspread::framework::metrics
--- /dev/null
+++ b/src/idempotency/internal/hometable.cpp
@@ -0,0 +1,307 @@
+#include "idempotency/hometable.h"
+
+#include "framework/ids/rendezvous.h"
+#include "membership/ownership.h"
+
+#include <algorithm>
+#include <set>
+#include <unordered_map>
+
+namespace laburnumspread::idempotency {
+
+using framework::clock::ClockSkewMargin;
+using membership::Ownership;
+using membership::View;
+
+namespace {
+
+constexpr std::size_t HomesPerBucket = 3;
+
+std::vector<MemberId> homesUnder(const Ownership &Owners, std::uint32_t Of) {
+  return Owners.spreadOver(framework::ids::rendezvousWeight(Of + 1, 0x686f6d65),
+                           HomesPerBucket);
+}
+
+bool contains(const std::vector<MemberId> &In, const MemberId &Id) {
+  return std::find(In.begin(), In.end(), Id) != In.end();
+}
+
+/// What a home still has to copy before it is ready.
+struct Requirement {
+  std::vector<MemberId> Sources_;
+  ViewNumber Since_;
+  std::set<MemberId> Copied_;
+  std::set<MemberId> Never_;
+};
+
+struct BucketState {
+  std::vector<MemberId> Homes_;
+  bool Home_ = false;
+  bool Ready_ = false;
+  /// Last view at which this entry was a ready home.
+  ViewNumber ReadyThrough_;
+  Requirement Needs_;
+  /// Keys minted before this may have records that are lost.
+  TimePoint BlindBefore_{};
+  std::unordered_map<RecordName, Record> Records_;
+};
+
+/// A final state says more than a reservation.
+void merge(Record &Into, const Record &From) {
+  if (Into.State_ == RecordState::Reserved)
+    Into = From;
+}
+
+} // namespace
+
+std::vector<MemberId> homesOf(const View &Current, Bucket Of) {
+  return homesUnder(Ownership(Current.owners()), Of.value());
+}
+
+struct HomeTable::State {
+  explicit State(MemberId Self)
+      : Self_(std::move(Self)), Buckets_(BucketCount) {}
+
+  MemberId Self_;
+  View View_;
+  std::vector<BucketState> Buckets_;
+
+  /// Applies the change from homes \p Before to homes \p After at view \p At.
+  void step(BucketState &Item, const std::vector<MemberId> &Before,
+            const std::vector<MemberId> &After, ViewNumber At) {
+    const bool WasReady = Item.Home_ && Item.Ready_;
+    const bool WasHome = contains(Before, Self_);
+    Item.Homes_ = After;
+    Item.Home_ = contains(After, Self_);
+    // With fewer homes a smaller majority decides, which may consist of the
+    // one home that lacks a key. So every home copies again.
+    const bool Fewer = After.size() < Before.size();
+    if (!Item.Home_) {
+      Item.Ready_ = false;
+      Item.Needs_ = {};
+    } else if (!WasHome || Fewer) {
+      Item.Ready_ = false;
+      Item.Needs_ = {Before, At, {}, {}};
+      if (WasReady)
+        Item.Needs_.Copied_.insert(Self_);
+    }
+  }
+
+  /// Walks through all views between the present one and \p Next, since a home
+  /// stays ready only if it was one at each of them.
+  void walkTo(const View &Next) {
+    std::vector<std::pair<ViewNumber, Ownership>> Steps;
+    const bool Known = View_.Number_.value() > 0;
+    for (const membership::PastView &Past : Next.Past_)
+      if (!Known || Past.Number_ > View_.Number_)
+        Steps.emplace_back(Past.Number_, Ownership(Past.Owners_));
+    Steps.emplace_back(Next.Number_, Ownership(Next.owners()));
+    for (std::uint32_t B = 0; B < BucketCount; ++B) {
+      BucketState &Item = Buckets_[B];
+      std::size_t First = 0;
+      if (!Known)
+        First = startAt(Item, homesUnder(Steps[0].second, B), Next);
+      for (std::size_t I = First; I < Steps.size(); ++I) {
+        const std::vector<MemberId> Before = Item.Homes_;
+        step(Item, Before, homesUnder(Steps[I].second, B), Steps[I].first);
+      }
+    }
+  }
+
+  /// First view of this process. The oldest view that it is shown is settled:
+  /// its homes are ready, this entry among them only if it has just made the
+  /// first view of all. Returns the index of the next step.
+  std::size_t startAt(BucketState &Item, std::vector<MemberId> Homes,
+                      const View &Next) {
+    Item.Homes_ = std::move(Homes);
+    Item.Home_ = contains(Item.Homes_, Self_);
+    Item.Ready_ = Item.Home_ && Next.Past_.empty();
+    return 1;
+  }
+
+  /// Sources that may still give a copy.
+  std::size_t possible(const BucketState &Item) const {
+    return std::count_if(Item.Needs_.Sources_.begin(),
+                         Item.Needs_.Sources_.end(), [&](const MemberId &Id) {
+                           return Item.Needs_.Copied_.contains(Id) ||
+                                  (Id != Self_ && View_.find(Id) &&
+                                   !Item.Needs_.Never_.contains(Id));
+                         });
+  }
+
+  void refreshReadiness(BucketState &Item, TimePoint Now) {
+    if (Item.Home_ && !Item.Ready_) {
+      const std::size_t Need = quorumOf(Item.Needs_.Sources_.size());
+      const std::size_t Copied = Item.Needs_.Copied_.size();
+      if (Copied >= Need && !Item.Needs_.Sources_.empty())
+        Item.Ready_ = true;
+      else if (possible(Item) < Need && Copied == possible(Item)) {
+        // A majority of the former homes is lost for good, and with it maybe
+        // the only records of some keys. Refusing those for ever would stop
+        // all work; answering Fresh would run them twice.
+        Item.Ready_ = true;
+        Item.BlindBefore_ = Now + ClockSkewMargin;
+      }
+    }
+    if (Item.Home_ && Item.Ready_)
+      Item.ReadyThrough_ = View_.Number_;
+    // Nobody asks a former home once the view is settled.
+    if (!Item.Home_ && View_.settled())
+      Item.Records_.clear();
+  }
+};
+
+HomeTable::HomeTable(MemberId Self)
+    : State_(std::make_unique<State>(std::move(Self))) {}
+HomeTable::~HomeTable() = default;
+HomeTable::HomeTable(HomeTable &&) noexcept = default;
+
+void HomeTable::adoptView(const View &Next, TimePoint Now) {
+  State &S = *State_;
+  if (Next.Number_ < S.View_.Number_ || Next == S.View_)
+    return;
+  if (Next.Number_ > S.View_.Number_)
+    S.walkTo(Next);
+  S.View_ = Next;
+  for (BucketState &Item : S.Buckets_)
+    S.refreshReadiness(Item, Now);
+}
+
+ReserveReply HomeTable::reserve(const ReserveRequest &Request, TimePoint Now) {
+  State &S = *State_;
+  BucketState &Item = S.Buckets_[bucketOf(Request.Name_).value()];
+  ReserveReply Reply{S.Self_, Request.Attempt_, ReserveResult::Fresh, {}};
+  if (Request.View_ != S.View_.Number_) {
+    Reply.Result_ = ReserveResult::OtherView;
+    return Reply;
+  }
+  const auto Found = Item.Records_.find(Request.Name_);
+  if (Found != Item.Records_.end()) {
+    if (Found->second.Attempt_ != Request.Attempt_) {
+      Reply.Result_ = ReserveResult::Duplicate;
+      Reply.Found_ = Found->second;
+    }
+    return Reply;
+  }
+  if (!Item.Home_ || !Item.Ready_) {
+    Reply.Result_ = ReserveResult::NotReady;
+    return Reply;
+  }
+  if (Request.MintedAt_ < Item.BlindBefore_) {
+    Reply.Result_ = ReserveResult::Blind;
+    return Reply;
+  }
+  Record Made;
+  Made.Attempt_ = Request.Attempt_;
+  Made.LeaseUntil_ = Request.LeaseUntil_;
+  Made.ForgetAfter_ =
+      std::max(Request.MintedAt_ + KeyWindow, Now) + 3 * ClockSkewMargin;
+  Made.Fingerprint_ = Request.Fingerprint_;
+  Item.Records_.emplace(Request.Name_, std::move(Made));
+  return Reply;
+}
+
+void HomeTable::finish(const RecordName &Name, const Record &Final) {
+  BucketState &Item = State_->Buckets_[bucketOf(Name).value()];
+  const auto [At, Added] = Item.Records_.try_emplace(Name, Final);
+  if (!Added && At->second.Attempt_ == Final.Attempt_)
+    merge(At->second, Final);
+}
+
+void HomeTable::abandon(const RecordName &Name, const AttemptId &Attempt) {
+  BucketState &Item = State_->Buckets_[bucketOf(Name).value()];
+  const auto At = Item.Records_.find(Name);
+  if (At != Item.Records_.end() && At->second.Attempt_ == Attempt &&
+      At->second.State_ == RecordState::Reserved)
+    Item.Records_.erase(At);
+}
+
+std::vector<CopyRequest> HomeTable::wantedCopies() const {
+  const State &S = *State_;
+  std::vector<CopyRequest> Result;
+  for (std::uint32_t B = 0; B < BucketCount; ++B) {
+    const BucketState &Item = S.Buckets_[B];
+    if (!Item.Home_ || Item.Ready_)
+      continue;
+    for (const MemberId &Source : Item.Needs_.Sources_)
+      if (Source != S.Self_ && S.View_.find(Source) &&
+          !Item.Needs_.Copied_.contains(Source))
+        Result.push_back({S.Self_, Source, Bucket(B), Item.Needs_.Since_});
+  }
+  return Result;
+}
+
+CopyReply HomeTable::answerCopy(const CopyRequest &Request) const {
+  const State &S = *State_;
+  const BucketState &Item = S.Buckets_[Request.Bucket_.value() % BucketCount];
+  CopyReply Reply;
+  Reply.Source_ = S.Self_;
+  Reply.Bucket_ = Request.Bucket_;
+  Reply.Since_ = Request.Since_;
+  // Before it takes the new view this entry may still reserve keys under the
+  // old one, and the copy would lack them.
+  if (S.View_.Number_ < Request.Since_)
+    return Reply;
+  if (Item.ReadyThrough_.next() < Request.Since_) {
+    Reply.Result_ = Item.Home_ ? CopyResult::NotYet : CopyResult::Never;
+    return Reply;
+  }
+  Reply.Result_ = CopyResult::Copied;
+  Reply.BlindBefore_ = Item.BlindBefore_;
+  for (const auto &[Name, Value] : Item.Records_)
+    Reply.Records_.push_back({Name, Value});
+  return Reply;
+}
+
+void HomeTable::takeCopy(const CopyReply &Reply, TimePoint Now) {
+  State &S = *State_;
+  BucketState &Item = S.Buckets_[Reply.Bucket_.value() % BucketCount];
+  if (!Item.Home_ || Item.Ready_ || Reply.Since_ != Item.Needs_.Since_ ||
+      !contains(Item.Needs_.Sources_, Reply.Source_))
+    return;
+  if (Reply.Result_ == CopyResult::Never)
+    Item.Needs_.Never_.insert(Reply.Source_);
+  if (Reply.Result_ == CopyResult::Copied) {
+    Item.Needs_.Copied_.insert(Reply.Source_);
+    Item.BlindBefore_ = std::max(Item.BlindBefore_, Reply.BlindBefore_);
+    for (const NamedRecord &Row : Reply.Records_) {
+      const auto [At, Added] =
+          Item.Records_.try_emplace(Row.Name_, Row.Record_);
+      if (!Added)
+        merge(At->second, Row.Record_);
+    }
+  }
+  S.refreshReadiness(Item, Now);
+}
+
+std::uint64_t HomeTable::bucketsToCopy() const {
+  return std::count_if(
+      State_->Buckets_.begin(), State_->Buckets_.end(),
+      [](const BucketState &Item) { return Item.Home_ && !Item.Ready_; });
+}
+
+void HomeTable::tick(TimePoint Now) {
+  for (BucketState &Item : State_->Buckets_)
+    std::erase_if(Item.Records_, [&](const auto &Row) {
+      return Row.second.ForgetAfter_ < Now;
+    });
+}
+
+ViewNumber HomeTable::view() const { return State_->View_.Number_; }
+
+std::size_t HomeTable::records() const {
+  std::size_t Count = 0;
+  for (const BucketState &Item : State_->Buckets_)
+    Count += Item.Records_.size();
+  return Count;
+}
+
+std::size_t HomeTable::blindBuckets(TimePoint Now) const {
+  return std::count_if(State_->Buckets_.begin(), State_->Buckets_.end(),
+                       [&](const BucketState &Item) {
+                         return Item.Home_ &&
+                                Item.BlindBefore_ + KeyWindow > Now;
+                       });
+}
+
+} // namespace laburnumspread::idempotency
--- /dev/null
+++ b/src/idempotency/internal/reservationtally.cpp
@@ -0,0 +1,44 @@
+#include "idempotency/reservationtally.h"
+
+#include <algorithm>
+
+namespace laburnumspread::idempotency {
+
+ReservationTally::ReservationTally(AttemptId Attempt,
+                                   std::vector<MemberId> Homes)
+    : Attempt_(std::move(Attempt)), Homes_(std::move(Homes)) {}
+
+void ReservationTally::add(const ReserveReply &Reply) {
+  if (Reply.Attempt_ != Attempt_ ||
+      std::find(Homes_.begin(), Homes_.end(), Reply.From_) == Homes_.end() ||
+      !Replies_.try_emplace(Reply.From_, Reply.Result_).second)
+    return;
+  if (Reply.Result_ != ReserveResult::Duplicate)
+    return;
+  if (countOf(ReserveResult::Duplicate) == 1 ||
+      Found_.State_ == RecordState::Reserved)
+    Found_ = Reply.Found_;
+}
+
+std::size_t ReservationTally::countOf(ReserveResult Result) const {
+  return std::count_if(Replies_.begin(), Replies_.end(),
+                       [&](const auto &Item) { return Item.second == Result; });
+}
+
+Verdict ReservationTally::verdict(bool AllHeard) const {
+  if (Homes_.empty())
+    return Verdict::Retry;
+  const std::size_t Quorum = quorumOf(Homes_.size());
+  if (countOf(ReserveResult::Fresh) >= Quorum)
+    return Verdict::Granted;
+  const bool Found = countOf(ReserveResult::Duplicate) > 0;
+  if (Found && Found_.State_ != RecordState::Reserved)
+    return Verdict::Duplicate;
+  if (!AllHeard && Replies_.size() < Homes_.size())
+    return Verdict::Open;
+  if (Found)
+    return Verdict::Duplicate;
+  return countOf(ReserveResult::Blind) > 0 ? Verdict::Unknown : Verdict::Retry;
+}
+
+} // namespace laburnumspread::idempotency
--- /dev/null
+++ b/src/idempotency/tests/hometabletest.cpp
@@ -0,0 +1,135 @@
+#include "idempotency/hometable.h"
+
+#include "membership/viewchanges.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace laburnumspread::idempotency;
+using namespace laburnumspread::membership;
+using namespace std::chrono_literals;
+
+namespace {
+
+const TimePoint Start{1000h};
+const RecordName Name("orders/k1");
+
+Member memberNamed(const std::string &Text, const char *Zone) {
+  Member Result;
+  Result.Id_ = {EntryName(Text), Incarnation(1)};
+  Result.Zone_ = ZoneName(Zone);
+  return Result;
+}
+
+View viewOfThreeZones() {
+  View Result;
+  Result.Number_ = Result.SettledThrough_ = ViewNumber(1);
+  Result.Members_ = {memberNamed("a", "z1"), memberNamed("b", "z2"),
+                     memberNamed("c", "z3")};
+  return Result;
+}
+
+HomeTable tableAt(const View &Current, const Member &Self) {
+  HomeTable Table(Self.Id_);
+  Table.adoptView(Current, Start);
+  return Table;
+}
+
+ReserveRequest requestAt(const View &Current, const char *Entry) {
+  ReserveRequest Request;
+  Request.Name_ = Name;
+  Request.MintedAt_ = Start;
+  Request.Attempt_ = {{EntryName(Entry), Incarnation(1)}, 1};
+  Request.View_ = Current.Number_;
+  Request.LeaseUntil_ = Start + 5s;
+  return Request;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(UuidOfVersionSevenOnly) {
+  const auto Key = parseRequestKey("019AE2B4-5E00-7abc-8def-0123456789ab");
+  BOOST_REQUIRE(Key.has_value());
+  BOOST_TEST(laburnumspread::framework::clock::toMillis(Key->MintedAt_) ==
+             0x019ae2b45e00);
+  BOOST_TEST(!parseRequestKey("019ae2b4-5e00-4abc-8def-0123456789ab"));
+  BOOST_TEST(!parseRequestKey("019ae2b4-5e00-7abc-cdef-0123456789ab"));
+  BOOST_TEST(!parseRequestKey("019ae2b45e007abc8def0123456789ab"));
+  BOOST_TEST((ageOf(*Key, Key->MintedAt_ + KeyWindow) == KeyAge::Usable));
+  BOOST_TEST((ageOf(*Key, Key->MintedAt_ + KeyWindow + 1us) == KeyAge::TooOld));
+  BOOST_TEST((ageOf(*Key, Key->MintedAt_ - 1s) == KeyAge::FromTheFuture));
+}
+
+BOOST_AUTO_TEST_CASE(SecondAttemptFindsTheFirst) {
+  const View Current = viewOfThreeZones();
+  HomeTable A = tableAt(Current, Current.Members_[0]);
+  const ReserveRequest First = requestAt(Current, "a");
+  BOOST_TEST((A.reserve(First, Start).Result_ == ReserveResult::Fresh));
+  BOOST_TEST((A.reserve(First, Start).Result_ == ReserveResult::Fresh));
+  const ReserveRequest Second = requestAt(Current, "b");
+  BOOST_TEST((A.reserve(Second, Start).Result_ == ReserveResult::Duplicate));
+  A.abandon(Name, Second.Attempt_);
+  BOOST_TEST((A.reserve(Second, Start).Result_ == ReserveResult::Duplicate));
+  A.abandon(Name, First.Attempt_);
+  BOOST_TEST((A.reserve(Second, Start).Result_ == ReserveResult::Fresh));
+}
+
+// A home in the caller's zone is replaced by an entry that has just joined and
+// knows no keys. Until it has copied them it must not vote: with one former
+// home that was hung it would make a majority that has never seen the order.
+BOOST_AUTO_TEST_CASE(NewHomeVotesOnlyAfterCopyingFromAMajority) {
+  const View First = viewOfThreeZones();
+  std::vector<HomeTable> Old;
+  for (const Member &Item : First.Members_)
+    Old.push_back(tableAt(First, Item));
+  // The order was reserved at a and b; c was hung.
+  Old[0].reserve(requestAt(First, "x"), Start);
+  Old[1].reserve(requestAt(First, "x"), Start);
+  const View Second = *withRemoved(First, First.Members_[0].Id_, Start);
+  const View Third = *withJoined(Second, memberNamed("d", "z1"));
+  HomeTable D = tableAt(Third, Third.Members_.back());
+  const ReserveRequest Again = requestAt(Third, "y");
+  BOOST_TEST((D.reserve(Again, Start).Result_ == ReserveResult::NotReady));
+  // c has not taken the view: it may still reserve keys under the old one.
+  for (const CopyRequest &Wanted : D.wantedCopies())
+    if (Wanted.Source_ == First.Members_[2].Id_)
+      D.takeCopy(Old[2].answerCopy(Wanted), Start);
+  BOOST_TEST((D.reserve(Again, Start).Result_ == ReserveResult::NotReady));
+  for (int Round = 0; Round < 3; ++Round)
+    for (int I : {1, 2}) {
+      Old[I].adoptView(Third, Start);
+      for (const CopyRequest &Wanted : Old[I].wantedCopies())
+        Old[I].takeCopy(Old[3 - I].answerCopy(Wanted), Start);
+      for (const CopyRequest &Wanted : D.wantedCopies())
+        if (Wanted.Source_ == Old[I].answerCopy(Wanted).Source_)
+          D.takeCopy(Old[I].answerCopy(Wanted), Start);
+    }
+  BOOST_TEST(D.bucketsToCopy() == 0u);
+  BOOST_TEST((D.reserve(Again, Start).Result_ == ReserveResult::Duplicate));
+  BOOST_TEST(
+      (Old[2].reserve(Again, Start).Result_ == ReserveResult::Duplicate));
+}
+
+// Two of three homes are lost at once. A caller repeats an order that only
+// they had on record, and hears "unknown", not a second lunch. Keys minted
+// after the loss work.
+BOOST_AUTO_TEST_CASE(LossOfAMajorityMakesOlderKeysUnknown) {
+  const View First = viewOfThreeZones();
+  HomeTable C = tableAt(First, First.Members_[2]);
+  View Later = *withRemoved(First, First.Members_[0].Id_, Start);
+  Later = *withRemoved(Later, First.Members_[1].Id_, Start);
+  C.adoptView(Later, Start + 10s);
+  ReserveRequest Again = requestAt(Later, "x");
+  BOOST_TEST((C.reserve(Again, Start + 10s).Result_ == ReserveResult::Blind));
+  Again.MintedAt_ = Start + 11s;
+  BOOST_TEST((C.reserve(Again, Start + 11s).Result_ == ReserveResult::Fresh));
+}
+
+BOOST_AUTO_TEST_CASE(RecordOutlivesItsKey) {
+  const View Current = viewOfThreeZones();
+  HomeTable A = tableAt(Current, Current.Members_[0]);
+  A.reserve(requestAt(Current, "x"), Start);
+  A.tick(Start + KeyWindow + 500ms);
+  BOOST_TEST(A.records() == 1u);
+  A.tick(Start + KeyWindow + 2s);
+  BOOST_TEST(A.records() == 0u);
+}
--- /dev/null
+++ b/src/limits/internal/unitledger.cpp
@@ -0,0 +1,496 @@
+#include "limits/unitledger.h"
+
+#include "framework/ids/rendezvous.h"
+#include "membership/ownership.h"
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <unordered_map>
+
+namespace laburnumspread::limits {
+
+using framework::clock::ClockSkewMargin;
+using framework::ids::rendezvousWeight;
+using framework::ids::stableHash;
+using membership::Owner;
+using membership::Ownership;
+using membership::View;
+
+namespace {
+
+/// A unit in use, by work of this entry or by a borrower.
+struct UsedUnit {
+  Unit Unit_;
+  /// 0 for own work, else the sequence number of the loan.
+  std::uint64_t Loan_ = 0;
+};
+
+/// Units of one subject that this entry owns, or still uses.
+struct Block {
+  std::uint32_t Index_ = 0;
+  bool Owned_ = false;
+  /// Earlier owners that have not released the block yet; indices into
+  /// State::EarlierOwners_.
+  std::vector<std::uint16_t> Blockers_;
+  std::vector<UsedUnit> Used_;
+
+  bool available() const { return Owned_ && Blockers_.empty(); }
+};
+
+/// Number of units of block \p Index under limit \p Limit.
+std::uint32_t capacity(std::uint32_t Index, std::uint32_t Limit) {
+  if (Index >= Limit)
+    return 0;
+  return (Limit - Index - 1) / MaximumBlocks + 1;
+}
+
+struct BorrowedUnit {
+  Loan Loan_;
+  bool InUse_ = false;
+  TimePoint IdleSince_{};
+};
+
+struct Subject {
+  SubjectName Name_;
+  std::uint64_t Hash_ = 0;
+  std::uint32_t Limit_ = 0;
+  std::vector<Block> Blocks_;
+  std::vector<BorrowedUnit> Borrowed_;
+  /// Where the last search for a free block ended.
+  std::size_t Cursor_ = 0;
+
+  std::uint32_t blockCount() const { return std::min(Limit_, MaximumBlocks); }
+};
+
+/// Lowest unit of the block that is within the limit and not in use.
+std::optional<Unit> freeUnit(const Block &Item, std::uint32_t Limit) {
+  const std::uint32_t Capacity = capacity(Item.Index_, Limit);
+  if (!Item.available() || Item.Used_.size() >= Capacity)
+    return std::nullopt;
+  for (std::uint32_t K = 0; K < Capacity; ++K) {
+    const Unit Candidate(Item.Index_ + K * MaximumBlocks);
+    const bool Taken =
+        std::any_of(Item.Used_.begin(), Item.Used_.end(),
+                    [&](const UsedUnit &U) { return U.Unit_ == Candidate; });
+    if (!Taken)
+      return Candidate;
+  }
+  return std::nullopt;
+}
+
+std::uint64_t blockHash(const Subject &Of, std::uint32_t Index) {
+  return rendezvousWeight(Of.Hash_, Index + 1);
+}
+
+bool usable(const BorrowedUnit &Item, std::uint32_t Limit, TimePoint Until,
+            TimePoint Now) {
+  return !Item.InUse_ && Item.Loan_.Until_ >= Until &&
+         Item.Loan_.Until_ > Now && Item.Loan_.Unit_.value() < Limit;
+}
+
+struct LentUnit {
+  std::uint32_t Subject_ = 0;
+  Unit Unit_;
+  TimePoint Until_{};
+};
+
+} // namespace
+
+struct UnitLedger::State {
+  explicit State(MemberId Self) : Self_(std::move(Self)) {}
+
+  MemberId Self_;
+  View View_;
+  std::vector<Subject> Subjects_;
+  std::unordered_map<SubjectName, std::uint32_t> Index_;
+  /// Members that owned anything in a view that is not settled.
+  std::vector<MemberId> EarlierOwners_;
+  std::vector<Ownership> Past_;
+  Ownership Present_{std::span<const Owner>()};
+  /// Statements heard at the present view, by speaker.
+  std::map<MemberId, std::set<HeldUnit>> Heard_;
+  std::map<std::uint64_t, LentUnit> Lent_;
+  std::uint64_t NextLoan_ = 1;
+  /// Loans that were given back, kept until they are dead: a copy of the grant
+  /// that arrives late must not bring one back to life.
+  std::map<LoanId, TimePoint> GivenBack_;
+  TimePoint Now_{};
+
+  Block *findBlock(Subject &In, std::uint32_t Index) {
+    for (Block &Item : In.Blocks_)
+      if (Item.Index_ == Index)
+        return &Item;
+    return nullptr;
+  }
+
+  std::uint16_t earlierOwnerIndex(const MemberId &Id) const {
+    const auto At = std::find(EarlierOwners_.begin(), EarlierOwners_.end(), Id);
+    return static_cast<std::uint16_t>(At - EarlierOwners_.begin());
+  }
+
+  /// Whether an earlier owner no longer has any right to the block.
+  bool hasReleased(const MemberId &Earlier, const Subject &Of,
+                   std::uint32_t Index) const {
+    for (const membership::Departed &Gone : View_.Departed_)
+      if (Gone.Id_ == Earlier)
+        return Gone.ReusableAfter_ < Now_;
+    const auto Said = Heard_.find(Earlier);
+    if (Said == Heard_.end())
+      return false;
+    const auto Held = Said->second.lower_bound({Of.Name_, Unit(0)});
+    for (auto It = Held; It != Said->second.end() && It->Subject_ == Of.Name_;
+         ++It)
+      if (It->Unit_.value() % MaximumBlocks == Index)
+        return false;
+    return true;
+  }
+
+  void refreshBlockers(Subject &Of, Block &Item) {
+    Item.Blockers_.clear();
+    if (!Item.Owned_)
+      return;
+    const std::uint64_t Hash = blockHash(Of, Item.Index_);
+    for (const Ownership &Earlier : Past_) {
+      const MemberId *Owner = Earlier.ownerOf(Hash);
+      if (!Owner || *Owner == Self_ || hasReleased(*Owner, Of, Item.Index_))
+        continue;
+      const std::uint16_t Blocker = earlierOwnerIndex(*Owner);
+      if (std::find(Item.Blockers_.begin(), Item.Blockers_.end(), Blocker) ==
+          Item.Blockers_.end())
+        Item.Blockers_.push_back(Blocker);
+    }
+  }
+
+  /// Brings the blocks of a subject in line with view and limit.
+  void refresh(Subject &Of) {
+    for (Block &Item : Of.Blocks_)
+      Item.Owned_ = false;
+    for (std::uint32_t Index = 0; Index < Of.blockCount(); ++Index) {
+      const MemberId *Owner = Present_.ownerOf(blockHash(Of, Index));
+      if (!Owner || *Owner != Self_)
+        continue;
+      Block *Item = findBlock(Of, Index);
+      if (!Item) {
+        Of.Blocks_.push_back({Index, false, {}, {}});
+        Item = &Of.Blocks_.back();
+      }
+      Item->Owned_ = true;
+    }
+    std::erase_if(Of.Blocks_, [](const Block &Item) {
+      return !Item.Owned_ && Item.Used_.empty();
+    });
+    for (Block &Item : Of.Blocks_)
+      refreshBlockers(Of, Item);
+  }
+
+  void recheckBlocked() {
+    for (Subject &Of : Subjects_)
+      for (Block &Item : Of.Blocks_)
+        if (!Item.Blockers_.empty())
+          refreshBlockers(Of, Item);
+  }
+
+  /// Ends the use of a unit, and forgets a block that is another's by now.
+  void endUse(Subject &Of, Unit Which, std::uint64_t LoanSequence) {
+    Block *Item = findBlock(Of, Which.value() % MaximumBlocks);
+    if (!Item)
+      return;
+    std::erase_if(Item->Used_, [&](const UsedUnit &U) {
+      return U.Unit_ == Which && U.Loan_ == LoanSequence;
+    });
+    if (!Item->Owned_ && Item->Used_.empty())
+      Of.Blocks_.erase(Of.Blocks_.begin() + (Item - Of.Blocks_.data()));
+  }
+
+  /// Finds a free unit of the entry's own and marks it used.
+  std::optional<Unit> takeOwn(Subject &From, std::uint64_t LoanSequence) {
+    const std::size_t Count = From.Blocks_.size();
+    for (std::size_t Step = 0; Step < Count; ++Step) {
+      const std::size_t At = (From.Cursor_ + Step) % Count;
+      const std::optional<Unit> Free = freeUnit(From.Blocks_[At], From.Limit_);
+      if (!Free)
+        continue;
+      From.Blocks_[At].Used_.push_back({*Free, LoanSequence});
+      From.Cursor_ = (At + 1) % Count;
+      return Free;
+    }
+    return std::nullopt;
+  }
+
+  template <typename Wanted>
+  std::vector<LoanId> takeLoans(Subject &From, Wanted &&Want) {
+    std::vector<LoanId> Taken;
+    std::erase_if(From.Borrowed_, [&](const BorrowedUnit &Item) {
+      if (Item.InUse_ || !Want(Item))
+        return false;
+      GivenBack_[Item.Loan_.Id_] = Item.Loan_.Until_;
+      Taken.push_back(Item.Loan_.Id_);
+      return true;
+    });
+    return Taken;
+  }
+
+  void expireLent() {
+    for (auto It = Lent_.begin(); It != Lent_.end();) {
+      if (It->second.Until_ + ClockSkewMargin >= Now_) {
+        ++It;
+        continue;
+      }
+      endUse(Subjects_[It->second.Subject_], It->second.Unit_, It->first);
+      It = Lent_.erase(It);
+    }
+  }
+
+  void expireBorrowed() {
+    for (Subject &Of : Subjects_)
+      std::erase_if(Of.Borrowed_, [&](const BorrowedUnit &Item) {
+        return !Item.InUse_ && Item.Loan_.Until_ <= Now_;
+      });
+    std::erase_if(GivenBack_, [&](const auto &Item) {
+      return Item.second + ClockSkewMargin < Now_;
+    });
+  }
+};
+
+UnitLedger::UnitLedger(MemberId Self)
+    : State_(std::make_unique<State>(std::move(Self))) {}
+UnitLedger::~UnitLedger() = default;
+UnitLedger::UnitLedger(UnitLedger &&) noexcept = default;
+
+void UnitLedger::adoptView(const View &Next, TimePoint Now) {
+  State &S = *State_;
+  S.Now_ = std::max(S.Now_, Now);
+  if (Next.Number_ < S.View_.Number_ || Next == S.View_)
+    return;
+  if (Next.Number_ != S.View_.Number_)
+    S.Heard_.clear();
+  S.View_ = Next;
+  S.Present_ = Ownership(Next.owners());
+  S.Past_.clear();
+  S.EarlierOwners_.clear();
+  for (const membership::PastView &Past : Next.Past_) {
+    S.Past_.emplace_back(Past.Owners_);
+    for (const Owner &Item : Past.Owners_)
+      if (S.earlierOwnerIndex(Item.Id_) == S.EarlierOwners_.size())
+        S.EarlierOwners_.push_back(Item.Id_);
+  }
+  for (Subject &Of : S.Subjects_)
+    S.refresh(Of);
+}
+
+SubjectIndex UnitLedger::setLimit(const SubjectName &Name,
+                                  std::uint32_t Limit) {
+  State &S = *State_;
+  const auto [At, Added] = S.Index_.try_emplace(
+      Name, static_cast<std::uint32_t>(S.Subjects_.size()));
+  if (Added) {
+    S.Subjects_.emplace_back();
+    S.Subjects_.back().Name_ = Name;
+    S.Subjects_.back().Hash_ = stableHash(Name.str());
+  }
+  Subject &Row = S.Subjects_[At->second];
+  if (Row.Limit_ != Limit) {
+    Row.Limit_ = Limit;
+    S.refresh(Row);
+  }
+  return SubjectIndex(At->second);
+}
+
+std::optional<SubjectIndex> UnitLedger::find(const SubjectName &Name) const {
+  const auto At = State_->Index_.find(Name);
+  if (At == State_->Index_.end())
+    return std::nullopt;
+  return SubjectIndex(At->second);
+}
+
+std::optional<Permit> UnitLedger::acquire(SubjectIndex Index, TimePoint Until,
+                                          TimePoint Now) {
+  Subject &From = State_->Subjects_[Index.value()];
+  if (const std::optional<Unit> Own = State_->takeOwn(From, 0))
+    return Permit{Index, *Own, Until, false, {}};
+  for (BorrowedUnit &Item : From.Borrowed_) {
+    if (!usable(Item, From.Limit_, Until, Now))
+      continue;
+    Item.InUse_ = true;
+    return Permit{Index, Item.Loan_.Unit_, Until, true, Item.Loan_.Id_};
+  }
+  return std::nullopt;
+}
+
+void UnitLedger::release(const Permit &Held) {
+  Subject &From = State_->Subjects_[Held.Subject_.value()];
+  if (!Held.Borrowed_) {
+    State_->endUse(From, Held.Unit_, 0);
+    return;
+  }
+  for (BorrowedUnit &Item : From.Borrowed_) {
+    if (Item.Loan_.Id_ != Held.Loan_)
+      continue;
+    Item.InUse_ = false;
+    Item.IdleSince_ = State_->Now_;
+  }
+}
+
+bool UnitLedger::hasFree(SubjectIndex Index, TimePoint Until,
+                         TimePoint Now) const {
+  const Subject &From = State_->Subjects_[Index.value()];
+  return std::any_of(From.Blocks_.begin(), From.Blocks_.end(),
+                     [&](const Block &Item) {
+                       return freeUnit(Item, From.Limit_).has_value();
+                     }) ||
+         std::any_of(From.Borrowed_.begin(), From.Borrowed_.end(),
+                     [&](const BorrowedUnit &Item) {
+                       return usable(Item, From.Limit_, Until, Now);
+                     });
+}
+
+std::uint32_t UnitLedger::freeOwned(SubjectIndex Index) const {
+  const Subject &From = State_->Subjects_[Index.value()];
+  std::uint32_t Free = 0;
+  for (const Block &Item : From.Blocks_) {
+    const std::uint32_t Capacity = capacity(Item.Index_, From.Limit_);
+    if (Item.available() && Capacity > Item.Used_.size())
+      Free += Capacity - Item.Used_.size();
+  }
+  return Free;
+}
+
+std::vector<Loan> UnitLedger::lend(SubjectIndex Index, const MemberId &,
+                                   std::uint32_t Count, TimePoint Until) {
+  State &S = *State_;
+  Subject &From = S.Subjects_[Index.value()];
+  std::vector<Loan> Loans;
+  while (Loans.size() < Count) {
+    const std::optional<Unit> Taken = S.takeOwn(From, S.NextLoan_);
+    if (!Taken)
+      break;
+    S.Lent_[S.NextLoan_] = {Index.value(), *Taken, Until};
+    Loans.push_back({{S.Self_, S.NextLoan_}, From.Name_, *Taken, Until});
+    ++S.NextLoan_;
+  }
+  return Loans;
+}
+
+void UnitLedger::returned(const LoanId &Id) {
+  State &S = *State_;
+  if (Id.Lender_ != S.Self_)
+    return;
+  const auto At = S.Lent_.find(Id.Sequence_);
+  if (At == S.Lent_.end())
+    return;
+  S.endUse(S.Subjects_[At->second.Subject_], At->second.Unit_, Id.Sequence_);
+  S.Lent_.erase(At);
+}
+
+void UnitLedger::receive(const Loan &Granted, TimePoint Now) {
+  State &S = *State_;
+  const auto Index = S.Index_.find(Granted.Subject_);
+  if (Index == S.Index_.end() || Granted.Until_ <= Now ||
+      S.GivenBack_.contains(Granted.Id_))
+    return;
+  Subject &Into = S.Subjects_[Index->second];
+  const bool Known = std::any_of(
+      Into.Borrowed_.begin(), Into.Borrowed_.end(),
+      [&](const BorrowedUnit &Item) { return Item.Loan_.Id_ == Granted.Id_; });
+  if (!Known)
+    Into.Borrowed_.push_back({Granted, false, Now});
+}
+
+std::vector<LoanId> UnitLedger::takeIdleLoans(TimePoint IdleSince) {
+  std::vector<LoanId> All;
+  for (Subject &From : State_->Subjects_) {
+    if (From.Borrowed_.empty())
+      continue;
+    const auto Taken = State_->takeLoans(From, [&](const BorrowedUnit &Item) {
+      return Item.IdleSince_ <= IdleSince;
+    });
+    All.insert(All.end(), Taken.begin(), Taken.end());
+  }
+  return All;
+}
+
+std::vector<LoanId> UnitLedger::takeAllIdleLoans(SubjectIndex Index) {
+  return State_->takeLoans(State_->Subjects_[Index.value()],
+                           [](const BorrowedUnit &) { return true; });
+}
+
+ReleaseStatement UnitLedger::statement() const {
+  ReleaseStatement Result{State_->Self_, State_->View_.Number_, {}};
+  for (const Subject &Of : State_->Subjects_)
+    for (const Block &Item : Of.Blocks_)
+      if (!Item.Owned_)
+        for (const UsedUnit &Used : Item.Used_)
+          Result.StillHeld_.push_back({Of.Name_, Used.Unit_});
+  return Result;
+}
+
+void UnitLedger::hear(const ReleaseStatement &Heard) {
+  State &S = *State_;
+  if (Heard.View_ != S.View_.Number_ || Heard.From_ == S.Self_)
+    return;
+  std::set<HeldUnit> Held(Heard.StillHeld_.begin(), Heard.StillHeld_.end());
+  const auto Before = S.Heard_.find(Heard.From_);
+  if (Before != S.Heard_.end() && Before->second == Held)
+    return;
+  S.Heard_[Heard.From_] = std::move(Held);
+  S.recheckBlocked();
+}
+
+void UnitLedger::tick(TimePoint Now) {
+  State &S = *State_;
+  S.Now_ = std::max(S.Now_, Now);
+  S.expireLent();
+  S.expireBorrowed();
+  if (!S.View_.Departed_.empty())
+    S.recheckBlocked();
+}
+
+ViewNumber UnitLedger::view() const { return State_->View_.Number_; }
+
+SubjectCounts UnitLedger::counts(SubjectIndex Index) const {
+  const Subject &Of = State_->Subjects_[Index.value()];
+  SubjectCounts Result;
+  Result.Limit_ = Of.Limit_;
+  for (const Block &Item : Of.Blocks_) {
+    const std::uint32_t Capacity = capacity(Item.Index_, Of.Limit_);
+    if (Item.Owned_)
+      Result.Owned_ += Capacity;
+    if (Item.available())
+      Result.Available_ += Capacity;
+    for (const UsedUnit &Used : Item.Used_)
+      ++(Used.Loan_ == 0 ? Result.Running_ : Result.Lent_);
+  }
+  for (const BorrowedUnit &Item : Of.Borrowed_)
+    ++(Item.InUse_ ? Result.Running_ : Result.Borrowed_);
+  return Result;
+}
+
+std::size_t UnitLedger::subjects() const { return State_->Subjects_.size(); }
+
+const SubjectName &UnitLedger::nameOf(SubjectIndex Index) const {
+  return State_->Subjects_[Index.value()].Name_;
+}
+
+std::uint32_t UnitLedger::busy(SubjectIndex Index) const {
+  std::uint32_t Count = 0;
+  for (const Block &Item : State_->Subjects_[Index.value()].Blocks_)
+    Count += Item.Used_.size();
+  return Count;
+}
+
+std::vector<HeldUnit> UnitLedger::unitsInUse() const {
+  std::vector<HeldUnit> Result;
+  for (const Subject &Of : State_->Subjects_) {
+    for (const Block &Item : Of.Blocks_)
+      for (const UsedUnit &Used : Item.Used_)
+        if (Used.Loan_ == 0)
+          Result.push_back({Of.Name_, Used.Unit_});
+    for (const BorrowedUnit &Item : Of.Borrowed_)
+      if (Item.InUse_)
+        Result.push_back({Of.Name_, Item.Loan_.Unit_});
+  }
+  return Result;
+}
+
+} // namespace laburnumspread::limits
--- /dev/null
+++ b/src/limits/tests/unitledgertest.cpp
@@ -0,0 +1,170 @@
+#include "limits/unitledger.h"
+
+#include "membership/viewchanges.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace laburnumspread::limits;
+using namespace laburnumspread::membership;
+using namespace std::chrono_literals;
+
+namespace {
+
+const TimePoint Start{1000h};
+const SubjectName Team("team/orders");
+
+Member memberNamed(const std::string &Name, std::uint64_t Run = 1) {
+  Member Result;
+  Result.Id_ = {EntryName(Name), Incarnation(Run)};
+  Result.Zone_ = ZoneName("z1");
+  return Result;
+}
+
+View viewOf(std::initializer_list<const char *> Names) {
+  View Result;
+  Result.Number_ = Result.SettledThrough_ = ViewNumber(1);
+  for (const char *Name : Names)
+    Result.Members_.push_back(memberNamed(Name));
+  return Result;
+}
+
+UnitLedger ledgerAt(const View &Current, const char *Name,
+                    std::uint32_t Limit) {
+  UnitLedger Result(memberNamed(Name).Id_);
+  Result.adoptView(Current, Start);
+  Result.setLimit(Team, Limit);
+  return Result;
+}
+
+std::vector<Permit> takeAll(UnitLedger &From) {
+  std::vector<Permit> Taken;
+  while (auto Next = From.acquire(*From.find(Team), Start + 10s, Start))
+    Taken.push_back(*Next);
+  return Taken;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(OwnersTogetherHaveExactlyTheLimit) {
+  for (std::uint32_t Limit : {1u, 7u, 256u, 1000u}) {
+    const View Current = viewOf({"a", "b", "c"});
+    std::size_t Sum = 0;
+    for (const char *Name : {"a", "b", "c"}) {
+      UnitLedger Ledger = ledgerAt(Current, Name, Limit);
+      Sum += takeAll(Ledger).size();
+    }
+    BOOST_TEST(Sum == Limit);
+  }
+}
+
+// The team's limit is raised, then a join moves units. The joiner's caller
+// waits: work still runs on a moved unit at its old owner, and the limit would
+// be passed if both used it.
+BOOST_AUTO_TEST_CASE(JoinerWaitsForReleaseAtItsOwnView) {
+  const View First = viewOf({"a"});
+  UnitLedger A = ledgerAt(First, "a", 20);
+  std::vector<Permit> Running = takeAll(A);
+  const View Second = *withJoined(First, memberNamed("b"));
+  UnitLedger B = ledgerAt(Second, "b", 20);
+  const SubjectIndex Index = *B.find(Team);
+  BOOST_TEST(B.counts(Index).Owned_ > 0u);
+  BOOST_TEST(takeAll(B).empty());
+  // A statement that was given before the join says nothing of it.
+  B.hear(A.statement());
+  BOOST_TEST(takeAll(B).empty());
+  A.adoptView(Second, Start);
+  B.hear(A.statement());
+  BOOST_TEST(takeAll(B).empty());
+  for (const Permit &Held : Running)
+    A.release(Held);
+  B.hear(A.statement());
+  BOOST_TEST(takeAll(B).size() == B.counts(Index).Owned_);
+  BOOST_TEST(takeAll(A).size() + B.counts(Index).Owned_ == 20u);
+}
+
+// An entry is killed with work on its endpoints. Its units are idle until the
+// last task lease that it could have given has ended, since the endpoints may
+// be running that work still.
+BOOST_AUTO_TEST_CASE(UnitsOfALostEntryWaitForItsTaskLeases) {
+  const View First = viewOf({"a", "b"});
+  UnitLedger A = ledgerAt(First, "a", 20);
+  const std::size_t Before = takeAll(A).size();
+  A.adoptView(*withRemoved(First, memberNamed("b").Id_, Start + 60s), Start);
+  A.tick(Start + 59s);
+  BOOST_TEST(takeAll(A).empty());
+  A.tick(Start + 61s);
+  BOOST_TEST(takeAll(A).size() == 20u - Before);
+}
+
+// A borrower was paused with an unused loan. The lender has counted the unit
+// as its own again; the borrower must find the loan dead when it wakes.
+BOOST_AUTO_TEST_CASE(LoanIsDeadForTheBorrowerBeforeTheLenderReusesIt) {
+  const View Current = viewOf({"a", "b"});
+  UnitLedger A = ledgerAt(Current, "a", 20);
+  UnitLedger B = ledgerAt(Current, "b", 20);
+  const SubjectIndex Index = *A.find(Team);
+  const auto Loans = A.lend(Index, memberNamed("b").Id_, 1, Start + 5s);
+  BOOST_REQUIRE(Loans.size() == 1u);
+  B.receive(Loans[0], Start);
+  takeAll(A);
+  takeAll(B);
+  A.tick(Start + 5s + 400ms);
+  BOOST_TEST(!A.acquire(Index, Start + 9s, Start + 5s + 400ms));
+  BOOST_TEST(!B.acquire(Index, Start + 5s, Start + 5s));
+  A.tick(Start + 6s);
+  BOOST_TEST(A.acquire(Index, Start + 9s, Start + 6s).has_value());
+}
+
+// The grant of a loan is delivered twice, the second time after the loan was
+// returned and its unit given to other work.
+BOOST_AUTO_TEST_CASE(RepeatedGrantDoesNotReviveAReturnedLoan) {
+  const View Current = viewOf({"a", "b"});
+  UnitLedger A = ledgerAt(Current, "a", 20);
+  UnitLedger B = ledgerAt(Current, "b", 20);
+  takeAll(B);
+  const auto Loans = A.lend(*A.find(Team), memberNamed("b").Id_, 1, Start + 5s);
+  B.receive(Loans[0], Start);
+  B.receive(Loans[0], Start);
+  BOOST_TEST(B.counts(*B.find(Team)).Borrowed_ == 1u);
+  for (const LoanId &Id : B.takeIdleLoans(Start))
+    A.returned(Id);
+  B.receive(Loans[0], Start);
+  BOOST_TEST(B.counts(*B.find(Team)).Borrowed_ == 0u);
+  BOOST_TEST(A.counts(*A.find(Team)).Lent_ == 0u);
+}
+
+BOOST_AUTO_TEST_CASE(LoweredLimitBindsNewWorkAtOnceLoansIncluded) {
+  const View Current = viewOf({"a", "b"});
+  UnitLedger A = ledgerAt(Current, "a", 20);
+  UnitLedger B = ledgerAt(Current, "b", 20);
+  for (const Loan &Item :
+       A.lend(*A.find(Team), memberNamed("b").Id_, 20, Start + 20s))
+    B.receive(Item, Start);
+  B.setLimit(Team, 3);
+  A.setLimit(Team, 3);
+  BOOST_TEST(takeAll(B).size() <= 3u);
+  for (const HeldUnit &Held : B.unitsInUse())
+    BOOST_TEST(Held.Unit_.value() < 3u);
+}
+
+// A member said at one view that it holds nothing back. The next view takes
+// more units from it while they are running; what it said before is about
+// units that it had lost by then, and must not free these.
+BOOST_AUTO_TEST_CASE(StatementOfAnEarlierViewFreesNothingLater) {
+  const View First = viewOf({"a", "b"});
+  UnitLedger A = ledgerAt(First, "a", 20);
+  UnitLedger B = ledgerAt(First, "b", 20);
+  const View Second = *withJoined(First, memberNamed("c"));
+  A.adoptView(Second, Start);
+  B.adoptView(Second, Start);
+  B.hear(A.statement());
+  const std::size_t RunningAtA = takeAll(A).size();
+  BOOST_REQUIRE(RunningAtA > 0u);
+  const View Third = *withLeaving(Second, memberNamed("a").Id_);
+  B.adoptView(Third, Start);
+  const auto Counts = B.counts(*B.find(Team));
+  BOOST_TEST(Counts.Available_ < Counts.Owned_);
+  A.adoptView(Third, Start);
+  B.hear(A.statement());
+  BOOST_TEST(B.counts(*B.find(Team)).Available_ < Counts.Owned_);
+}
--- /dev/null
+++ b/src/membership/membershiptypes.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include "fleet/fleettypes.h"
+
+#include <vector>
+
+namespace laburnumspread::membership {
+
+using fleet::EntryName;
+using fleet::Incarnation;
+using fleet::ZoneName;
+using framework::clock::TimePoint;
+
+/// Number of a view. Each change of the membership makes the next one.
+using ViewNumber = framework::ids::StrongNumber<struct ViewNumberTag>;
+
+/// One run of one entry. A restarted entry is another member.
+struct MemberId {
+  EntryName Name_;
+  Incarnation Incarnation_;
+  auto operator<=>(const MemberId &) const = default;
+};
+
+struct Member {
+  MemberId Id_;
+  fleet::VmName Vm_;
+  ZoneName Zone_;
+  std::string PeerAddress_;
+  std::string HttpAddress_;
+  /// A leaving member owns nothing any more but still hands over.
+  bool Leaving_ = false;
+  bool operator==(const Member &) const = default;
+};
+
+/// A member that may own units and records.
+struct Owner {
+  MemberId Id_;
+  ZoneName Zone_;
+  bool operator==(const Owner &) const = default;
+};
+
+/// The owners of an earlier view that is not settled yet.
+struct PastView {
+  ViewNumber Number_;
+  std::vector<Owner> Owners_;
+  bool operator==(const PastView &) const = default;
+};
+
+/// A removed member. What it held may be used again after the last task lease
+/// that it could have given.
+struct Departed {
+  MemberId Id_;
+  TimePoint ReusableAfter_{};
+  bool operator==(const Departed &) const = default;
+};
+
+/// The agreed list of entries.
+struct View {
+  ViewNumber Number_;
+  /// Everything that moved up to this view is in its new owner's hands.
+  ViewNumber SettledThrough_;
+  /// Last view that gave something to a new member.
+  ViewNumber LastJoin_;
+  std::vector<Member> Members_;
+  /// Views from SettledThrough_ to the one before this, oldest first.
+  std::vector<PastView> Past_;
+  std::vector<Departed> Departed_;
+
+  const Member *find(const MemberId &Id) const;
+  std::vector<Owner> owners() const;
+  bool settled() const { return SettledThrough_ == Number_; }
+  bool operator==(const View &) const = default;
+};
+
+} // namespace laburnumspread::membership
+
+template <> struct std::hash<laburnumspread::membership::MemberId> {
+  std::size_t operator()(const laburnumspread::membership::MemberId &Id) const {
+    return std::hash<std::string>()(Id.Name_.str()) ^
+           (Id.Incarnation_.value() * 0x9e3779b97f4a7c15ULL);
+  }
+};
--- /dev/null
+++ b/src/peers/internal/zmqreader.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "framework/fibers/await.h"
+
+#include <boost/asio/posix/stream_descriptor.hpp>
+#include <zmq.hpp>
+
+namespace laburnumspread::peers {
+
+/// Waits for a ZeroMQ socket inside the io_context.
+class ZmqReader {
+public:
+  ZmqReader(boost::asio::io_context &Io, zmq::socket_t &Socket)
+      : Socket_(Socket), Descriptor_(Io, Socket.get(zmq::sockopt::fd)) {}
+
+  /// The descriptor belongs to the socket, so it is let go, not closed.
+  ~ZmqReader() { Descriptor_.release(); }
+
+  /// Suspends the fiber until a message is there. False when stopped.
+  bool waitForMessage() {
+    // The descriptor only tells that the state may have changed, and only
+    // once; the socket's events must be read before each wait.
+    while (!(Socket_.get(zmq::sockopt::events) & ZMQ_POLLIN)) {
+      const auto Outcome = framework::fibers::await([this](auto Done) {
+        Descriptor_.async_wait(boost::asio::posix::stream_descriptor::wait_read,
+                               Done);
+      });
+      if (Outcome.Error_)
+        return false;
+    }
+    return true;
+  }
+
+  void stop() { Descriptor_.cancel(); }
+
+private:
+  zmq::socket_t &Socket_;
+  boost::asio::posix::stream_descriptor Descriptor_;
+};
+
+} // namespace laburnumspread::peers
--- /dev/null
+++ b/src/peers/messagecodec.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "peers/messages.h"
+
+#include <string>
+#include <string_view>
+
+#include <absl/status/statusor.h>
+
+namespace laburnumspread::peers {
+
+/// Version of the messages' meaning. Another one is refused whole: fields can
+/// be added within a version, meanings cannot change.
+constexpr std::uint32_t WireVersion = 1;
+
+struct Letter {
+  Sender From_;
+  MemberId To_;
+  Message Message_;
+};
+
+std::string encode(const Letter &Outgoing);
+
+/// InvalidArgument when the bytes are no letter of this version.
+absl::StatusOr<Letter> decode(std::string_view Bytes);
+
+} // namespace laburnumspread::peers
--- /dev/null
+++ b/src/peers/tests/messagecodectest.cpp
@@ -0,0 +1,66 @@
+#include "peers/messagecodec.h"
+
+#include "peers/internal/generated/peer.pb.h"
+
+#include <random>
+
+#include <boost/test/unit_test.hpp>
+
+using namespace laburnumspread;
+using namespace laburnumspread::peers;
+
+namespace {
+
+MemberId idOf(const char *Name) {
+  return {fleet::EntryName(Name), fleet::Incarnation(7)};
+}
+
+Letter letterWith(Message Body) {
+  return {{idOf("a"), "127.0.0.1:1", TimePoint(std::chrono::seconds(3))},
+          idOf("b"),
+          std::move(Body)};
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(LettersArriveAsTheyWereSent) {
+  Grant Sent;
+  Sent.Loans_.push_back({{idOf("a"), 5},
+                         limits::SubjectName("team/x"),
+                         limits::Unit(9),
+                         TimePoint(std::chrono::seconds(4))});
+  Sent.Team_ = fleet::TeamName("x");
+  const Letter Got = *decode(encode(letterWith(Sent)));
+  BOOST_TEST((Got.From_.Id_ == idOf("a")));
+  BOOST_TEST((Got.To_ == idOf("b")));
+  const auto &Body = std::get<Grant>(Got.Message_);
+  BOOST_REQUIRE(Body.Loans_.size() == 1u);
+  BOOST_TEST((Body.Loans_[0].Id_ == Sent.Loans_[0].Id_));
+  BOOST_TEST((Body.Loans_[0].Until_ == Sent.Loans_[0].Until_));
+}
+
+BOOST_AUTO_TEST_CASE(OtherVersionIsRefusedAndUnknownFieldIsPassedOver) {
+  const std::string Bytes = encode(letterWith(SnapshotRequest{}));
+  wire::Envelope Raw;
+  BOOST_REQUIRE(Raw.ParseFromString(Bytes));
+  Raw.set_version(WireVersion + 1);
+  BOOST_TEST(!decode(Raw.SerializeAsString()).ok());
+  // Field 200, a varint: what a later program might add.
+  BOOST_TEST(decode(Bytes + "\xc0\x0c\x01").ok());
+}
+
+// Random damage to letters must never do worse than be refused.
+BOOST_AUTO_TEST_CASE(DamagedLettersAreHarmless) {
+  std::mt19937 Random(1);
+  Heartbeat Beat;
+  Beat.StillHeld_.push_back({limits::SubjectName("team/x"), limits::Unit(1)});
+  const std::string Bytes = encode(letterWith(Beat));
+  std::size_t Refused = 0;
+  for (int I = 0; I < 20000; ++I) {
+    std::string Damaged = Bytes;
+    Damaged[Random() % Damaged.size()] = static_cast<char>(Random());
+    Damaged.resize(Damaged.size() - Random() % 3);
+    Refused += !decode(Damaged).ok();
+  }
+  BOOST_TEST(Refused > 0u);
+}
--- /dev/null
+++ b/src/peers/tests/peermeshtest.cpp
@@ -0,0 +1,87 @@
+#include "peers/peermesh.h"
+
+#include "framework/fibers/asioscheduler.h"
+#include "framework/fibers/waiter.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/test/unit_test.hpp>
+
+using namespace laburnumspread;
+using namespace laburnumspread::peers;
+using namespace std::chrono_literals;
+
+namespace {
+
+const framework::http::Address AnyPort{"127.0.0.1", 0};
+
+MemberId idOf(const char *Name) {
+  return {fleet::EntryName(Name), fleet::Incarnation(1)};
+}
+
+struct Node {
+  Node(boost::asio::io_context &Io, const char *Name, const PeerKeys &Keys)
+      : Mesh_(Io, idOf(Name), Keys, [this](const Sender &From, Message &&) {
+          Heard_.push_back(From);
+        }) {
+    BOOST_REQUIRE(Mesh_.bind(AnyPort, AnyPort).ok());
+  }
+  std::vector<Sender> Heard_;
+  PeerMesh Mesh_;
+};
+
+/// Sends until something arrives, as every user of the mesh does.
+bool sendUntilHeard(Node &From, Node &To, int Tries) {
+  const std::string Address = To.Mesh_.advertised().str();
+  for (int I = 0; I < Tries && To.Heard_.empty(); ++I) {
+    From.Mesh_.send(idOf("b"), Address, SnapshotRequest{});
+    framework::fibers::sleepFor(10ms);
+  }
+  return !To.Heard_.empty();
+}
+
+boost::asio::io_context &sharedIo() {
+  static boost::asio::io_context Io;
+  static const bool Installed = (framework::fibers::useAsioScheduler(Io), true);
+  (void)Installed;
+  return Io;
+}
+
+constexpr int ManyTries = 1000;
+constexpr int FewTries = 50;
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(EntriesOfOneFleetHearEachOther) {
+  const PeerKeys Keys = generatePeerKeys();
+  Node A(sharedIo(), "a", Keys), B(sharedIo(), "b", Keys);
+  BOOST_TEST(sendUntilHeard(A, B, ManyTries));
+  BOOST_TEST((B.Heard_[0].Id_ == idOf("a")));
+}
+
+// A stranger knows the fleet's public key, as anybody may, but not the secret
+// one. Its connection is refused and no letter of it arrives.
+BOOST_AUTO_TEST_CASE(PeerWithoutTheKeyGetsNowhere) {
+  const PeerKeys Keys = generatePeerKeys();
+  const PeerKeys Own = generatePeerKeys();
+  Node Stranger(sharedIo(), "a", {Keys.Public_, Own.Secret_});
+  Node B(sharedIo(), "b", Keys);
+  BOOST_TEST(!sendUntilHeard(Stranger, B, FewTries));
+  Node Friend(sharedIo(), "c", Keys);
+  BOOST_TEST(sendUntilHeard(Friend, B, ManyTries));
+  BOOST_TEST((B.Heard_[0].Id_ == idOf("c")));
+}
+
+BOOST_AUTO_TEST_CASE(LetterForAnEarlierRunIsRefused) {
+  const PeerKeys Keys = generatePeerKeys();
+  Node A(sharedIo(), "a", Keys), B(sharedIo(), "b", Keys);
+  BOOST_REQUIRE(sendUntilHeard(A, B, ManyTries));
+  B.Heard_.clear();
+  const MemberId Former{fleet::EntryName("b"), fleet::Incarnation(9)};
+  const std::string Address = B.Mesh_.advertised().str();
+  for (int I = 0; I < ManyTries && B.Mesh_.counters().Refused_ == 0; ++I) {
+    A.Mesh_.send(Former, Address, SnapshotRequest{});
+    framework::fibers::sleepFor(10ms);
+  }
+  BOOST_TEST(B.Mesh_.counters().Refused_ > 0u);
+  BOOST_TEST(B.Heard_.empty());
+}
--- /dev/null
+++ b/src/routing/internal/endpointtable.cpp
@@ -0,0 +1,173 @@
+#include "routing/endpointtable.h"
+
+#include <algorithm>
+
+namespace laburnumspread::routing {
+
+std::string_view nameOf(Health Value) {
+  switch (Value) {
+  case Health::Good:
+    return "good";
+  case Health::Ejected:
+    return "ejected";
+  case Health::Probation:
+    return "probation";
+  }
+  return "good";
+}
+
+EndpointIndex EndpointTable::declare(const fleet::Vm &Vm,
+                                     limits::SubjectIndex Slots) {
+  const VmName Name(Vm.Metadata_.Name_);
+  const auto [At, Added] = Index_.try_emplace(
+      Name, EndpointIndex(static_cast<std::uint32_t>(Rows_.size())));
+  if (Added)
+    Rows_.emplace_back();
+  Endpoint &Row = Rows_[At->second.value()];
+  if (!Row.Declared_ || Row.Pool_ != Vm.Spec_.Pool_) {
+    if (Row.Declared_)
+      std::erase(Pools_[Row.Pool_], At->second);
+    Pools_[Vm.Spec_.Pool_].push_back(At->second);
+  }
+  if (Row.Address_ != Vm.Spec_.Address_) {
+    Row.Health_ = Health::Good;
+    Row.FailuresInRow_ = Row.Ejections_ = 0;
+  }
+  Row.Vm_ = Name;
+  Row.Pool_ = Vm.Spec_.Pool_;
+  Row.Zone_ = Vm.Spec_.Zone_;
+  Row.Address_ = Vm.Spec_.Address_;
+  Row.Size_ = Vm.Spec_.Size_;
+  Row.Slots_ = Vm.Spec_.Slots_.value();
+  Row.Subject_ = Slots;
+  Row.Open_ = Vm.Status_.Phase_ == fleet::VmPhase::Active && !Vm.Spec_.Drain_;
+  Row.Declared_ = true;
+  return At->second;
+}
+
+void EndpointTable::withdraw(const VmName &Vm) {
+  const auto At = Index_.find(Vm);
+  if (At == Index_.end())
+    return;
+  Endpoint &Row = Rows_[At->second.value()];
+  std::erase(Pools_[Row.Pool_], At->second);
+  Row.Open_ = Row.Declared_ = false;
+}
+
+bool EndpointTable::eligible(const Endpoint &Row,
+                             const RouteInputs &Inputs) const {
+  if (!Row.Open_ || Row.Health_ == Health::Ejected ||
+      (Row.Health_ == Health::Probation && Row.Running_ > 0))
+    return false;
+  return Inputs.Size_.fitsInto(Row.Size_) &&
+         Inputs.Slots_.hasFree(Row.Subject_, Inputs.Until_, Inputs.Now_);
+}
+
+std::optional<EndpointIndex>
+EndpointTable::choose(const PoolName &Pool, const RouteInputs &Inputs,
+                      std::mt19937_64 &Random) const {
+  std::vector<EndpointIndex> Near, Far;
+  for (EndpointIndex Index : inPool(Pool)) {
+    const Endpoint &Row = at(Index);
+    if (!eligible(Row, Inputs) ||
+        std::find(Inputs.Avoid_.begin(), Inputs.Avoid_.end(), Index) !=
+            Inputs.Avoid_.end())
+      continue;
+    (Row.Zone_ == Inputs.OwnZone_ ? Near : Far).push_back(Index);
+  }
+  const std::vector<EndpointIndex> &From = Near.empty() ? Far : Near;
+  if (From.empty())
+    return std::nullopt;
+  const EndpointIndex A = From[Random() % From.size()];
+  const EndpointIndex B = From[Random() % From.size()];
+  return at(B).Running_ < at(A).Running_ ? B : A;
+}
+
+bool EndpointTable::mayEject(const Endpoint &Row,
+                             std::uint32_t CapPercent) const {
+  const auto &Pool = inPool(Row.Pool_);
+  const auto Ejected =
+      std::count_if(Pool.begin(), Pool.end(), [&](EndpointIndex Index) {
+        return at(Index).Health_ != Health::Good;
+      });
+  return (Ejected + 1) * 100 <=
+         static_cast<std::ptrdiff_t>(Pool.size() * CapPercent);
+}
+
+HealthChange EndpointTable::ended(EndpointIndex Index, Exchange How,
+                                  std::uint32_t CapPercent, TimePoint Now) {
+  Endpoint &Row = Rows_[Index.value()];
+  --Row.Running_;
+  if (How == Exchange::Refused)
+    return HealthChange::None;
+  if (How == Exchange::Succeeded) {
+    Row.FailuresInRow_ = 0;
+    if (Row.Health_ == Health::Good)
+      return HealthChange::None;
+    Row.Health_ = Health::Good;
+    return HealthChange::Returned;
+  }
+  ++Row.FailuresInRow_;
+  const bool Again = Row.Health_ == Health::Probation;
+  if (Row.Health_ == Health::Ejected ||
+      !(Again || (Row.FailuresInRow_ >= EjectAfterFailures &&
+                  mayEject(Row, CapPercent))))
+    return HealthChange::None;
+  Row.Health_ = Health::Ejected;
+  const Duration Wanted = FirstEjection * (1 << std::min(Row.Ejections_, 8u));
+  Row.EjectedUntil_ = Now + std::min(Wanted, LongestEjection);
+  ++Row.Ejections_;
+  return HealthChange::Ejected;
+}
+
+void EndpointTable::tick(TimePoint Now) {
+  for (Endpoint &Row : Rows_)
+    if (Row.Health_ == Health::Ejected && Row.EjectedUntil_ <= Now)
+      Row.Health_ = Health::Probation;
+}
+
+std::optional<EndpointIndex> EndpointTable::find(const VmName &Vm) const {
+  const auto At = Index_.find(Vm);
+  if (At == Index_.end())
+    return std::nullopt;
+  return At->second;
+}
+
+const std::vector<EndpointIndex> &
+EndpointTable::inPool(const PoolName &Pool) const {
+  static const std::vector<EndpointIndex> None;
+  const auto At = Pools_.find(Pool);
+  return At == Pools_.end() ? None : At->second;
+}
+
+std::vector<PoolName> EndpointTable::pools() const {
+  std::vector<PoolName> Result;
+  for (const auto &[Pool, Rows] : Pools_)
+    Result.push_back(Pool);
+  return Result;
+}
+
+std::uint32_t EndpointTable::openSlots(const PoolName &Pool) const {
+  std::uint32_t Sum = 0;
+  for (EndpointIndex Index : inPool(Pool))
+    if (at(Index).Open_ && at(Index).Health_ != Health::Ejected)
+      Sum += at(Index).Slots_;
+  return Sum;
+}
+
+bool EndpointTable::fitsAny(const PoolName &Pool,
+                            const fleet::Size &Size) const {
+  const auto &Rows = inPool(Pool);
+  return std::any_of(Rows.begin(), Rows.end(), [&](EndpointIndex Index) {
+    return Size.fitsInto(at(Index).Size_);
+  });
+}
+
+bool EndpointTable::anyHealthy(const PoolName &Pool) const {
+  const auto &Rows = inPool(Pool);
+  return std::any_of(Rows.begin(), Rows.end(), [&](EndpointIndex Index) {
+    return at(Index).Open_ && at(Index).Health_ != Health::Ejected;
+  });
+}
+
+} // namespace laburnumspread::routing
--- /dev/null
+++ b/src/sharing/fleetusage.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "sharing/sharingtypes.h"
+
+#include <map>
+#include <unordered_map>
+#include <vector>
+
+namespace laburnumspread::sharing {
+
+struct TeamUse {
+  std::uint32_t Running_ = 0;
+  std::uint32_t Waiting_ = 0;
+};
+
+/// How many requests of each team run and wait in each pool over the whole
+/// fleet: counted here for this entry, heard from peers for the others.
+class FleetUsage {
+public:
+  struct Row {
+    PoolName Pool_;
+    TeamName Team_;
+    TeamUse Use_;
+  };
+
+  /// Replaces what is known of a peer.
+  void heard(const MemberId &Peer, const std::vector<Row> &Rows);
+  void forget(const MemberId &Peer);
+
+  void addRunning(const PoolName &Pool, const TeamName &Team, int By);
+  void addWaiting(const PoolName &Pool, const TeamName &Team, int By);
+
+  /// Over the fleet.
+  TeamUse total(const PoolName &Pool, const TeamName &Team) const;
+  std::map<TeamName, TeamUse> totals(const PoolName &Pool) const;
+  /// Of this entry alone.
+  std::vector<Row> own() const;
+
+private:
+  struct Key {
+    PoolName Pool_;
+    TeamName Team_;
+    auto operator<=>(const Key &) const = default;
+  };
+  static void shift(TeamUse &Into, const TeamUse &By, int Sign);
+
+  std::map<Key, TeamUse> Total_;
+  std::map<Key, TeamUse> Own_;
+  std::unordered_map<MemberId, std::vector<Row>> Peers_;
+};
+
+} // namespace laburnumspread::sharing
--- /dev/null
+++ b/src/sharing/tests/poolqueuetest.cpp
@@ -0,0 +1,140 @@
+#include "sharing/poolqueue.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace laburnumspread::sharing;
+using namespace laburnumspread::fleet;
+using namespace std::chrono_literals;
+
+namespace {
+
+const TimePoint Start{1000h};
+const PoolName Orders("orders");
+const TeamName Big("big"), Small("small");
+constexpr std::uint32_t PoolSlots = 40;
+
+struct Fixture {
+  FleetUsage Usage_;
+  PoolQueue Queue_{1000};
+  std::map<TeamName, std::uint32_t> Weights_{{Big, 3}, {Small, 1}};
+  std::uint64_t Next_ = 0;
+
+  TicketId push(const TeamName &Team,
+                RequestClass Class = RequestClass::Normal) {
+    Ticket Item{TicketId(++Next_), Team, Class, Start + 5s,
+                Start + std::chrono::microseconds(Next_)};
+    BOOST_REQUIRE(Queue_.push(Item).ok());
+    Usage_.addWaiting(Orders, Team, 1);
+    return Item.Id_;
+  }
+
+  Choice choose() {
+    return Queue_.choose({Usage_, Orders, PoolSlots,
+                          [&](const TeamName &T) { return Weights_[T]; },
+                          [](const TeamName &) { return true; }, Start});
+  }
+
+  /// Starts what is chosen; returns its team.
+  TeamName startNext() {
+    const Ticket Chosen = std::get<Ticket>(choose());
+    Queue_.cancel(Chosen.Id_);
+    Usage_.addWaiting(Orders, Chosen.Team_, -1);
+    Usage_.addRunning(Orders, Chosen.Team_, 1);
+    return Chosen.Team_;
+  }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_CASE(FullPoolIsSharedByWeight, Fixture) {
+  for (int I = 0; I < 100; ++I) {
+    push(Big);
+    push(Small);
+  }
+  std::map<TeamName, int> Started;
+  for (std::uint32_t I = 0; I < PoolSlots; ++I)
+    ++Started[startNext()];
+  BOOST_TEST(Started[Big] == 30);
+  BOOST_TEST(Started[Small] == 10);
+}
+
+// One team floods the queue before another sends its first request. The
+// latecomer is below its share, so it does not stand behind the flood.
+BOOST_FIXTURE_TEST_CASE(FloodDoesNotDelayATeamBelowItsShare, Fixture) {
+  for (int I = 0; I < 500; ++I)
+    push(Big);
+  for (int I = 0; I < 10; ++I)
+    startNext();
+  push(Small);
+  BOOST_TEST(startNext() == Small);
+}
+
+// Most of the team's work runs at other entries. Its share is the fleet's, so
+// the requests that wait here stand back although none of it runs here.
+BOOST_FIXTURE_TEST_CASE(WorkAtPeersCountsAgainstTheShare, Fixture) {
+  const MemberId Peer{EntryName("p"), Incarnation(1)};
+  push(Big);
+  push(Small);
+  Usage_.heard(Peer, {{Orders, Big, {30, 0}}, {Orders, Small, {5, 0}}});
+  BOOST_TEST(startNext() == Small);
+  Usage_.forget(Peer);
+  BOOST_TEST(Usage_.total(Orders, Big).Running_ == 0u);
+}
+
+BOOST_FIXTURE_TEST_CASE(UrgentGoesFirstOnlyWithinItsShare, Fixture) {
+  push(Big);
+  push(Small, RequestClass::Urgent);
+  BOOST_TEST(startNext() == Small);
+  Usage_.addRunning(Orders, Small, 20);
+  push(Small, RequestClass::Urgent);
+  BOOST_TEST(startNext() == Big);
+}
+
+BOOST_FIXTURE_TEST_CASE(BatchOfATeamWaitsForItsOtherWork, Fixture) {
+  push(Big, RequestClass::Batch);
+  const TicketId Normal = push(Big);
+  BOOST_TEST(std::get<Ticket>(choose()).Id_ == Normal);
+}
+
+BOOST_FIXTURE_TEST_CASE(PeerBelowShareIsServedBeforeOwnWaiters, Fixture) {
+  Usage_.addRunning(Orders, Big, 30);
+  push(Big);
+  PeerWish Wish;
+  Wish.From_ = {EntryName("p"), Incarnation(1)};
+  Wish.Team_ = Small;
+  Wish.Count_ = 1;
+  Wish.LapsesAt_ = Start + 1s;
+  Queue_.wish(Wish);
+  BOOST_TEST(std::holds_alternative<PeerWish>(choose()));
+  Queue_.granted(Wish);
+  BOOST_TEST(std::holds_alternative<Ticket>(choose()));
+  Wish.LapsesAt_ = Start;
+  Queue_.wish(Wish);
+  BOOST_TEST(std::holds_alternative<Ticket>(choose()));
+}
+
+// Nine tenths of a long queue are cancelled at once. The rest must be found
+// and counted rightly, whatever order the cancellations came in.
+BOOST_FIXTURE_TEST_CASE(CancellationWaveLeavesTheRestInOrder, Fixture) {
+  std::vector<TicketId> Ids;
+  for (int I = 0; I < 1000; ++I)
+    Ids.push_back(push(Big));
+  for (int I = 999; I >= 0; --I)
+    if (I % 10 != 3)
+      BOOST_REQUIRE(Queue_.cancel(Ids[I]));
+  BOOST_TEST(!Queue_.cancel(Ids[0]));
+  BOOST_TEST(Queue_.size() == 100u);
+  BOOST_TEST(Queue_.waiting(Big) == 100u);
+  BOOST_TEST(std::get<Ticket>(choose()).Id_ == Ids[3]);
+}
+
+BOOST_FIXTURE_TEST_CASE(QueueIsBoundedAndHonoursDeadlines, Fixture) {
+  Queue_.setLimit(1);
+  const TicketId Only = push(Big);
+  Ticket Extra;
+  Extra.Id_ = TicketId(99);
+  BOOST_TEST(Queue_.push(Extra).code() == absl::StatusCode::kResourceExhausted);
+  BOOST_TEST(Queue_.expire(Start + 4s).empty());
+  BOOST_TEST(Queue_.expire(Start + 5s) == std::vector<TicketId>{Only});
+  BOOST_TEST(Queue_.size() == 0u);
+}
--- /dev/null
+++ b/src/store/etcdstore.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "framework/http/httpclient.h"
+#include "store/kvstore.h"
+
+#include <memory>
+
+namespace laburnumspread::store {
+
+/// Adapter to a store that speaks the etcd v3 JSON gateway over HTTP/1.1.
+class EtcdStore {
+public:
+  EtcdStore(boost::asio::io_context &Io,
+            std::vector<framework::http::Address> Endpoints);
+
+  absl::StatusOr<RangeResult> range(const std::string &Prefix, Revision Since,
+                                    TimePoint Deadline);
+  absl::StatusOr<TransactionResult> commit(const Transaction &Txn,
+                                           TimePoint Deadline);
+  absl::Status watch(const std::string &Prefix, Revision Since,
+                     const std::function<bool(const WatchBatch &)> &OnBatch);
+  absl::StatusOr<std::int64_t> grantLease(std::int64_t Seconds,
+                                          TimePoint Deadline);
+  absl::StatusOr<bool> keepLease(std::int64_t Lease, TimePoint Deadline);
+
+  /// Calls made since the start, a watch as one.
+  std::uint64_t calls() const { return Calls_; }
+
+private:
+  absl::StatusOr<std::string> post(std::string_view Path, std::string Body,
+                                   TimePoint Deadline);
+  framework::http::Client &current() { return *Clients_[Current_]; }
+  void tryNextEndpoint() { Current_ = (Current_ + 1) % Clients_.size(); }
+
+  std::vector<std::unique_ptr<framework::http::Client>> Clients_;
+  std::size_t Current_ = 0;
+  std::uint64_t Calls_ = 0;
+};
+
+static_assert(KeyValueStore<EtcdStore>);
+
+/// First key after all keys with \p Prefix.
+std::string prefixEnd(std::string Prefix);
+
+} // namespace laburnumspread::store
--- /dev/null
+++ b/src/store/kvstore.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include "fleet/fleettypes.h"
+#include "framework/clock/clock.h"
+
+#include <concepts>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include <absl/status/statusor.h>
+
+namespace laburnumspread::store {
+
+using fleet::Revision;
+using framework::clock::TimePoint;
+
+struct KeyValue {
+  std::string Key_;
+  std::string Value_;
+  /// Revision of the last write to the key; 0 in a deletion event.
+  Revision ModRevision_;
+};
+
+struct RangeResult {
+  std::vector<KeyValue> Items_;
+  /// Revision of the whole store when it answered.
+  Revision StoreRevision_;
+};
+
+/// Holds when the key's last write has this revision; 0 means "no such key".
+struct Compare {
+  std::string Key_;
+  Revision ModRevision_;
+};
+
+struct Put {
+  std::string Key_;
+  std::string Value_;
+  /// Lease that the key dies with; 0 for none.
+  std::int64_t Lease_ = 0;
+};
+
+/// Writes that take effect together if all compares hold.
+struct Transaction {
+  std::vector<Compare> Compares_;
+  std::vector<Put> Puts_;
+  std::vector<std::string> Deletes_;
+};
+
+struct TransactionResult {
+  bool Succeeded_ = false;
+  Revision StoreRevision_;
+};
+
+/// Writes seen by a watch, in order.
+struct WatchBatch {
+  std::vector<KeyValue> Puts_;
+  std::vector<std::string> Deletes_;
+  Revision StoreRevision_;
+};
+
+/// The platform's key-value service. Errors of a write: FailedPrecondition is
+/// never returned (see Succeeded_); Unavailable with "not sent" means that
+/// nothing was written; any other error leaves open whether it took effect.
+template <typename T>
+concept KeyValueStore = requires(
+    T &S, const std::string &Prefix, Revision Since, const Transaction &Txn,
+    TimePoint Deadline, const std::function<bool(const WatchBatch &)> &OnBatch,
+    std::int64_t Lease) {
+  /// Keys under a prefix whose last write is at or after \p Since.
+  {
+    S.range(Prefix, Since, Deadline)
+    } -> std::same_as<absl::StatusOr<RangeResult>>;
+  {
+    S.commit(Txn, Deadline)
+    } -> std::same_as<absl::StatusOr<TransactionResult>>;
+  /// Blocks while the watch lasts. OutOfRange when the history from \p Since
+  /// has been compacted.
+  { S.watch(Prefix, Since, OnBatch) } -> std::same_as<absl::Status>;
+  {
+    S.grantLease(Lease, Deadline)
+    } -> std::same_as<absl::StatusOr<std::int64_t>>;
+  /// Returns whether the lease still lives.
+  { S.keepLease(Lease, Deadline) } -> std::same_as<absl::StatusOr<bool>>;
+};
+
+} // namespace laburnumspread::store
