--- a/cmake/testmain.cpp
+++ b/cmake/testmain.cpp
@@ -1,2 +1,16 @@
 #define BOOST_TEST_MODULE laburnumspread
+#define BOOST_TEST_NO_MAIN
+#define BOOST_TEST_ALTERNATIVE_INIT_API
 #include <boost/test/unit_test.hpp>
+
+#include <cstdlib>
+#include <iostream>
+
+int main(int Count, char **Words) {
+  const int Result =
+      boost::unit_test::unit_test_main(&init_unit_test, Count, Words);
+  std::cout.flush();
+  // Detached fibers (servers, tickers) may be left, and the fiber scheduler
+  // would wait for them for ever in an ordinary exit.
+  std::_Exit(Result);
+}
--- /dev/null
+++ b/src/api/internal/operatorapi.cpp
@@ -0,0 +1,458 @@
+#include "api/operatorapi.h"
+
+#include "api/validation.h"
+#include "framework/digest/digest.h"
+
+#include <algorithm>
+#include <charconv>
+
+#include <boost/json.hpp>
+
+namespace laburnumspread::api {
+
+namespace json = boost::json;
+using entry::ProblemCode;
+using fleet::Kind;
+using fleet::Revision;
+using framework::http::Exchange;
+using framework::http::Response;
+using framework::http::Target;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::size_t LargestDocument = 256 * 1024;
+constexpr framework::clock::Duration WriteTimeout = 5s;
+constexpr framework::clock::Duration BookmarkEvery = 5s;
+
+std::optional<Revision> parseRevision(std::string_view Text) {
+  while (Text.starts_with('"') || Text.starts_with("W/"))
+    Text.remove_prefix(Text.starts_with('"') ? 1 : 2);
+  if (Text.ends_with('"'))
+    Text.remove_suffix(1);
+  std::uint64_t Value = 0;
+  const auto Parsed =
+      std::from_chars(Text.data(), Text.data() + Text.size(), Value);
+  if (Text.empty() || Parsed.ec != std::errc() ||
+      Parsed.ptr != Text.data() + Text.size())
+    return std::nullopt;
+  return Revision(Value);
+}
+
+absl::StatusOr<std::string> readDocument(Exchange &Call) {
+  std::string Body;
+  for (bool More = true; More;) {
+    const absl::StatusOr<bool> Next = Call.readSome(Body, 16 * 1024);
+    if (!Next.ok())
+      return Next.status();
+    if (Body.size() > LargestDocument)
+      return absl::ResourceExhaustedError("document is larger than 256 KiB");
+    More = *Next;
+  }
+  return Body;
+}
+
+json::object conditionJson(std::string_view Type, bool Holds,
+                           std::string_view Reason, const std::string &Message,
+                           std::uint64_t Generation) {
+  return {{"type", Type},
+          {"status", Holds ? "True" : "False"},
+          {"reason", Reason},
+          {"message", Message},
+          {"observedGeneration", Generation}};
+}
+
+std::string joined(const std::vector<std::string> &Names) {
+  std::string Text;
+  for (const std::string &Name : Names)
+    Text += (Text.empty() ? "" : ", ") + Name;
+  return Text;
+}
+
+bool isDryRun(const Target &Path) { return Path.query("dryRun") == "true"; }
+
+} // namespace
+
+/// Writes JSON lines until the caller goes.
+class OperatorApi::LineStream {
+public:
+  LineStream(OperatorApi &Owner, Exchange &Call) : Owner_(Owner), Call_(Call) {
+    Call_.onCallerGone([Gone = Gone_, Wake = Wake_] {
+      *Gone = true;
+      if (*Wake)
+        (*Wake)->signal();
+    });
+    Response Head;
+    Head.Status_ = 200;
+    Head.Headers_.add("Content-Type", "application/jsonl");
+    Call_.beginReply(Head, std::nullopt);
+  }
+
+  ~LineStream() {
+    Call_.onCallerGone(nullptr);
+    Call_.endReply();
+  }
+
+  /// False when the caller has gone.
+  bool line(const json::object &Value) {
+    return Call_.write(json::serialize(Value) + "\n").ok();
+  }
+
+  /// Waits for a change or the next bookmark. False when the caller has gone
+  /// or the entry stops.
+  bool wait() {
+    auto Next = std::make_shared<framework::fibers::Waiter>();
+    *Wake_ = Next;
+    Owner_.Watchers_.push_back(Next);
+    Next->waitUntil(Owner_.Context_.State_.now() + BookmarkEvery);
+    return !*Gone_ && !Owner_.Context_.State_.Leaving_;
+  }
+
+private:
+  OperatorApi &Owner_;
+  Exchange &Call_;
+  std::shared_ptr<bool> Gone_ = std::make_shared<bool>(false);
+  std::shared_ptr<framework::fibers::WaiterPtr> Wake_ =
+      std::make_shared<framework::fibers::WaiterPtr>();
+};
+
+OperatorApi::OperatorApi(ApiContext &Context) : Context_(Context) {
+  Context_.State_.Decisions_.onAdded([this] { changed(); });
+}
+
+void OperatorApi::changed() {
+  std::vector<std::weak_ptr<framework::fibers::Waiter>> Wakened;
+  Wakened.swap(Watchers_);
+  for (const auto &Item : Wakened)
+    if (const auto Waiter = Item.lock())
+      Waiter->signal();
+}
+
+bool OperatorApi::admit(Exchange &Call) {
+  constexpr std::string_view Bearer = "Bearer ";
+  const auto Field = Call.head().Headers_.find("Authorization");
+  if (!Field || !Field->starts_with(Bearer)) {
+    replyProblem(Call, ProblemCode::MissingKey,
+                 "Authorization: Bearer <operator key> is required");
+    return false;
+  }
+  const std::string Hash =
+      framework::digest::sha256Hex(Field->substr(Bearer.size()));
+  bool Known = false;
+  for (const entry::OperatorKey &Key : Context_.State_.Settings_.OperatorKeys_)
+    Known |= framework::digest::equalInConstantTime(Hash, Key.Sha256_);
+  if (!Known)
+    replyProblem(Call, ProblemCode::UnknownKey, "not an operator's key");
+  return Known;
+}
+
+bool OperatorApi::handle(Exchange &Call, const Target &Path) {
+  const auto &Parts = Path.Segments_;
+  if (Parts.size() < 2 || Parts.size() > 3)
+    return false;
+  if (Parts[1] == "decisions" || Parts[1] == "entries") {
+    if (admit(Call))
+      Parts[1] == "entries" ? handleEntries(Call, Path)
+                            : handleDecisions(Call, Path);
+    return true;
+  }
+  const std::optional<Kind> Of = fleet::kindNamed(Parts[1]);
+  if (!Of)
+    return false;
+  if (!admit(Call))
+    return true;
+  const std::string &Method = Call.head().Method_;
+  const std::string Name = Parts.size() == 3 ? Parts[2] : "";
+  config::visitKind(*Of, [&]<typename T>(T *) {
+    if (Name.empty() && Method == "GET")
+      Path.query("watch") == "true" ? watch(Call, *Of, Path) : list<T>(Call);
+    else if (!Name.empty() && Method == "GET")
+      get<T>(Call, Name);
+    else if (!Name.empty() && Method == "PUT")
+      put<T>(Call, Name, Path);
+    else if (!Name.empty() && Method == "DELETE")
+      remove<T>(Call, Name, Path);
+    else
+      replyProblem(Call, ProblemCode::MethodNotAllowed,
+                   Method + " is not served here");
+  });
+  return true;
+}
+
+template <typename T>
+json::object OperatorApi::withStatus(const T &Object, Revision InForce) {
+  json::object Result = fleet::toJson(Object);
+  json::object &Status = Result["status"].as_object();
+  if (!Status.contains("conditions"))
+    Status["conditions"] = json::array();
+  const auto Has = Context_.Membership_.inForce(InForce);
+  Status["conditions"].as_array().push_back(
+      conditionJson("InForce", Has.Awaited_.empty(),
+                    Has.Awaited_.empty() ? "AllEntries" : "EntriesAwaited",
+                    Has.Awaited_.empty() ? "in force on " + joined(Has.Have_)
+                                         : "awaiting " + joined(Has.Awaited_),
+                    Object.Metadata_.Generation_.value()));
+  return Result;
+}
+
+template <typename T> void OperatorApi::list(Exchange &Call) {
+  const auto &State = Context_.State_;
+  json::array Items;
+  for (const auto &[Name, Object] : State.Config_.tables().of<T>())
+    Items.push_back(fleet::toJson(Object));
+  replyJson(
+      Call, 200,
+      json::object{
+          {"kind", fleet::nameOf(fleet::KindOf<T>::Value)},
+          {"metadata",
+           json::object{{"resourceVersion",
+                         std::to_string(State.Config_.revision().value())}}},
+          {"items", std::move(Items)}});
+}
+
+template <typename T>
+void OperatorApi::get(Exchange &Call, const std::string &Name) {
+  const T *Object = Context_.State_.Config_.tables().find<T>(Name);
+  if (!Object)
+    return replyProblem(Call, ProblemCode::NotFound, "no such object");
+  json::object Body = withStatus(*Object, Object->Metadata_.ResourceVersion_);
+  if constexpr (std::is_same_v<T, fleet::Vm>)
+    addDrain(Body, *Object);
+  replyJson(Call, 200, Body);
+}
+
+/// How far a VM's drain has come, whoever asked for it.
+void OperatorApi::addDrain(json::object &Body, const fleet::Vm &Object) const {
+  const auto Drain = Context_.Membership_.drainState(
+      fleet::VmName(Object.Metadata_.Name_), Object.Metadata_.ResourceVersion_);
+  json::array Awaited;
+  for (const std::string &Name : Drain.Awaited_)
+    Awaited.emplace_back(Name);
+  Body["drain"] =
+      json::object{{"busy", Drain.Busy_}, {"awaited", std::move(Awaited)}};
+}
+
+bool OperatorApi::acceptsWrites(Exchange &Call) {
+  entry::EntryState &State = Context_.State_;
+  // An entry that does not reach most of the view could accept a withdrawal
+  // that the others never hear of while they still serve: see
+  // ContactTable::fenced.
+  if (State.Started_ &&
+      State.Contact_.mostInTouch(State.View_, State.Self_.Id_, State.now()))
+    return true;
+  replyProblem(Call, ProblemCode::CutOff,
+               "this entry does not reach most other entries; a change could "
+               "not be in force everywhere");
+  return false;
+}
+
+void OperatorApi::replyStatus(Exchange &Call, const absl::Status &Why) {
+  ProblemCode Code = ProblemCode::StoreUnavailable;
+  if (absl::IsAborted(Why))
+    Code = ProblemCode::Conflict;
+  if (absl::IsNotFound(Why))
+    Code = ProblemCode::NotFound;
+  if (absl::IsInvalidArgument(Why))
+    Code = ProblemCode::Invalid;
+  replyProblem(Call, Code, std::string(Why.message()));
+}
+
+template <typename T>
+void OperatorApi::replyWritten(Exchange &Call, const config::Written<T> &Done,
+                               bool DryRun) {
+  if (!DryRun && Done.Changed_)
+    // The writer's own entry must not lag behind its answer.
+    Context_.Config_.poll();
+  json::object Body = withStatus(Done.Object_, Done.Revision_);
+  Body["changed"] = Done.Changed_;
+  Body["inForceRevision"] = std::to_string(Done.Revision_.value());
+  if (DryRun)
+    Body["dryRun"] = true;
+  replyJson(Call, 200, Body);
+}
+
+template <typename T>
+void OperatorApi::put(Exchange &Call, const std::string &Name,
+                      const Target &Path) {
+  const absl::StatusOr<std::string> Text = readDocument(Call);
+  if (!Text.ok())
+    return replyProblem(Call, ProblemCode::BodyTooLarge,
+                        std::string(Text.status().message()));
+  const auto Document = framework::settings::parseJson(*Text);
+  if (!Document.ok())
+    return replyProblem(Call, ProblemCode::BadRequest,
+                        std::string(Document.status().message()));
+  framework::settings::FieldErrors Errors;
+  const T Wanted = fleet::readResource<T>(*Document, Errors);
+  if (Errors.empty() && Wanted.Metadata_.Name_ != Name)
+    Errors.push_back({"metadata.name", "is not the name in the path"});
+  if (Errors.empty())
+    Errors = validate(Context_.State_.Config_.tables(), Wanted);
+  if (!Errors.empty())
+    return replyProblem(Call, ProblemCode::Invalid,
+                        framework::settings::describe(Errors));
+  std::optional<Revision> IfMatch;
+  if (const auto Field = Call.head().Headers_.find("If-Match")) {
+    IfMatch = parseRevision(*Field);
+    if (!IfMatch)
+      return replyProblem(Call, ProblemCode::BadRequest,
+                          "If-Match must be a resource version");
+  }
+  if (!isDryRun(Path) && !acceptsWrites(Call))
+    return;
+  const auto Done = Context_.Writer_.putSpec(
+      Wanted, IfMatch, isDryRun(Path), Context_.State_.now() + WriteTimeout);
+  if (!Done.ok())
+    return replyStatus(Call, Done.status());
+  replyWritten(Call, *Done, isDryRun(Path));
+}
+
+template <typename T>
+void OperatorApi::remove(Exchange &Call, const std::string &Name,
+                         const Target &Path) {
+  const std::string Keep = reasonToKeep(Context_.State_.Config_.tables(),
+                                        fleet::KindOf<T>::Value, Name);
+  if (!Keep.empty())
+    return replyProblem(Call, ProblemCode::Conflict, Keep);
+  std::optional<Revision> IfMatch;
+  if (const auto Field = Call.head().Headers_.find("If-Match"))
+    IfMatch = parseRevision(*Field);
+  if (!isDryRun(Path) && !acceptsWrites(Call))
+    return;
+  const auto Done = Context_.Writer_.template remove<T>(
+      Name, IfMatch, isDryRun(Path), Context_.State_.now() + WriteTimeout);
+  if (!Done.ok())
+    return replyStatus(Call, Done.status());
+  replyWritten(Call, *Done, isDryRun(Path));
+}
+
+void OperatorApi::watch(Exchange &Call, Kind Of, const Target &Path) {
+  auto &State = Context_.State_;
+  const auto Asked = Path.query("resourceVersion");
+  std::optional<Revision> Since =
+      Asked ? parseRevision(*Asked) : State.Config_.revision();
+  if (!Since)
+    return replyProblem(Call, ProblemCode::BadRequest,
+                        "resourceVersion must be a number");
+  if (!State.Changes_.since(Of, *Since))
+    return replyProblem(Call, ProblemCode::Gone,
+                        "changes since " + std::to_string(Since->value()) +
+                            " are no longer kept; list again");
+  LineStream Stream(*this, Call);
+  do {
+    const auto Changes = State.Changes_.since(Of, *Since);
+    if (!Changes)
+      return;
+    for (const config::Change &Item : *Changes)
+      if (!Stream.line({{"type", config::nameOf(Item.Type_)},
+                        {"object", json::parse(Item.Object_)}}))
+        return;
+    Since = std::max(*Since, State.Changes_.through());
+    if (!Stream.line({{"type", "BOOKMARK"},
+                      {"resourceVersion", std::to_string(Since->value())}}))
+      return;
+  } while (Stream.wait());
+}
+
+void OperatorApi::handleEntries(Exchange &Call, const Target &Path) {
+  auto &State = Context_.State_;
+  if (Path.Segments_.size() == 3 && Call.head().Method_ == "DELETE") {
+    for (const auto &Member : State.View_.Members_)
+      if (Member.Id_.Name_.str() == Path.Segments_[2]) {
+        const absl::Status Done = Context_.Membership_.declareStopped(
+            Member.Id_, "declared stopped by an operator");
+        if (!Done.ok())
+          return replyStatus(Call, Done);
+        return replyJson(Call, 200,
+                         json::object{{"removed", Path.Segments_[2]}});
+      }
+    return replyProblem(Call, ProblemCode::NotFound, "no such entry");
+  }
+  if (Call.head().Method_ != "GET")
+    return replyProblem(Call, ProblemCode::MethodNotAllowed,
+                        "entries join and leave by themselves");
+  json::array Items;
+  for (const auto &Member : State.View_.Members_) {
+    const std::string &Name = Member.Id_.Name_.str();
+    if (Path.Segments_.size() == 3 && Path.Segments_[2] != Name)
+      continue;
+    const bool Self = Member.Id_ == State.Self_.Id_;
+    const auto Row = State.Peers_.find(Member.Id_);
+    const bool Heard = Self || State.Contact_.inTouch(Member.Id_, State.now());
+    Revision Has = Self ? State.Config_.revision() : Revision(0);
+    if (Row != State.Peers_.end())
+      Has = Row->second.Last_.ConfigRevision_;
+    Items.push_back(json::object{
+        {"kind", "entries"},
+        {"metadata", json::object{{"name", Name}}},
+        {"spec", json::object{{"vm", Member.Vm_.str()},
+                              {"zone", Member.Zone_.str()},
+                              {"http", Member.HttpAddress_},
+                              {"peer", Member.PeerAddress_}}},
+        {"status",
+         json::object{{"incarnation", Member.Id_.Incarnation_.value()},
+                      {"leaving", Member.Leaving_},
+                      {"inTouch", Heard},
+                      {"configRevision", Has.value()},
+                      {"view", State.View_.Number_.value()},
+                      {"settled", State.View_.settled()}}}});
+  }
+  replyJson(Call, 200, json::object{{"kind", "entries"}, {"items", Items}});
+}
+
+namespace {
+
+json::object toJson(const entry::Decision &Item) {
+  return {{"sequence", Item.Sequence_},
+          {"atMicros", framework::clock::toMicros(Item.At_)},
+          {"kind", entry::nameOf(Item.Kind_)},
+          {"subject", Item.Subject_},
+          {"reason", Item.Reason_},
+          {"detail", Item.Detail_}};
+}
+
+} // namespace
+
+void OperatorApi::handleDecisions(Exchange &Call, const Target &Path) {
+  if (Call.head().Method_ != "GET")
+    return replyProblem(Call, ProblemCode::MethodNotAllowed,
+                        "decisions are read only");
+  const auto &Log = Context_.State_.Decisions_;
+  const auto Asked = Path.query("resourceVersion");
+  const std::optional<Revision> Since =
+      Asked ? parseRevision(*Asked) : Revision(0);
+  if (!Since)
+    return replyProblem(Call, ProblemCode::BadRequest,
+                        "resourceVersion must be a number");
+  if (Path.query("watch") == "true")
+    return watchDecisions(Call, Since->value());
+  json::array Items;
+  for (const entry::Decision &Item : Log.since(Since->value()))
+    Items.push_back(toJson(Item));
+  replyJson(Call, 200,
+            json::object{
+                {"kind", "decisions"},
+                {"metadata",
+                 json::object{{"resourceVersion", std::to_string(Log.last())}}},
+                {"items", std::move(Items)}});
+}
+
+void OperatorApi::watchDecisions(Exchange &Call, std::uint64_t Since) {
+  const auto &Log = Context_.State_.Decisions_;
+  if (Since > 0 && Since + 1 < Log.firstKept())
+    return replyProblem(Call, ProblemCode::Gone,
+                        "earlier decisions are no longer kept");
+  LineStream Stream(*this, Call);
+  do {
+    for (const entry::Decision &Item : Log.since(Since)) {
+      if (!Stream.line({{"type", "ADDED"}, {"object", toJson(Item)}}))
+        return;
+      Since = Item.Sequence_;
+    }
+    if (!Stream.line(
+            {{"type", "BOOKMARK"}, {"resourceVersion", std::to_string(Since)}}))
+      return;
+  } while (Stream.wait());
+}
+
+} // namespace laburnumspread::api
--- /dev/null
+++ b/src/api/operatorapi.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "api/apicontext.h"
+
+#include <memory>
+#include <vector>
+
+namespace laburnumspread::api {
+
+/// The resource interface: `/v1/{kind}` and `/v1/{kind}/{name}`.
+class OperatorApi {
+public:
+  explicit OperatorApi(ApiContext &Context);
+
+  /// Serves a request whose path starts with a kind. False when the path is
+  /// none of this interface.
+  bool handle(framework::http::Exchange &Call,
+              const framework::http::Target &Path);
+
+  /// Whether the request holds an operator's key; answers it if not.
+  bool admit(framework::http::Exchange &Call);
+
+  /// Wakes watchers.
+  void changed();
+
+private:
+  template <typename T> void list(framework::http::Exchange &Call);
+  template <typename T>
+  void get(framework::http::Exchange &Call, const std::string &Name);
+  template <typename T>
+  void put(framework::http::Exchange &Call, const std::string &Name,
+           const framework::http::Target &Path);
+  template <typename T>
+  void remove(framework::http::Exchange &Call, const std::string &Name,
+              const framework::http::Target &Path);
+  template <typename T>
+  void replyWritten(framework::http::Exchange &Call,
+                    const config::Written<T> &Done, bool DryRun);
+  template <typename T>
+  boost::json::object withStatus(const T &Object, fleet::Revision InForce);
+
+  void addDrain(boost::json::object &Body, const fleet::Vm &Object) const;
+  void watch(framework::http::Exchange &Call, fleet::Kind Of,
+             const framework::http::Target &Path);
+  void handleEntries(framework::http::Exchange &Call,
+                     const framework::http::Target &Path);
+  void handleDecisions(framework::http::Exchange &Call,
+                       const framework::http::Target &Path);
+  void watchDecisions(framework::http::Exchange &Call, std::uint64_t Since);
+  bool acceptsWrites(framework::http::Exchange &Call);
+  void replyStatus(framework::http::Exchange &Call, const absl::Status &Why);
+
+  /// A stream of JSON lines that ends with its caller or the process.
+  class LineStream;
+
+  ApiContext &Context_;
+  std::vector<std::weak_ptr<framework::fibers::Waiter>> Watchers_;
+};
+
+} // namespace laburnumspread::api
--- /dev/null
+++ b/src/app/internal/entryapp.cpp
@@ -0,0 +1,248 @@
+#include "app/entryapp.h"
+
+#include "api/httpapi.h"
+#include "framework/fibers/spawn.h"
+#include "framework/fibers/waiter.h"
+#include "framework/http/httpserver.h"
+
+#include <boost/json/object.hpp>
+
+namespace laburnumspread::app {
+
+using entry::EntrySettings;
+using entry::EntryState;
+using framework::fibers::sleepFor;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Time in which an entry that was told to stop answers what is in flight.
+constexpr auto DrainTime = membership::LongestTaskLease;
+constexpr auto HandoverTime = 20s;
+constexpr auto CheckEvery = 20ms;
+
+membership::Member selfOf(const EntrySettings &Settings) {
+  membership::Member Self;
+  Self.Id_ = {Settings.Name_, fleet::Incarnation(framework::clock::toMicros(
+                                  framework::clock::SystemClock().now()))};
+  Self.Vm_ = Settings.Vm_;
+  Self.Zone_ = Settings.Zone_;
+  return Self;
+}
+
+/// Brings endpoints and limits in line with a changed object.
+void applyChange(EntryState &State, const config::Change &Item) {
+  const auto &Tables = State.Config_.tables();
+  const bool Gone = Item.Type_ == config::ChangeType::Deleted;
+  if (Item.Kind_ == fleet::Kind::Teams) {
+    const auto *Team = Tables.find<fleet::Team>(Item.Name_);
+    State.Ledger_.setLimit(entry::teamSubject(Item.Name_),
+                           Team ? Team->Spec_.Limit_ : 0);
+  }
+  if (Item.Kind_ == fleet::Kind::Vms) {
+    const auto *Vm = Tables.find<fleet::Vm>(Item.Name_);
+    const auto Slots = State.Ledger_.setLimit(
+        entry::slotsSubject(Item.Name_), Vm ? Vm->Spec_.Slots_.value() : 0);
+    if (Vm)
+      State.Endpoints_.declare(*Vm, Slots);
+    else
+      State.Endpoints_.withdraw(fleet::VmName(Item.Name_));
+  }
+  if (Item.Kind_ == fleet::Kind::Keys)
+    State.Decisions_.add(Gone ? entry::DecisionKind::Withdrawal
+                              : entry::DecisionKind::Grant,
+                         Item.Name_, Gone ? "withdrawn" : "granted",
+                         "revision " + std::to_string(Item.Revision_.value()));
+}
+
+} // namespace
+
+struct EntryApp::Parts {
+  Parts(boost::asio::io_context &Io, EntrySettings Settings)
+      : Io_(Io), State_(Settings, selfOf(Settings)),
+        Store_(Io, Settings.StoreEndpoints_),
+        Writer_(Store_, Settings.StorePrefix_), Config_(State_, Store_),
+        Membership_(State_, Store_, Config_), Placements_(State_),
+        Reservations_(State_), Forward_(Io, State_),
+        Runner_(State_, Placements_, Reservations_, Forward_),
+        Mesh_(Io, State_.Self_.Id_, Settings.PeerKeys_,
+              [this](const peers::Sender &From, peers::Message &&Body) {
+                receive(From, std::move(Body));
+              }),
+        Context_{State_,
+                 Writer_,
+                 Config_,
+                 Membership_,
+                 Placements_,
+                 Runner_,
+                 [this](boost::json::object &Into) { addToDump(Into); }},
+        Api_(Context_),
+        Server_(
+            Io, Settings.HttpLimits_,
+            [this](framework::http::Exchange &Call) { Api_.handle(Call); },
+            api::faultReply) {
+    State_.Send_ = [this](const membership::MemberId &To,
+                          const peers::Message &Body) { send(To, Body); };
+    Config_.onChanges([this](const std::vector<config::Change> &Changes) {
+      for (const config::Change &Item : Changes)
+        applyChange(State_, Item);
+      Placements_.refresh();
+      Api_.changed();
+    });
+    Config_.onView([this](const membership::View &Next) {
+      Membership_.adopt(Next);
+      Placements_.refresh();
+    });
+  }
+
+  /// Address of an entry: of the view, or as it last wrote. Names that start
+  /// with '@' are seeds, known by address alone.
+  std::string addressOf(const membership::MemberId &To) const {
+    if (To.Name_.str().starts_with('@'))
+      return To.Name_.str().substr(1);
+    if (const auto *Member = State_.View_.find(To))
+      return Member->PeerAddress_;
+    const auto Row = State_.Peers_.find(To);
+    return Row == State_.Peers_.end() ? "" : Row->second.Address_;
+  }
+
+  void send(const membership::MemberId &To, const peers::Message &Body) {
+    const std::string Address = addressOf(To);
+    if (Address.empty())
+      return;
+    const bool Seed = To.Name_.str().starts_with('@');
+    const membership::MemberId Recipient = Seed ? membership::MemberId() : To;
+    const auto Delay = State_.Settings_.InjectedPeerDelayMs_;
+    if (Delay == 0)
+      return Mesh_.send(Recipient, Address, Body);
+    framework::fibers::spawn([this, Recipient, Address, Body, Delay] {
+      sleepFor(std::chrono::milliseconds(Delay));
+      Mesh_.send(Recipient, Address, Body);
+    });
+  }
+
+  void receive(const peers::Sender &From, peers::Message &&Body) {
+    if (!State_.Peers_.contains(From.Id_))
+      State_.Peers_[From.Id_].Address_ = From.Address_;
+    std::visit([&](const auto &Item) { dispatch(From, Item); }, Body);
+  }
+
+  void dispatch(const peers::Sender &From, const peers::Heartbeat &Item) {
+    Membership_.handle(From, Item);
+  }
+  void dispatch(const peers::Sender &From, const peers::SnapshotRequest &Item) {
+    Config_.handle(From, Item);
+  }
+  void dispatch(const peers::Sender &From, const peers::Snapshot &Item) {
+    Config_.handle(From, Item);
+  }
+  void dispatch(const peers::Sender &From, const peers::Borrow &Item) {
+    Placements_.handle(From, Item);
+  }
+  void dispatch(const peers::Sender &From, const peers::Grant &Item) {
+    Placements_.handle(From, Item);
+  }
+  void dispatch(const peers::Sender &From, const peers::Return &Item) {
+    Placements_.handle(From, Item);
+  }
+  void dispatch(const peers::Sender &, const peers::Cancel &Item) {
+    Runner_.cancel(Item.Name_);
+  }
+  template <typename Message>
+  void dispatch(const peers::Sender &From, const Message &Item) {
+    Reservations_.handle(From, Item);
+  }
+
+  void addToDump(boost::json::object &Into) const {
+    const peers::MeshCounters &Counters = Mesh_.counters();
+    Into["peers"] = boost::json::object{{"bytesOut", Counters.BytesOut_},
+                                        {"bytesIn", Counters.BytesIn_},
+                                        {"messagesOut", Counters.MessagesOut_},
+                                        {"messagesIn", Counters.MessagesIn_},
+                                        {"dropped", Counters.Dropped_},
+                                        {"refused", Counters.Refused_}};
+    Into["storeCalls"] = Store_.calls();
+    Into["idleConnections"] = Forward_.idleConnections();
+    Into["callerConnections"] = Server_.openConnections();
+  }
+
+  /// An entry serves once it has a configuration and a view, from the store or
+  /// from peers.
+  void markStartedWhenReady() {
+    while (!State_.Started_) {
+      State_.Started_ = State_.Config_.revision().value() > 0 &&
+                        State_.View_.Number_.value() > 0;
+      sleepFor(CheckEvery);
+    }
+    framework::log::info("entry.started")
+        .field("view", State_.View_.Number_.value())
+        .field("revision", State_.Config_.revision().value());
+  }
+
+  boost::asio::io_context &Io_;
+  EntryState State_;
+  store::EtcdStore Store_;
+  api::Writer Writer_;
+  entry::ConfigService Config_;
+  entry::MembershipService Membership_;
+  entry::PlacementService Placements_;
+  entry::ReservationService Reservations_;
+  entry::Forwarder Forward_;
+  entry::RequestRunner Runner_;
+  peers::PeerMesh Mesh_;
+  api::ApiContext Context_;
+  api::HttpApi Api_;
+  framework::http::Server Server_;
+};
+
+EntryApp::EntryApp(boost::asio::io_context &Io, EntrySettings Settings)
+    : Parts_(std::make_unique<Parts>(Io, std::move(Settings))) {}
+
+EntryApp::~EntryApp() = default;
+
+absl::Status EntryApp::start() {
+  Parts &P = *Parts_;
+  const EntrySettings &Settings = P.State_.Settings_;
+  if (absl::Status Bound =
+          P.Mesh_.bind(Settings.PeerListen_, Settings.PeerListen_);
+      !Bound.ok())
+    return Bound;
+  if (absl::Status Bound = P.Server_.listen(Settings.HttpListen_); !Bound.ok())
+    return Bound;
+  P.State_.Self_.PeerAddress_ = P.Mesh_.advertised().str();
+  P.State_.Self_.HttpAddress_ =
+      Settings.HttpListen_.Ip_ + ":" + std::to_string(P.Server_.port());
+  P.Config_.start();
+  P.Membership_.start();
+  P.Placements_.start();
+  P.Reservations_.start();
+  framework::fibers::spawn([&P] { P.markStartedWhenReady(); });
+  return absl::OkStatus();
+}
+
+std::uint16_t EntryApp::httpPort() const { return Parts_->Server_.port(); }
+std::uint16_t EntryApp::peerPort() const {
+  return Parts_->Mesh_.advertised().Port_;
+}
+
+bool EntryApp::stop() {
+  Parts &P = *Parts_;
+  framework::log::info("entry.leaving")
+      .field("in_flight", static_cast<std::uint64_t>(P.Runner_.inFlight()));
+  P.State_.Leaving_ = true;
+  P.Api_.changed();
+  const auto Deadline = P.State_.now() + DrainTime;
+  while (P.Runner_.inFlight() > 0 && P.State_.now() < Deadline)
+    sleepFor(CheckEvery);
+  P.Membership_.leave(P.State_.now() + HandoverTime);
+  P.Server_.stopAccepting();
+  const bool Clean = P.Runner_.inFlight() == 0;
+  framework::log::info("entry.stopped")
+      .field("left_in_flight",
+             static_cast<std::uint64_t>(P.Runner_.inFlight()));
+  return Clean;
+}
+
+std::string EntryApp::dump() const { return Parts_->Api_.dump(); }
+
+} // namespace laburnumspread::app
--- /dev/null
+++ b/src/entry/entrystate.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include "config/changelog.h"
+#include "config/configtable.h"
+#include "entry/decisionlog.h"
+#include "entry/entrysettings.h"
+#include "framework/metrics/metrics.h"
+#include "idempotency/hometable.h"
+#include "limits/unitledger.h"
+#include "membership/contact.h"
+#include "membership/viewchanges.h"
+#include "peers/messages.h"
+#include "routing/endpointtable.h"
+#include "routing/estimates.h"
+#include "sharing/fleetusage.h"
+
+#include <functional>
+#include <unordered_map>
+
+namespace laburnumspread::entry {
+
+using membership::MemberId;
+
+/// What was last heard from a peer.
+struct PeerRow {
+  peers::Heartbeat Last_;
+  std::string Address_;
+  /// Sending time in the peer's clock; older heartbeats that come late are
+  /// left aside.
+  TimePoint SentAt_{};
+  TimePoint HeardAt_{};
+};
+
+/// Row name of a team's limit and of an endpoint's slots in the ledger.
+limits::SubjectName teamSubject(std::string_view Team);
+limits::SubjectName slotsSubject(std::string_view Vm);
+
+/// The tables of one entry. All parts of the entry run on one thread and share
+/// it; each table has one part that changes it.
+struct EntryState {
+  EntryState(EntrySettings Settings, membership::Member Self)
+      : Settings_(std::move(Settings)), Self_(std::move(Self)),
+        Config_(Settings_.StorePrefix_), Ledger_(Self_.Id_), Homes_(Self_.Id_) {
+  }
+
+  EntrySettings Settings_;
+  membership::Member Self_;
+  config::ConfigTable Config_;
+  config::ChangeLog Changes_;
+  membership::View View_;
+  /// Revision at which View_ was written.
+  fleet::Revision ViewRevision_;
+  membership::ContactTable Contact_;
+  limits::UnitLedger Ledger_;
+  idempotency::HomeTable Homes_;
+  routing::EndpointTable Endpoints_;
+  routing::Estimates Estimates_;
+  sharing::FleetUsage Usage_;
+  std::unordered_map<MemberId, PeerRow> Peers_;
+  DecisionLog Decisions_;
+  framework::metrics::Registry Metrics_;
+  bool Started_ = false;
+  bool Leaving_ = false;
+
+  TimePoint now() const { return framework::clock::SystemClock().now(); }
+  bool isMember() const { return View_.find(Self_.Id_) != nullptr; }
+  bool fenced() const { return Contact_.fenced(View_, Self_.Id_, now()); }
+
+  /// Members of the view other than this entry.
+  std::vector<membership::Member> others() const;
+
+  /// Sends a letter; set by the app when the mesh is up.
+  std::function<void(const MemberId &, const peers::Message &)> Send_;
+};
+
+} // namespace laburnumspread::entry
--- /dev/null
+++ b/src/entry/internal/configservice.cpp
@@ -0,0 +1,158 @@
+#include "entry/configservice.h"
+
+#include "framework/fibers/spawn.h"
+#include "framework/fibers/waiter.h"
+#include "framework/log/log.h"
+
+#include <random>
+
+namespace laburnumspread::entry {
+
+using framework::clock::Duration;
+using framework::fibers::sleepFor;
+using framework::fibers::spawn;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// One read a second bounds how long a watch that has gone silent can hide a
+/// withdrawn key.
+constexpr Duration PollEvery = 1s;
+constexpr Duration PollTimeout = 900ms;
+constexpr Duration WatchPauseFirst = 100ms;
+constexpr Duration WatchPauseLongest = 5s;
+constexpr Duration AskPeerEvery = 200ms;
+
+/// A random part of the pause, so that entries that lost the store together do
+/// not come back to it together.
+Duration jittered(Duration Pause) {
+  static std::mt19937_64 Random(std::random_device{}());
+  return Pause / 2 + Duration(Random() % (Pause.count() / 2 + 1));
+}
+
+} // namespace
+
+std::string ConfigService::viewKey() const {
+  return State_.Settings_.StorePrefix_ + "agreed/view";
+}
+
+void ConfigService::start() {
+  spawn([this] { pollLoop(); });
+  spawn([this] { watchLoop(); });
+}
+
+bool ConfigService::refuses(fleet::Revision StoreRevision) {
+  const bool Before = State_.Config_.refusesStore();
+  if (!State_.Config_.storeWentBack(StoreRevision))
+    return false;
+  if (!Before) {
+    framework::log::error("store.went_back")
+        .field("store_revision", StoreRevision.value())
+        .field("revision_in_force", State_.Config_.revision().value());
+    State_.Decisions_.add(
+        DecisionKind::Store, "store", "store-went-back",
+        "the store answered with revision " +
+            std::to_string(StoreRevision.value()) + " after " +
+            std::to_string(State_.Config_.revision().value()) +
+            "; nothing of it is taken until this entry is restarted");
+  }
+  return true;
+}
+
+bool ConfigService::poll() {
+  const TimePoint SentAt = State_.now();
+  const fleet::Revision Known = State_.Config_.revision();
+  const fleet::Revision Since = Known.value() == 0 ? Known : Known.next();
+  const absl::StatusOr<store::RangeResult> Read =
+      Store_.range(State_.Settings_.StorePrefix_, Since, SentAt + PollTimeout);
+  if (!Read.ok() || refuses(Read->StoreRevision_))
+    return false;
+  State_.Contact_.storeAnswered(SentAt);
+  take(Read->Items_, Read->StoreRevision_);
+  return true;
+}
+
+void ConfigService::pollLoop() {
+  while (true) {
+    poll();
+    sleepFor(PollEvery);
+  }
+}
+
+void ConfigService::watchLoop() {
+  Duration Pause = WatchPauseFirst;
+  while (true) {
+    const fleet::Revision From = State_.Config_.revision().next();
+    bool Heard = false;
+    const absl::Status Ended =
+        Store_.watch(State_.Settings_.StorePrefix_, From,
+                     [&](const store::WatchBatch &Batch) {
+                       if (refuses(Batch.StoreRevision_))
+                         return false;
+                       Heard = true;
+                       take(Batch.Puts_, Batch.StoreRevision_);
+                       return true;
+                     });
+    State_.Metrics_.counter("store_watch_ended_total").add();
+    // Compacted history is no fault: the periodic read has taken, or will
+    // take, what the watch can no longer tell.
+    framework::log::debug("store.watch_ended")
+        .field("reason", std::string(Ended.message()));
+    Pause = Heard ? WatchPauseFirst : std::min(2 * Pause, WatchPauseLongest);
+    sleepFor(jittered(Pause));
+  }
+}
+
+void ConfigService::take(const std::vector<store::KeyValue> &Items,
+                         fleet::Revision Through) {
+  const auto Changes = State_.Config_.apply(Items, Through);
+  if (!Changes.empty() && OnChanges_)
+    OnChanges_(Changes);
+  State_.Changes_.add(Changes, State_.Config_.revision());
+  const std::string Key = viewKey();
+  for (const store::KeyValue &Item : Items)
+    if (Item.Key_ == Key)
+      takeView(Item);
+}
+
+void ConfigService::takeView(const store::KeyValue &Item) {
+  if (Item.ModRevision_ <= State_.ViewRevision_)
+    return;
+  const absl::StatusOr<membership::View> Read =
+      membership::viewFromText(Item.Value_);
+  if (!Read.ok()) {
+    framework::log::error("view.unreadable")
+        .field("reason", std::string(Read.status().message()));
+    return;
+  }
+  State_.ViewRevision_ = Item.ModRevision_;
+  ViewItem_ = Item;
+  if (OnView_)
+    OnView_(*Read);
+}
+
+void ConfigService::peerKnows(const MemberId &Peer,
+                              const peers::Heartbeat &Beat) {
+  const bool Later = Beat.ConfigRevision_ > State_.Config_.revision() ||
+                     Beat.View_ > State_.View_.Number_;
+  if (!Later || State_.now() - AskedPeerAt_ < AskPeerEvery)
+    return;
+  AskedPeerAt_ = State_.now();
+  State_.Send_(Peer, peers::SnapshotRequest{State_.Config_.revision()});
+}
+
+void ConfigService::handle(const peers::Sender &From,
+                           const peers::SnapshotRequest &Asked) {
+  peers::Snapshot Part;
+  Part.Items_ = State_.Config_.itemsSince(Asked.Since_);
+  Part.Through_ = State_.Config_.revision();
+  if (!ViewItem_.Key_.empty())
+    Part.Items_.push_back(ViewItem_);
+  State_.Send_(From.Id_, Part);
+}
+
+void ConfigService::handle(const peers::Sender &, const peers::Snapshot &Part) {
+  take(Part.Items_, Part.Through_);
+}
+
+} // namespace laburnumspread::entry
--- /dev/null
+++ b/src/entry/internal/membershipservice.cpp
@@ -0,0 +1,287 @@
+#include "entry/membershipservice.h"
+
+#include "framework/fibers/spawn.h"
+#include "framework/fibers/waiter.h"
+#include "framework/log/log.h"
+
+#include <algorithm>
+
+namespace laburnumspread::entry {
+
+using framework::clock::Duration;
+using framework::fibers::sleepFor;
+using framework::fibers::spawn;
+using membership::Member;
+using membership::View;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Duration ViewCheckEvery = 250ms;
+constexpr Duration WriteTimeout = 2s;
+constexpr Duration LeaveCheckEvery = 50ms;
+/// Rows about peers that are in no view are dropped after this silence.
+constexpr Duration ForgetPeerAfter = 60s;
+
+std::string textOf(const MemberId &Id) {
+  return Id.Name_.str() + "#" + std::to_string(Id.Incarnation_.value());
+}
+
+} // namespace
+
+void MembershipService::start() {
+  spawn([this] { heartbeatLoop(); });
+  spawn([this] { viewLoop(); });
+}
+
+void MembershipService::adopt(const View &Next) {
+  if (Next.Number_ < State_.View_.Number_)
+    return;
+  if (Next.Number_ != State_.View_.Number_)
+    framework::log::info("view.adopted")
+        .field("view", Next.Number_.value())
+        .field("members", static_cast<std::uint64_t>(Next.Members_.size()));
+  State_.View_ = Next;
+  State_.Ledger_.adoptView(Next, State_.now());
+  State_.Homes_.adoptView(Next, State_.now());
+}
+
+// Heartbeats ----------------------------------------------------------------
+
+peers::Heartbeat MembershipService::beatFor(const MemberId &Peer) const {
+  peers::Heartbeat Beat;
+  Beat.View_ = State_.View_.Number_;
+  Beat.SettledThrough_ = State_.View_.SettledThrough_;
+  Beat.ConfigRevision_ = State_.Config_.revision();
+  if (const auto Row = State_.Peers_.find(Peer); Row != State_.Peers_.end())
+    Beat.Echo_ = Row->second.SentAt_;
+  if (!State_.View_.settled()) {
+    Beat.StillHeld_ = State_.Ledger_.statement().StillHeld_;
+    Beat.BucketsToCopy_ = State_.Homes_.bucketsToCopy();
+  }
+  for (const auto &Row : State_.Usage_.own())
+    Beat.Use_.push_back(
+        {Row.Pool_, Row.Team_, Row.Use_.Running_, Row.Use_.Waiting_});
+  for (const auto &[Name, Vm] : State_.Config_.tables().Vms_) {
+    if (Vm.Status_.Phase_ == fleet::VmPhase::Active && !Vm.Spec_.Drain_)
+      continue;
+    const auto Subject = State_.Ledger_.find(slotsSubject(Name));
+    const std::uint32_t Busy = Subject ? State_.Ledger_.busy(*Subject) : 0;
+    if (Busy > 0)
+      Beat.Leaving_.push_back({fleet::VmName(Name), Busy});
+  }
+  Beat.StoreInTouch_ = State_.Contact_.storeInTouch(State_.now());
+  Beat.Ready_ = State_.Started_ && !State_.Leaving_;
+  return Beat;
+}
+
+void MembershipService::heartbeatLoop() {
+  while (!Left_) {
+    for (const Member &Peer : State_.others())
+      State_.Send_(Peer.Id_, beatFor(Peer.Id_));
+    if (!State_.isMember()) {
+      // Not in the view, or none known yet: ask whoever may be there.
+      for (const std::string &Seed : State_.Settings_.Seeds_)
+        State_.Send_({fleet::EntryName("@" + Seed), {}}, beatFor(MemberId()));
+    }
+    std::erase_if(State_.Peers_, [&](const auto &Row) {
+      return !State_.View_.find(Row.first) &&
+             State_.now() - Row.second.HeardAt_ > ForgetPeerAfter;
+    });
+    sleepFor(HeartbeatEvery);
+  }
+}
+
+void MembershipService::handle(const peers::Sender &From,
+                               const peers::Heartbeat &Beat) {
+  PeerRow &Row = State_.Peers_[From.Id_];
+  if (From.SentAt_ < Row.SentAt_)
+    return;
+  Row.Last_ = Beat;
+  Row.Address_ = From.Address_;
+  Row.SentAt_ = From.SentAt_;
+  Row.HeardAt_ = State_.now();
+  if (framework::clock::toMicros(Beat.Echo_) != 0)
+    State_.Contact_.peerAnswered(From.Id_, Beat.Echo_);
+  State_.Ledger_.hear({From.Id_, Beat.View_, Beat.StillHeld_});
+  std::vector<sharing::FleetUsage::Row> Use;
+  for (const peers::PoolUse &Item : Beat.Use_)
+    Use.push_back({Item.Pool_, Item.Team_, {Item.Running_, Item.Waiting_}});
+  State_.Usage_.heard(From.Id_, Use);
+  Config_.peerKnows(From.Id_, Beat);
+  // A newcomer that is in no view hears from nobody unless it is answered.
+  if (!State_.View_.find(From.Id_))
+    State_.Send_(From.Id_, beatFor(From.Id_));
+}
+
+// Changes of the view ---------------------------------------------------------
+
+absl::Status MembershipService::changeView(const Change &Make) {
+  if (State_.ViewRevision_.value() == 0)
+    return absl::FailedPreconditionError("no view is known");
+  absl::StatusOr<View> Next = Make(State_.View_);
+  if (!Next.ok())
+    return Next.status();
+  store::Transaction Txn;
+  Txn.Compares_.push_back({Config_.viewKey(), State_.ViewRevision_});
+  Txn.Puts_.push_back({Config_.viewKey(), membership::toText(*Next)});
+  const auto Result = Store_.commit(Txn, State_.now() + WriteTimeout);
+  // Whether it took effect, was beaten or its answer was lost: the next read
+  // shows what is agreed.
+  Config_.poll();
+  if (!Result.ok())
+    return Result.status();
+  return Result->Succeeded_ ? absl::OkStatus()
+                            : absl::AbortedError("another change was first");
+}
+
+absl::Status MembershipService::makeFirstView() {
+  View First;
+  First.Number_ = First.SettledThrough_ = First.LastJoin_ =
+      membership::ViewNumber(1);
+  First.Members_.push_back(State_.Self_);
+  store::Transaction Txn;
+  Txn.Compares_.push_back({Config_.viewKey(), fleet::Revision(0)});
+  Txn.Puts_.push_back({Config_.viewKey(), membership::toText(First)});
+  const auto Result = Store_.commit(Txn, State_.now() + WriteTimeout);
+  Config_.poll();
+  return Result.status();
+}
+
+void MembershipService::joinOrReplace() {
+  for (const Member &Item : State_.View_.Members_) {
+    const bool FormerRun = Item.Vm_ == State_.Self_.Vm_ ||
+                           Item.Id_.Name_ == State_.Self_.Id_.Name_;
+    if (!FormerRun)
+      continue;
+    if (Item.Id_.Incarnation_ > State_.Self_.Id_.Incarnation_) {
+      framework::log::warning("membership.superseded")
+          .field("by", textOf(Item.Id_));
+      return;
+    }
+    // A newer run on the same VM proves that the former one is gone.
+    declareStopped(Item.Id_, "a newer run has started on its VM").IgnoreError();
+    return;
+  }
+  const absl::Status Joined = changeView([this](const View &Now) {
+    return membership::withJoined(Now, State_.Self_);
+  });
+  if (Joined.ok())
+    State_.Decisions_.add(
+        DecisionKind::Membership, State_.Self_.Id_.Name_.str(), "joined",
+        "view " + std::to_string(State_.View_.Number_.value()));
+}
+
+absl::Status MembershipService::declareStopped(const MemberId &Gone,
+                                               const std::string &Why) {
+  // Its endpoints may work on until the last task lease that it could have
+  // given; nothing of its may be used before.
+  const TimePoint Reusable = State_.now() + membership::LongestTaskLease +
+                             framework::clock::ClockSkewMargin;
+  const absl::Status Done = changeView([&](const View &Now) {
+    return membership::withRemoved(Now, Gone, Reusable);
+  });
+  if (Done.ok())
+    State_.Decisions_.add(DecisionKind::Membership, Gone.Name_.str(), "removed",
+                          Why);
+  return Done;
+}
+
+std::vector<membership::MemberProgress> MembershipService::progress() const {
+  std::vector<membership::MemberProgress> Result;
+  Result.push_back({State_.Self_.Id_, State_.Ledger_.view(),
+                    State_.Ledger_.statement().StillHeld_.size(),
+                    State_.Homes_.bucketsToCopy()});
+  for (const auto &[Id, Row] : State_.Peers_)
+    Result.push_back({Id, Row.Last_.View_, Row.Last_.StillHeld_.size(),
+                      Row.Last_.BucketsToCopy_});
+  return Result;
+}
+
+void MembershipService::settleIfDue() {
+  if (State_.View_.settled() || !State_.isMember())
+    return;
+  // One member writes: the first by name that is in touch. If two disagree on
+  // who that is, the compare-and-swap lets one of them win.
+  for (const Member &Item : State_.View_.Members_)
+    if (Item.Id_ < State_.Self_.Id_ &&
+        State_.Contact_.inTouch(Item.Id_, State_.now()))
+      return;
+  const auto Known = progress();
+  if (!membership::canSettle(State_.View_, Known, State_.now()))
+    return;
+  changeView([](const View &Now) -> absl::StatusOr<View> {
+    return membership::asSettled(Now);
+  }).IgnoreError();
+}
+
+void MembershipService::advance() {
+  if (!State_.Contact_.storeInTouch(State_.now()))
+    return;
+  if (State_.ViewRevision_.value() == 0)
+    makeFirstView().IgnoreError();
+  else if (!State_.isMember() && !State_.Leaving_)
+    joinOrReplace();
+  else
+    settleIfDue();
+}
+
+void MembershipService::viewLoop() {
+  while (!Left_) {
+    advance();
+    sleepFor(ViewCheckEvery);
+  }
+}
+
+void MembershipService::leave(TimePoint Deadline) {
+  State_.Leaving_ = true;
+  while (State_.isMember() && State_.now() < Deadline) {
+    const Member *Self = State_.View_.find(State_.Self_.Id_);
+    if (!Self->Leaving_)
+      changeView([this](const View &Now) {
+        return membership::withLeaving(Now, State_.Self_.Id_);
+      }).IgnoreError();
+    else if (State_.View_.settled() || State_.View_.owners().empty())
+      // Everybody has what was this entry's.
+      changeView([this](const View &Now) {
+        return membership::withRemoved(Now, State_.Self_.Id_, State_.now());
+      }).IgnoreError();
+    sleepFor(LeaveCheckEvery);
+  }
+  Left_ = true;
+}
+
+// What the fleet has in force
+// ---------------------------------------------------
+
+MembershipService::InForce
+MembershipService::inForce(fleet::Revision Wanted) const {
+  InForce Result;
+  for (const Member &Item : State_.View_.Members_) {
+    fleet::Revision Has;
+    if (Item.Id_ == State_.Self_.Id_)
+      Has = State_.Config_.revision();
+    else if (const auto Row = State_.Peers_.find(Item.Id_);
+             Row != State_.Peers_.end())
+      Has = Row->second.Last_.ConfigRevision_;
+    (Has >= Wanted ? Result.Have_ : Result.Awaited_)
+        .push_back(Item.Id_.Name_.str());
+  }
+  return Result;
+}
+
+MembershipService::DrainState
+MembershipService::drainState(const fleet::VmName &Vm,
+                              fleet::Revision LeavingSince) const {
+  DrainState Result;
+  Result.Awaited_ = inForce(LeavingSince).Awaited_;
+  if (const auto Subject = State_.Ledger_.find(slotsSubject(Vm.str())))
+    Result.Busy_ += State_.Ledger_.busy(*Subject);
+  for (const auto &[Id, Row] : State_.Peers_)
+    for (const peers::VmUse &Item : Row.Last_.Leaving_)
+      if (Item.Vm_ == Vm)
+        Result.Busy_ += Item.Busy_;
+  return Result;
+}
+
+} // namespace laburnumspread::entry
--- /dev/null
+++ b/src/entry/requestrunner.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "entry/forwarder.h"
+#include "entry/placementservice.h"
+#include "entry/reservationservice.h"
+#include "routing/retrybudget.h"
+
+#include <map>
+#include <memory>
+#include <set>
+
+namespace laburnumspread::entry {
+
+/// Takes one admitted request from its caller to its answer.
+class RequestRunner {
+public:
+  RequestRunner(EntryState &State, PlacementService &Placements,
+                ReservationService &Reservations, Forwarder &Forward)
+      : State_(State), Placements_(Placements), Reservations_(Reservations),
+        Forward_(Forward) {}
+
+  /// Whether the key that the request came with is still granted; asked again
+  /// just before it is sent.
+  using StillGranted = std::function<bool()>;
+
+  /// Runs the request and answers the caller, always.
+  void run(framework::http::Exchange &Call, const WorkRequest &Request,
+           const StillGranted &Granted);
+
+  /// Ends a waiting request, or a running repeatable one, of this entry.
+  bool cancel(const idempotency::RecordName &Name);
+
+  std::size_t inFlight() const { return InFlight_; }
+
+  /// Answers with a problem document.
+  void refuse(framework::http::Exchange &Call, const Problem &Why,
+              std::string_view Subject);
+
+private:
+  struct Run;
+
+  bool readPrefix(Run &Work);
+  bool reserve(Run &Work);
+  void answerDuplicate(Run &Work, const ReservationResult &Found);
+  void runOn(Run &Work, const Placement &At);
+  bool mayRetry(Run &Work, const ForwardResult &Result);
+  void deliver(Run &Work, const ForwardResult &Result);
+  void deliverStream(Run &Work, const ForwardResult &Result);
+  void noteAnswer(Run &Work, const ForwardResult &Result);
+  void fail(Run &Work, Problem Why);
+  routing::RetryBudget &budgetOf(const fleet::PoolName &Pool) {
+    return Budgets_[Pool];
+  }
+
+  EntryState &State_;
+  PlacementService &Placements_;
+  ReservationService &Reservations_;
+  Forwarder &Forward_;
+  std::map<fleet::PoolName, routing::RetryBudget> Budgets_;
+  std::multimap<idempotency::RecordName, CancelToken *> ByName_;
+  std::size_t InFlight_ = 0;
+};
+
+} // namespace laburnumspread::entry
--- a/src/framework/http/httpserver.cpp
+++ b/src/framework/http/httpserver.cpp
@@ -176,7 +176,8 @@
 
   void onCallerGone(std::function<void()> Gone) override {
     CallerGone_ = std::move(Gone);
-    watchForClose();
+    if (CallerGone_)
+      watchForClose();
   }
 
 private:
--- a/src/limits/internal/unitledger.cpp
+++ b/src/limits/internal/unitledger.cpp
@@ -446,6 +446,24 @@
     S.recheckBlocked();
 }
 
+std::vector<OwnedUnits> UnitLedger::ownersOf(SubjectIndex Index) const {
+  const Subject &Of = State_->Subjects_[Index.value()];
+  std::vector<OwnedUnits> Result;
+  for (std::uint32_t Block = 0; Block < Of.blockCount(); ++Block) {
+    const MemberId *Owner = State_->Present_.ownerOf(blockHash(Of, Block));
+    if (!Owner)
+      continue;
+    auto At =
+        std::find_if(Result.begin(), Result.end(), [&](const OwnedUnits &Row) {
+          return Row.Owner_ == *Owner;
+        });
+    if (At == Result.end())
+      At = Result.insert(Result.end(), {*Owner, 0});
+    At->Units_ += capacity(Block, Of.Limit_);
+  }
+  return Result;
+}
+
 ViewNumber UnitLedger::view() const { return State_->View_.Number_; }
 
 SubjectCounts UnitLedger::counts(SubjectIndex Index) const {
--- a/src/limits/limitstypes.h
+++ b/src/limits/limitstypes.h
@@ -67,6 +67,12 @@
   std::vector<HeldUnit> StillHeld_;
 };
 
+/// Units of one subject that one member owns.
+struct OwnedUnits {
+  MemberId Owner_;
+  std::uint32_t Units_ = 0;
+};
+
 /// Numbers of one subject for dumps and heartbeats.
 struct SubjectCounts {
   std::uint32_t Limit_ = 0;
--- a/src/limits/unitledger.h
+++ b/src/limits/unitledger.h
@@ -66,6 +66,9 @@
   /// Ends loans and waits that have run out.
   void tick(TimePoint Now);
 
+  /// Who owns how many units of a subject at the present view.
+  std::vector<OwnedUnits> ownersOf(SubjectIndex Subject) const;
+
   ViewNumber view() const;
   SubjectCounts counts(SubjectIndex Subject) const;
   std::size_t subjects() const;
--- a/src/peers/internal/messagecodec.cpp
+++ b/src/peers/internal/messagecodec.cpp
@@ -286,6 +286,10 @@
   return To;
 }
 
+void write(const Cancel &From, wire::Envelope &Out) {
+  Out.mutable_cancel()->set_name(From.Name_.str());
+}
+
 absl::StatusOr<Message> readBody(const wire::Envelope &In,
                                  const MemberId &Sender,
                                  const MemberId &Recipient) {
@@ -317,6 +321,8 @@
     return SnapshotRequest{fleet::Revision(In.snapshot_request().since())};
   case wire::Envelope::kSnapshot:
     return read(In.snapshot());
+  case wire::Envelope::kCancel:
+    return Cancel{idempotency::RecordName(In.cancel().name())};
   case wire::Envelope::BODY_NOT_SET:
     break;
   }
--- a/src/peers/messages.h
+++ b/src/peers/messages.h
@@ -85,11 +85,16 @@
   fleet::Revision Through_;
 };
 
+/// The caller of a request wants it ended, wherever it waits.
+struct Cancel {
+  idempotency::RecordName Name_;
+};
+
 using Message =
     std::variant<Heartbeat, Borrow, Grant, Return, idempotency::ReserveRequest,
                  idempotency::ReserveReply, Finish, Abandon,
                  idempotency::CopyRequest, idempotency::CopyReply,
-                 SnapshotRequest, Snapshot>;
+                 SnapshotRequest, Snapshot, Cancel>;
 
 /// Who sent a message, and when by its own clock.
 struct Sender {
--- /dev/null
+++ b/standin/platform.cpp
@@ -0,0 +1,211 @@
+#include "standin/platform.h"
+
+#include "framework/fibers/spawn.h"
+#include "framework/fibers/waiter.h"
+#include "framework/settings/jsonreader.h"
+
+#include <array>
+
+#include <boost/json.hpp>
+
+namespace laburnumspread::standin {
+
+namespace json = boost::json;
+namespace http = framework::http;
+using framework::clock::SystemClock;
+using framework::settings::FieldErrors;
+using framework::settings::JsonReader;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr auto TickEvery = 20ms;
+
+http::ServerLimits serverLimits() {
+  http::ServerLimits Limits;
+  Limits.Connections_ = 16 * 1024;
+  Limits.IoTimeout_ = 60s;
+  return Limits;
+}
+
+http::Response plain(int Status, std::string Body) {
+  http::Response Answer;
+  Answer.Status_ = Status;
+  Answer.Headers_.add("Content-Type", "application/json");
+  Answer.Body_ = std::move(Body);
+  return Answer;
+}
+
+http::Response faultReply(int Status, const std::string &Reason) {
+  return plain(Status, json::serialize(json::object{{"message", Reason}}));
+}
+
+std::string bodyOf(http::Exchange &Call) {
+  std::string Body;
+  for (bool More = true; More;) {
+    const absl::StatusOr<bool> Next = Call.readSome(Body, 64 * 1024);
+    More = Next.ok() && *Next;
+  }
+  return Body;
+}
+
+std::optional<EndpointMode> modeNamed(std::string_view Name) {
+  constexpr std::array<std::string_view, 6> Names = {
+      "good", "silent", "fail", "truncate", "late", "oversize"};
+  for (std::size_t I = 0; I < Names.size(); ++I)
+    if (Names[I] == Name)
+      return static_cast<EndpointMode>(I);
+  return std::nullopt;
+}
+
+/// Fields that are not given stay as they are.
+void readFaults(JsonReader &Reader, Faults &Into) {
+  Into.StoreDown_ = Reader.optionalBool("storeDown", Into.StoreDown_);
+  Into.StoreSlowMs_ = Reader.optionalInt("storeSlowMs", Into.StoreSlowMs_, {});
+  Into.LoseAnswers_ = Reader.optionalInt("loseAnswers", Into.LoseAnswers_, {});
+  Into.WatchSilent_ = Reader.optionalBool("watchSilent", Into.WatchSilent_);
+  Into.ListLagMs_ = Reader.optionalInt("listLagMs", Into.ListLagMs_, {});
+  Into.BadReboots_ = Reader.optionalInt("badReboots", Into.BadReboots_, {});
+  Reader.eachObject("endpoints", [&](JsonReader &Item) {
+    EndpointFault &Fault = Into.Endpoints_[Item.requiredString("vm")];
+    const auto Mode = modeNamed(Item.optionalString("mode", "good"));
+    if (!Mode)
+      Item.fault("mode", "unknown mode");
+    Fault.Mode_ = Mode.value_or(EndpointMode::Good);
+    Fault.DelayMs_ = Item.optionalInt("delayMs", 0, {});
+  });
+}
+
+template <typename Map> json::object toObject(const Map &Rows) {
+  json::object Result;
+  for (const auto &[Name, Count] : Rows)
+    Result[Name] = Count;
+  return Result;
+}
+
+} // namespace
+
+Platform::Platform(boost::asio::io_context &Io, PlatformOptions Options)
+    : Io_(Io), Options_(std::move(Options)),
+      Vms_(Faults_, Options_.RebootTime_), Store_(Faults_),
+      Control_(
+          Io, serverLimits(), [this](http::Exchange &Call) { handle(Call); },
+          faultReply) {}
+
+absl::Status Platform::start() {
+  framework::fibers::spawn([this] {
+    while (true) {
+      framework::fibers::sleepFor(TickEvery);
+      Vms_.tick(SystemClock().now());
+    }
+  });
+  return Control_.listen(Options_.Control_);
+}
+
+void Platform::addVm(const std::string &Name) {
+  Vms_.add(Name, SystemClock().now());
+}
+
+absl::StatusOr<std::uint16_t> Platform::addEndpoint(const std::string &Vm,
+                                                    std::uint32_t Slots,
+                                                    http::Address At) {
+  addVm(Vm);
+  Endpoints_.push_back(
+      std::make_unique<Endpoint>(Vm, Slots, Faults_, Vms_, Ledger_));
+  Endpoint *Target = Endpoints_.back().get();
+  Servers_.push_back(std::make_unique<http::Server>(
+      Io_, serverLimits(),
+      [Target](http::Exchange &Call) { Target->handle(Call); }, faultReply));
+  if (absl::Status Status = Servers_.back()->listen(At); !Status.ok())
+    return Status;
+  return Servers_.back()->port();
+}
+
+void Platform::handle(http::Exchange &Call) {
+  const http::Target Path = http::parseTarget(Call.head().Target_);
+  const std::string First =
+      Path.Segments_.empty() ? "" : Path.Segments_.front();
+  if (First == "v3")
+    return Store_.handle(Call);
+  if (First == "faults")
+    return handleFaults(Call);
+  if (First == "platform" && Path.Segments_.size() > 1)
+    return handlePlatform(Call, Path);
+  Call.reply(faultReply(404, "not found"));
+}
+
+void Platform::handleFaults(http::Exchange &Call) {
+  const auto Document = framework::settings::parseJson(bodyOf(Call));
+  if (!Document.ok())
+    return Call.reply(
+        faultReply(400, std::string(Document.status().message())));
+  FieldErrors Errors;
+  JsonReader Reader(*Document, "", Errors);
+  if (Reader.optionalBool("saveStore", false))
+    Store_.state().save();
+  if (Reader.optionalBool("restoreStore", false))
+    Store_.state().restore();
+  readFaults(Reader, Faults_);
+  Reader.finish();
+  Store_.changed();
+  if (!Errors.empty())
+    return Call.reply(faultReply(400, framework::settings::describe(Errors)));
+  Call.reply(plain(200, "{}"));
+}
+
+void Platform::handlePlatform(http::Exchange &Call, const http::Target &Path) {
+  const auto &Parts = Path.Segments_;
+  const TimePoint Now = SystemClock().now();
+  const std::string &Method = Call.head().Method_;
+  if (Parts[1] == "vms" && Parts.size() == 2 && Method == "GET")
+    return replyList(Call);
+  if (Parts[1] == "ledger" && Method == "GET")
+    return replyLedger(Call);
+  if (Parts[1] == "vms" && Parts.size() == 3 && Method == "PUT") {
+    const std::string State = bodyOf(Call);
+    addVm(Parts[2]);
+    Vms_.setState(Parts[2], State.empty() ? "live" : State, Now);
+    return Call.reply(plain(200, "{}"));
+  }
+  if (Parts[1] == "vms" && Parts.size() == 4 && Parts[3] == "reboot" &&
+      Method == "POST") {
+    const bool Known = Vms_.reboot(
+        Parts[2], std::string(Path.query("ifBootId").value_or("")), Now);
+    return Call.reply(Known ? plain(202, "{}") : faultReply(404, "no such VM"));
+  }
+  Call.reply(faultReply(404, "not found"));
+}
+
+void Platform::replyList(http::Exchange &Call) {
+  json::array Rows;
+  for (const auto &[Name, Row] : Vms_.listed(SystemClock().now()))
+    if (Row.State_ != "gone")
+      Rows.push_back({{"name", Name},
+                      {"state", Row.Rebooting_ ? "rebooting" : Row.State_},
+                      {"bootId", Row.bootId(Name)}});
+  Call.reply(plain(200, json::serialize(json::object{{"vms", Rows}})));
+}
+
+void Platform::replyLedger(http::Exchange &Call) {
+  json::object Reboots;
+  for (const auto &[Name, Row] : Vms_.truth())
+    if (Row.Reboots_ > 0)
+      Reboots[Name] = Row.Reboots_;
+  Call.reply(plain(200, json::serialize(json::object{
+                            {"started", Ledger_.Started_},
+                            {"finished", Ledger_.Finished_},
+                            {"stopped", Ledger_.Stopped_},
+                            {"refusedBusy", Ledger_.RefusedBusy_},
+                            {"refusedLease", Ledger_.RefusedLease_},
+                            {"refusedDown", Ledger_.RefusedDown_},
+                            {"cutByReboot", Ledger_.CutByReboot_},
+                            {"keysStartedTwice", Ledger_.keysStartedTwice()},
+                            {"keysStarted", Ledger_.StartsByKey_.size()},
+                            {"mostByTeam", toObject(Ledger_.MostByTeam_)},
+                            {"startsByVm", toObject(Ledger_.StartsByVm_)},
+                            {"reboots", Reboots},
+                            {"storeCalls", toObject(Store_.calls())},
+                        })));
+}
+
+} // namespace laburnumspread::standin
--- /dev/null
+++ b/standin/platform.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "standin/endpoint.h"
+#include "standin/kvservice.h"
+
+#include <vector>
+
+namespace boost::asio {
+class io_context;
+}
+
+namespace laburnumspread::standin {
+
+struct PlatformOptions {
+  framework::http::Address Control_{"127.0.0.1", 0};
+  Duration RebootTime_ = std::chrono::seconds(2);
+};
+
+/// A stand-in of the whole platform for tests and trials: the key-value
+/// service under `/v3`, the VM list under `/platform`, endpoints on addresses
+/// of their own, and faults under `/faults`.
+class Platform {
+public:
+  Platform(boost::asio::io_context &Io, PlatformOptions Options);
+
+  absl::Status start();
+  std::uint16_t port() const { return Control_.port(); }
+
+  /// Starts an endpoint; returns the port it listens on.
+  absl::StatusOr<std::uint16_t> addEndpoint(const std::string &Vm,
+                                            std::uint32_t Slots,
+                                            framework::http::Address At);
+  /// Adds a VM that is no endpoint.
+  void addVm(const std::string &Name);
+
+  Faults &faults() { return Faults_; }
+  WorkLedger &ledger() { return Ledger_; }
+  KvService &store() { return Store_; }
+  VmFleet &vms() { return Vms_; }
+
+private:
+  void handle(framework::http::Exchange &Call);
+  void handlePlatform(framework::http::Exchange &Call,
+                      const framework::http::Target &Path);
+  void handleFaults(framework::http::Exchange &Call);
+  void replyList(framework::http::Exchange &Call);
+  void replyLedger(framework::http::Exchange &Call);
+
+  boost::asio::io_context &Io_;
+  PlatformOptions Options_;
+  Faults Faults_;
+  VmFleet Vms_;
+  WorkLedger Ledger_;
+  KvService Store_;
+  framework::http::Server Control_;
+  std::vector<std::unique_ptr<Endpoint>> Endpoints_;
+  std::vector<std::unique_ptr<framework::http::Server>> Servers_;
+};
+
+} // namespace laburnumspread::standin
