Add maintenance, moves, the planner and a load driver; let loans serve later requests

Cause: a loan lasted until the deadline of the request that asked for it, so no later request could use it and it lay idle until it went home. Found by the load driver: 64 callers over 7 entries, 336 slots, 5 ms of work.

Change: loans are asked for 10 s beyond the deadline. Repeats of a key wait for the attempt under way. Maintenance waves, moves between pools and the planner lease, each as pure logic with an I/O service.

--- /dev/null
+++ b/bench/load/loadrun.cpp
@@ -0,0 +1,174 @@
+#include "bench/load/loadrun.h"
+
+#include "ctl/commands.h"
+#include "framework/fibers/spawn.h"
+#include "framework/fibers/waiter.h"
+#include "framework/http/httpclient.h"
+#include "framework/settings/jsonreader.h"
+
+#include <memory>
+#include <random>
+
+#include <boost/json/object.hpp>
+
+namespace laburnumspread::bench {
+
+namespace http = framework::http;
+using framework::clock::SystemClock;
+using framework::fibers::sleepUntil;
+
+namespace {
+
+constexpr double PeakFactor = 5;
+constexpr double TroughFactor = 0.05;
+
+class Caller {
+public:
+  Caller(boost::asio::io_context &Io, const LoadPlan &Plan, std::size_t Index,
+         LoadResult &Into)
+      : Plan_(Plan), Into_(Into), Team_(Plan.Teams_[Index % Plan.Teams_.size()]),
+        Random_(Plan.Seed_ * 1'000'003 + Index) {
+    for (const http::Address &Server : Plan.Servers_)
+      Clients_.push_back(std::make_unique<http::Client>(Io, Server));
+    Interval_ =
+        Plan.Rate_ > 0
+            ? std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
+                  static_cast<double>(Plan.Callers_) / Plan.Rate_))
+            : Duration(0);
+  }
+
+  void run(TimePoint End) {
+    TimePoint Next = SystemClock().now() + jitter(Interval_);
+    while (SystemClock().now() < End) {
+      if (Interval_ > Duration(0)) {
+        sleepUntil(Next);
+        Next += jitter(2 * Interval_);
+      }
+      const std::string Pool = pickPool();
+      if (!Pool.empty())
+        sendOne(Pool);
+    }
+  }
+
+private:
+  double chance() {
+    return std::uniform_real_distribution<double>(0, 1)(Random_);
+  }
+  Duration jitter(Duration Most) {
+    return Most.count() > 0 ? Duration(Random_() % Most.count()) : Most;
+  }
+
+  /// With rotation: the pool whose turn it is gets most of the requests, and
+  /// out of turn most are left out.
+  std::string pickPool() {
+    const std::size_t Any = Random_() % Plan_.Pools_.size();
+    if (Plan_.RotateEvery_ == Duration(0))
+      return Plan_.Pools_[Any];
+    const auto Turn = (SystemClock().now() - Into_.Start_) / Plan_.RotateEvery_;
+    const std::size_t Peak = Turn % Plan_.Pools_.size();
+    const double Others =
+        TroughFactor * static_cast<double>(Plan_.Pools_.size() - 1);
+    if (chance() < PeakFactor / (PeakFactor + Others))
+      return Plan_.Pools_[Peak];
+    return Plan_.Pools_[Any];
+  }
+
+  http::Request makeRequest(const Sample &Item) {
+    http::Request Message;
+    Message.Method_ = "POST";
+    Message.Target_ =
+        Plan_.Direct_ ? "/requests" : "/v1/pools/" + Item.Pool_ + "/requests";
+    auto &Fields = Message.Headers_;
+    Fields.add("Host", "laburnumspread");
+    Fields.add("Content-Type", "application/json");
+    if (!Plan_.Direct_) {
+      Fields.add("Authorization", "Bearer trial-key-of-" + Item.Team_);
+      Fields.add("Request-Deadline",
+                 std::to_string(framework::clock::toMillis(Item.SentAt_) +
+                                Plan_.TimeoutMs_));
+      Fields.add("Request-Class", Item.Class_);
+    }
+    if (!Item.Key_.empty()) {
+      Fields.add("Idempotency-Key", Item.Key_);
+      Fields.add("Repeatable", "?0");
+    }
+    Message.Body_ = "{\"workMs\": " + std::to_string(Plan_.WorkMs_) + "}";
+    return Message;
+  }
+
+  void sendOne(const std::string &Pool) {
+    Sample Item;
+    Item.Pool_ = Pool;
+    Item.Team_ = Team_;
+    const double Class = chance();
+    Item.Class_ = Class < Plan_.Urgent_                 ? "urgent"
+                  : Class < Plan_.Urgent_ + Plan_.Batch_ ? "batch"
+                                                         : "normal";
+    if (chance() < Plan_.Once_)
+      Item.Key_ = ctl::newIdempotencyKey();
+    const bool Again = !Item.Key_.empty() && chance() < Plan_.Again_;
+    exchange(Item);
+    if (Again)
+      exchange(Item);
+  }
+
+  void exchange(Sample Item) {
+    Item.SentAt_ = SystemClock().now();
+    http::Client &To = *Clients_[Random_() % Clients_.size()];
+    const auto Answer = To.exchange(
+        makeRequest(Item),
+        Item.SentAt_ + std::chrono::milliseconds(Plan_.TimeoutMs_ + 2000));
+    Item.Took_ = SystemClock().now() - Item.SentAt_;
+    Item.Outcome_ = "no-answer";
+    if (Answer.ok()) {
+      Item.Status_ = Answer->Status_;
+      Item.Outcome_ = std::string(
+          Answer->Headers_.find("Request-Outcome")
+              .value_or(Plan_.Direct_ && Answer->Status_ == 200 ? "ran" : ""));
+      Item.Replayed_ =
+          Answer->Headers_.find("Idempotent-Replay").value_or("") == "true";
+      if (Item.Outcome_ != "ran")
+        Item.Code_ = codeOf(Answer->Body_);
+    }
+    Into_.Samples_.push_back(std::move(Item));
+  }
+
+  static std::string codeOf(const std::string &Body) {
+    const auto Document = framework::settings::parseJson(Body);
+    if (!Document.ok() || !Document->is_object())
+      return "";
+    const auto *Code = Document->get_object().if_contains("code");
+    return Code && Code->is_string() ? std::string(Code->get_string()) : "";
+  }
+
+  const LoadPlan &Plan_;
+  LoadResult &Into_;
+  /// A caller belongs to one team, so that one that is held up does not hold
+  /// up another's work.
+  std::string Team_;
+  std::mt19937_64 Random_;
+  std::vector<std::unique_ptr<http::Client>> Clients_;
+  Duration Interval_{0};
+};
+
+} // namespace
+
+LoadResult runLoad(boost::asio::io_context &Io, const LoadPlan &Plan) {
+  LoadResult Result;
+  Result.Start_ = SystemClock().now();
+  const TimePoint End = Result.Start_ + Plan.For_;
+  std::size_t Left = Plan.Callers_;
+  framework::fibers::Waiter Done;
+  for (std::size_t I = 0; I < Plan.Callers_; ++I)
+    framework::fibers::spawn([&, I] {
+      Caller(Io, Plan, I, Result).run(End);
+      if (--Left == 0)
+        Done.signal();
+    });
+  const Duration Slack = std::chrono::milliseconds(2 * Plan.TimeoutMs_ + 10'000);
+  Done.waitUntil(End + Slack);
+  Result.End_ = SystemClock().now();
+  return Result;
+}
+
+} // namespace laburnumspread::bench
--- /dev/null
+++ b/bench/load/main.cpp
@@ -0,0 +1,151 @@
+#include "bench/load/loadrun.h"
+#include "bench/load/report.h"
+#include "framework/fibers/asioscheduler.h"
+#include "framework/http/httpclient.h"
+#include "framework/settings/jsonreader.h"
+
+#include <csignal>
+#include <iostream>
+
+#include <boost/json.hpp>
+#include <cxxopts.hpp>
+
+// laburnum-load: puts bounded load on entries and compares their answers with
+// the endpoints' own counts. Prints one JSON object.
+
+namespace {
+
+using namespace laburnumspread;
+using namespace laburnumspread::bench;
+
+constexpr int BadUsage = 2;
+constexpr int Untrue = 1;
+constexpr std::int64_t LongestRunMs = 600'000;
+constexpr std::size_t MostCallers = 4096;
+
+cxxopts::Options makeOptions() {
+  cxxopts::Options Options("laburnum-load", "Bounded load for loopback");
+  auto text = [](const char *Default) {
+    return cxxopts::value<std::string>()->default_value(Default);
+  };
+  auto list = [](const char *Default) {
+    return cxxopts::value<std::vector<std::string>>()->default_value(Default);
+  };
+  auto number = [](const char *Default) {
+    return cxxopts::value<double>()->default_value(Default);
+  };
+  Options.add_options()("servers", "ip:port, ...", list("127.0.0.1:18101"))(
+      "direct", "to endpoints, past the entries")("pools", "", list("orders"))(
+      "teams", "", list("caterer-large"))("shares", "weights of the teams, for closeness",
+                      list(""))("callers", "", number("16"))(
+      "rate", "requests a second, 0: unbounded", number("0"))(
+      "for-ms", "", number("5000"))("work-ms", "", number("5"))(
+      "timeout-ms", "", number("5000"))("once", "part non-repeatable",
+                                        number("0"))(
+      "again", "part of those sent again", number("0"))("urgent", "",
+                                                        number("0"))(
+      "batch", "", number("0"))("rotate-ms", "", number("0"))(
+      "seed", "", number("1"))("platform", "checks against it",
+                               text(""))("help", "");
+  return Options;
+}
+
+LoadPlan readPlan(const cxxopts::ParseResult &Given) {
+  LoadPlan Plan;
+  auto number = [&](const char *Name) { return Given[Name].as<double>(); };
+  for (const auto &Text :
+       Given["servers"].as<std::vector<std::string>>())
+    if (const auto Parsed = framework::http::parseAddress(Text))
+      Plan.Servers_.push_back(*Parsed);
+  Plan.Direct_ = Given.count("direct") > 0;
+  Plan.Pools_ = Given["pools"].as<std::vector<std::string>>();
+  Plan.Teams_ = Given["teams"].as<std::vector<std::string>>();
+  for (const auto &Text : Given["shares"].as<std::vector<std::string>>())
+    if (!Text.empty())
+      Plan.Shares_.push_back(std::stod(Text));
+  Plan.Callers_ = std::min(
+      MostCallers, static_cast<std::size_t>(number("callers")));
+  Plan.Rate_ = number("rate");
+  Plan.For_ = std::chrono::milliseconds(std::min(
+      LongestRunMs, static_cast<std::int64_t>(number("for-ms"))));
+  Plan.WorkMs_ = static_cast<std::int64_t>(number("work-ms"));
+  Plan.TimeoutMs_ = static_cast<std::int64_t>(number("timeout-ms"));
+  Plan.Once_ = number("once");
+  Plan.Again_ = number("again");
+  Plan.Urgent_ = number("urgent");
+  Plan.Batch_ = number("batch");
+  Plan.RotateEvery_ = std::chrono::milliseconds(
+      static_cast<std::int64_t>(number("rotate-ms")));
+  Plan.Seed_ = static_cast<std::uint64_t>(number("seed"));
+  Plan.Platform_ = Given["platform"].as<std::string>();
+  return Plan;
+}
+
+boost::json::object fetch(boost::asio::io_context &Io,
+                          const std::string &Platform,
+                          const std::string &Path) {
+  framework::http::Client Client(Io,
+                                 *framework::http::parseAddress(Platform));
+  framework::http::Request Message;
+  Message.Method_ = "GET";
+  Message.Target_ = Path;
+  const auto Answer = Client.exchange(
+      Message, framework::clock::SystemClock().now() + std::chrono::seconds(10),
+      256 * 1024 * 1024);
+  const auto Document = framework::settings::parseJson(
+      Answer.ok() ? Answer->Body_ : std::string("{}"));
+  return Document.ok() && Document->is_object() ? Document->get_object()
+                                                : boost::json::object();
+}
+
+std::map<std::string, std::uint64_t>
+startedKeys(boost::asio::io_context &Io, const std::string &Platform) {
+  std::map<std::string, std::uint64_t> Result;
+  const boost::json::object Answer = fetch(Io, Platform, "/platform/keys");
+  if (const auto *Keys = Answer.if_contains("keys"))
+    for (const auto &Row : Keys->as_object())
+      Result[std::string(Row.key())] = Row.value().to_number<std::uint64_t>();
+  return Result;
+}
+
+int run(const LoadPlan &Plan) {
+  boost::asio::io_context Io(1);
+  framework::fibers::useAsioScheduler(Io);
+  const LoadResult Result = runLoad(Io, Plan);
+  boost::json::object Report = summarize(Plan, Result);
+  bool True = true;
+  if (!Plan.Platform_.empty()) {
+    boost::json::object Truth =
+        checkTruth(Result, startedKeys(Io, Plan.Platform_));
+    for (const char *Name : {"ranTwice", "notRunButRan", "ranButNot"})
+      True = True && Truth.at(Name).as_array().empty();
+    Report["truth"] = std::move(Truth);
+    Report["mostByTeam"] =
+        fetch(Io, Plan.Platform_, "/platform/ledger")["mostByTeam"];
+  }
+  std::cout << boost::json::serialize(Report) << std::endl;
+  std::_Exit(True ? 0 : Untrue);
+}
+
+} // namespace
+
+int main(int Count, char **Words) {
+  std::signal(SIGPIPE, SIG_IGN);
+  try {
+    auto Options = makeOptions();
+    const auto Given = Options.parse(Count, Words);
+    if (Given.count("help")) {
+      std::cout << Options.help() << '\n';
+      return 0;
+    }
+    const LoadPlan Plan = readPlan(Given);
+    if (Plan.Servers_.empty() || Plan.Pools_.empty() || Plan.Teams_.empty()) {
+      std::cerr << "laburnum-load: needs servers, pools and teams\n";
+      return BadUsage;
+    }
+    return run(Plan);
+  } catch (const cxxopts::exceptions::exception &Error) {
+    std::cerr << "laburnum-load: " << Error.what() << '\n';
+    return BadUsage;
+  }
+}
--- a/src/api/internal/operatorapi.cpp
+++ b/src/api/internal/operatorapi.cpp
@@ -215,7 +215,7 @@
   const T *Object = Context_.State_.Config_.tables().find<T>(Name);
   if (!Object)
     return replyProblem(Call, ProblemCode::NotFound, "no such object");
-  json::object Body = withStatus(*Object, Object->Metadata_.ResourceVersion_);
+  json::object Body = withStatus(*Object, Context_.State_.Config_.inForceAt(fleet::KindOf<T>::Value, Name));
   if constexpr (std::is_same_v<T, fleet::Vm>)
     addDrain(Body, *Object);
   replyJson(Call, 200, Body);
@@ -224,7 +224,8 @@
 /// How far a VM's drain has come, whoever asked for it.
 void OperatorApi::addDrain(json::object &Body, const fleet::Vm &Object) const {
   const auto Drain = Context_.Membership_.drainState(
-      fleet::VmName(Object.Metadata_.Name_), Object.Metadata_.ResourceVersion_);
+      fleet::VmName(Object.Metadata_.Name_),
+      Context_.State_.Config_.inForceAt(Kind::Vms, Object.Metadata_.Name_));
   json::array Awaited;
   for (const std::string &Name : Drain.Awaited_)
     Awaited.emplace_back(Name);
--- a/src/app/internal/entryapp.cpp
+++ b/src/app/internal/entryapp.cpp
@@ -1,6 +1,7 @@
 #include "app/entryapp.h"
 
 #include "api/httpapi.h"
+#include "entry/plannerservice.h"
 #include "framework/fibers/spawn.h"
 #include "framework/fibers/waiter.h"
 #include "framework/http/httpserver.h"
@@ -62,7 +63,9 @@
       : Io_(Io), State_(Settings, selfOf(Settings)),
         Store_(Io, Settings.StoreEndpoints_),
         Writer_(Store_, Settings.StorePrefix_), Config_(State_, Store_),
-        Membership_(State_, Store_, Config_), Placements_(State_),
+        Membership_(State_, Store_, Config_),
+        Planner_(Io, State_, Store_, Writer_, Config_, Membership_),
+        Placements_(State_),
         Reservations_(State_), Forward_(Io, State_),
         Runner_(State_, Placements_, Reservations_, Forward_),
         Mesh_(Io, State_.Self_.Id_, Settings.PeerKeys_,
@@ -161,6 +164,8 @@
                                         {"messagesIn", Counters.MessagesIn_},
                                         {"dropped", Counters.Dropped_},
                                         {"refused", Counters.Refused_}};
+    Into["planner"] = Planner_.holdsLease();
+    Into["plannerTickMicros"] = Planner_.lastTick().count();
     Into["storeCalls"] = Store_.calls();
     Into["idleConnections"] = Forward_.idleConnections();
     Into["callerConnections"] = Server_.openConnections();
@@ -185,6 +190,7 @@
   api::Writer Writer_;
   entry::ConfigService Config_;
   entry::MembershipService Membership_;
+  entry::PlannerService Planner_;
   entry::PlacementService Placements_;
   entry::ReservationService Reservations_;
   entry::Forwarder Forward_;
@@ -215,6 +221,7 @@
   P.Config_.start();
   P.Membership_.start();
   P.Placements_.start();
+  P.Planner_.start();
   P.Reservations_.start();
   framework::fibers::spawn([&P] { P.markStartedWhenReady(); });
   return absl::OkStatus();
--- a/src/config/configtable.h
+++ b/src/config/configtable.h
@@ -32,6 +32,11 @@
   bool storeWentBack(Revision StoreRevision);
   bool refusesStore() const { return StoreWentBack_; }
 
+  /// A revision at which every entry that has it in force knows the object as
+  /// it stands: that of the last write to the value that holds it. The
+  /// object's own resource version may be lower than that of its write.
+  Revision inForceAt(Kind Of, std::string_view Name) const;
+
   const FleetTables &tables() const { return Tables_; }
   Revision revision() const { return Revision_; }
   const std::string &prefix() const { return Prefix_; }
--- a/src/config/internal/configtable.cpp
+++ b/src/config/internal/configtable.cpp
@@ -134,6 +134,11 @@
   return Result;
 }
 
+Revision ConfigTable::inForceAt(Kind Of, std::string_view Name) const {
+  const auto At = Shards_.find(shardKey(Prefix_, Of, Name));
+  return At == Shards_.end() ? Revision_ : At->second.ModRevision_;
+}
+
 bool ConfigTable::storeWentBack(Revision StoreRevision) {
   if (StoreRevision < Revision_)
     StoreWentBack_ = true;
--- a/src/config/objectwriter.h
+++ b/src/config/objectwriter.h
@@ -102,11 +102,14 @@
 
   /// Changes an object by \p Edit, which sees it as it stands in the store, so
   /// that a decision made on an older state can be dropped by an error.
+  /// \p Guards must hold too when the write takes effect: a planner that was
+  /// paused and has lost its lease changes nothing.
   template <typename T>
   absl::StatusOr<Written<T>>
   change(const std::string &Name,
          const std::function<absl::Status(std::optional<T> &)> &Edit,
-         bool DryRun, framework::clock::TimePoint Deadline) {
+         bool DryRun, framework::clock::TimePoint Deadline,
+         const std::vector<store::Compare> &Guards = {}) {
     const std::string Key = shardKey(Prefix_, fleet::KindOf<T>::Value, Name);
     for (int Try = 0; Try < Tries; ++Try) {
       absl::StatusOr<store::RangeResult> Read =
@@ -131,7 +134,7 @@
                           true};
       writeInto(*Open, Name, Object);
       absl::StatusOr<std::optional<Revision>> Done =
-          commit(Key, *Open, Deadline);
+          commit(Key, *Open, Deadline, Guards);
       if (!Done.ok())
         return Done.status();
       if (*Done)
@@ -185,9 +188,11 @@
   /// The revision of the write; an empty optional if another writer was first.
   absl::StatusOr<std::optional<Revision>>
   commit(const std::string &Key, const OpenShard &Open,
-         framework::clock::TimePoint Deadline) {
+         framework::clock::TimePoint Deadline,
+         const std::vector<store::Compare> &Guards) {
     const std::string Text = shardText(Open);
     store::Transaction Txn;
+    Txn.Compares_ = Guards;
     Txn.Compares_.push_back({Key, Open.Before_.ModRevision_});
     Txn.Puts_.push_back({Key, Text});
     absl::StatusOr<store::TransactionResult> Result =
--- a/src/ctl/internal/commands.cpp
+++ b/src/ctl/internal/commands.cpp
@@ -360,9 +360,9 @@
     const json::value &Wave = Answer->Json_;
     const std::string Phase = textAt(Wave, "status.phase");
     const std::string Line = "wave " + Given.Words_[0] + ": " + Phase + ", " +
-                             textAt(Wave, "status.done#") + " of " +
+                             textAt(Wave, "status.done") + " of " +
                              textAt(Wave, "status.total") + " done, " +
-                             textAt(Wave, "status.failed#") + " failed";
+                             textAt(Wave, "status.failed") + " failed";
     if (Line != Shown)
       std::cout << Line << std::endl;
     Shown = Line;
--- a/src/entry/configservice.h
+++ b/src/entry/configservice.h
@@ -37,6 +37,7 @@
   void handle(const peers::Sender &From, const peers::Snapshot &Part);
 
   std::string viewKey() const;
+  std::string plannerKey() const;
 
 private:
   void pollLoop();
--- a/src/entry/entrystate.h
+++ b/src/entry/entrystate.h
@@ -59,6 +59,8 @@
   std::unordered_map<MemberId, PeerRow> Peers_;
   DecisionLog Decisions_;
   framework::metrics::Registry Metrics_;
+  /// Whether some entry holds the planner lease, as far as the watch tells.
+  bool PlannerSeen_ = false;
   bool Started_ = false;
   bool Leaving_ = false;
 
--- a/src/entry/internal/configservice.cpp
+++ b/src/entry/internal/configservice.cpp
@@ -36,6 +36,10 @@
   return State_.Settings_.StorePrefix_ + "agreed/view";
 }
 
+std::string ConfigService::plannerKey() const {
+  return State_.Settings_.StorePrefix_ + "agreed/planner";
+}
+
 void ConfigService::start() {
   spawn([this] { pollLoop(); });
   spawn([this] { watchLoop(); });
@@ -91,6 +95,9 @@
                          return false;
                        Heard = true;
                        take(Batch.Puts_, Batch.StoreRevision_);
+          for (const std::string &Key : Batch.Deletes_)
+            if (Key == plannerKey())
+              State_.PlannerSeen_ = false;
                        return true;
                      });
     State_.Metrics_.counter("store_watch_ended_total").add();
@@ -110,9 +117,12 @@
     OnChanges_(Changes);
   State_.Changes_.add(Changes, State_.Config_.revision());
   const std::string Key = viewKey();
-  for (const store::KeyValue &Item : Items)
+  for (const store::KeyValue &Item : Items) {
     if (Item.Key_ == Key)
       takeView(Item);
+    if (Item.Key_ == plannerKey())
+      State_.PlannerSeen_ = true;
+  }
 }
 
 void ConfigService::takeView(const store::KeyValue &Item) {
--- a/src/entry/internal/membershipservice.cpp
+++ b/src/entry/internal/membershipservice.cpp
@@ -235,7 +235,10 @@
 
 void MembershipService::leave(TimePoint Deadline) {
   State_.Leaving_ = true;
-  while (State_.isMember() && State_.now() < Deadline) {
+  // Without the store nothing can be handed over; the next run on this VM
+  // removes this one.
+  while (State_.isMember() && State_.now() < Deadline &&
+         State_.Contact_.storeInTouch(State_.now())) {
     const Member *Self = State_.View_.find(State_.Self_.Id_);
     if (!Self->Leaving_)
       changeView([this](const View &Now) {
--- a/src/entry/internal/placementservice.cpp
+++ b/src/entry/internal/placementservice.cpp
@@ -26,6 +26,11 @@
 /// between two requests of a steady caller, so that skewed load does not
 /// borrow anew for each request.
 constexpr Duration LoanIdleTime = 250ms;
+/// A loan is asked for beyond the deadline of the request that needs it, so
+/// that later requests, with later deadlines, can use it too. Without this
+/// each loan served one round of requests and then lay idle until it went
+/// home (docs/design/limits.md has the figures).
+constexpr Duration LoanReuseTime = 10s;
 constexpr std::uint32_t LoansPerWish = 64;
 /// An urgent request that has waited this long may stop batch work. Leaves
 /// most of the 2.7 s within which urgent work has to start.
@@ -372,7 +377,8 @@
     Wish.Pool_ = Pool;
     Wish.Team_ = Item->Ticket_.Team_;
     Wish.Class_ = Item->Ticket_.Class_;
-    Wish.Until_ = std::max(Wish.Until_, Item->Ticket_.Deadline_);
+    Wish.Until_ =
+        std::max(Wish.Until_, Item->Ticket_.Deadline_ + LoanReuseTime);
     ++Wish.Count_;
   }
   for (auto &[Key, Wish] : Wishes) {
@@ -418,7 +424,7 @@
       continue;
     Need &Row = Needs[Item->Ticket_.Team_];
     ++Row.Count_;
-    Row.Until_ = std::max(Row.Until_, Item->Ticket_.Deadline_);
+    Row.Until_ = std::max(Row.Until_, Item->Ticket_.Deadline_ + LoanReuseTime);
   }
   std::erase_if(TeamWishedAt_,
                 [&](const auto &Row) { return !Needs.contains(Row.first); });
--- /dev/null
+++ b/src/entry/internal/plannerservice.cpp
@@ -0,0 +1,310 @@
+#include "entry/plannerservice.h"
+
+#include "framework/fibers/spawn.h"
+#include "framework/fibers/waiter.h"
+#include "framework/http/httpclient.h"
+
+#include <set>
+
+namespace laburnumspread::entry {
+
+using fleet::Vm;
+using fleet::Wave;
+using framework::clock::Duration;
+using framework::fibers::sleepFor;
+using maintenance::ActionKind;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Duration TickEvery = 500ms;
+/// While another entry is seen to hold the lease, one is tried for only this
+/// often: for the case that the watch missed its end.
+constexpr Duration TryHeldLeaseEvery = 30s;
+constexpr Duration KeepLeaseEvery = 1500ms;
+constexpr std::int64_t LeaseSeconds = 5;
+constexpr Duration CallTimeout = 2s;
+constexpr Duration ProbeTimeout = 1s;
+constexpr Duration AskRebootEvery = 2s;
+/// Lists in a row that must lack a member's VM, so that one that is cut short
+/// removes nobody.
+constexpr int MissingLists = 5;
+
+} // namespace
+
+PlannerService::PlannerService(boost::asio::io_context &Io, EntryState &State,
+                               store::EtcdStore &Store, Writer &Write,
+                               ConfigService &Config,
+                               MembershipService &Membership)
+    : Io_(Io), State_(State), Store_(Store), Writer_(Write), Config_(Config),
+      Membership_(Membership), Directory_(Io, State.Settings_.Platform_),
+      Moves_({State.Settings_.WeightCloseness_, State.Settings_.WeightMoves_,
+              State.Settings_.WeightBuffer_}) {}
+
+void PlannerService::start() {
+  if (State_.Settings_.Planner_)
+    framework::fibers::spawn([this] { loop(); });
+}
+
+void PlannerService::loop() {
+  while (true) {
+    if (!State_.Started_ || State_.Leaving_ || !State_.isMember()) {
+      sleepFor(TickEvery);
+    } else if (!refreshLease()) {
+      sleepFor(TickEvery);
+    } else {
+      tick();
+      sleepFor(TickEvery);
+    }
+  }
+}
+
+// Lease -------------------------------------------------------------------------
+
+bool PlannerService::acquireLease() {
+  const auto Granted =
+      Store_.grantLease(LeaseSeconds, State_.now() + CallTimeout);
+  if (!Granted.ok())
+    return false;
+  store::Transaction Txn;
+  Txn.Compares_.push_back({Config_.plannerKey(), fleet::Revision(0)});
+  Txn.Puts_.push_back({Config_.plannerKey(), State_.Self_.Id_.Name_.str(), *Granted});
+  const auto Done = Store_.commit(Txn, State_.now() + CallTimeout);
+  if (!Done.ok() || !Done->Succeeded_)
+    return false;
+  Lease_ = *Granted;
+  LeaseRevision_ = Done->StoreRevision_;
+  KeptAt_ = State_.now();
+  Expected_ = LeaseRevision_;
+  State_.Decisions_.add(DecisionKind::Membership, State_.Self_.Id_.Name_.str(),
+                        "planner", "holds the planner lease");
+  return true;
+}
+
+void PlannerService::loseLease() {
+  LeaseRevision_ = fleet::Revision(0);
+  Probes_.clear();
+  MissingInLists_.clear();
+}
+
+bool PlannerService::refreshLease() {
+  if (!holdsLease()) {
+    if (State_.PlannerSeen_ && State_.now() - TriedAt_ < TryHeldLeaseEvery)
+      return false;
+    TriedAt_ = State_.now();
+    return acquireLease();
+  }
+  if (State_.now() - KeptAt_ < KeepLeaseEvery)
+    return true;
+  const auto Kept = Store_.keepLease(Lease_, State_.now() + CallTimeout);
+  if (Kept.ok() && *Kept) {
+    KeptAt_ = State_.now();
+    return true;
+  }
+  if (Kept.ok() || State_.now() - KeptAt_ > std::chrono::seconds(LeaseSeconds))
+    loseLease();
+  return false;
+}
+
+// Ticks -------------------------------------------------------------------------
+
+void PlannerService::tick() {
+  // The state seen here lags behind this planner's own writes. Deciding before
+  // they have come back would, for one, take a second VM for a place in the
+  // budget that the first already has.
+  if (State_.Config_.revision() < Expected_)
+    return;
+  auto Listed = Directory_.list(State_.now() + CallTimeout);
+  if (!Listed.ok())
+    return;
+  List_ = std::move(*Listed);
+  probeReturned();
+  const TimePoint Start = State_.now();
+  const maintenance::Plan Steps = maintenance::planWaves(
+      State_.Config_.tables(),
+      {List_,
+       [this](const std::string &Name) {
+         return Membership_
+             .drainState(fleet::VmName(Name),
+                         State_.Config_.inForceAt(fleet::Kind::Vms, Name))
+             .drained();
+       },
+       [this](const std::string &Name) { return Probes_[Name]; }, Start});
+  const std::vector<pools::Move> Moves = Moves_.plan(
+      {State_.Config_.tables(), List_,
+       [this](const fleet::PoolName &Pool) {
+         pools::Demand Sum;
+         for (const auto &[Team, Use] : State_.Usage_.totals(Pool)) {
+           Sum.Running_ += Use.Running_;
+           Sum.Waiting_ += Use.Waiting_;
+         }
+         return Sum;
+       },
+       [this](const std::string &Name) {
+         const auto Row = State_.Endpoints_.find(fleet::VmName(Name));
+         return Row ? State_.Endpoints_.at(*Row).Running_ : 0;
+       },
+       Start});
+  LastTick_ = State_.now() - Start;
+  State_.Metrics_.summary("planner_tick_seconds")
+      .record(std::chrono::duration<double>(LastTick_).count());
+  for (const auto &Step : Steps.Vms_)
+    applyVm(Step);
+  for (const auto &Step : Steps.Waves_)
+    applyWave(Step);
+  for (const auto &Step : Moves)
+    applyMove(Step);
+  removeLostEntries();
+}
+
+template <typename T>
+absl::Status PlannerService::write(
+    const std::string &Name,
+    const std::function<absl::Status(std::optional<T> &)> &Edit) {
+  if (!holdsLease())
+    return absl::FailedPreconditionError("not the planner");
+  const auto Done = Writer_.template change<T>(
+      Name, Edit, false, State_.now() + CallTimeout,
+      {{Config_.plannerKey(), LeaseRevision_}});
+  State_.Metrics_.counter("planner_writes_total").add();
+  if (!Done.ok())
+    return Done.status();
+  Expected_ = std::max(Expected_, Done->Revision_);
+  return absl::OkStatus();
+}
+
+DecisionKind PlannerService::decisionOf(ActionKind Kind) const {
+  switch (Kind) {
+  case ActionKind::Leave:
+  case ActionKind::Recall:
+    return DecisionKind::Drain;
+  case ActionKind::BeginReboot:
+  case ActionKind::Reboot:
+    return DecisionKind::Reboot;
+  case ActionKind::BeginProbation:
+  case ActionKind::Activate:
+  case ActionKind::Fail:
+    break;
+  }
+  return DecisionKind::Wave;
+}
+
+void PlannerService::applyVm(const maintenance::VmAction &Step) {
+  if (Step.Kind_ == ActionKind::Reboot) {
+    TimePoint &Asked = RebootAskedAt_[Step.Vm_];
+    if (State_.now() - Asked < AskRebootEvery)
+      return;
+    Asked = State_.now();
+    const absl::Status Done = Directory_.reboot(
+        Step.Vm_, Step.To_.BootBefore_, State_.now() + CallTimeout);
+    if (Done.ok())
+      State_.Decisions_.add(DecisionKind::Reboot, Step.Vm_, "asked",
+                            "boot " + Step.To_.BootBefore_);
+    return;
+  }
+  const absl::Status Done =
+      write<Vm>(Step.Vm_, [&](std::optional<Vm> &Object) -> absl::Status {
+        if (!Object || Object->Status_.Phase_ != Step.From_)
+          return absl::AbortedError("the VM has changed");
+        Object->Status_ = Step.To_;
+        return absl::OkStatus();
+      });
+  if (!Done.ok())
+    return;
+  if (Step.Kind_ == ActionKind::BeginProbation)
+    Probes_.erase(Step.Vm_);
+  State_.Decisions_.add(decisionOf(Step.Kind_), Step.Vm_,
+                        maintenance::nameOf(Step.Kind_), Step.Reason_);
+}
+
+void PlannerService::applyWave(const maintenance::WaveUpdate &Step) {
+  const auto *Before = State_.Config_.tables().find<Wave>(Step.Wave_);
+  const bool NewPhase =
+      Before && Before->Status_.Phase_ != Step.To_.Phase_;
+  const absl::Status Done =
+      write<Wave>(Step.Wave_, [&](std::optional<Wave> &Object) -> absl::Status {
+        if (!Object)
+          return absl::AbortedError("the wave was deleted");
+        Object->Status_ = Step.To_;
+        return absl::OkStatus();
+      });
+  if (Done.ok() && NewPhase)
+    State_.Decisions_.add(DecisionKind::Wave, Step.Wave_,
+                          fleet::nameOf(Step.To_.Phase_),
+                          Step.To_.Conditions_.empty()
+                              ? ""
+                              : Step.To_.Conditions_[0].Message_);
+}
+
+void PlannerService::applyMove(const pools::Move &Step) {
+  const absl::Status Done =
+      write<Vm>(Step.Vm_, [&](std::optional<Vm> &Object) -> absl::Status {
+        if (!Object || fleet::poolOf(*Object) != Step.From_ ||
+            Object->Status_.Phase_ != fleet::VmPhase::Active)
+          return absl::AbortedError("the VM has changed");
+        Object->Status_.LentTo_ = Step.Home_ ? fleet::PoolName() : Step.To_;
+        Object->Status_.LentSince_ = State_.now();
+        return absl::OkStatus();
+      });
+  if (!Done.ok())
+    return;
+  State_.Metrics_.counter("moves_total").add();
+  State_.Decisions_.add(DecisionKind::Move, Step.Vm_,
+                        Step.Home_ ? "home" : "lent",
+                        Step.From_.str() + " to " + Step.To_.str() + ": " +
+                            Step.Reason_);
+}
+
+// Probes and lost entries ---------------------------------------------------------
+
+void PlannerService::probe(const std::string &Name) {
+  const auto *Machine = State_.Config_.tables().find<Vm>(Name);
+  const auto At = Machine
+                      ? framework::http::parseAddress(Machine->Spec_.Address_)
+                      : std::nullopt;
+  if (!At)
+    return;
+  framework::http::Client Client(Io_, *At);
+  framework::http::Request Message;
+  Message.Method_ = "GET";
+  Message.Target_ = "/healthz";
+  const auto Answer = Client.exchange(Message, State_.now() + ProbeTimeout);
+  maintenance::ProbeState &Row = Probes_[Name];
+  if (Answer.ok() && Answer->Status_ == 200)
+    ++Row.GoodInRow_;
+  else
+    Row.GoodInRow_ = 0;
+}
+
+void PlannerService::probeReturned() {
+  std::set<std::string> Wanted;
+  for (const auto &[Name, Machine] : State_.Config_.tables().Vms_)
+    if (Machine.Status_.Phase_ == fleet::VmPhase::Probation)
+      Wanted.insert(Name);
+  std::erase_if(Probes_,
+                [&](const auto &Row) { return !Wanted.contains(Row.first); });
+  for (const std::string &Name : Wanted)
+    framework::fibers::spawn([this, Name] { probe(Name); });
+}
+
+void PlannerService::removeLostEntries() {
+  for (const membership::Member &Member : State_.others()) {
+    if (List_.contains(Member.Vm_.str()) ||
+        State_.Contact_.inTouch(Member.Id_, State_.now())) {
+      if (List_.contains(Member.Vm_.str()))
+        MissingInLists_[Member.Id_] = 0;
+      continue;
+    }
+    // Only a VM that the platform has listed before can be missing from it.
+    const auto Row = MissingInLists_.find(Member.Id_);
+    if (Row == MissingInLists_.end() || ++Row->second < MissingLists)
+      continue;
+    MissingInLists_.erase(Row);
+    Membership_
+        .declareStopped(Member.Id_, "its VM is gone from the platform's list")
+        .IgnoreError();
+    return;
+  }
+}
+
+} // namespace laburnumspread::entry
--- a/src/entry/internal/reservationservice.cpp
+++ b/src/entry/internal/reservationservice.cpp
@@ -49,7 +49,14 @@
   const TimePoint GiveUp = std::min(Request.Deadline_, State_.now() + RetryFor);
   while (true) {
     ReservationResult Result = tryOnce(Request, Fingerprint);
-    if (Result.Verdict_ != Verdict::Retry || State_.now() >= GiveUp)
+    // The first attempt may be about to end, or its end may be on its way to
+    // the homes: its answer is better than "in progress".
+    const bool UnderWay =
+        Result.Verdict_ == Verdict::Duplicate &&
+        Result.Found_.State_ == idempotency::RecordState::Reserved &&
+        Result.Found_.LeaseUntil_ > State_.now();
+    if ((Result.Verdict_ != Verdict::Retry && !UnderWay) ||
+        State_.now() >= GiveUp)
       return Result;
     sleepFor(RetryPause);
   }
--- a/src/fleet/internal/resourcejson.cpp
+++ b/src/fleet/internal/resourcejson.cpp
@@ -243,7 +243,9 @@
   Status.Since_ = readTime(Reader, "sinceMicros");
   Status.Wave_ = WaveName(Reader.optionalString("wave", ""));
   Status.BootBefore_ = Reader.optionalString("bootBefore", "");
-  Status.MoveTo_ = PoolName(Reader.optionalString("moveTo", ""));
+  Status.DoneWaves_ = readNames<WaveName>(Reader, "doneWaves");
+  Status.LentTo_ = PoolName(Reader.optionalString("lentTo", ""));
+  Status.LentSince_ = readTime(Reader, "lentSinceMicros");
   return Status;
 }
 
@@ -252,8 +254,9 @@
   Status.Phase_ = readEnum(Reader, "phase", WavePhaseNames, WavePhase::Pending);
   Status.Total_ = readCount(Reader, "total", 0, 0, MaximumVms);
   Status.Batch_ = readCount(Reader, "batch", 0, 0, MaximumVms);
-  Status.Done_ = readNames<VmName>(Reader, "done");
-  Status.Failed_ = readNames<VmName>(Reader, "failed");
+  Status.Done_ = readCount(Reader, "done", 0, 0, MaximumVms);
+  Status.Failed_ = readCount(Reader, "failed", 0, 0, MaximumVms);
+  Status.InProgress_ = readCount(Reader, "inProgress", 0, 0, MaximumVms);
   Status.Conditions_ = readConditions(Reader);
   Status.StartedAt_ = readTime(Reader, "startedMicros");
   Status.EndedAt_ = readTime(Reader, "endedMicros");
@@ -313,8 +316,13 @@
     Result["wave"] = Status.Wave_.str();
   if (!Status.BootBefore_.empty())
     Result["bootBefore"] = Status.BootBefore_;
-  if (!Status.MoveTo_.empty())
-    Result["moveTo"] = Status.MoveTo_.str();
+  if (!Status.DoneWaves_.empty())
+    Result["doneWaves"] = toArray(Status.DoneWaves_);
+  if (!Status.LentTo_.empty()) {
+    Result["lentTo"] = Status.LentTo_.str();
+    Result["lentSinceMicros"] =
+        framework::clock::toMicros(Status.LentSince_);
+  }
   return Result;
 }
 
@@ -333,8 +341,9 @@
   return {{"phase", nameOf(Status.Phase_)},
           {"total", Status.Total_},
           {"batch", Status.Batch_},
-          {"done", toArray(Status.Done_)},
-          {"failed", toArray(Status.Failed_)},
+          {"done", Status.Done_},
+          {"failed", Status.Failed_},
+          {"inProgress", Status.InProgress_},
           {"conditions", std::move(Conditions)},
           {"startedMicros", framework::clock::toMicros(Status.StartedAt_)},
           {"endedMicros", framework::clock::toMicros(Status.EndedAt_)}};
--- a/src/fleet/resources.h
+++ b/src/fleet/resources.h
@@ -8,6 +8,8 @@
 
 namespace laburnumspread::fleet {
 
+using framework::clock::TimePoint;
+
 struct Metadata {
   std::string Name_;
   Generation Generation_;
@@ -74,14 +76,17 @@
 
 struct VmStatus {
   VmPhase Phase_ = VmPhase::Active;
-  framework::clock::TimePoint Since_{};
+  TimePoint Since_{};
   /// The wave that the VM is in; empty when an operator drains it by hand.
   WaveName Wave_;
   /// Boot id seen before the reboot was asked for. The reboot is done when the
   /// platform shows another one, so that it is never repeated.
   std::string BootBefore_;
-  /// Pool that the VM goes to when it has drained, if it is being moved.
-  PoolName MoveTo_;
+  /// Waves under way that have maintained the VM already.
+  std::vector<WaveName> DoneWaves_;
+  /// Pool that the VM works for at present, if not for its declared one.
+  PoolName LentTo_;
+  TimePoint LentSince_{};
   bool operator==(const VmStatus &) const = default;
 };
 
@@ -121,11 +126,12 @@
   WavePhase Phase_ = WavePhase::Pending;
   std::uint32_t Total_ = 0;
   std::uint32_t Batch_ = 0;
-  std::vector<VmName> Done_;
-  std::vector<VmName> Failed_;
+  std::uint32_t Done_ = 0;
+  std::uint32_t Failed_ = 0;
+  std::uint32_t InProgress_ = 0;
   std::vector<Condition> Conditions_;
-  framework::clock::TimePoint StartedAt_{};
-  framework::clock::TimePoint EndedAt_{};
+  TimePoint StartedAt_{};
+  TimePoint EndedAt_{};
   bool operator==(const WaveStatus &) const = default;
 };
 
@@ -149,6 +155,12 @@
 using Key = Resource<KeySpec, NoStatus>;
 using Wave = Resource<WaveSpec, WaveStatus>;
 
+/// The one pool that a VM works for.
+inline const PoolName &poolOf(const Vm &Machine) {
+  return Machine.Status_.LentTo_.empty() ? Machine.Spec_.Pool_
+                                         : Machine.Status_.LentTo_;
+}
+
 enum class Kind { Pools, Vms, Teams, Keys, Waves };
 constexpr Kind AllKinds[] = {Kind::Pools, Kind::Vms, Kind::Teams, Kind::Keys,
                              Kind::Waves};
--- /dev/null
+++ b/src/maintenance/internal/availability.cpp
@@ -0,0 +1,79 @@
+#include "maintenance/availability.h"
+
+namespace laburnumspread::maintenance {
+
+bool isAvailable(const fleet::Vm &Vm, const VmList &List) {
+  const auto Row = List.find(Vm.Metadata_.Name_);
+  return Vm.Status_.Phase_ == fleet::VmPhase::Active && !Vm.Spec_.Drain_ &&
+         Row != List.end() && Row->second.Live_;
+}
+
+Availability::Place Availability::poolPlace(const fleet::Vm &Vm) {
+  return {fleet::poolOf(Vm), ""};
+}
+Availability::Place Availability::zonePlace(const fleet::Vm &Vm) {
+  return {fleet::poolOf(Vm), "zone " + Vm.Spec_.Zone_.str()};
+}
+Availability::Place Availability::rackPlace(const fleet::Vm &Vm) {
+  return {fleet::poolOf(Vm), "rack " + Vm.Spec_.Rack_.str()};
+}
+
+Availability::Availability(const config::FleetTables &Tables,
+                           const VmList &List)
+    : Tables_(Tables) {
+  for (const auto &[Name, Vm] : Tables.Vms_) {
+    const bool Down = !isAvailable(Vm, List);
+    for (const Place &Where : {poolPlace(Vm), zonePlace(Vm), rackPlace(Vm)}) {
+      Count &Row = Counts_[Where];
+      ++Row.Total_;
+      Row.Down_ += Down;
+    }
+  }
+}
+
+const Availability::Count &Availability::at(const Place &Where) const {
+  static const Count None;
+  const auto Row = Counts_.find(Where);
+  return Row == Counts_.end() ? None : Row->second;
+}
+
+std::string Availability::reason(const fleet::Vm &Vm) const {
+  const auto *Pool = Tables_.find<fleet::Pool>(fleet::poolOf(Vm).str());
+  if (!Pool)
+    return "pool " + fleet::poolOf(Vm).str() + " is not declared";
+  const fleet::AvailabilityBudget &Budget = Pool->Spec_.Budget_;
+  auto exceeded = [&](const Place &Where, const fleet::Amount &Allowed) {
+    const Count &Row = at(Where);
+    return Row.Down_ + 1 > Allowed.of(Row.Total_);
+  };
+  auto text = [&](const Place &Where, const fleet::Amount &Allowed) {
+    const Count &Row = at(Where);
+    return "pool " + Where.Pool_.str() +
+           (Where.Domain_.empty() ? "" : ", " + Where.Domain_) + ": " +
+           std::to_string(Row.Down_) + " of " + std::to_string(Row.Total_) +
+           " VMs are unavailable, the budget allows " +
+           std::to_string(Allowed.of(Row.Total_));
+  };
+  if (exceeded(poolPlace(Vm), Budget.Pool_))
+    return text(poolPlace(Vm), Budget.Pool_);
+  if (Budget.Zone_ && exceeded(zonePlace(Vm), *Budget.Zone_))
+    return text(zonePlace(Vm), *Budget.Zone_);
+  if (Budget.Rack_ && exceeded(rackPlace(Vm), *Budget.Rack_))
+    return text(rackPlace(Vm), *Budget.Rack_);
+  return {};
+}
+
+bool Availability::mayTake(const fleet::Vm &Vm) const {
+  return reason(Vm).empty();
+}
+
+void Availability::take(const fleet::Vm &Vm) {
+  for (const Place &Where : {poolPlace(Vm), zonePlace(Vm), rackPlace(Vm)})
+    ++Counts_[Where].Down_;
+}
+
+std::uint32_t Availability::downInRack(const fleet::Vm &Vm) const {
+  return at(rackPlace(Vm)).Down_;
+}
+
+} // namespace laburnumspread::maintenance
--- /dev/null
+++ b/src/pools/internal/moveplanner.cpp
@@ -0,0 +1,186 @@
+#include "pools/moveplanner.h"
+
+#include "maintenance/availability.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace laburnumspread::pools {
+
+using fleet::PoolName;
+using fleet::Vm;
+
+namespace {
+
+constexpr Duration ShortBase = std::chrono::milliseconds(500);
+constexpr Duration RoomyBase = std::chrono::seconds(5);
+/// A pool has room to spare below this part of its slots in use.
+constexpr double RoomyBelow = 0.5;
+/// VMs that one pool is lent in one tick.
+constexpr std::uint32_t MovesPerTick = 4;
+
+Duration scaled(Duration Base, double Factor) {
+  return Duration(
+      static_cast<std::int64_t>(static_cast<double>(Base.count()) * Factor));
+}
+
+bool waveIsGoing(const config::FleetTables &Tables, const PoolName &Pool) {
+  return std::any_of(
+      Tables.Waves_.begin(), Tables.Waves_.end(), [&](const auto &Row) {
+        const fleet::Wave &Of = Row.second;
+        const auto &Pools = Of.Spec_.Pools_;
+        const bool Covers =
+            Pools.empty() ||
+            std::find(Pools.begin(), Pools.end(), Pool) != Pools.end();
+        return Covers && Of.Status_.Phase_ != fleet::WavePhase::Complete &&
+               Of.Status_.Phase_ != fleet::WavePhase::Cancelled;
+      });
+}
+
+std::uint32_t needOf(const Demand &Work) {
+  return Work.Running_ + Work.Waiting_;
+}
+
+} // namespace
+
+Duration MovePlanner::lendAfter() const {
+  return scaled(ShortBase,
+                (1 + Weights_.Moves_) / (1 + Weights_.Closeness_));
+}
+
+Duration MovePlanner::returnAfter() const {
+  return scaled(RoomyBase, (1 + Weights_.Moves_) / (1 + Weights_.Buffer_));
+}
+
+std::map<PoolName, MovePlanner::PoolView>
+MovePlanner::viewPools(const MoveInputs &Seen) const {
+  std::map<PoolName, PoolView> Result;
+  for (const auto &[Name, Declared] : Seen.Tables_.Pools_) {
+    PoolView &Row = Result[PoolName(Name)];
+    Row.Name_ = PoolName(Name);
+    Row.Declared_ = &Declared;
+    Row.Demand_ = Seen.Demand_(Row.Name_);
+    Row.InWave_ = waveIsGoing(Seen.Tables_, Row.Name_);
+  }
+  for (const auto &[Name, Machine] : Seen.Tables_.Vms_) {
+    const auto Row = Result.find(fleet::poolOf(Machine));
+    if (Row == Result.end() ||
+        !maintenance::isAvailable(Machine, Seen.List_))
+      continue;
+    Row->second.Usable_.push_back(&Machine);
+    Row->second.Slots_ += Machine.Spec_.Slots_.value();
+  }
+  return Result;
+}
+
+void MovePlanner::note(const PoolView &Pool, TimePoint Now) {
+  PoolState &State = States_[Pool.Name_];
+  const std::uint32_t Need = needOf(Pool.Demand_);
+  const bool Short = Pool.Demand_.Waiting_ > 0 && Need > Pool.Slots_;
+  const bool Roomy = Need < RoomyBelow * Pool.Slots_;
+  if (!Short)
+    State.ShortSince_ = {};
+  else if (State.ShortSince_ == TimePoint{})
+    State.ShortSince_ = Now;
+  if (!Roomy)
+    State.RoomySince_ = {};
+  else if (State.RoomySince_ == TimePoint{})
+    State.RoomySince_ = Now;
+}
+
+bool MovePlanner::mayGive(const PoolView &Donor) const {
+  if (Donor.InWave_ ||
+      Donor.Usable_.size() <= std::max(1U, Donor.Declared_->Spec_.MinimumVms_))
+    return false;
+  if (Donor.Declared_->Spec_.Spare_)
+    return true;
+  const auto State = States_.find(Donor.Name_);
+  return State != States_.end() &&
+         State->second.RoomySince_ != TimePoint{};
+}
+
+/// The VM with the least work; among equals one of the zone that has most, so
+/// that the donor stays spread over its zones.
+const Vm *MovePlanner::pickIdle(const PoolView &Donor,
+                                const MoveInputs &Seen) {
+  std::map<fleet::ZoneName, int> InZone;
+  for (const Vm *Machine : Donor.Usable_)
+    ++InZone[Machine->Spec_.Zone_];
+  auto rank = [&](const Vm *Machine) {
+    return std::tuple(Seen.RunningOn_(Machine->Metadata_.Name_),
+                      -InZone[Machine->Spec_.Zone_],
+                      std::string_view(Machine->Metadata_.Name_));
+  };
+  const Vm *Best = nullptr;
+  for (const Vm *Machine : Donor.Usable_)
+    if (!Best || rank(Machine) < rank(Best))
+      Best = Machine;
+  return Best;
+}
+
+void MovePlanner::lend(PoolView &To, std::map<PoolName, PoolView> &Pools,
+                       const MoveInputs &Seen, std::vector<Move> &Into) {
+  std::vector<PoolView *> Donors;
+  for (auto &[Name, Row] : Pools)
+    if (Name != To.Name_)
+      Donors.push_back(&Row);
+  std::stable_sort(Donors.begin(), Donors.end(),
+                   [](const PoolView *A, const PoolView *B) {
+                     return A->Declared_->Spec_.Spare_ >
+                            B->Declared_->Spec_.Spare_;
+                   });
+  std::uint32_t Moved = 0;
+  for (PoolView *Donor : Donors) {
+    while (Moved < MovesPerTick && To.Slots_ < needOf(To.Demand_) &&
+           mayGive(*Donor)) {
+      const Vm *Machine = pickIdle(*Donor, Seen);
+      if (!Machine)
+        break;
+      std::erase(Donor->Usable_, Machine);
+      Donor->Slots_ -= Machine->Spec_.Slots_.value();
+      To.Slots_ += Machine->Spec_.Slots_.value();
+      ++Moved;
+      Into.push_back({Machine->Metadata_.Name_, Donor->Name_, To.Name_,
+                      Machine->Spec_.Pool_ == To.Name_,
+                      "more work than slots"});
+    }
+  }
+}
+
+void MovePlanner::sendHome(PoolView &From, const MoveInputs &Seen,
+                           std::vector<Move> &Into) {
+  std::uint32_t Moved = 0;
+  for (const Vm *Machine : From.Usable_) {
+    const std::uint32_t Slots = Machine->Spec_.Slots_.value();
+    const bool StaysRoomy =
+        needOf(From.Demand_) < RoomyBelow * (From.Slots_ - Slots);
+    if (Machine->Status_.LentTo_.empty() || Moved >= MovesPerTick ||
+        !StaysRoomy || Seen.RunningOn_(Machine->Metadata_.Name_) > 0)
+      continue;
+    From.Slots_ -= Slots;
+    ++Moved;
+    Into.push_back({Machine->Metadata_.Name_, From.Name_,
+                    Machine->Spec_.Pool_, true, "room to spare"});
+  }
+}
+
+std::vector<Move> MovePlanner::plan(const MoveInputs &Seen) {
+  std::vector<Move> Result;
+  auto Pools = viewPools(Seen);
+  for (const auto &[Name, Row] : Pools)
+    note(Row, Seen.Now_);
+  for (auto &[Name, Row] : Pools) {
+    if (Row.InWave_ || Row.Declared_->Spec_.Spare_)
+      continue;
+    const PoolState &State = States_[Name];
+    if (State.ShortSince_ != TimePoint{} &&
+        Seen.Now_ - State.ShortSince_ >= lendAfter())
+      lend(Row, Pools, Seen, Result);
+    else if (State.RoomySince_ != TimePoint{} &&
+             Seen.Now_ - State.RoomySince_ >= returnAfter())
+      sendHome(Row, Seen, Result);
+  }
+  return Result;
+}
+
+} // namespace laburnumspread::pools
--- a/src/routing/internal/endpointtable.cpp
+++ b/src/routing/internal/endpointtable.cpp
@@ -24,17 +24,18 @@
   if (Added)
     Rows_.emplace_back();
   Endpoint &Row = Rows_[At->second.value()];
-  if (!Row.Declared_ || Row.Pool_ != Vm.Spec_.Pool_) {
+  const PoolName &Pool = fleet::poolOf(Vm);
+  if (!Row.Declared_ || Row.Pool_ != Pool) {
     if (Row.Declared_)
       std::erase(Pools_[Row.Pool_], At->second);
-    Pools_[Vm.Spec_.Pool_].push_back(At->second);
+    Pools_[Pool].push_back(At->second);
   }
   if (Row.Address_ != Vm.Spec_.Address_) {
     Row.Health_ = Health::Good;
     Row.FailuresInRow_ = Row.Ejections_ = 0;
   }
   Row.Vm_ = Name;
-  Row.Pool_ = Vm.Spec_.Pool_;
+  Row.Pool_ = Pool;
   Row.Zone_ = Vm.Spec_.Zone_;
   Row.Address_ = Vm.Spec_.Address_;
   Row.Size_ = Vm.Spec_.Size_;
