Ask for permits only beside slots, and for slots only beside permits

Cause: in a full pool with six teams 64 of 96 slots and most of one team's permits lay idle as loans at entries that lacked the other of the two: entries asked for all they could use of both.

Ruled out: endpoints that refuse as busy (0 by their count), processor time (under 10% of a core each).

Change: an entry asks for no more of one kind than it has of the other, and 2 beyond; idle loans go home after 100 ms instead of 250.

--- a/src/entry/internal/placementservice.cpp
+++ b/src/entry/internal/placementservice.cpp
@@ -25,7 +25,12 @@
 /// A loan that nobody has used for this long goes home. Longer than the pause
 /// between two requests of a steady caller, so that skewed load does not
 /// borrow anew for each request.
-constexpr Duration LoanIdleTime = 250ms;
+constexpr Duration LoanIdleTime = 100ms;
+/// A request needs a permit and a slot. Of either kind an entry asks for no
+/// more than it has of the other, and this many beyond so that it can start
+/// from nothing. Asking for all it could use of both let permits lie idle
+/// where slots were wanting, and the other way round.
+constexpr std::uint32_t AskAhead = 2;
 /// A loan is asked for beyond the deadline of the request that needs it, so
 /// that later requests, with later deadlines, can use it too. Without this
 /// each loan served one round of requests and then lay idle until it went
@@ -384,6 +389,7 @@
   for (auto &[Key, Wish] : Wishes) {
     // Shared out over the peers: asking each for all would take in many times
     // what is needed and keep it from others.
+    Wish.Count_ = std::min(Wish.Count_, freePermits(Wish.Team_) + AskAhead);
     Wish.Count_ = (Wish.Count_ + Peers.size() - 1) / Peers.size();
     for (const membership::Member &Peer : Peers)
       State_.Send_(Peer.Id_, Wish);
@@ -392,6 +398,19 @@
   }
 }
 
+std::uint32_t PlacementService::freePermits(const TeamName &Team) const {
+  const auto Subject = State_.Ledger_.find(teamSubject(Team.str()));
+  return Subject ? State_.Ledger_.idle(*Subject) : 0;
+}
+
+std::uint32_t PlacementService::freeSlots(const PoolName &Pool) const {
+  std::uint32_t Sum = 0;
+  for (EndpointIndex Index : State_.Endpoints_.inPool(Pool))
+    if (State_.Endpoints_.at(Index).Open_)
+      Sum += State_.Ledger_.idle(State_.Endpoints_.at(Index).Subject_);
+  return Sum;
+}
+
 void PlacementService::wishForTeam(const TeamName &Team, std::uint32_t Count,
                                    TimePoint Until) {
   const auto Subject = State_.Ledger_.find(teamSubject(Team.str()));
@@ -417,12 +436,14 @@
   struct Need {
     std::uint32_t Count_ = 0;
     TimePoint Until_{};
+    std::set<PoolName> Pools_;
   };
   std::map<TeamName, Need> Needs;
   for (const auto &[Id, Item] : Tickets_) {
     if (!TeamWishedAt_.contains(Item->Ticket_.Team_))
       continue;
     Need &Row = Needs[Item->Ticket_.Team_];
+    Row.Pools_.insert(Item->Request_->Pool_);
     ++Row.Count_;
     Row.Until_ = std::max(Row.Until_, Item->Ticket_.Deadline_ + LoanReuseTime);
   }
@@ -432,7 +453,10 @@
     if (State_.now() - At < WishEvery)
       continue;
     At = State_.now();
-    wishForTeam(Team, std::min(Needs[Team].Count_, LoansPerWish),
+    std::uint32_t Slots = AskAhead;
+    for (const PoolName &Pool : Needs[Team].Pools_)
+      Slots += freeSlots(Pool);
+    wishForTeam(Team, std::min({Needs[Team].Count_, Slots, LoansPerWish}),
                 Needs[Team].Until_);
   }
 }
--- a/src/entry/placementservice.h
+++ b/src/entry/placementservice.h
@@ -92,6 +92,9 @@
   void wishForSlots(const fleet::PoolName &Pool, PoolState &Row);
   void wishForTeam(const fleet::TeamName &Team, std::uint32_t Count,
                    TimePoint Until);
+  /// Own and borrowed units that nobody uses.
+  std::uint32_t freePermits(const fleet::TeamName &Team) const;
+  std::uint32_t freeSlots(const fleet::PoolName &Pool) const;
   void serveTeamWishes(const fleet::TeamName &Team);
   void returnIdleLoans();
   void sendReturns(const std::vector<limits::LoanId> &Loans);
--- a/src/limits/unitledger.h
+++ b/src/limits/unitledger.h
@@ -41,6 +41,9 @@
   /// Own units that are neither used nor lent.
   std::uint32_t freeOwned(SubjectIndex Subject) const;
 
+  /// As freeOwned(), with idle borrowed units.
+  std::uint32_t idle(SubjectIndex Subject) const;
+
   /// Lends up to \p Count free units. They count as used until they are
   /// returned or \p Until and the clock skew margin have passed.
   std::vector<Loan> lend(SubjectIndex Subject, const MemberId &Borrower,
