--- a/bench/load/loadrun.cpp
+++ b/bench/load/loadrun.cpp
@@ -19,6 +19,7 @@
 
 namespace {
 
+constexpr int TriesElsewhere = 8;
 constexpr double PeakFactor = 5;
 constexpr double TroughFactor = 0.05;
 
@@ -26,15 +27,16 @@
 public:
   Caller(boost::asio::io_context &Io, const LoadPlan &Plan, std::size_t Index,
          LoadResult &Into)
-      : Plan_(Plan), Into_(Into), Team_(Plan.Teams_[Index % Plan.Teams_.size()]),
+      : Plan_(Plan), Into_(Into),
+        Team_(Plan.Teams_[Index % Plan.Teams_.size()]),
         Random_(Plan.Seed_ * 1'000'003 + Index) {
     for (const http::Address &Server : Plan.Servers_)
       Clients_.push_back(std::make_unique<http::Client>(Io, Server));
-    Interval_ =
-        Plan.Rate_ > 0
-            ? std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
-                  static_cast<double>(Plan.Callers_) / Plan.Rate_))
-            : Duration(0);
+    Interval_ = Plan.Rate_ > 0
+                    ? std::chrono::duration_cast<Duration>(
+                          std::chrono::duration<double>(
+                              static_cast<double>(Plan.Callers_) / Plan.Rate_))
+                    : Duration(0);
   }
 
   void run(TimePoint End) {
@@ -101,7 +103,7 @@
     Item.Pool_ = Pool;
     Item.Team_ = Team_;
     const double Class = chance();
-    Item.Class_ = Class < Plan_.Urgent_                 ? "urgent"
+    Item.Class_ = Class < Plan_.Urgent_                  ? "urgent"
                   : Class < Plan_.Urgent_ + Plan_.Batch_ ? "batch"
                                                          : "normal";
     if (chance() < Plan_.Once_)
@@ -114,23 +116,32 @@
 
   void exchange(Sample Item) {
     Item.SentAt_ = SystemClock().now();
+    for (int Try = 0; Try < TriesElsewhere; ++Try)
+      if (!exchangeOnce(Item))
+        break;
+    Item.Took_ = SystemClock().now() - Item.SentAt_;
+    Into_.Samples_.push_back(std::move(Item));
+  }
+
+  /// Returns whether to ask another entry, as the platform's balancer would:
+  /// nothing was sent, or the entry is being stopped.
+  bool exchangeOnce(Sample &Item) {
     http::Client &To = *Clients_[Random_() % Clients_.size()];
     const auto Answer = To.exchange(
         makeRequest(Item),
         Item.SentAt_ + std::chrono::milliseconds(Plan_.TimeoutMs_ + 2000));
-    Item.Took_ = SystemClock().now() - Item.SentAt_;
     Item.Outcome_ = "no-answer";
-    if (Answer.ok()) {
-      Item.Status_ = Answer->Status_;
-      Item.Outcome_ = std::string(
-          Answer->Headers_.find("Request-Outcome")
-              .value_or(Plan_.Direct_ && Answer->Status_ == 200 ? "ran" : ""));
-      Item.Replayed_ =
-          Answer->Headers_.find("Idempotent-Replay").value_or("") == "true";
-      if (Item.Outcome_ != "ran")
-        Item.Code_ = codeOf(Answer->Body_);
-    }
-    Into_.Samples_.push_back(std::move(Item));
+    if (!Answer.ok())
+      return Answer.status().message().find("not sent") !=
+             absl::string_view::npos;
+    Item.Status_ = Answer->Status_;
+    Item.Outcome_ = std::string(
+        Answer->Headers_.find("Request-Outcome")
+            .value_or(Plan_.Direct_ && Answer->Status_ == 200 ? "ran" : ""));
+    Item.Replayed_ =
+        Answer->Headers_.find("Idempotent-Replay").value_or("") == "true";
+    Item.Code_ = Item.Outcome_ == "ran" ? std::string() : codeOf(Answer->Body_);
+    return Item.Code_ == "leaving";
   }
 
   static std::string codeOf(const std::string &Body) {
@@ -165,7 +176,8 @@
       if (--Left == 0)
         Done.signal();
     });
-  const Duration Slack = std::chrono::milliseconds(2 * Plan.TimeoutMs_ + 10'000);
+  const Duration Slack =
+      std::chrono::milliseconds(2 * Plan.TimeoutMs_ + 10'000);
   Done.waitUntil(End + Slack);
   Result.End_ = SystemClock().now();
   return Result;
--- a/bench/load/main.cpp
+++ b/bench/load/main.cpp
@@ -1,5 +1,6 @@
 #include "bench/load/loadrun.h"
 #include "bench/load/report.h"
+#include "bench/load/withdrawals.h"
 #include "framework/fibers/asioscheduler.h"
 #include "framework/http/httpclient.h"
 #include "framework/settings/jsonreader.h"
@@ -36,25 +37,24 @@
   };
   Options.add_options()("servers", "ip:port, ...", list("127.0.0.1:18101"))(
       "direct", "to endpoints, past the entries")("pools", "", list("orders"))(
-      "teams", "", list("caterer-large"))("shares", "weights of the teams, for closeness",
-                      list(""))("callers", "", number("16"))(
-      "rate", "requests a second, 0: unbounded", number("0"))(
-      "for-ms", "", number("5000"))("work-ms", "", number("5"))(
-      "timeout-ms", "", number("5000"))("once", "part non-repeatable",
-                                        number("0"))(
-      "again", "part of those sent again", number("0"))("urgent", "",
-                                                        number("0"))(
-      "batch", "", number("0"))("rotate-ms", "", number("0"))(
-      "seed", "", number("1"))("platform", "checks against it",
-                               text(""))("help", "");
+      "teams", "", list("caterer-large"))(
+      "shares", "weights of the teams, for closeness", list(""))(
+      "callers", "", number("16"))("rate", "requests a second, 0: unbounded",
+                                   number("0"))("for-ms", "", number("5000"))(
+      "work-ms", "", number("5"))("timeout-ms", "", number("5000"))(
+      "once", "part non-repeatable",
+      number("0"))("again", "part of those sent again", number("0"))(
+      "urgent", "", number("0"))("batch", "", number("0"))(
+      "rotate-ms", "", number("0"))("seed", "", number("1"))(
+      "withdrawals", "grant and withdraw a key so often",
+      number("0"))("platform", "checks against it", text(""))("help", "");
   return Options;
 }
 
 LoadPlan readPlan(const cxxopts::ParseResult &Given) {
   LoadPlan Plan;
   auto number = [&](const char *Name) { return Given[Name].as<double>(); };
-  for (const auto &Text :
-       Given["servers"].as<std::vector<std::string>>())
+  for (const auto &Text : Given["servers"].as<std::vector<std::string>>())
     if (const auto Parsed = framework::http::parseAddress(Text))
       Plan.Servers_.push_back(*Parsed);
   Plan.Direct_ = Given.count("direct") > 0;
@@ -63,19 +63,19 @@
   for (const auto &Text : Given["shares"].as<std::vector<std::string>>())
     if (!Text.empty())
       Plan.Shares_.push_back(std::stod(Text));
-  Plan.Callers_ = std::min(
-      MostCallers, static_cast<std::size_t>(number("callers")));
+  Plan.Callers_ =
+      std::min(MostCallers, static_cast<std::size_t>(number("callers")));
   Plan.Rate_ = number("rate");
-  Plan.For_ = std::chrono::milliseconds(std::min(
-      LongestRunMs, static_cast<std::int64_t>(number("for-ms"))));
+  Plan.For_ = std::chrono::milliseconds(
+      std::min(LongestRunMs, static_cast<std::int64_t>(number("for-ms"))));
   Plan.WorkMs_ = static_cast<std::int64_t>(number("work-ms"));
   Plan.TimeoutMs_ = static_cast<std::int64_t>(number("timeout-ms"));
   Plan.Once_ = number("once");
   Plan.Again_ = number("again");
   Plan.Urgent_ = number("urgent");
   Plan.Batch_ = number("batch");
-  Plan.RotateEvery_ = std::chrono::milliseconds(
-      static_cast<std::int64_t>(number("rotate-ms")));
+  Plan.RotateEvery_ =
+      std::chrono::milliseconds(static_cast<std::int64_t>(number("rotate-ms")));
   Plan.Seed_ = static_cast<std::uint64_t>(number("seed"));
   Plan.Platform_ = Given["platform"].as<std::string>();
   return Plan;
@@ -84,8 +84,7 @@
 boost::json::object fetch(boost::asio::io_context &Io,
                           const std::string &Platform,
                           const std::string &Path) {
-  framework::http::Client Client(Io,
-                                 *framework::http::parseAddress(Platform));
+  framework::http::Client Client(Io, *framework::http::parseAddress(Platform));
   framework::http::Request Message;
   Message.Method_ = "GET";
   Message.Target_ = Path;
@@ -98,8 +97,8 @@
                                                 : boost::json::object();
 }
 
-std::map<std::string, std::uint64_t>
-startedKeys(boost::asio::io_context &Io, const std::string &Platform) {
+std::map<std::string, std::uint64_t> startedKeys(boost::asio::io_context &Io,
+                                                 const std::string &Platform) {
   std::map<std::string, std::uint64_t> Result;
   const boost::json::object Answer = fetch(Io, Platform, "/platform/keys");
   if (const auto *Keys = Answer.if_contains("keys"))
@@ -108,6 +107,15 @@
   return Result;
 }
 
+int measureWithdrawals(const LoadPlan &Plan, std::size_t Rounds) {
+  boost::asio::io_context Io(1);
+  framework::fibers::useAsioScheduler(Io);
+  std::cout << boost::json::serialize(runWithdrawals(
+                   Io, Plan.Servers_, std::min<std::size_t>(Rounds, 1000)))
+            << std::endl;
+  std::_Exit(0);
+}
+
 int run(const LoadPlan &Plan) {
   boost::asio::io_context Io(1);
   framework::fibers::useAsioScheduler(Io);
@@ -143,6 +151,8 @@
       std::cerr << "laburnum-load: needs servers, pools and teams\n";
       return BadUsage;
     }
+    if (const auto Rounds = Given["withdrawals"].as<double>(); Rounds > 0)
+      return measureWithdrawals(Plan, static_cast<std::size_t>(Rounds));
     return run(Plan);
   } catch (const cxxopts::exceptions::exception &Error) {
     std::cerr << "laburnum-load: " << Error.what() << '\n';
--- a/bench/load/report.cpp
+++ b/bench/load/report.cpp
@@ -19,8 +19,8 @@
 double percentile(std::vector<double> &Sorted, double P) {
   if (Sorted.empty())
     return 0;
-  const auto At = static_cast<std::size_t>(
-      P * static_cast<double>(Sorted.size() - 1));
+  const auto At =
+      static_cast<std::size_t>(P * static_cast<double>(Sorted.size() - 1));
   return Sorted[At];
 }
 
@@ -60,8 +60,8 @@
   std::map<std::int64_t, std::map<std::string, double>> Windows;
   const std::int64_t Last = Plan.For_ / std::chrono::seconds(1) - 1;
   for (const Sample &Item : Result.Samples_) {
-    const auto At = (Item.SentAt_ + Item.Took_ - Result.Start_) /
-                    std::chrono::seconds(1);
+    const auto At =
+        (Item.SentAt_ + Item.Took_ - Result.Start_) / std::chrono::seconds(1);
     // The first second fills the queues, the last empties them.
     if (Item.Outcome_ == "ran" && At >= 1 && At <= Last)
       ++Windows[At][Item.Team_];
@@ -73,9 +73,8 @@
     for (const auto &[Team, Work] : Teams)
       Total += Work;
     for (std::size_t I = 0; I < Plan.Teams_.size(); ++I) {
-      const double Distance =
-          100 * std::abs(Teams[Plan.Teams_[I]] / Total -
-                         Plan.Shares_[I] / SharesSum);
+      const double Distance = 100 * std::abs(Teams[Plan.Teams_[I]] / Total -
+                                             Plan.Shares_[I] / SharesSum);
       Sum += Distance;
       Worst = std::max(Worst, Distance);
       ++Count;
@@ -136,9 +135,8 @@
   return Report;
 }
 
-json::object
-checkTruth(const LoadResult &Result,
-           const std::map<std::string, std::uint64_t> &Started) {
+json::object checkTruth(const LoadResult &Result,
+                        const std::map<std::string, std::uint64_t> &Started) {
   std::map<std::string, std::set<std::string>> Told;
   for (const Sample &Item : Result.Samples_)
     if (!Item.Key_.empty())
--- a/src/api/internal/httpapi.cpp
+++ b/src/api/internal/httpapi.cpp
@@ -127,6 +127,8 @@
   const Target Path = framework::http::parseTarget(Call.head().Target_);
   const auto &Parts = Path.Segments_;
   const std::string &Method = Call.head().Method_;
+  if (Context_.State_.Leaving_)
+    Call.closeAfter();
   if (Parts.size() >= 4 && Parts[0] == "v1" && Parts[1] == "pools" &&
       Parts[3] == "requests") {
     if (Parts.size() == 4 && Method == "POST")
--- a/src/api/internal/operatorapi.cpp
+++ b/src/api/internal/operatorapi.cpp
@@ -215,7 +215,8 @@
   const T *Object = Context_.State_.Config_.tables().find<T>(Name);
   if (!Object)
     return replyProblem(Call, ProblemCode::NotFound, "no such object");
-  json::object Body = withStatus(*Object, Context_.State_.Config_.inForceAt(fleet::KindOf<T>::Value, Name));
+  json::object Body = withStatus(*Object, Context_.State_.Config_.inForceAt(
+                                              fleet::KindOf<T>::Value, Name));
   if constexpr (std::is_same_v<T, fleet::Vm>)
     addDrain(Body, *Object);
   replyJson(Call, 200, Body);
--- a/src/app/internal/entryapp.cpp
+++ b/src/app/internal/entryapp.cpp
@@ -65,8 +65,7 @@
         Writer_(Store_, Settings.StorePrefix_), Config_(State_, Store_),
         Membership_(State_, Store_, Config_),
         Planner_(Io, State_, Store_, Writer_, Config_, Membership_),
-        Placements_(State_),
-        Reservations_(State_), Forward_(Io, State_),
+        Placements_(State_), Reservations_(State_), Forward_(Io, State_),
         Runner_(State_, Placements_, Reservations_, Forward_),
         Mesh_(Io, State_.Self_.Id_, Settings.PeerKeys_,
               [this](const peers::Sender &From, peers::Message &&Body) {
--- a/src/entry/internal/configservice.cpp
+++ b/src/entry/internal/configservice.cpp
@@ -95,9 +95,9 @@
                          return false;
                        Heard = true;
                        take(Batch.Puts_, Batch.StoreRevision_);
-          for (const std::string &Key : Batch.Deletes_)
-            if (Key == plannerKey())
-              State_.PlannerSeen_ = false;
+                       for (const std::string &Key : Batch.Deletes_)
+                         if (Key == plannerKey())
+                           State_.PlannerSeen_ = false;
                        return true;
                      });
     State_.Metrics_.counter("store_watch_ended_total").add();
--- a/src/entry/internal/plannerservice.cpp
+++ b/src/entry/internal/plannerservice.cpp
@@ -59,7 +59,8 @@
   }
 }
 
-// Lease -------------------------------------------------------------------------
+// Lease
+// -------------------------------------------------------------------------
 
 bool PlannerService::acquireLease() {
   const auto Granted =
@@ -68,7 +69,8 @@
     return false;
   store::Transaction Txn;
   Txn.Compares_.push_back({Config_.plannerKey(), fleet::Revision(0)});
-  Txn.Puts_.push_back({Config_.plannerKey(), State_.Self_.Id_.Name_.str(), *Granted});
+  Txn.Puts_.push_back(
+      {Config_.plannerKey(), State_.Self_.Id_.Name_.str(), *Granted});
   const auto Done = Store_.commit(Txn, State_.now() + CallTimeout);
   if (!Done.ok() || !Done->Succeeded_)
     return false;
@@ -106,7 +108,8 @@
   return false;
 }
 
-// Ticks -------------------------------------------------------------------------
+// Ticks
+// -------------------------------------------------------------------------
 
 void PlannerService::tick() {
   // The state seen here lags behind this planner's own writes. Deciding before
@@ -163,9 +166,9 @@
     const std::function<absl::Status(std::optional<T> &)> &Edit) {
   if (!holdsLease())
     return absl::FailedPreconditionError("not the planner");
-  const auto Done = Writer_.template change<T>(
-      Name, Edit, false, State_.now() + CallTimeout,
-      {{Config_.plannerKey(), LeaseRevision_}});
+  const auto Done =
+      Writer_.template change<T>(Name, Edit, false, State_.now() + CallTimeout,
+                                 {{Config_.plannerKey(), LeaseRevision_}});
   State_.Metrics_.counter("planner_writes_total").add();
   if (!Done.ok())
     return Done.status();
@@ -195,8 +198,8 @@
     if (State_.now() - Asked < AskRebootEvery)
       return;
     Asked = State_.now();
-    const absl::Status Done = Directory_.reboot(
-        Step.Vm_, Step.To_.BootBefore_, State_.now() + CallTimeout);
+    const absl::Status Done = Directory_.reboot(Step.Vm_, Step.To_.BootBefore_,
+                                                State_.now() + CallTimeout);
     if (Done.ok())
       State_.Decisions_.add(DecisionKind::Reboot, Step.Vm_, "asked",
                             "boot " + Step.To_.BootBefore_);
@@ -219,8 +222,7 @@
 
 void PlannerService::applyWave(const maintenance::WaveUpdate &Step) {
   const auto *Before = State_.Config_.tables().find<Wave>(Step.Wave_);
-  const bool NewPhase =
-      Before && Before->Status_.Phase_ != Step.To_.Phase_;
+  const bool NewPhase = Before && Before->Status_.Phase_ != Step.To_.Phase_;
   const absl::Status Done =
       write<Wave>(Step.Wave_, [&](std::optional<Wave> &Object) -> absl::Status {
         if (!Object)
@@ -229,11 +231,9 @@
         return absl::OkStatus();
       });
   if (Done.ok() && NewPhase)
-    State_.Decisions_.add(DecisionKind::Wave, Step.Wave_,
-                          fleet::nameOf(Step.To_.Phase_),
-                          Step.To_.Conditions_.empty()
-                              ? ""
-                              : Step.To_.Conditions_[0].Message_);
+    State_.Decisions_.add(
+        DecisionKind::Wave, Step.Wave_, fleet::nameOf(Step.To_.Phase_),
+        Step.To_.Conditions_.empty() ? "" : Step.To_.Conditions_[0].Message_);
 }
 
 void PlannerService::applyMove(const pools::Move &Step) {
@@ -249,13 +249,13 @@
   if (!Done.ok())
     return;
   State_.Metrics_.counter("moves_total").add();
-  State_.Decisions_.add(DecisionKind::Move, Step.Vm_,
-                        Step.Home_ ? "home" : "lent",
-                        Step.From_.str() + " to " + Step.To_.str() + ": " +
-                            Step.Reason_);
+  State_.Decisions_.add(
+      DecisionKind::Move, Step.Vm_, Step.Home_ ? "home" : "lent",
+      Step.From_.str() + " to " + Step.To_.str() + ": " + Step.Reason_);
 }
 
-// Probes and lost entries ---------------------------------------------------------
+// Probes and lost entries
+// ---------------------------------------------------------
 
 void PlannerService::probe(const std::string &Name) {
   const auto *Machine = State_.Config_.tables().find<Vm>(Name);
--- a/src/entry/plannerservice.h
+++ b/src/entry/plannerservice.h
@@ -18,8 +18,8 @@
   using Writer = config::ObjectWriter<store::EtcdStore>;
 
   PlannerService(boost::asio::io_context &Io, EntryState &State,
-                 store::EtcdStore &Store, Writer &Write,
-                 ConfigService &Config, MembershipService &Membership);
+                 store::EtcdStore &Store, Writer &Write, ConfigService &Config,
+                 MembershipService &Membership);
 
   void start();
 
--- a/src/fleet/internal/resourcejson.cpp
+++ b/src/fleet/internal/resourcejson.cpp
@@ -320,8 +320,7 @@
     Result["doneWaves"] = toArray(Status.DoneWaves_);
   if (!Status.LentTo_.empty()) {
     Result["lentTo"] = Status.LentTo_.str();
-    Result["lentSinceMicros"] =
-        framework::clock::toMicros(Status.LentSince_);
+    Result["lentSinceMicros"] = framework::clock::toMicros(Status.LentSince_);
   }
   return Result;
 }
--- a/src/framework/http/httpserver.cpp
+++ b/src/framework/http/httpserver.cpp
@@ -168,6 +168,8 @@
     noteWrite(Outcome.Error_);
   }
 
+  void closeAfter() override { KeepAlive_ = false; }
+
   void abort() override {
     Broken_ = true;
     Answered_ = true;
--- a/src/framework/http/httpserver.h
+++ b/src/framework/http/httpserver.h
@@ -42,6 +42,10 @@
   virtual absl::Status write(std::string_view Part) = 0;
   virtual void endReply() = 0;
 
+  /// Closes the connection after the answer, so that the caller's next request
+  /// goes elsewhere.
+  virtual void closeAfter() = 0;
+
   /// Breaks the connection so that the caller sees an incomplete answer.
   virtual void abort() = 0;
 
--- a/src/limits/internal/unitledger.cpp
+++ b/src/limits/internal/unitledger.cpp
@@ -359,11 +359,9 @@
 std::uint32_t UnitLedger::idle(SubjectIndex Index) const {
   const auto &Borrowed = State_->Subjects_[Index.value()].Borrowed_;
   return freeOwned(Index) +
-         static_cast<std::uint32_t>(
-             std::count_if(Borrowed.begin(), Borrowed.end(),
-                           [](const BorrowedUnit &Item) {
-                             return !Item.InUse_;
-                           }));
+         static_cast<std::uint32_t>(std::count_if(
+             Borrowed.begin(), Borrowed.end(),
+             [](const BorrowedUnit &Item) { return !Item.InUse_; }));
 }
 
 std::vector<Loan> UnitLedger::lend(SubjectIndex Index, const MemberId &,
--- a/src/maintenance/internal/waveplanner.cpp
+++ b/src/maintenance/internal/waveplanner.cpp
@@ -17,9 +17,8 @@
 
 bool covers(const Wave &Of, const Vm &Machine) {
   const auto &Pools = Of.Spec_.Pools_;
-  return Pools.empty() ||
-         std::find(Pools.begin(), Pools.end(), Machine.Spec_.Pool_) !=
-             Pools.end();
+  return Pools.empty() || std::find(Pools.begin(), Pools.end(),
+                                    Machine.Spec_.Pool_) != Pools.end();
 }
 
 bool isOver(const Wave &Of) {
@@ -174,9 +173,9 @@
     Keyed.emplace_back(Budgets.downInRack(*Machine) +
                            Position[Machine->Spec_.Rack_]++,
                        Machine);
-  std::stable_sort(Keyed.begin(), Keyed.end(), [](const auto &A, const auto &B) {
-    return A.first < B.first;
-  });
+  std::stable_sort(
+      Keyed.begin(), Keyed.end(),
+      [](const auto &A, const auto &B) { return A.first < B.first; });
   Machines.clear();
   for (const auto &[Key, Machine] : Keyed)
     Machines.push_back(Machine);
@@ -207,8 +206,8 @@
     Status.Batch_ = Room.Size_;
     Blocked_.clear();
     if (Of.Spec_.Run_ == fleet::WaveRun::Cancel)
-      Status.Phase_ = Progress.InProgress_ == 0 ? WavePhase::Cancelled
-                                                : WavePhase::Running;
+      Status.Phase_ =
+          Progress.InProgress_ == 0 ? WavePhase::Cancelled : WavePhase::Running;
     else if (Progress.Done_ + Progress.Failed_ == Progress.Total_)
       Status.Phase_ = WavePhase::Complete;
     else if (mustHalt(Of, Progress))
@@ -320,8 +319,8 @@
   Plan Result;
   for (const auto &[Name, Machine] : Tables.Vms_)
     if (!Machine.Status_.Wave_.empty())
-      advanceVm(Tables, Machine, isCancelled(Tables, Machine.Status_.Wave_), Seen,
-                Result);
+      advanceVm(Tables, Machine, isCancelled(Tables, Machine.Status_.Wave_),
+                Seen, Result);
   if (std::all_of(Tables.Waves_.begin(), Tables.Waves_.end(),
                   [](const auto &Row) { return isOver(Row.second); }))
     return Result;
--- a/src/maintenance/tests/waveplannertest.cpp
+++ b/src/maintenance/tests/waveplannertest.cpp
@@ -1,5 +1,5 @@
-#include "maintenance/availability.h"
 #include "maintenance/waveplanner.h"
+#include "maintenance/availability.h"
 
 #include <algorithm>
 #include <set>
@@ -52,16 +52,13 @@
   }
 
   Plan plan() {
-    return planWaves(Tables_,
-                     {List_,
-                      [&](const std::string &Vm) {
-                        return !Undrained_.contains(Vm);
-                      },
-                      [&](const std::string &Vm) {
-                        return ProbeState{Broken_.contains(Vm) ? 0
-                                                               : ProbesToPass};
-                      },
-                      Now_});
+    return planWaves(
+        Tables_,
+        {List_, [&](const std::string &Vm) { return !Undrained_.contains(Vm); },
+         [&](const std::string &Vm) {
+           return ProbeState{Broken_.contains(Vm) ? 0 : ProbesToPass};
+         },
+         Now_});
   }
 
   void apply(const Plan &Steps) {
@@ -253,8 +250,7 @@
     BOOST_TEST(Count == 1);
 }
 
-BOOST_FIXTURE_TEST_CASE(CancelledWaveRecallsWhatHasNotBegunItsReboot,
-                        Fixture) {
+BOOST_FIXTURE_TEST_CASE(CancelledWaveRecallsWhatHasNotBegunItsReboot, Fixture) {
   fleet::Wave &Wave = addWave();
   Wave.Spec_.FirstBatch_ = 2;
   for (const auto &[Name, Vm] : Tables_.Vms_)
--- a/src/maintenance/vmdirectory.h
+++ b/src/maintenance/vmdirectory.h
@@ -25,13 +25,13 @@
 
 /// The platform's list of VMs, which lags, and its reboot.
 template <typename T>
-concept VmDirectory =
-    requires(T &D, const std::string &Vm, TimePoint Deadline) {
-      { D.list(Deadline) } -> std::same_as<absl::StatusOr<VmList>>;
-      /// Reboots the VM if its boot is still the given one. Repeating the call
-      /// is harmless.
-      { D.reboot(Vm, Vm, Deadline) } -> std::same_as<absl::Status>;
-    };
+concept VmDirectory = requires(T &D, const std::string &Vm,
+                               TimePoint Deadline) {
+  { D.list(Deadline) } -> std::same_as<absl::StatusOr<VmList>>;
+  /// Reboots the VM if its boot is still the given one. Repeating the call
+  /// is harmless.
+  { D.reboot(Vm, Vm, Deadline) } -> std::same_as<absl::Status>;
+};
 
 /// Adapter to a platform that serves its list over HTTP.
 class HttpVmDirectory {
--- a/src/pools/internal/moveplanner.cpp
+++ b/src/pools/internal/moveplanner.cpp
@@ -44,8 +44,7 @@
 } // namespace
 
 Duration MovePlanner::lendAfter() const {
-  return scaled(ShortBase,
-                (1 + Weights_.Moves_) / (1 + Weights_.Closeness_));
+  return scaled(ShortBase, (1 + Weights_.Moves_) / (1 + Weights_.Closeness_));
 }
 
 Duration MovePlanner::returnAfter() const {
@@ -64,8 +63,7 @@
   }
   for (const auto &[Name, Machine] : Seen.Tables_.Vms_) {
     const auto Row = Result.find(fleet::poolOf(Machine));
-    if (Row == Result.end() ||
-        !maintenance::isAvailable(Machine, Seen.List_))
+    if (Row == Result.end() || !maintenance::isAvailable(Machine, Seen.List_))
       continue;
     Row->second.Usable_.push_back(&Machine);
     Row->second.Slots_ += Machine.Spec_.Slots_.value();
@@ -95,14 +93,12 @@
   if (Donor.Declared_->Spec_.Spare_)
     return true;
   const auto State = States_.find(Donor.Name_);
-  return State != States_.end() &&
-         State->second.RoomySince_ != TimePoint{};
+  return State != States_.end() && State->second.RoomySince_ != TimePoint{};
 }
 
 /// The VM with the least work; among equals one of the zone that has most, so
 /// that the donor stays spread over its zones.
-const Vm *MovePlanner::pickIdle(const PoolView &Donor,
-                                const MoveInputs &Seen) {
+const Vm *MovePlanner::pickIdle(const PoolView &Donor, const MoveInputs &Seen) {
   std::map<fleet::ZoneName, int> InZone;
   for (const Vm *Machine : Donor.Usable_)
     ++InZone[Machine->Spec_.Zone_];
@@ -124,11 +120,10 @@
   for (auto &[Name, Row] : Pools)
     if (Name != To.Name_)
       Donors.push_back(&Row);
-  std::stable_sort(Donors.begin(), Donors.end(),
-                   [](const PoolView *A, const PoolView *B) {
-                     return A->Declared_->Spec_.Spare_ >
-                            B->Declared_->Spec_.Spare_;
-                   });
+  std::stable_sort(
+      Donors.begin(), Donors.end(), [](const PoolView *A, const PoolView *B) {
+        return A->Declared_->Spec_.Spare_ > B->Declared_->Spec_.Spare_;
+      });
   std::uint32_t Moved = 0;
   for (PoolView *Donor : Donors) {
     while (Moved < MovesPerTick && To.Slots_ < needOf(To.Demand_) &&
@@ -159,8 +154,8 @@
       continue;
     From.Slots_ -= Slots;
     ++Moved;
-    Into.push_back({Machine->Metadata_.Name_, From.Name_,
-                    Machine->Spec_.Pool_, true, "room to spare"});
+    Into.push_back({Machine->Metadata_.Name_, From.Name_, Machine->Spec_.Pool_,
+                    true, "room to spare"});
   }
 }
 
--- a/src/pools/tests/moveplannertest.cpp
+++ b/src/pools/tests/moveplannertest.cpp
@@ -55,11 +55,10 @@
   }
 
   int vmsIn(const char *Pool) {
-    return static_cast<int>(
-        std::count_if(Tables_.Vms_.begin(), Tables_.Vms_.end(),
-                      [&](const auto &Row) {
-                        return fleet::poolOf(Row.second) == PoolName(Pool);
-                      }));
+    return static_cast<int>(std::count_if(
+        Tables_.Vms_.begin(), Tables_.Vms_.end(), [&](const auto &Row) {
+          return fleet::poolOf(Row.second) == PoolName(Pool);
+        }));
   }
 };
 
--- a/standin/platform.cpp
+++ b/standin/platform.cpp
@@ -162,9 +162,9 @@
   if (Parts[1] == "ledger" && Method == "GET")
     return replyLedger(Call);
   if (Parts[1] == "keys" && Method == "GET")
-    return Call.reply(plain(
-        200, json::serialize(json::object{
-                 {"keys", toObject(Ledger_.StartsByKey_)}})));
+    return Call.reply(
+        plain(200, json::serialize(json::object{
+                       {"keys", toObject(Ledger_.StartsByKey_)}})));
   if (Parts[1] == "vms" && Parts.size() == 3 && Method == "PUT") {
     const std::string State = bodyOf(Call);
     addVm(Parts[2]);
