Prove the five safeguards that the models left unproved

Cause: broken by hand, five safeguards stayed green: copies from a home at an older view, votes at another view number, inherited loss of records, a home that never was ready as a source, a second join before the first is settled.

Change: a focused test for each; a leaving entry waits 4 s for a store that is slow for a moment instead of giving up its handover at once.

--- a/src/app/tests/interfacetest.cpp
+++ b/src/app/tests/interfacetest.cpp
@@ -71,25 +71,25 @@
   Cluster &Fleet = shared();
   const auto Started = Fleet.Platform_.ledger().Started_;
   const auto Now = framework::clock::SystemClock().now();
-  auto codeWith = [&](const Headers &Fields) {
+  auto CodeWith = [&](const Headers &Fields) {
     const auto Answer = Fleet.submit(0, Fields);
     BOOST_TEST(Cluster::outcomeOf(Answer) == "not-run");
     return Cluster::codeOf(Answer);
   };
-  BOOST_TEST(codeWith(field("Repeatable", "perhaps")) == "bad-request");
-  BOOST_TEST(codeWith(field("Repeatable", "?0")) == "missing-idempotency-key");
-  BOOST_TEST(codeWith(onceWith("tiffin")) == "malformed-idempotency-key");
-  BOOST_TEST(codeWith(onceWith(uuidMintedAt(Now - std::chrono::hours(1)))) ==
+  BOOST_TEST(CodeWith(field("Repeatable", "perhaps")) == "bad-request");
+  BOOST_TEST(CodeWith(field("Repeatable", "?0")) == "missing-idempotency-key");
+  BOOST_TEST(CodeWith(onceWith("tiffin")) == "malformed-idempotency-key");
+  BOOST_TEST(CodeWith(onceWith(uuidMintedAt(Now - std::chrono::hours(1)))) ==
              "idempotency-key-too-old");
-  BOOST_TEST(codeWith(onceWith(uuidMintedAt(Now + std::chrono::hours(1)))) ==
+  BOOST_TEST(CodeWith(onceWith(uuidMintedAt(Now + std::chrono::hours(1)))) ==
              "idempotency-key-from-the-future");
-  BOOST_TEST(codeWith(field("Request-Deadline", "1000")) == "deadline-passed");
-  BOOST_TEST(codeWith(field("Request-Deadline", "soon")) == "bad-request");
-  BOOST_TEST(codeWith(field("Request-Deadline", "99999999999999999")) ==
+  BOOST_TEST(CodeWith(field("Request-Deadline", "1000")) == "deadline-passed");
+  BOOST_TEST(CodeWith(field("Request-Deadline", "soon")) == "bad-request");
+  BOOST_TEST(CodeWith(field("Request-Deadline", "99999999999999999")) ==
              "bad-request");
-  BOOST_TEST(codeWith(field("Request-Class", "royal")) == "bad-request");
-  BOOST_TEST(codeWith(field("Request-Size", "cpus=many")) == "bad-request");
-  BOOST_TEST(codeWith(field("Request-Size", "accelerators=1")) == "never-fits");
+  BOOST_TEST(CodeWith(field("Request-Class", "royal")) == "bad-request");
+  BOOST_TEST(CodeWith(field("Request-Size", "cpus=many")) == "bad-request");
+  BOOST_TEST(CodeWith(field("Request-Size", "accelerators=1")) == "never-fits");
   BOOST_TEST(Fleet.Platform_.ledger().Started_ == Started);
 }
 
@@ -170,17 +170,17 @@
 
 BOOST_AUTO_TEST_CASE(BadDeclarationsNameFieldAndReason) {
   Cluster &Fleet = shared();
-  auto detailOf = [&](const std::string &Target, const std::string &Body) {
+  auto DetailOf = [&](const std::string &Target, const std::string &Body) {
     const auto Answer = Fleet.call(0, "PUT", Target, Body);
     BOOST_TEST(Answer.Status_ >= 400);
     return std::string(
         boost::json::parse(Answer.Body_).at("detail").as_string());
   };
-  BOOST_TEST(detailOf("/v1/teams/a", "{").starts_with("line 1"));
-  BOOST_TEST(detailOf("/v1/teams/a",
+  BOOST_TEST(DetailOf("/v1/teams/a", "{").starts_with("line 1"));
+  BOOST_TEST(DetailOf("/v1/teams/a",
                       R"({"metadata": {"name": "b"}, "spec": {"limit": 1}})") ==
              "metadata.name: is not the name in the path");
-  BOOST_TEST(detailOf("/v1/keys/k", R"({"metadata": {"name": "k"},
+  BOOST_TEST(DetailOf("/v1/keys/k", R"({"metadata": {"name": "k"},
       "spec": {"team": "nobody", "sha256": ")" +
                                         std::string(64, 'a') + "\"}}") ==
              "spec.team: there is no team nobody");
--- a/src/entry/internal/membershipservice.cpp
+++ b/src/entry/internal/membershipservice.cpp
@@ -20,6 +20,7 @@
 constexpr Duration ViewCheckEvery = 250ms;
 constexpr Duration WriteTimeout = 2s;
 constexpr Duration LeaveCheckEvery = 50ms;
+constexpr Duration StorePatience = 4s;
 /// Rows about peers that are in no view are dropped after this silence.
 constexpr Duration ForgetPeerAfter = 60s;
 
@@ -236,9 +237,11 @@
 void MembershipService::leave(TimePoint Deadline) {
   State_.Leaving_ = true;
   // Without the store nothing can be handed over; the next run on this VM
-  // removes this one.
-  while (State_.isMember() && State_.now() < Deadline &&
-         State_.Contact_.storeInTouch(State_.now())) {
+  // removes this one. A store that is slow for a moment is waited for.
+  const TimePoint Patience = State_.now() + StorePatience;
+  while (
+      State_.isMember() && State_.now() < Deadline &&
+      (State_.Contact_.storeInTouch(State_.now()) || State_.now() < Patience)) {
     const Member *Self = State_.View_.find(State_.Self_.Id_);
     if (!Self->Leaving_)
       changeView([this](const View &Now) {
--- a/src/idempotency/tests/hometabletest.cpp
+++ b/src/idempotency/tests/hometabletest.cpp
@@ -133,3 +133,63 @@
   A.tick(Start + KeyWindow + 2s);
   BOOST_TEST(A.records() == 0u);
 }
+
+// An attempt counts its homes under its own view. A home at another view may
+// have handed the key's bucket on, or not have it yet, so it must not vote.
+BOOST_AUTO_TEST_CASE(HomeAtAnotherViewDoesNotVote) {
+  const View First = viewOfThreeZones();
+  HomeTable A = tableAt(First, First.Members_[0]);
+  ReserveRequest Early = requestAt(First, "x");
+  Early.View_ = ViewNumber(2);
+  BOOST_TEST((A.reserve(Early, Start).Result_ == ReserveResult::OtherView));
+  A.adoptView(*withLeaving(First, First.Members_[2].Id_), Start);
+  BOOST_TEST((A.reserve(requestAt(First, "x"), Start).Result_ ==
+              ReserveResult::OtherView));
+  BOOST_TEST(A.records() == 0u);
+}
+
+// A former home is asked for its records before it has heard of the new view.
+// It goes on taking reservations under the old one, which the copy would lack.
+BOOST_AUTO_TEST_CASE(CopyIsGivenOnlyAfterTheNewViewIsTaken) {
+  const View First = viewOfThreeZones();
+  const View Second = *withRemoved(First, First.Members_[0].Id_, Start);
+  HomeTable B = tableAt(First, First.Members_[1]);
+  const CopyRequest Asked{First.Members_[2].Id_, First.Members_[1].Id_,
+                          bucketOf(Name), Second.Number_};
+  BOOST_TEST((B.answerCopy(Asked).Result_ == CopyResult::NotYet));
+  B.adoptView(Second, Start);
+  BOOST_TEST((B.answerCopy(Asked).Result_ == CopyResult::Copied));
+}
+
+// An entry that has joined but not copied anything is asked for records by the
+// next newcomer. It has none to give, and must not count as a source.
+BOOST_AUTO_TEST_CASE(UnreadyHomeIsNoSource) {
+  const View First = viewOfThreeZones();
+  const View Second = *withJoined(First, memberNamed("d", "z4"));
+  HomeTable D = tableAt(Second, Second.Members_.back());
+  const auto Wanted = D.wantedCopies();
+  BOOST_REQUIRE(!Wanted.empty());
+  CopyRequest Asked = Wanted[0];
+  Asked.From_ = First.Members_[0].Id_;
+  Asked.Since_ = Second.Number_.next();
+  D.adoptView(*withLeaving(Second, First.Members_[0].Id_), Start);
+  BOOST_TEST((D.answerCopy(Asked).Result_ == CopyResult::NotYet));
+}
+
+// Records were lost once. A home that copies from one that knows of the loss
+// must know of it too, or it would call an older key fresh.
+BOOST_AUTO_TEST_CASE(LossOfRecordsIsPassedOnWithTheCopies) {
+  const View First = viewOfThreeZones();
+  View Lost = *withRemoved(First, First.Members_[0].Id_, Start);
+  Lost = *withRemoved(Lost, First.Members_[1].Id_, Start);
+  HomeTable C = tableAt(First, First.Members_[2]);
+  C.adoptView(Lost, Start + 10s);
+  const View Joined = *withJoined(asSettled(Lost), memberNamed("d", "z1"));
+  C.adoptView(Joined, Start + 10s);
+  HomeTable D = tableAt(Joined, Joined.Members_.back());
+  for (const CopyRequest &Wanted : D.wantedCopies())
+    D.takeCopy(C.answerCopy(Wanted), Start + 10s);
+  BOOST_TEST(D.bucketsToCopy() == 0u);
+  BOOST_TEST((D.reserve(requestAt(Joined, "x"), Start + 10s).Result_ ==
+              ReserveResult::Blind));
+}
--- a/src/membership/tests/viewchangestest.cpp
+++ b/src/membership/tests/viewchangestest.cpp
@@ -54,6 +54,9 @@
   BOOST_TEST(canSettle(Current, Progress, Later));
   Progress[0].HeldUnits_ = 1;
   BOOST_TEST(!canSettle(Current, Progress, Later));
+  Progress[0].HeldUnits_ = 0;
+  Progress[0].BucketsToCopy_ = 1;
+  BOOST_TEST(!canSettle(Current, Progress, Later));
   Progress[0] = {Current.Members_[0].Id_, ViewNumber(1), 0, 0};
   BOOST_TEST(!canSettle(Current, Progress, Later));
   Progress.erase(Progress.begin());
