Send only changed rows of use, and let one of several equal attempts through

Cause: (1) a heartbeat with a row for each of 430 teams was 10.6 KB, 21 KB/s to each peer. (2) In a test run with 8 attempts with one key at 4 entries at the same moment none ran: all held a home each, gave up and came again after equal pauses, for 2 s.

Change: heartbeats carry the rows that have changed and every tenth one all; what all peers are told is worked out once a round, not once a peer. Pauses between attempts are random and grow to 320 ms.

--- a/src/entry/internal/membershipservice.cpp
+++ b/src/entry/internal/membershipservice.cpp
@@ -19,6 +19,8 @@
 
 constexpr Duration ViewCheckEvery = 250ms;
 constexpr Duration WriteTimeout = 2s;
+/// Heartbeats from one with all rows of use to the next.
+constexpr std::uint64_t FullUseEvery = 10;
 constexpr Duration LeaveCheckEvery = 50ms;
 constexpr Duration StorePatience = 4s;
 /// Rows about peers that are in no view are dropped after this silence.
@@ -49,20 +51,15 @@
 
 // Heartbeats
 
-peers::Heartbeat MembershipService::beatFor(const MemberId &Peer) const {
+peers::Heartbeat MembershipService::commonBeat() const {
   peers::Heartbeat Beat;
   Beat.View_ = State_.View_.Number_;
   Beat.SettledThrough_ = State_.View_.SettledThrough_;
   Beat.ConfigRevision_ = State_.Config_.revision();
-  if (const auto Row = State_.Peers_.find(Peer); Row != State_.Peers_.end())
-    Beat.Echo_ = Row->second.SentAt_;
   if (!State_.View_.settled()) {
     Beat.StillHeld_ = State_.Ledger_.statement().StillHeld_;
     Beat.BucketsToCopy_ = State_.Homes_.bucketsToCopy();
   }
-  for (const auto &Row : State_.Usage_.own())
-    Beat.Use_.push_back(
-        {Row.Pool_, Row.Team_, Row.Use_.Running_, Row.Use_.Waiting_});
   for (const auto &[Name, Vm] : State_.Config_.tables().Vms_) {
     if (Vm.Status_.Phase_ == fleet::VmPhase::Active && !Vm.Spec_.Drain_)
       continue;
@@ -76,19 +73,35 @@
   return Beat;
 }
 
+/// Every row of every team in every heartbeat would be 10 KB at the design
+/// size. A heartbeat that is lost leaves a row stale until the next full one.
+void MembershipService::addUse(peers::Heartbeat &Into) {
+  Into.UseComplete_ = Beats_++ % FullUseEvery == 0;
+  const auto Changed = State_.Usage_.takeChanged();
+  for (const auto &Row : Into.UseComplete_ ? State_.Usage_.own() : Changed)
+    Into.Use_.push_back(
+        {Row.Pool_, Row.Team_, Row.Use_.Running_, Row.Use_.Waiting_});
+}
+
+void MembershipService::sendBeat(const MemberId &To,
+                                 peers::Heartbeat Beat) const {
+  if (const auto Row = State_.Peers_.find(To); Row != State_.Peers_.end())
+    Beat.Echo_ = Row->second.SentAt_;
+  State_.Send_(To, Beat);
+}
+
 void MembershipService::heartbeatLoop() {
   while (!Left_) {
+    peers::Heartbeat Beat = commonBeat();
+    addUse(Beat);
     for (const Member &Peer : State_.others())
-      State_.Send_(Peer.Id_, beatFor(Peer.Id_));
+      sendBeat(Peer.Id_, Beat);
     if (!State_.isMember()) {
       // Not in the view, or none known yet: ask whoever may be there.
       for (const std::string &Seed : State_.Settings_.Seeds_)
-        State_.Send_({fleet::EntryName("@" + Seed), {}}, beatFor(MemberId()));
+        sendBeat({fleet::EntryName("@" + Seed), {}}, Beat);
     }
-    std::erase_if(State_.Peers_, [&](const auto &Row) {
-      return !State_.View_.find(Row.first) &&
-             State_.now() - Row.second.HeardAt_ > ForgetPeerAfter;
-    });
+    forgetSilentPeers();
     sleepFor(HeartbeatEvery);
   }
 }
@@ -108,11 +121,26 @@
   std::vector<sharing::FleetUsage::Row> Use;
   for (const peers::PoolUse &Item : Beat.Use_)
     Use.push_back({Item.Pool_, Item.Team_, {Item.Running_, Item.Waiting_}});
-  State_.Usage_.heard(From.Id_, Use);
+  if (Beat.UseComplete_)
+    State_.Usage_.heard(From.Id_, Use);
+  else
+    State_.Usage_.update(From.Id_, Use);
   Config_.peerKnows(From.Id_, Beat);
   // A newcomer that is in no view hears from nobody unless it is answered.
   if (!State_.View_.find(From.Id_))
-    State_.Send_(From.Id_, beatFor(From.Id_));
+    sendBeat(From.Id_, commonBeat());
+}
+
+/// A peer that is in no view and says nothing any more is dropped, and what it
+/// ran no longer counts in the shares.
+void MembershipService::forgetSilentPeers() {
+  std::erase_if(State_.Peers_, [&](const auto &Row) {
+    if (State_.View_.find(Row.first) ||
+        State_.now() - Row.second.HeardAt_ <= ForgetPeerAfter)
+      return false;
+    State_.Usage_.forget(Row.first);
+    return true;
+  });
 }
 
 // Changes of the view
--- a/src/entry/internal/reservationservice.cpp
+++ b/src/entry/internal/reservationservice.cpp
@@ -14,7 +14,8 @@
 /// A home that has not answered by then counts as hung; the two others decide.
 constexpr Duration ReplyTimeout = 400ms;
 /// While a view changes, homes answer OtherView or NotReady for a moment.
-constexpr Duration RetryPause = 30ms;
+constexpr Duration FirstPause = 10ms;
+constexpr Duration LongestPause = 320ms;
 constexpr Duration RetryFor = 2s;
 constexpr Duration CopyEvery = 100ms;
 
@@ -47,7 +48,7 @@
 ReservationResult ReservationService::reserve(const WorkRequest &Request,
                                               std::uint64_t Fingerprint) {
   const TimePoint GiveUp = std::min(Request.Deadline_, State_.now() + RetryFor);
-  while (true) {
+  for (int Try = 1;; ++Try) {
     ReservationResult Result = tryOnce(Request, Fingerprint);
     // The first attempt may be about to end, or its end may be on its way to
     // the homes: its answer is better than "in progress".
@@ -58,10 +59,19 @@
     if ((Result.Verdict_ != Verdict::Retry && !UnderWay) ||
         State_.now() >= GiveUp)
       return Result;
-    sleepFor(RetryPause);
+    sleepFor(pauseBefore(Try));
   }
 }
 
+/// Attempts with one key that start together each take a home from the others
+/// and all give up. With equal pauses they would do so again and again; random
+/// ones that grow let one of them through.
+Duration ReservationService::pauseBefore(int Try) {
+  const Duration Most =
+      std::min(FirstPause * (1 << std::min(Try, 10)), LongestPause);
+  return Duration(Random_() % static_cast<std::uint64_t>(Most.count()) + 1000);
+}
+
 ReservationResult ReservationService::tryOnce(const WorkRequest &Request,
                                               std::uint64_t Fingerprint) {
   ReserveRequest Asked;
--- a/src/entry/membershipservice.h
+++ b/src/entry/membershipservice.h
@@ -58,18 +58,23 @@
       std::function<absl::StatusOr<membership::View>(const membership::View &)>;
 
   void heartbeatLoop();
+  void forgetSilentPeers();
   void viewLoop();
   void advance();
   absl::Status changeView(const Change &Make);
   absl::Status makeFirstView();
   void joinOrReplace();
   void settleIfDue();
-  peers::Heartbeat beatFor(const MemberId &Peer) const;
+  /// What all peers are told; only the echo differs.
+  peers::Heartbeat commonBeat() const;
+  void addUse(peers::Heartbeat &Into);
+  void sendBeat(const MemberId &To, peers::Heartbeat Beat) const;
   std::vector<membership::MemberProgress> progress() const;
 
   EntryState &State_;
   store::EtcdStore &Store_;
   ConfigService &Config_;
+  std::uint64_t Beats_ = 0;
   bool Left_ = false;
 };
 
--- a/src/entry/reservationservice.h
+++ b/src/entry/reservationservice.h
@@ -6,6 +6,7 @@
 
 #include <map>
 #include <memory>
+#include <random>
 
 namespace laburnumspread::entry {
 
@@ -30,7 +31,8 @@
 /// entry's own records ready across changes of the view.
 class ReservationService {
 public:
-  explicit ReservationService(EntryState &State) : State_(State) {}
+  explicit ReservationService(EntryState &State)
+      : State_(State), Random_(State.Self_.Id_.Incarnation_.value()) {}
 
   /// Starts the fiber that asks former homes for copies.
   void start();
@@ -59,6 +61,7 @@
 
   ReservationResult tryOnce(const WorkRequest &Request,
                             std::uint64_t Fingerprint);
+  Duration pauseBefore(int Try);
   void copyLoop();
   template <typename Message>
   void toHomes(const idempotency::RecordName &Name, const Message &Body);
@@ -66,6 +69,7 @@
   EntryState &State_;
   std::map<std::uint64_t, std::shared_ptr<Pending>> Pending_;
   std::uint64_t NextAttempt_ = 0;
+  std::mt19937_64 Random_;
 };
 
 } // namespace laburnumspread::entry
--- a/src/sharing/fleetusage.h
+++ b/src/sharing/fleetusage.h
@@ -3,6 +3,7 @@
 #include "sharing/sharingtypes.h"
 
 #include <map>
+#include <set>
 #include <unordered_map>
 #include <vector>
 
@@ -23,6 +24,8 @@
     TeamUse Use_;
   };
 
+  /// Changes what is known of a peer, row by row.
+  void update(const MemberId &Peer, const std::vector<Row> &Rows);
   /// Replaces what is known of a peer.
   void heard(const MemberId &Peer, const std::vector<Row> &Rows);
   void forget(const MemberId &Peer);
@@ -35,6 +38,9 @@
   const std::map<TeamName, TeamUse> &totals(const PoolName &Pool) const;
   /// Of this entry alone.
   std::vector<Row> own() const;
+  /// Rows of this entry that have changed since the last call; one that has
+  /// become empty is given as zeros.
+  std::vector<Row> takeChanged();
 
 private:
   struct Key {
@@ -42,11 +48,14 @@
     TeamName Team_;
     auto operator<=>(const Key &) const = default;
   };
+  void changeOwn(const PoolName &Pool, const TeamName &Team, const TeamUse &By,
+                 int Sign);
   void shift(const PoolName &Pool, const TeamName &Team, const TeamUse &By,
              int Sign);
 
   std::map<PoolName, std::map<TeamName, TeamUse>> Total_;
   std::map<Key, TeamUse> Own_;
+  std::set<Key> Changed_;
   std::unordered_map<MemberId, std::vector<Row>> Peers_;
 };
 
--- a/src/sharing/internal/fleetusage.cpp
+++ b/src/sharing/internal/fleetusage.cpp
@@ -29,16 +29,49 @@
   Peers_.erase(At);
 }
 
+void FleetUsage::update(const MemberId &Peer, const std::vector<Row> &Rows) {
+  std::vector<Row> Known = Peers_[Peer];
+  for (const Row &Item : Rows) {
+    std::erase_if(Known, [&](const Row &Old) {
+      return Old.Pool_ == Item.Pool_ && Old.Team_ == Item.Team_;
+    });
+    if (Item.Use_.Running_ + Item.Use_.Waiting_ > 0)
+      Known.push_back(Item);
+  }
+  heard(Peer, Known);
+}
+
+void FleetUsage::changeOwn(const PoolName &Pool, const TeamName &Team,
+                           const TeamUse &By, int Sign) {
+  const Key Where{Pool, Team};
+  TeamUse &Into = Own_[Where];
+  Into.Running_ += Sign * static_cast<int>(By.Running_);
+  Into.Waiting_ += Sign * static_cast<int>(By.Waiting_);
+  if (Into.Running_ + Into.Waiting_ == 0)
+    Own_.erase(Where);
+  Changed_.insert(Where);
+  shift(Pool, Team, By, Sign);
+}
+
+std::vector<FleetUsage::Row> FleetUsage::takeChanged() {
+  std::vector<Row> Result;
+  for (const Key &Where : Changed_) {
+    const auto At = Own_.find(Where);
+    Result.push_back(
+        {Where.Pool_, Where.Team_, At == Own_.end() ? TeamUse() : At->second});
+  }
+  Changed_.clear();
+  return Result;
+}
+
 void FleetUsage::addRunning(const PoolName &Pool, const TeamName &Team,
                             int By) {
-  Own_[{Pool, Team}].Running_ += By;
-  shift(Pool, Team, {1, 0}, By);
+  changeOwn(Pool, Team, {1, 0}, By);
 }
 
 void FleetUsage::addWaiting(const PoolName &Pool, const TeamName &Team,
                             int By) {
-  Own_[{Pool, Team}].Waiting_ += By;
-  shift(Pool, Team, {0, 1}, By);
+  changeOwn(Pool, Team, {0, 1}, By);
 }
 
 TeamUse FleetUsage::total(const PoolName &Pool, const TeamName &Team) const {
--- a/src/sharing/tests/poolqueuetest.cpp
+++ b/src/sharing/tests/poolqueuetest.cpp
@@ -138,3 +138,21 @@
   BOOST_TEST(Queue_.expire(Start + 5s) == std::vector<TicketId>{Only});
   BOOST_TEST(Queue_.size() == 0u);
 }
+
+// A peer tells only the rows that have changed. What it said before of other
+// teams stands, and a row of zeros takes one back.
+BOOST_FIXTURE_TEST_CASE(ChangedRowsLeaveTheOthersStanding, Fixture) {
+  const MemberId Peer{EntryName("p"), Incarnation(1)};
+  Usage_.heard(Peer, {{Orders, Big, {30, 0}}, {Orders, Small, {5, 0}}});
+  Usage_.update(Peer, {{Orders, Big, {0, 0}}});
+  BOOST_TEST(Usage_.total(Orders, Big).Running_ == 0u);
+  BOOST_TEST(Usage_.total(Orders, Small).Running_ == 5u);
+  Usage_.addRunning(Orders, Big, 2);
+  BOOST_TEST(Usage_.takeChanged().size() == 1u);
+  BOOST_TEST(Usage_.takeChanged().empty());
+  Usage_.addRunning(Orders, Big, -2);
+  const auto Changed = Usage_.takeChanged();
+  BOOST_REQUIRE(Changed.size() == 1u);
+  BOOST_TEST(Changed[0].Use_.Running_ == 0u);
+  BOOST_TEST(Usage_.own().empty());
+}
