--- /dev/null
+++ b/bench/policy/moves.cpp
@@ -0,0 +1,159 @@
+#include "bench/policy/policytypes.h"
+
+#include "pools/moveplanner.h"
+
+namespace laburnumspread::bench {
+
+namespace {
+
+using namespace std::chrono_literals;
+using fleet::PoolName;
+using framework::clock::Duration;
+using framework::clock::TimePoint;
+
+constexpr Duration Tick = 100ms;
+constexpr Duration TrialTime = 240s;
+constexpr Duration Turn = 6s;
+constexpr double PeakFactor = 5;
+constexpr double TroughFactor = 0.05;
+constexpr std::uint32_t SlotsPerVm = 8;
+/// Mean slots wanted in each pool; the peak is above what its pool holds.
+constexpr double MeanSlots = 26;
+constexpr int WorkPools = 4;
+constexpr int VmsPerPool = 10;
+constexpr int SpareVms = 10;
+constexpr TimePoint Start{std::chrono::hours(1)};
+
+std::string poolName(int Index) { return "pool-" + std::to_string(Index); }
+
+struct Fleet {
+  config::FleetTables Tables_;
+  maintenance::VmList List_;
+
+  Fleet() {
+    for (int P = 0; P <= WorkPools; ++P) {
+      fleet::Pool Pool;
+      Pool.Metadata_.Name_ = poolName(P);
+      Pool.Spec_.MinimumVms_ = P == WorkPools ? 1 : 4;
+      Pool.Spec_.Spare_ = P == WorkPools;
+      Tables_.Pools_[Pool.Metadata_.Name_] = Pool;
+      for (int I = 0; I < (P == WorkPools ? SpareVms : VmsPerPool); ++I)
+        addVm(poolName(P), I);
+    }
+  }
+
+  void addVm(const std::string &Pool, int Index) {
+    fleet::Vm Vm;
+    Vm.Metadata_.Name_ = Pool + "-vm-" + std::to_string(Index);
+    Vm.Spec_.Pool_ = PoolName(Pool);
+    Vm.Spec_.Zone_ = fleet::ZoneName("z" + std::to_string(Index % 4));
+    Vm.Spec_.Slots_ = fleet::Slots(SlotsPerVm);
+    Tables_.Vms_[Vm.Metadata_.Name_] = Vm;
+    List_[Vm.Metadata_.Name_] = {true, "b"};
+  }
+
+  std::uint32_t slots(const std::string &Pool) const {
+    std::uint32_t Sum = 0;
+    for (const auto &[Name, Vm] : Tables_.Vms_)
+      if (fleet::poolOf(Vm).str() == Pool)
+        Sum += SlotsPerVm;
+    return Sum;
+  }
+
+  void apply(const pools::Move &Step) {
+    auto &Status = Tables_.Vms_.at(Step.Vm_).Status_;
+    Status.LentTo_ = Step.Home_ ? PoolName() : Step.To_;
+  }
+};
+
+/// Slots that a pool wants at a time.
+double demand(int Pool, TimePoint Now) {
+  const auto Peak = ((Now - Start) / Turn) % WorkPools;
+  return MeanSlots * (Pool == Peak ? PeakFactor : TroughFactor);
+}
+
+/// Runs a policy that gives the moves of a tick.
+template <typename Policy> boost::json::object run(Policy &&Plan) {
+  Fleet Vms;
+  double Served = 0, Wanted = 0, Buffer = 0;
+  std::uint64_t Moves = 0;
+  for (TimePoint Now = Start; Now < Start + TrialTime; Now += Tick) {
+    std::map<PoolName, pools::Demand> Work;
+    for (int P = 0; P < WorkPools; ++P) {
+      const double Slots = Vms.slots(poolName(P));
+      const double Need = demand(P, Now);
+      Served += std::min(Need, Slots);
+      Wanted += Need;
+      Work[PoolName(poolName(P))] = {
+          static_cast<std::uint32_t>(std::min(Need, Slots)),
+          static_cast<std::uint32_t>(std::max(0.0, Need - Slots))};
+    }
+    Buffer += Vms.slots(poolName(WorkPools)) *
+              std::chrono::duration<double>(Tick).count();
+    for (const pools::Move &Step : Plan(
+             pools::MoveInputs{Vms.Tables_, Vms.List_,
+                               [&](const PoolName &Pool) { return Work[Pool]; },
+                               [](const std::string &) { return 0U; }, Now})) {
+      Vms.apply(Step);
+      ++Moves;
+    }
+  }
+  return {{"servedPercent", 100 * Served / Wanted},
+          {"moves", Moves},
+          {"bufferSlotSeconds", Buffer}};
+}
+
+/// Without hysteresis: lends and takes back at once.
+std::vector<pools::Move> reactive(const pools::MoveInputs &Seen) {
+  std::vector<pools::Move> Result;
+  std::map<std::string, int> Slots;
+  for (const auto &[Name, Vm] : Seen.Tables_.Vms_)
+    Slots[fleet::poolOf(Vm).str()] += SlotsPerVm;
+  const PoolName Spare(poolName(WorkPools));
+  for (const auto &[Name, Vm] : Seen.Tables_.Vms_) {
+    const PoolName &Now = fleet::poolOf(Vm);
+    const auto Work = Seen.Demand_(Now);
+    if (!Vm.Status_.LentTo_.empty() &&
+        static_cast<int>(Work.Running_ + SlotsPerVm) <= Slots[Now.str()]) {
+      Slots[Now.str()] -= SlotsPerVm;
+      Result.push_back({Name, Now, Vm.Spec_.Pool_, true, ""});
+      continue;
+    }
+    if (Now != Spare)
+      continue;
+    for (int P = 0; P < WorkPools; ++P) {
+      const PoolName To(poolName(P));
+      const auto Need = Seen.Demand_(To);
+      if (static_cast<int>(Need.Running_ + Need.Waiting_) <= Slots[To.str()])
+        continue;
+      Slots[To.str()] += SlotsPerVm;
+      Result.push_back({Name, Now, To, false, ""});
+      break;
+    }
+  }
+  return Result;
+}
+
+} // namespace
+
+boost::json::object trialMoves() {
+  pools::MovePlanner Lunch({2, 1, 1});
+  pools::MovePlanner Print({1, 2, 2});
+  pools::MovePlanner Single({2, 1, 1});
+  return {
+      {"static", run([](const pools::MoveInputs &) {
+         return std::vector<pools::Move>();
+       })},
+      {"reactive", run(reactive)},
+      {"oneAtATime", run([&](const pools::MoveInputs &Seen) {
+         auto Moves = Single.plan(Seen);
+         Moves.resize(std::min<std::size_t>(Moves.size(), 1));
+         return Moves;
+       })},
+      {"ours",
+       run([&](const pools::MoveInputs &Seen) { return Lunch.plan(Seen); })},
+      {"oursFolhaComum",
+       run([&](const pools::MoveInputs &Seen) { return Print.plan(Seen); })}};
+}
+
+} // namespace laburnumspread::bench
