--- a/src/pools/internal/moveplanner.cpp
+++ b/src/pools/internal/moveplanner.cpp
@@ -13,7 +13,9 @@
 namespace {
 
 constexpr Duration ShortBase = std::chrono::milliseconds(500);
-constexpr Duration RoomyBase = std::chrono::seconds(5);
+/// Longer than a peak lasts: the next pool that is short is then lent a VM by
+/// the former one directly, one move instead of two.
+constexpr Duration RoomyBase = std::chrono::seconds(30);
 /// A pool has room to spare below this part of its slots in use.
 constexpr double RoomyBelow = 0.5;
 /// VMs that one pool is lent in one tick.
