Fit control at the design size: smaller ledger, cheaper upkeep, bounded rows; fuzz what faces input

Cause: with 11,000 VMs, 54 pools and 430 teams an entry took 3.4% of a core idle and 41 MB of heap alone (45.6 MB resident among three); a heap profile gave the ledger's blocks, two vectors each, as the largest part. Heartbeat rows had no bound on their bytes.

Change: a block is 8 bytes, units in use stand in one list a subject; upkeep visits only subjects with loans and endpoints that are ejected; rows of use share 6 KB/s, those of full pools first; freed heap goes back. The store's answers are read in a file of their own.

--- a/bench/policy/moves.cpp
+++ b/bench/policy/moves.cpp
@@ -13,6 +13,8 @@
 
 constexpr Duration Tick = 100ms;
 constexpr Duration TrialTime = 240s;
+/// Part of the trial that is kept second by second, for plots.
+constexpr Duration SeriesTime = 60s;
 constexpr Duration Turn = 6s;
 constexpr double PeakFactor = 5;
 constexpr double TroughFactor = 0.05;
@@ -77,6 +79,7 @@
   Fleet Vms;
   double Served = 0, Wanted = 0, Buffer = 0;
   std::uint64_t Moves = 0;
+  boost::json::array Series;
   for (TimePoint Now = Start; Now < Start + TrialTime; Now += Tick) {
     std::map<PoolName, pools::Demand> Work;
     for (int P = 0; P < WorkPools; ++P) {
@@ -88,6 +91,14 @@
           static_cast<std::uint32_t>(std::min(Need, Slots)),
           static_cast<std::uint32_t>(std::max(0.0, Need - Slots))};
     }
+    if ((Now - Start) % 1s == 0s && Now < Start + SeriesTime) {
+      boost::json::array Row{
+          std::chrono::duration<double>(Now - Start).count()};
+      for (int P = 0; P <= WorkPools; ++P)
+        Row.emplace_back(Vms.slots(poolName(P)));
+      Row.emplace_back(demand(0, Now));
+      Series.push_back(std::move(Row));
+    }
     Buffer += Vms.slots(poolName(WorkPools)) *
               std::chrono::duration<double>(Tick).count();
     for (const pools::Move &Step : Plan(
@@ -100,7 +111,8 @@
   }
   return {{"servedPercent", 100 * Served / Wanted},
           {"moves", Moves},
-          {"bufferSlotSeconds", Buffer}};
+          {"bufferSlotSeconds", Buffer},
+          {"series", std::move(Series)}};
 }
 
 /// Without hysteresis: lends and takes back at once.
--- a/bench/policy/policytypes.h
+++ b/bench/policy/policytypes.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
 
 namespace laburnumspread::bench {
--- a/bench/policy/wave.cpp
+++ b/bench/policy/wave.cpp
@@ -47,6 +47,7 @@
   Tables.Waves_["w"] = Wave;
   std::map<std::string, TimePoint> BootsAt;
   std::uint32_t MostDown = 0;
+  boost::json::array Series;
   TimePoint Now = Start;
   for (; Now < Start + LongestTrial; Now += Tick) {
     for (auto &[Name, At] : BootsAt)
@@ -75,11 +76,16 @@
     for (const auto &[Name, Vm] : Tables.Vms_)
       Down += !maintenance::isAvailable(Vm, List);
     MostDown = std::max(MostDown, Down);
+    if ((Now - Start) % 5s == 0s)
+      Series.push_back(
+          boost::json::array{std::chrono::duration<double>(Now - Start).count(),
+                             Down, Tables.Waves_["w"].Status_.Done_});
     if (Tables.Waves_["w"].Status_.Phase_ == fleet::WavePhase::Complete)
       break;
   }
   return {{"seconds", std::chrono::duration<double>(Now - Start).count()},
-          {"mostDown", MostDown}};
+          {"mostDown", MostDown},
+          {"series", std::move(Series)}};
 }
 
 } // namespace
--- /dev/null
+++ b/fuzz/targets.cpp
@@ -0,0 +1,85 @@
+#include "fuzz/targets.h"
+
+#include "api/callerapi.h"
+#include "config/configtable.h"
+#include "entry/entrysettings.h"
+#include "fleet/resourcejson.h"
+#include "framework/http/httptypes.h"
+#include "membership/viewchanges.h"
+#include "peers/messagecodec.h"
+#include "store/internal/gatewayjson.h"
+
+#include <cstdlib>
+
+#include <boost/json/serialize.hpp>
+
+namespace laburnumspread::fuzz {
+
+namespace {
+
+/// Ends the run: a property does not hold.
+void require(bool Holds) {
+  if (!Holds)
+    std::abort();
+}
+
+template <typename T> void resourceOf(const boost::json::value &Document) {
+  framework::settings::FieldErrors Errors;
+  const T Object = fleet::readResource<T>(Document, Errors);
+  if (!Errors.empty())
+    return;
+  const T Again = fleet::readStored<T>(Object.Metadata_.Name_,
+                                       fleet::toStored(Object), Errors);
+  require(Errors.empty());
+  require(fleet::toJson(Again.Spec_) == fleet::toJson(Object.Spec_));
+}
+
+} // namespace
+
+void settings(std::string_view Bytes) {
+  const auto Read = entry::readSettings(Bytes, "fuzz");
+  if (!Read.ok())
+    require(!Read.status().message().empty());
+}
+
+void resources(std::string_view Bytes) {
+  const auto Document = framework::settings::parseJson(Bytes);
+  if (!Document.ok())
+    return;
+  resourceOf<fleet::Pool>(*Document);
+  resourceOf<fleet::Vm>(*Document);
+  resourceOf<fleet::Team>(*Document);
+  resourceOf<fleet::Key>(*Document);
+  resourceOf<fleet::Wave>(*Document);
+}
+
+void headers(std::string_view Bytes) {
+  framework::http::parseTarget(Bytes);
+  framework::http::parseAddress(Bytes);
+  api::parseSize(Bytes).IgnoreError();
+  if (const auto Key = idempotency::parseRequestKey(Bytes))
+    require(idempotency::parseRequestKey(Key->Text_).has_value());
+}
+
+void peers(std::string_view Bytes) {
+  const auto Letter = peers::decode(Bytes);
+  if (!Letter.ok())
+    return;
+  require(peers::decode(peers::encode(*Letter)).ok());
+}
+
+void store(std::string_view Bytes) {
+  store::readRangeAnswer(Bytes).IgnoreError();
+  store::readTransactionAnswer(Bytes).IgnoreError();
+  const std::function<bool(const store::WatchBatch &)> Take =
+      [](const store::WatchBatch &) { return true; };
+  store::WatchReader Reader(Take);
+  Reader.feed(Bytes);
+  membership::viewFromText(Bytes).IgnoreError();
+  config::ConfigTable Table("/l/");
+  for (const char *Key : {"/l/config/vms/0001", "/l/config/keys/0001"})
+    Table.apply({{Key, std::string(Bytes), fleet::Revision(1)}},
+                fleet::Revision(1));
+}
+
+} // namespace laburnumspread::fuzz
--- a/src/app/internal/entryapp.cpp
+++ b/src/app/internal/entryapp.cpp
@@ -7,6 +7,7 @@
 #include "framework/http/httpserver.h"
 
 #include <boost/json/object.hpp>
+#include <malloc.h>
 
 namespace laburnumspread::app {
 
@@ -21,6 +22,7 @@
 constexpr auto DrainTime = membership::LongestTaskLease;
 constexpr auto HandoverTime = 20s;
 constexpr auto CheckEvery = 20ms;
+constexpr auto TrimEvery = 5s;
 
 membership::Member selfOf(const EntrySettings &Settings) {
   membership::Member Self;
@@ -165,6 +167,9 @@
                                         {"messagesIn", Counters.MessagesIn_},
                                         {"dropped", Counters.Dropped_},
                                         {"refused", Counters.Refused_}};
+    const auto Heap = mallinfo2();
+    Into["heapBytesInUse"] = Heap.uordblks + Heap.hblkhd;
+    Into["heapBytesFree"] = Heap.fordblks;
     Into["planner"] = Planner_.holdsLease();
     Into["plannerTickMicros"] = Planner_.lastTick().count();
     Into["storeCalls"] = Store_.calls();
@@ -185,6 +190,19 @@
         .field("revision", State_.Config_.revision().value());
   }
 
+  /// Gives back what a bulk change has left in the heap: parsed documents come
+  /// and go, and at the design size a third of the resident memory was free.
+  void trimLoop() {
+    fleet::Revision Trimmed;
+    while (true) {
+      sleepFor(TrimEvery);
+      if (State_.Config_.revision() == Trimmed)
+        continue;
+      Trimmed = State_.Config_.revision();
+      malloc_trim(0);
+    }
+  }
+
   boost::asio::io_context &Io_;
   EntryState State_;
   store::EtcdStore Store_;
@@ -226,6 +244,7 @@
   P.Planner_.start();
   P.Reservations_.start();
   framework::fibers::spawn([&P] { P.markStartedWhenReady(); });
+  framework::fibers::spawn([&P] { P.trimLoop(); });
   return absl::OkStatus();
 }
 
--- a/src/entry/internal/membershipservice.cpp
+++ b/src/entry/internal/membershipservice.cpp
@@ -19,8 +19,15 @@
 
 constexpr Duration ViewCheckEvery = 250ms;
 constexpr Duration WriteTimeout = 2s;
-/// Heartbeats from one with all rows of use to the next.
-constexpr std::uint64_t FullUseEvery = 10;
+/// Heartbeats after which all rows of use are sent anew.
+constexpr std::uint64_t MarkAllEvery = 20;
+/// Rows of use may take this much of the 18 KB/s that control may cost, both
+/// ways counted.
+constexpr std::size_t UseBytesPerSecond = 6000;
+constexpr std::size_t BeatsPerSecond = 2;
+/// Measured: a row of names as long as the examples'.
+constexpr std::size_t BytesPerRow = 25;
+constexpr std::size_t FewestRows = 4;
 constexpr Duration LeaveCheckEvery = 50ms;
 constexpr Duration StorePatience = 4s;
 /// Rows about peers that are in no view are dropped after this silence.
@@ -73,12 +80,16 @@
   return Beat;
 }
 
-/// Every row of every team in every heartbeat would be 10 KB at the design
-/// size. A heartbeat that is lost leaves a row stale until the next full one.
+/// A row for every team in every heartbeat would be 10 KB at the design size.
+/// The rows share what the bound on control traffic leaves; a heartbeat that is
+/// lost leaves rows stale until all are marked again.
 void MembershipService::addUse(peers::Heartbeat &Into) {
-  Into.UseComplete_ = Beats_++ % FullUseEvery == 0;
-  const auto Changed = State_.Usage_.takeChanged();
-  for (const auto &Row : Into.UseComplete_ ? State_.Usage_.own() : Changed)
+  if (Beats_++ % MarkAllEvery == 0)
+    State_.Usage_.markAllChanged();
+  const std::size_t Peers = std::max<std::size_t>(1, State_.others().size());
+  const std::size_t Most = std::max(
+      FewestRows, UseBytesPerSecond / (BeatsPerSecond * Peers * BytesPerRow));
+  for (const auto &Row : State_.Usage_.takeChanged(Most))
     Into.Use_.push_back(
         {Row.Pool_, Row.Team_, Row.Use_.Running_, Row.Use_.Waiting_});
 }
@@ -121,10 +132,7 @@
   std::vector<sharing::FleetUsage::Row> Use;
   for (const peers::PoolUse &Item : Beat.Use_)
     Use.push_back({Item.Pool_, Item.Team_, {Item.Running_, Item.Waiting_}});
-  if (Beat.UseComplete_)
-    State_.Usage_.heard(From.Id_, Use);
-  else
-    State_.Usage_.update(From.Id_, Use);
+  State_.Usage_.update(From.Id_, Use);
   Config_.peerKnows(From.Id_, Beat);
   // A newcomer that is in no view hears from nobody unless it is answered.
   if (!State_.View_.find(From.Id_))
--- a/src/limits/internal/unitledger.cpp
+++ b/src/limits/internal/unitledger.cpp
@@ -7,6 +7,7 @@
 #include <map>
 #include <set>
 #include <unordered_map>
+#include <utility>
 
 namespace laburnumspread::limits {
 
@@ -24,18 +25,20 @@
   Unit Unit_;
   /// 0 for own work, else the sequence number of the loan.
   std::uint64_t Loan_ = 0;
+
+  std::uint32_t block() const { return Unit_.value() % MaximumBlocks; }
 };
 
-/// Units of one subject that this entry owns, or still uses.
+/// Units of one subject that this entry owns, or still uses. Kept small: at
+/// the design size there are more than a hundred thousand.
 struct Block {
-  std::uint32_t Index_ = 0;
+  std::uint16_t Index_ = 0;
   bool Owned_ = false;
-  /// Earlier owners that have not released the block yet; indices into
-  /// State::EarlierOwners_.
-  std::vector<std::uint16_t> Blockers_;
-  std::vector<UsedUnit> Used_;
+  /// Whether some earlier owner has not released the block yet.
+  bool Blocked_ = false;
+  std::uint16_t Used_ = 0;
 
-  bool available() const { return Owned_ && Blockers_.empty(); }
+  bool available() const { return Owned_ && !Blocked_; }
 };
 
 /// Number of units of block \p Index under limit \p Limit.
@@ -56,24 +59,26 @@
   std::uint64_t Hash_ = 0;
   std::uint32_t Limit_ = 0;
   std::vector<Block> Blocks_;
+  std::vector<UsedUnit> Used_;
   std::vector<BorrowedUnit> Borrowed_;
   /// Where the last search for a free block ended.
   std::size_t Cursor_ = 0;
 
   std::uint32_t blockCount() const { return std::min(Limit_, MaximumBlocks); }
+  bool uses(Unit Which) const {
+    return std::any_of(Used_.begin(), Used_.end(),
+                       [&](const UsedUnit &U) { return U.Unit_ == Which; });
+  }
 };
 
 /// Lowest unit of the block that is within the limit and not in use.
-std::optional<Unit> freeUnit(const Block &Item, std::uint32_t Limit) {
-  const std::uint32_t Capacity = capacity(Item.Index_, Limit);
-  if (!Item.available() || Item.Used_.size() >= Capacity)
+std::optional<Unit> freeUnit(const Subject &Of, const Block &Item) {
+  const std::uint32_t Capacity = capacity(Item.Index_, Of.Limit_);
+  if (!Item.available() || Item.Used_ >= Capacity)
     return std::nullopt;
   for (std::uint32_t K = 0; K < Capacity; ++K) {
     const Unit Candidate(Item.Index_ + K * MaximumBlocks);
-    const bool Taken =
-        std::any_of(Item.Used_.begin(), Item.Used_.end(),
-                    [&](const UsedUnit &U) { return U.Unit_ == Candidate; });
-    if (!Taken)
+    if (Item.Used_ == 0 || !Of.uses(Candidate))
       return Candidate;
   }
   return std::nullopt;
@@ -104,29 +109,29 @@
   View View_;
   std::vector<Subject> Subjects_;
   std::unordered_map<SubjectName, std::uint32_t> Index_;
-  /// Members that owned anything in a view that is not settled.
-  std::vector<MemberId> EarlierOwners_;
   std::vector<Ownership> Past_;
   Ownership Present_{std::span<const Owner>()};
   /// Statements heard at the present view, by speaker.
   std::map<MemberId, std::set<HeldUnit>> Heard_;
   std::map<std::uint64_t, LentUnit> Lent_;
+  /// Subjects with loans of others. Few at any time, while the subjects are
+  /// tens of thousands at the design size and upkeep comes twenty times a
+  /// second.
+  std::set<std::uint32_t> Borrowing_;
   std::uint64_t NextLoan_ = 1;
   /// Loans that were given back, kept until they are dead: a copy of the grant
   /// that arrives late must not bring one back to life.
   std::map<LoanId, TimePoint> GivenBack_;
   TimePoint Now_{};
 
-  Block *findBlock(Subject &In, std::uint32_t Index) {
-    for (Block &Item : In.Blocks_)
+  static const Block *findBlock(const Subject &In, std::uint32_t Index) {
+    for (const Block &Item : In.Blocks_)
       if (Item.Index_ == Index)
         return &Item;
     return nullptr;
   }
-
-  std::uint16_t earlierOwnerIndex(const MemberId &Id) const {
-    const auto At = std::find(EarlierOwners_.begin(), EarlierOwners_.end(), Id);
-    return static_cast<std::uint16_t>(At - EarlierOwners_.begin());
+  static Block *findBlock(Subject &In, std::uint32_t Index) {
+    return const_cast<Block *>(findBlock(std::as_const(In), Index));
   }
 
   /// Whether an earlier owner no longer has any right to the block.
@@ -146,20 +151,15 @@
     return true;
   }
 
-  void refreshBlockers(Subject &Of, Block &Item) {
-    Item.Blockers_.clear();
-    if (!Item.Owned_)
-      return;
+  void refreshBlocked(const Subject &Of, Block &Item) const {
     const std::uint64_t Hash = blockHash(Of, Item.Index_);
-    for (const Ownership &Earlier : Past_) {
-      const MemberId *Owner = Earlier.ownerOf(Hash);
-      if (!Owner || *Owner == Self_ || hasReleased(*Owner, Of, Item.Index_))
-        continue;
-      const std::uint16_t Blocker = earlierOwnerIndex(*Owner);
-      if (std::find(Item.Blockers_.begin(), Item.Blockers_.end(), Blocker) ==
-          Item.Blockers_.end())
-        Item.Blockers_.push_back(Blocker);
-    }
+    Item.Blocked_ =
+        Item.Owned_ &&
+        std::any_of(Past_.begin(), Past_.end(), [&](const Ownership &Earlier) {
+          const MemberId *Owner = Earlier.ownerOf(Hash);
+          return Owner && *Owner != Self_ &&
+                 !hasReleased(*Owner, Of, Item.Index_);
+        });
   }
 
   /// Brings the blocks of a subject in line with view and limit.
@@ -172,34 +172,37 @@
         continue;
       Block *Item = findBlock(Of, Index);
       if (!Item) {
-        Of.Blocks_.push_back({Index, false, {}, {}});
+        Of.Blocks_.push_back(
+            {static_cast<std::uint16_t>(Index), false, false, 0});
         Item = &Of.Blocks_.back();
       }
       Item->Owned_ = true;
     }
     std::erase_if(Of.Blocks_, [](const Block &Item) {
-      return !Item.Owned_ && Item.Used_.empty();
+      return !Item.Owned_ && Item.Used_ == 0;
     });
+    Of.Blocks_.shrink_to_fit();
     for (Block &Item : Of.Blocks_)
-      refreshBlockers(Of, Item);
+      refreshBlocked(Of, Item);
   }
 
   void recheckBlocked() {
     for (Subject &Of : Subjects_)
       for (Block &Item : Of.Blocks_)
-        if (!Item.Blockers_.empty())
-          refreshBlockers(Of, Item);
+        if (Item.Blocked_)
+          refreshBlocked(Of, Item);
   }
 
   /// Ends the use of a unit, and forgets a block that is another's by now.
   void endUse(Subject &Of, Unit Which, std::uint64_t LoanSequence) {
-    Block *Item = findBlock(Of, Which.value() % MaximumBlocks);
-    if (!Item)
-      return;
-    std::erase_if(Item->Used_, [&](const UsedUnit &U) {
+    const auto Ended = std::erase_if(Of.Used_, [&](const UsedUnit &U) {
       return U.Unit_ == Which && U.Loan_ == LoanSequence;
     });
-    if (!Item->Owned_ && Item->Used_.empty())
+    Block *Item = findBlock(Of, Which.value() % MaximumBlocks);
+    if (!Item || Ended == 0)
+      return;
+    --Item->Used_;
+    if (!Item->Owned_ && Item->Used_ == 0)
       Of.Blocks_.erase(Of.Blocks_.begin() + (Item - Of.Blocks_.data()));
   }
 
@@ -208,10 +211,11 @@
     const std::size_t Count = From.Blocks_.size();
     for (std::size_t Step = 0; Step < Count; ++Step) {
       const std::size_t At = (From.Cursor_ + Step) % Count;
-      const std::optional<Unit> Free = freeUnit(From.Blocks_[At], From.Limit_);
+      const std::optional<Unit> Free = freeUnit(From, From.Blocks_[At]);
       if (!Free)
         continue;
-      From.Blocks_[At].Used_.push_back({*Free, LoanSequence});
+      ++From.Blocks_[At].Used_;
+      From.Used_.push_back({*Free, LoanSequence});
       From.Cursor_ = (At + 1) % Count;
       return Free;
     }
@@ -243,10 +247,13 @@
   }
 
   void expireBorrowed() {
-    for (Subject &Of : Subjects_)
-      std::erase_if(Of.Borrowed_, [&](const BorrowedUnit &Item) {
+    std::erase_if(Borrowing_, [&](std::uint32_t Index) {
+      auto &Loans = Subjects_[Index].Borrowed_;
+      std::erase_if(Loans, [&](const BorrowedUnit &Item) {
         return !Item.InUse_ && Item.Loan_.Until_ <= Now_;
       });
+      return Loans.empty();
+    });
     std::erase_if(GivenBack_, [&](const auto &Item) {
       return Item.second + ClockSkewMargin < Now_;
     });
@@ -268,13 +275,8 @@
   S.View_ = Next;
   S.Present_ = Ownership(Next.owners());
   S.Past_.clear();
-  S.EarlierOwners_.clear();
-  for (const membership::PastView &Past : Next.Past_) {
+  for (const membership::PastView &Past : Next.Past_)
     S.Past_.emplace_back(Past.Owners_);
-    for (const Owner &Item : Past.Owners_)
-      if (S.earlierOwnerIndex(Item.Id_) == S.EarlierOwners_.size())
-        S.EarlierOwners_.push_back(Item.Id_);
-  }
   for (Subject &Of : S.Subjects_)
     S.refresh(Of);
 }
@@ -337,7 +339,7 @@
   const Subject &From = State_->Subjects_[Index.value()];
   return std::any_of(From.Blocks_.begin(), From.Blocks_.end(),
                      [&](const Block &Item) {
-                       return freeUnit(Item, From.Limit_).has_value();
+                       return freeUnit(From, Item).has_value();
                      }) ||
          std::any_of(From.Borrowed_.begin(), From.Borrowed_.end(),
                      [&](const BorrowedUnit &Item) {
@@ -350,8 +352,8 @@
   std::uint32_t Free = 0;
   for (const Block &Item : From.Blocks_) {
     const std::uint32_t Capacity = capacity(Item.Index_, From.Limit_);
-    if (Item.available() && Capacity > Item.Used_.size())
-      Free += Capacity - Item.Used_.size();
+    if (Item.available() && Capacity > Item.Used_)
+      Free += Capacity - Item.Used_;
   }
   return Free;
 }
@@ -401,15 +403,16 @@
   const bool Known = std::any_of(
       Into.Borrowed_.begin(), Into.Borrowed_.end(),
       [&](const BorrowedUnit &Item) { return Item.Loan_.Id_ == Granted.Id_; });
-  if (!Known)
-    Into.Borrowed_.push_back({Granted, false, Now});
+  if (Known)
+    return;
+  Into.Borrowed_.push_back({Granted, false, Now});
+  S.Borrowing_.insert(Index->second);
 }
 
 std::vector<LoanId> UnitLedger::takeIdleLoans(TimePoint IdleSince) {
   std::vector<LoanId> All;
-  for (Subject &From : State_->Subjects_) {
-    if (From.Borrowed_.empty())
-      continue;
+  for (std::uint32_t Index : State_->Borrowing_) {
+    Subject &From = State_->Subjects_[Index];
     const auto Taken = State_->takeLoans(From, [&](const BorrowedUnit &Item) {
       return Item.IdleSince_ <= IdleSince;
     });
@@ -426,10 +429,10 @@
 ReleaseStatement UnitLedger::statement() const {
   ReleaseStatement Result{State_->Self_, State_->View_.Number_, {}};
   for (const Subject &Of : State_->Subjects_)
-    for (const Block &Item : Of.Blocks_)
-      if (!Item.Owned_)
-        for (const UsedUnit &Used : Item.Used_)
-          Result.StillHeld_.push_back({Of.Name_, Used.Unit_});
+    for (const UsedUnit &Used : Of.Used_)
+      if (const Block *Item = State_->findBlock(Of, Used.block());
+          Item && !Item->Owned_)
+        Result.StillHeld_.push_back({Of.Name_, Used.Unit_});
   return Result;
 }
 
@@ -484,9 +487,9 @@
       Result.Owned_ += Capacity;
     if (Item.available())
       Result.Available_ += Capacity;
-    for (const UsedUnit &Used : Item.Used_)
-      ++(Used.Loan_ == 0 ? Result.Running_ : Result.Lent_);
   }
+  for (const UsedUnit &Used : Of.Used_)
+    ++(Used.Loan_ == 0 ? Result.Running_ : Result.Lent_);
   for (const BorrowedUnit &Item : Of.Borrowed_)
     ++(Item.InUse_ ? Result.Running_ : Result.Borrowed_);
   return Result;
@@ -499,19 +502,16 @@
 }
 
 std::uint32_t UnitLedger::busy(SubjectIndex Index) const {
-  std::uint32_t Count = 0;
-  for (const Block &Item : State_->Subjects_[Index.value()].Blocks_)
-    Count += Item.Used_.size();
-  return Count;
+  return static_cast<std::uint32_t>(
+      State_->Subjects_[Index.value()].Used_.size());
 }
 
 std::vector<HeldUnit> UnitLedger::unitsInUse() const {
   std::vector<HeldUnit> Result;
   for (const Subject &Of : State_->Subjects_) {
-    for (const Block &Item : Of.Blocks_)
-      for (const UsedUnit &Used : Item.Used_)
-        if (Used.Loan_ == 0)
-          Result.push_back({Of.Name_, Used.Unit_});
+    for (const UsedUnit &Used : Of.Used_)
+      if (Used.Loan_ == 0)
+        Result.push_back({Of.Name_, Used.Unit_});
     for (const BorrowedUnit &Item : Of.Borrowed_)
       if (Item.InUse_)
         Result.push_back({Of.Name_, Item.Loan_.Unit_});
--- a/src/peers/internal/messagecodec.cpp
+++ b/src/peers/internal/messagecodec.cpp
@@ -85,7 +85,6 @@
   To.set_buckets_to_copy(From.BucketsToCopy_);
   To.set_store_in_touch(From.StoreInTouch_);
   To.set_ready(From.Ready_);
-  To.set_use_complete(From.UseComplete_);
   for (const limits::HeldUnit &Item : From.StillHeld_) {
     wire::HeldUnit &Row = *To.add_still_held();
     Row.set_subject(Item.Subject_.str());
@@ -114,7 +113,6 @@
   To.BucketsToCopy_ = From.buckets_to_copy();
   To.StoreInTouch_ = From.store_in_touch();
   To.Ready_ = From.ready();
-  To.UseComplete_ = From.use_complete();
   for (const wire::HeldUnit &Row : From.still_held())
     To.StillHeld_.push_back(
         {limits::SubjectName(Row.subject()), limits::Unit(Row.unit())});
--- a/src/peers/messages.h
+++ b/src/peers/messages.h
@@ -38,10 +38,9 @@
   TimePoint Echo_{};
   std::vector<limits::HeldUnit> StillHeld_;
   std::uint64_t BucketsToCopy_ = 0;
-  /// All rows, or only those that have changed since the last heartbeat; a
+  /// Rows that have changed, as many as the bound on control traffic allows; a
   /// row of zeros takes one back.
   std::vector<PoolUse> Use_;
-  bool UseComplete_ = false;
   /// Busy slots of VMs that are leaving under ConfigRevision_. A leaving VM
   /// that is not listed has none at the sender.
   std::vector<VmUse> Leaving_;
--- a/src/routing/endpointtable.h
+++ b/src/routing/endpointtable.h
@@ -110,6 +110,8 @@
   bool eligible(const Endpoint &Row, const RouteInputs &Inputs) const;
 
   std::vector<Endpoint> Rows_;
+  /// Endpoints that are ejected, so that a tick need not look for them.
+  std::vector<EndpointIndex> Ejected_;
   std::unordered_map<VmName, EndpointIndex> Index_;
   std::map<PoolName, std::vector<EndpointIndex>> Pools_;
 };
--- a/src/routing/internal/endpointtable.cpp
+++ b/src/routing/internal/endpointtable.cpp
@@ -115,6 +115,7 @@
                   mayEject(Row, CapPercent))))
     return HealthChange::None;
   Row.Health_ = Health::Ejected;
+  Ejected_.push_back(Index);
   const Duration Wanted = FirstEjection * (1 << std::min(Row.Ejections_, 8u));
   Row.EjectedUntil_ = Now + std::min(Wanted, LongestEjection);
   ++Row.Ejections_;
@@ -122,9 +123,14 @@
 }
 
 void EndpointTable::tick(TimePoint Now) {
-  for (Endpoint &Row : Rows_)
-    if (Row.Health_ == Health::Ejected && Row.EjectedUntil_ <= Now)
+  std::erase_if(Ejected_, [&](EndpointIndex Index) {
+    Endpoint &Row = Rows_[Index.value()];
+    if (Row.Health_ == Health::Ejected && Row.EjectedUntil_ > Now)
+      return false;
+    if (Row.Health_ == Health::Ejected)
       Row.Health_ = Health::Probation;
+    return true;
+  });
 }
 
 std::optional<EndpointIndex> EndpointTable::find(const VmName &Vm) const {
--- a/src/sharing/fleetusage.h
+++ b/src/sharing/fleetusage.h
@@ -38,9 +38,12 @@
   const std::map<TeamName, TeamUse> &totals(const PoolName &Pool) const;
   /// Of this entry alone.
   std::vector<Row> own() const;
-  /// Rows of this entry that have changed since the last call; one that has
-  /// become empty is given as zeros.
-  std::vector<Row> takeChanged();
+  /// At most \p Most rows of this entry that have changed since they were last
+  /// taken, those with waiting requests first; one that has become empty is
+  /// given as zeros. The others stay for the next call.
+  std::vector<Row> takeChanged(std::size_t Most);
+  /// Marks all rows as changed, so that a loss is made good in time.
+  void markAllChanged();
 
 private:
   struct Key {
--- a/src/sharing/internal/fleetusage.cpp
+++ b/src/sharing/internal/fleetusage.cpp
@@ -1,5 +1,7 @@
 #include "sharing/fleetusage.h"
 
+#include <algorithm>
+
 namespace laburnumspread::sharing {
 
 void FleetUsage::shift(const PoolName &Pool, const TeamName &Team,
@@ -53,15 +55,24 @@
   shift(Pool, Team, By, Sign);
 }
 
-std::vector<FleetUsage::Row> FleetUsage::takeChanged() {
-  std::vector<Row> Result;
+std::vector<FleetUsage::Row> FleetUsage::takeChanged(std::size_t Most) {
+  std::vector<Row> Rows;
   for (const Key &Where : Changed_) {
     const auto At = Own_.find(Where);
-    Result.push_back(
+    Rows.push_back(
         {Where.Pool_, Where.Team_, At == Own_.end() ? TeamUse() : At->second});
   }
-  Changed_.clear();
-  return Result;
+  std::stable_partition(Rows.begin(), Rows.end(),
+                        [](const Row &Item) { return Item.Use_.Waiting_ > 0; });
+  Rows.resize(std::min(Rows.size(), Most));
+  for (const Row &Item : Rows)
+    Changed_.erase({Item.Pool_, Item.Team_});
+  return Rows;
+}
+
+void FleetUsage::markAllChanged() {
+  for (const auto &[Where, Use] : Own_)
+    Changed_.insert(Where);
 }
 
 void FleetUsage::addRunning(const PoolName &Pool, const TeamName &Team,
--- a/src/sharing/tests/poolqueuetest.cpp
+++ b/src/sharing/tests/poolqueuetest.cpp
@@ -148,11 +148,24 @@
   BOOST_TEST(Usage_.total(Orders, Big).Running_ == 0u);
   BOOST_TEST(Usage_.total(Orders, Small).Running_ == 5u);
   Usage_.addRunning(Orders, Big, 2);
-  BOOST_TEST(Usage_.takeChanged().size() == 1u);
-  BOOST_TEST(Usage_.takeChanged().empty());
+  BOOST_TEST(Usage_.takeChanged(9).size() == 1u);
+  BOOST_TEST(Usage_.takeChanged(9).empty());
   Usage_.addRunning(Orders, Big, -2);
-  const auto Changed = Usage_.takeChanged();
+  const auto Changed = Usage_.takeChanged(9);
   BOOST_REQUIRE(Changed.size() == 1u);
   BOOST_TEST(Changed[0].Use_.Running_ == 0u);
   BOOST_TEST(Usage_.own().empty());
 }
+
+// More rows change than a heartbeat may carry. Those of full pools go first,
+// and none is forgotten.
+BOOST_FIXTURE_TEST_CASE(ChangedRowsBeyondTheBoundComeNextTime, Fixture) {
+  Usage_.addRunning(Orders, Big, 1);
+  Usage_.addWaiting(Orders, Small, 1);
+  const auto First = Usage_.takeChanged(1);
+  BOOST_REQUIRE(First.size() == 1u);
+  BOOST_TEST(First[0].Team_ == Small);
+  BOOST_TEST(Usage_.takeChanged(1).at(0).Team_ == Big);
+  Usage_.markAllChanged();
+  BOOST_TEST(Usage_.takeChanged(9).size() == 2u);
+}
--- a/src/store/etcdstore.h
+++ b/src/store/etcdstore.h
@@ -39,7 +39,4 @@
 
 static_assert(KeyValueStore<EtcdStore>);
 
-/// First key after all keys with \p Prefix.
-std::string prefixEnd(std::string Prefix);
-
 } // namespace laburnumspread::store
--- a/src/store/internal/etcdstore.cpp
+++ b/src/store/internal/etcdstore.cpp
@@ -1,15 +1,10 @@
 #include "store/etcdstore.h"
 
-#include "framework/digest/digest.h"
-
-#include <boost/json.hpp>
+#include "store/internal/gatewayjson.h"
 
 namespace laburnumspread::store {
 
-namespace json = boost::json;
 namespace http = framework::http;
-using framework::digest::base64Decode;
-using framework::digest::base64Encode;
 
 namespace {
 
@@ -18,163 +13,18 @@
 /// periodic range of the caller bounds staleness more tightly.
 constexpr framework::clock::Duration WatchSilence = std::chrono::seconds(60);
 constexpr framework::clock::Duration WatchStart = std::chrono::seconds(3);
-constexpr std::size_t LongestWatchLine = 64 * 1024 * 1024;
-
-/// The gateway writes 64-bit numbers as strings.
-std::int64_t numberAt(const json::object &Object, std::string_view Name) {
-  const json::value *Value = Object.if_contains(Name);
-  if (!Value)
-    return 0;
-  if (Value->is_string())
-    return std::strtoll(Value->get_string().c_str(), nullptr, 10);
-  boost::system::error_code Ignored;
-  return Value->is_number() ? Value->to_number<std::int64_t>(Ignored) : 0;
-}
-
-std::string bytesAt(const json::object &Object, std::string_view Name) {
-  const json::value *Value = Object.if_contains(Name);
-  if (!Value || !Value->is_string())
-    return {};
-  return base64Decode(std::string_view(Value->get_string())).value_or("");
-}
-
-const json::object *objectAt(const json::object &Object,
-                             std::string_view Name) {
-  const json::value *Value = Object.if_contains(Name);
-  return Value ? Value->if_object() : nullptr;
-}
-
-Revision headerRevision(const json::object &Answer) {
-  const json::object *Header = objectAt(Answer, "header");
-  return Revision(Header ? numberAt(*Header, "revision") : 0);
-}
-
-KeyValue readKeyValue(const json::object &Item) {
-  return {bytesAt(Item, "key"), bytesAt(Item, "value"),
-          Revision(numberAt(Item, "mod_revision"))};
-}
-
-absl::StatusOr<json::object> parseObject(std::string_view Text) {
-  boost::system::error_code Error;
-  json::value Value =
-      json::parse(json::string_view(Text.data(), Text.size()), Error);
-  if (Error || !Value.is_object())
-    return absl::UnknownError("store sent an answer that is not JSON");
-  return std::move(Value.get_object());
-}
 
-json::object toJson(const Compare &Item) {
-  json::object Result;
-  Result["key"] = base64Encode(Item.Key_);
-  Result["target"] = "MOD";
-  Result["result"] = "EQUAL";
-  Result["mod_revision"] = std::to_string(Item.ModRevision_.value());
-  return Result;
-}
-
-json::object toJson(const Put &Item) {
-  json::object Request;
-  Request["key"] = base64Encode(Item.Key_);
-  Request["value"] = base64Encode(Item.Value_);
-  if (Item.Lease_ != 0)
-    Request["lease"] = std::to_string(Item.Lease_);
-  json::object Result;
-  Result["request_put"] = std::move(Request);
-  return Result;
-}
-
-json::object deleteToJson(const std::string &Key) {
-  json::object Request;
-  Request["key"] = base64Encode(Key);
-  json::object Result;
-  Result["request_delete_range"] = std::move(Request);
-  return Result;
-}
-
-WatchBatch readBatch(const json::object &Result) {
-  WatchBatch Batch;
-  Batch.StoreRevision_ = headerRevision(Result);
-  const json::value *Events = Result.if_contains("events");
-  if (!Events || !Events->is_array())
-    return Batch;
-  for (const json::value &Item : Events->get_array()) {
-    const json::object *Event = Item.if_object();
-    const json::object *Kv = Event ? objectAt(*Event, "kv") : nullptr;
-    if (!Kv)
-      continue;
-    const json::value *Type = Event->if_contains("type");
-    if (Type && Type->is_string() && Type->get_string() == "DELETE")
-      Batch.Deletes_.push_back(bytesAt(*Kv, "key"));
-    else
-      Batch.Puts_.push_back(readKeyValue(*Kv));
-  }
-  return Batch;
+http::Request postOf(std::string_view Path, std::string Body) {
+  http::Request Message;
+  Message.Method_ = "POST";
+  Message.Target_ = std::string(Path);
+  Message.Headers_.add("Content-Type", "application/json");
+  Message.Body_ = std::move(Body);
+  return Message;
 }
 
-/// Cuts a stream of JSON lines and hands out the watch answers in it.
-class WatchReader {
-public:
-  explicit WatchReader(const std::function<bool(const WatchBatch &)> &OnBatch)
-      : OnBatch_(OnBatch) {}
-
-  /// Returns whether to read on.
-  bool feed(std::string_view Part) {
-    Pending_ += Part;
-    if (Pending_.size() > LongestWatchLine)
-      return fail(absl::ResourceExhaustedError("watch answer is too large"));
-    std::size_t Start = 0;
-    for (std::size_t End = Pending_.find('\n'); End != std::string::npos;
-         End = Pending_.find('\n', Start)) {
-      if (!line(std::string_view(Pending_).substr(Start, End - Start)))
-        return false;
-      Start = End + 1;
-    }
-    Pending_.erase(0, Start);
-    return true;
-  }
-
-  absl::Status status() const { return Status_; }
-
-private:
-  bool fail(absl::Status Why) {
-    Status_ = std::move(Why);
-    return false;
-  }
-
-  bool line(std::string_view Text) {
-    if (Text.empty())
-      return true;
-    absl::StatusOr<json::object> Answer = parseObject(Text);
-    if (!Answer.ok())
-      return fail(Answer.status());
-    const json::object *Result = objectAt(*Answer, "result");
-    if (!Result)
-      return fail(absl::UnknownError("store refused the watch"));
-    if (const json::value *Cancelled = Result->if_contains("canceled");
-        Cancelled && Cancelled->is_bool() && Cancelled->get_bool())
-      return fail(absl::OutOfRangeError("history has been compacted"));
-    return OnBatch_(readBatch(*Result));
-  }
-
-  const std::function<bool(const WatchBatch &)> &OnBatch_;
-  std::string Pending_;
-  absl::Status Status_;
-};
-
 } // namespace
 
-std::string prefixEnd(std::string Prefix) {
-  while (!Prefix.empty()) {
-    const auto Last = static_cast<unsigned char>(Prefix.back());
-    if (Last < 0xff) {
-      Prefix.back() = static_cast<char>(Last + 1);
-      return Prefix;
-    }
-    Prefix.pop_back();
-  }
-  return std::string(1, '\0');
-}
-
 EtcdStore::EtcdStore(boost::asio::io_context &Io,
                      std::vector<http::Address> Endpoints) {
   for (http::Address &Endpoint : Endpoints)
@@ -184,13 +34,8 @@
 absl::StatusOr<std::string>
 EtcdStore::post(std::string_view Path, std::string Body, TimePoint Deadline) {
   ++Calls_;
-  http::Request Message;
-  Message.Method_ = "POST";
-  Message.Target_ = std::string(Path);
-  Message.Headers_.add("Content-Type", "application/json");
-  Message.Body_ = std::move(Body);
-  absl::StatusOr<http::Response> Answer =
-      current().exchange(Message, Deadline, LongestWatchLine);
+  absl::StatusOr<http::Response> Answer = current().exchange(
+      postOf(Path, std::move(Body)), Deadline, LongestWatchLine);
   if (!Answer.ok()) {
     tryNextEndpoint();
     return Answer.status();
@@ -205,73 +50,29 @@
 absl::StatusOr<RangeResult> EtcdStore::range(const std::string &Prefix,
                                              Revision Since,
                                              TimePoint Deadline) {
-  json::object Request;
-  Request["key"] = base64Encode(Prefix);
-  Request["range_end"] = base64Encode(prefixEnd(Prefix));
-  if (Since.value() > 0)
-    Request["min_mod_revision"] = std::to_string(Since.value());
-  absl::StatusOr<std::string> Body =
-      post("/v3/kv/range", json::serialize(Request), Deadline);
+  const auto Body = post("/v3/kv/range", rangeRequest(Prefix, Since), Deadline);
   if (!Body.ok())
     return Body.status();
-  absl::StatusOr<json::object> Answer = parseObject(*Body);
-  if (!Answer.ok())
-    return Answer.status();
-  RangeResult Result;
-  Result.StoreRevision_ = headerRevision(*Answer);
-  if (const json::value *Items = Answer->if_contains("kvs");
-      Items && Items->is_array())
-    for (const json::value &Item : Items->get_array())
-      if (const json::object *Kv = Item.if_object())
-        Result.Items_.push_back(readKeyValue(*Kv));
-  return Result;
+  return readRangeAnswer(*Body);
 }
 
 absl::StatusOr<TransactionResult> EtcdStore::commit(const Transaction &Txn,
                                                     TimePoint Deadline) {
-  json::array Compares, Successes;
-  for (const Compare &Item : Txn.Compares_)
-    Compares.push_back(toJson(Item));
-  for (const Put &Item : Txn.Puts_)
-    Successes.push_back(toJson(Item));
-  for (const std::string &Key : Txn.Deletes_)
-    Successes.push_back(deleteToJson(Key));
-  json::object Request;
-  Request["compare"] = std::move(Compares);
-  Request["success"] = std::move(Successes);
-  absl::StatusOr<std::string> Body =
-      post("/v3/kv/txn", json::serialize(Request), Deadline);
+  const auto Body = post("/v3/kv/txn", transactionRequest(Txn), Deadline);
   if (!Body.ok())
     return Body.status();
-  absl::StatusOr<json::object> Answer = parseObject(*Body);
-  if (!Answer.ok())
-    return Answer.status();
-  const json::value *Succeeded = Answer->if_contains("succeeded");
-  return TransactionResult{Succeeded && Succeeded->is_bool() &&
-                               Succeeded->get_bool(),
-                           headerRevision(*Answer)};
+  return readTransactionAnswer(*Body);
 }
 
 absl::Status
 EtcdStore::watch(const std::string &Prefix, Revision Since,
                  const std::function<bool(const WatchBatch &)> &OnBatch) {
   ++Calls_;
-  json::object Create;
-  Create["key"] = base64Encode(Prefix);
-  Create["range_end"] = base64Encode(prefixEnd(Prefix));
-  Create["start_revision"] = std::to_string(Since.value());
-  json::object Request;
-  Request["create_request"] = std::move(Create);
-  http::Request Message;
-  Message.Method_ = "POST";
-  Message.Target_ = "/v3/watch";
-  Message.Headers_.add("Content-Type", "application/json");
-  Message.Body_ = json::serialize(Request);
   const framework::clock::SystemClock Clock;
   WatchReader Reader(OnBatch);
   const absl::Status Status = current().stream(
-      Message, Clock.now() + WatchStart,
-      [&] { return Clock.now() + WatchSilence; },
+      postOf("/v3/watch", watchRequest(Prefix, Since)),
+      Clock.now() + WatchStart, [&] { return Clock.now() + WatchSilence; },
       [](const http::Response &Head) { return Head.Status_ == 200; },
       [&](std::string_view Part) { return Reader.feed(Part); });
   if (!Status.ok())
@@ -281,31 +82,20 @@
 
 absl::StatusOr<std::int64_t> EtcdStore::grantLease(std::int64_t Seconds,
                                                    TimePoint Deadline) {
-  json::object Request;
-  Request["TTL"] = std::to_string(Seconds);
-  absl::StatusOr<std::string> Body =
-      post("/v3/lease/grant", json::serialize(Request), Deadline);
+  const auto Body =
+      post("/v3/lease/grant", leaseRequest("TTL", Seconds), Deadline);
   if (!Body.ok())
     return Body.status();
-  absl::StatusOr<json::object> Answer = parseObject(*Body);
-  if (!Answer.ok())
-    return Answer.status();
-  return numberAt(*Answer, "ID");
+  return readLeaseId(*Body);
 }
 
 absl::StatusOr<bool> EtcdStore::keepLease(std::int64_t Lease,
                                           TimePoint Deadline) {
-  json::object Request;
-  Request["ID"] = std::to_string(Lease);
-  absl::StatusOr<std::string> Body =
-      post("/v3/lease/keepalive", json::serialize(Request), Deadline);
+  const auto Body =
+      post("/v3/lease/keepalive", leaseRequest("ID", Lease), Deadline);
   if (!Body.ok())
     return Body.status();
-  absl::StatusOr<json::object> Answer = parseObject(*Body);
-  if (!Answer.ok())
-    return Answer.status();
-  const json::object *Result = objectAt(*Answer, "result");
-  return Result && numberAt(*Result, "TTL") > 0;
+  return readKeepAlive(*Body);
 }
 
 } // namespace laburnumspread::store
