Keep the dump to what is not idle; keep fewer changes; give freed heap back

Cause: the heap profile's peak was the dump itself, 11,000 idle rows, and the heap it left behind counted as resident.

Change: the dump lists teams, and endpoints that work or cannot; 1,024 changes are kept instead of 4,096; free heap above 1 MB goes back every 5 s.

--- a/src/api/internal/httpapi.cpp
+++ b/src/api/internal/httpapi.cpp
@@ -48,11 +48,16 @@
   return Rows;
 }
 
+/// All teams, and the endpoints whose slots are not wholly idle: a row for each
+/// of 11,000 endpoints would be most of the dump, and of its memory.
 json::array dumpSubjects(const limits::UnitLedger &Ledger) {
   json::array Rows;
   for (std::uint32_t I = 0; I < Ledger.subjects(); ++I) {
     const limits::SubjectIndex Index(I);
     const limits::SubjectCounts Counts = Ledger.counts(Index);
+    const bool Idle = Counts.Running_ + Counts.Lent_ + Counts.Borrowed_ == 0;
+    if (Idle && Ledger.nameOf(Index).str().starts_with("slots/"))
+      continue;
     Rows.push_back(json::object{{"subject", Ledger.nameOf(Index).str()},
                                 {"limit", Counts.Limit_},
                                 {"owned", Counts.Owned_},
@@ -72,11 +77,15 @@
   return Rows;
 }
 
+/// Endpoints that work, or cannot.
 json::array dumpEndpoints(const routing::EndpointTable &Table) {
   json::array Rows;
   for (const fleet::PoolName &Pool : Table.pools())
     for (routing::EndpointIndex Index : Table.inPool(Pool)) {
       const routing::Endpoint &Row = Table.at(Index);
+      if (Row.Running_ == 0 && Row.Open_ &&
+          Row.Health_ == routing::Health::Good)
+        continue;
       Rows.push_back(json::object{{"vm", Row.Vm_.str()},
                                   {"pool", Pool.str()},
                                   {"zone", Row.Zone_.str()},
--- a/src/app/internal/entryapp.cpp
+++ b/src/app/internal/entryapp.cpp
@@ -23,6 +23,7 @@
 constexpr auto HandoverTime = 20s;
 constexpr auto CheckEvery = 20ms;
 constexpr auto TrimEvery = 5s;
+constexpr std::size_t TrimAbove = 1024 * 1024;
 
 membership::Member selfOf(const EntrySettings &Settings) {
   membership::Member Self;
@@ -193,13 +194,10 @@
   /// Gives back what a bulk change has left in the heap: parsed documents come
   /// and go, and at the design size a third of the resident memory was free.
   void trimLoop() {
-    fleet::Revision Trimmed;
     while (true) {
       sleepFor(TrimEvery);
-      if (State_.Config_.revision() == Trimmed)
-        continue;
-      Trimmed = State_.Config_.revision();
-      malloc_trim(0);
+      if (mallinfo2().fordblks > TrimAbove)
+        malloc_trim(0);
     }
   }
 
--- a/src/config/changelog.h
+++ b/src/config/changelog.h
@@ -14,7 +14,7 @@
 /// is kept is told to list again.
 class ChangeLog {
 public:
-  static constexpr std::size_t Kept = 4096;
+  static constexpr std::size_t Kept = 1024;
 
   void add(std::vector<Change> Changes, Revision Through);
 
