--- a/src/framework/fibers/spawn.h
+++ b/src/framework/fibers/spawn.h
@@ -19,11 +19,13 @@
 /// were on a stack when its fiber ended, and would take the frames of the next
 /// fiber at that address for damage; so they are cleared.
 class StackAllocator : public boost::fibers::protected_fixedsize_stack {
+  using Base = boost::fibers::protected_fixedsize_stack;
+
 public:
-  using protected_fixedsize_stack::protected_fixedsize_stack;
+  explicit StackAllocator(std::size_t Bytes) : Base(Bytes) {}
 
   boost::context::stack_context allocate() {
-    boost::context::stack_context Stack = protected_fixedsize_stack::allocate();
+    boost::context::stack_context Stack = Base::allocate();
 #if defined(__SANITIZE_ADDRESS__)
     __asan_unpoison_memory_region(static_cast<char *>(Stack.sp) - Stack.size,
                                   Stack.size);
