--- a/src/ctl/internal/commands.cpp
+++ b/src/ctl/internal/commands.cpp
@@ -1,5 +1,7 @@
 #include "ctl/commands.h"
 
+#include "ctl/internal/following.h"
+#include "ctl/internal/reporting.h"
 #include "ctl/table.h"
 #include "fleet/resourcejson.h"
 #include "framework/digest/digest.h"
@@ -26,33 +28,6 @@
 constexpr std::size_t SecretBytes = 24;
 constexpr auto PollEvery = 300ms;
 
-ExitCode complain(ExitCode Code, const std::string &Text) {
-  std::cerr << "laburnumctl: " << Text << '\n';
-  return Code;
-}
-
-/// Says what a refused call was refused for.
-ExitCode reportRefusal(const Reply &Answer) {
-  std::string Text = textAt(Answer.Json_, "detail");
-  const std::string Code = textAt(Answer.Json_, "code");
-  if (Text.empty())
-    Text = Answer.Text_;
-  complain(ExitCode::Refused, Code + ": " + Text);
-  if (Answer.Outcome_ == "unknown")
-    return ExitCode::Unknown;
-  return Answer.Status_ == 409 ? ExitCode::Conflict : ExitCode::Refused;
-}
-
-ExitCode reportUnreachable(const absl::Status &Why) {
-  const bool Sent = Why.message().find("not sent") == absl::string_view::npos;
-  return complain(Sent ? ExitCode::Unknown : ExitCode::Unreachable,
-                  std::string(Why.message()));
-}
-
-bool succeeded(const Reply &Answer) {
-  return Answer.Status_ >= 200 && Answer.Status_ < 300;
-}
-
 void print(const Command &Given, const std::string &Kind,
            const json::value &Value) {
   if (Given.Output_ == Output::Json)
@@ -295,86 +270,6 @@
   return ExitCode::Ok;
 }
 
-/// Sets spec.drain of a VM and follows the drain to its end.
-ExitCode drain(Session &Server, const Command &Given) {
-  if (Given.Words_.empty())
-    return complain(ExitCode::Usage, "drain needs a VM's name");
-  const std::string Target = "/v1/vms/" + Given.Words_[0];
-  const auto Now = Server.call("GET", Target, "");
-  if (!Now.ok())
-    return reportUnreachable(Now.status());
-  if (!succeeded(*Now))
-    return reportRefusal(*Now);
-  json::object Object{{"kind", "vms"},
-                      {"metadata", Now->Json_.at("metadata")},
-                      {"spec", Now->Json_.at("spec")}};
-  const bool On = Given.Words_.size() < 2 || Given.Words_[1] != "off";
-  Object["spec"].as_object()["drain"] = On;
-  framework::http::Headers More;
-  More.add("If-Match", textAt(Now->Json_, "metadata.resourceVersion"));
-  const auto Put = Server.call("PUT", Target, json::serialize(Object), More);
-  if (!Put.ok())
-    return reportUnreachable(Put.status());
-  if (!succeeded(*Put))
-    return reportRefusal(*Put);
-  if (!On) {
-    std::cout << "vms/" << Given.Words_[0] << " takes work again\n";
-    return ExitCode::Ok;
-  }
-  const TimePoint Deadline =
-      SystemClock().now() + std::chrono::milliseconds(Given.TimeoutMs_);
-  std::string Shown;
-  while (SystemClock().now() < Deadline) {
-    const auto Answer = Server.call("GET", Target + "?drain=true", "");
-    if (Answer.ok() && succeeded(*Answer)) {
-      const std::string Busy = textAt(Answer->Json_, "drain.busy");
-      const std::string Awaited = textAt(Answer->Json_, "drain.awaited");
-      if (Busy == "0" && Awaited == "[]") {
-        std::cout << "vms/" << Given.Words_[0] << " is drained\n";
-        return ExitCode::Ok;
-      }
-      const std::string Line =
-          "draining: " + Busy + " slots busy, entries awaited " + Awaited;
-      if (Line != Shown)
-        std::cout << Line << std::endl;
-      Shown = Line;
-    }
-    framework::fibers::sleepFor(PollEvery);
-  }
-  return complain(ExitCode::TimedOut, "not drained yet");
-}
-
-/// Follows a wave to its end.
-ExitCode followWave(Session &Server, const Command &Given) {
-  if (Given.Words_.empty())
-    return complain(ExitCode::Usage, "follow needs a wave's name");
-  const TimePoint Deadline =
-      SystemClock().now() + std::chrono::milliseconds(Given.TimeoutMs_);
-  std::string Shown;
-  while (SystemClock().now() < Deadline) {
-    const auto Answer = Server.call("GET", "/v1/waves/" + Given.Words_[0], "");
-    if (!Answer.ok())
-      return reportUnreachable(Answer.status());
-    if (!succeeded(*Answer))
-      return reportRefusal(*Answer);
-    const json::value &Wave = Answer->Json_;
-    const std::string Phase = textAt(Wave, "status.phase");
-    const std::string Line = "wave " + Given.Words_[0] + ": " + Phase + ", " +
-                             textAt(Wave, "status.done") + " of " +
-                             textAt(Wave, "status.total") + " done, " +
-                             textAt(Wave, "status.failed") + " failed";
-    if (Line != Shown)
-      std::cout << Line << std::endl;
-    Shown = Line;
-    if (Phase == "complete")
-      return ExitCode::Ok;
-    if (Phase == "halted" || Phase == "cancelled")
-      return ExitCode::Refused;
-    framework::fibers::sleepFor(PollEvery);
-  }
-  return complain(ExitCode::TimedOut, "the wave goes on");
-}
-
 ExitCode dump(Session &Server) {
   const auto Answer = Server.call("GET", "/debug/state", "");
   if (!Answer.ok())
--- /dev/null
+++ b/src/entry/internal/placementloans.cpp
@@ -0,0 +1,234 @@
+#include "entry/placementservice.h"
+
+#include <algorithm>
+
+// The part of PlacementService that lends what this entry owns and borrows
+// what it lacks.
+
+namespace laburnumspread::entry {
+
+using fleet::PoolName;
+using fleet::TeamName;
+using routing::EndpointIndex;
+using sharing::PeerWish;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// A wish is repeated this often and lapses at the owner a little later, so
+/// that a lost one costs one repetition and a stale one gets nothing.
+constexpr Duration WishEvery = 100ms;
+constexpr Duration WishLasts = 300ms;
+/// A loan that nobody has used for this long goes home. Longer than the pause
+/// between two requests of a steady caller, so that skewed load does not
+/// borrow anew for each request.
+constexpr Duration LoanIdleTime = 100ms;
+/// A request needs a permit and a slot. Of either kind an entry asks for no
+/// more than it has of the other, and this many beyond so that it can start
+/// from nothing. Asking for all it could use of both let permits lie idle
+/// where slots were wanting, and the other way round.
+constexpr std::uint32_t AskAhead = 2;
+/// A loan is asked for beyond the deadline of the request that needs it, so
+/// that later requests, with later deadlines, can use it too. Without this
+/// each loan served one round of requests and then lay idle until it went
+/// home (docs/design/limits.md has the figures).
+constexpr Duration LoanReuseTime = 10s;
+constexpr std::uint32_t LoansPerWish = 64;
+
+} // namespace
+
+// Lending
+
+bool PlacementService::grantWish(const PoolName &Pool, const PeerWish &Wish) {
+  for (EndpointIndex Index : State_.Endpoints_.inPool(Pool)) {
+    const auto &Row = State_.Endpoints_.at(Index);
+    if (!Row.Open_ || State_.Ledger_.freeOwned(Row.Subject_) == 0)
+      continue;
+    const auto Loans =
+        State_.Ledger_.lend(Row.Subject_, Wish.From_, 1, Wish.Until_);
+    State_.Send_(Wish.From_, peers::Grant{Loans, Pool, Wish.Team_});
+    State_.Metrics_.counter("loans_granted_total{kind=\"slot\"}").add();
+    poolState(Pool).Queue_.granted(Wish);
+    return true;
+  }
+  return false;
+}
+
+void PlacementService::serveTeamWishes(const TeamName &Team) {
+  const auto Wishes = TeamWishes_.find(Team);
+  const auto Subject = State_.Ledger_.find(teamSubject(Team.str()));
+  if (Wishes == TeamWishes_.end() || !Subject)
+    return;
+  for (PeerWish &Wish : Wishes->second) {
+    if (Wish.LapsesAt_ <= State_.now() || Wish.Count_ == 0)
+      continue;
+    const auto Loans =
+        State_.Ledger_.lend(*Subject, Wish.From_, Wish.Count_, Wish.Until_);
+    if (Loans.empty())
+      break;
+    Wish.Count_ -= Loans.size();
+    State_.Metrics_.counter("loans_granted_total{kind=\"team\"}")
+        .add(Loans.size());
+    State_.Send_(Wish.From_, peers::Grant{Loans, PoolName(), Team});
+  }
+  std::erase_if(Wishes->second, [&](const PeerWish &Wish) {
+    return Wish.Count_ == 0 || Wish.LapsesAt_ <= State_.now();
+  });
+  if (Wishes->second.empty())
+    TeamWishes_.erase(Wishes);
+}
+
+void PlacementService::handle(const peers::Sender &From,
+                              const peers::Borrow &Asked) {
+  if (State_.fenced())
+    return;
+  const TimePoint Now = State_.now();
+  PeerWish Wish{From.Id_,
+                Asked.Team_,
+                Asked.Class_,
+                std::min(Asked.Count_, LoansPerWish),
+                std::min(Asked.Until_, Now + membership::LongestTaskLease),
+                Now + WishLasts};
+  if (!Asked.Pool_.empty()) {
+    if (!declared(Asked.Pool_))
+      return;
+    poolState(Asked.Pool_).Queue_.wish(Wish);
+    return pump(Asked.Pool_);
+  }
+  auto &Wishes = TeamWishes_[Asked.Team_];
+  std::erase_if(Wishes,
+                [&](const PeerWish &Old) { return Old.From_ == From.Id_; });
+  Wishes.push_back(Wish);
+  serveTeamWishes(Asked.Team_);
+}
+
+void PlacementService::handle(const peers::Sender &,
+                              const peers::Grant &Granted) {
+  for (const limits::Loan &Item : Granted.Loans_)
+    State_.Ledger_.receive(Item, State_.now());
+  if (!Granted.Pool_.empty())
+    return pump(Granted.Pool_);
+  pumpAll();
+}
+
+void PlacementService::handle(const peers::Sender &,
+                              const peers::Return &Returned) {
+  for (const limits::LoanId &Id : Returned.Loans_)
+    State_.Ledger_.returned(Id);
+  std::vector<TeamName> Wishing;
+  for (const auto &[Team, Wishes] : TeamWishes_)
+    Wishing.push_back(Team);
+  for (const TeamName &Team : Wishing)
+    serveTeamWishes(Team);
+  pumpAll();
+}
+
+// Borrowing
+
+void PlacementService::wishForSlots(const PoolName &Pool, PoolState &Row) {
+  if (!Row.Starved_ || State_.now() - Row.WishedAt_ < WishEvery)
+    return;
+  const auto Peers = State_.others();
+  if (Peers.empty())
+    return;
+  Row.WishedAt_ = State_.now();
+  std::map<std::pair<TeamName, fleet::RequestClass>, peers::Borrow> Wishes;
+  for (const auto &[Id, Item] : Tickets_) {
+    if (Item->Request_->Pool_ != Pool)
+      continue;
+    auto &Wish = Wishes[{Item->Ticket_.Team_, Item->Ticket_.Class_}];
+    Wish.Pool_ = Pool;
+    Wish.Team_ = Item->Ticket_.Team_;
+    Wish.Class_ = Item->Ticket_.Class_;
+    Wish.Until_ =
+        std::max(Wish.Until_, Item->Ticket_.Deadline_ + LoanReuseTime);
+    ++Wish.Count_;
+  }
+  for (auto &[Key, Wish] : Wishes) {
+    // Shared out over the peers: asking each for all would take in many times
+    // what is needed and keep it from others.
+    Wish.Count_ = std::min(Wish.Count_, freePermits(Wish.Team_) + AskAhead);
+    Wish.Count_ = (Wish.Count_ + Peers.size() - 1) / Peers.size();
+    for (const membership::Member &Peer : Peers)
+      State_.Send_(Peer.Id_, Wish);
+    State_.Metrics_.counter("wishes_sent_total{kind=\"slot\"}")
+        .add(Peers.size());
+  }
+}
+
+std::uint32_t PlacementService::freePermits(const TeamName &Team) const {
+  const auto Subject = State_.Ledger_.find(teamSubject(Team.str()));
+  return Subject ? State_.Ledger_.idle(*Subject) : 0;
+}
+
+std::uint32_t PlacementService::freeSlots(const PoolName &Pool) const {
+  std::uint32_t Sum = 0;
+  for (EndpointIndex Index : State_.Endpoints_.inPool(Pool))
+    if (State_.Endpoints_.at(Index).Open_)
+      Sum += State_.Ledger_.idle(State_.Endpoints_.at(Index).Subject_);
+  return Sum;
+}
+
+void PlacementService::wishForTeam(const TeamName &Team, std::uint32_t Count,
+                                   TimePoint Until) {
+  const auto Subject = State_.Ledger_.find(teamSubject(Team.str()));
+  if (!Subject)
+    return;
+  const auto Owners = State_.Ledger_.ownersOf(*Subject);
+  std::uint32_t Total = 0;
+  for (const auto &Item : Owners)
+    Total += Item.Units_;
+  for (const auto &Item : Owners) {
+    if (Item.Owner_ == State_.Self_.Id_ || Total == 0)
+      continue;
+    peers::Borrow Wish;
+    Wish.Team_ = Team;
+    Wish.Until_ = Until;
+    Wish.Count_ = std::max(1U, (Count * Item.Units_ + Total - 1) / Total);
+    State_.Send_(Item.Owner_, Wish);
+    State_.Metrics_.counter("wishes_sent_total{kind=\"team\"}").add();
+  }
+}
+
+void PlacementService::wishForPermits() {
+  struct Need {
+    std::uint32_t Count_ = 0;
+    TimePoint Until_{};
+    std::set<PoolName> Pools_;
+  };
+  std::map<TeamName, Need> Needs;
+  for (const auto &[Id, Item] : Tickets_) {
+    if (!TeamWishedAt_.contains(Item->Ticket_.Team_))
+      continue;
+    Need &Row = Needs[Item->Ticket_.Team_];
+    Row.Pools_.insert(Item->Request_->Pool_);
+    ++Row.Count_;
+    Row.Until_ = std::max(Row.Until_, Item->Ticket_.Deadline_ + LoanReuseTime);
+  }
+  std::erase_if(TeamWishedAt_,
+                [&](const auto &Row) { return !Needs.contains(Row.first); });
+  for (auto &[Team, At] : TeamWishedAt_) {
+    if (State_.now() - At < WishEvery)
+      continue;
+    At = State_.now();
+    std::uint32_t Slots = AskAhead;
+    for (const PoolName &Pool : Needs[Team].Pools_)
+      Slots += freeSlots(Pool);
+    wishForTeam(Team, std::min({Needs[Team].Count_, Slots, LoansPerWish}),
+                Needs[Team].Until_);
+  }
+}
+
+void PlacementService::sendReturns(const std::vector<limits::LoanId> &Loans) {
+  std::map<MemberId, peers::Return> ByLender;
+  for (const limits::LoanId &Id : Loans)
+    ByLender[Id.Lender_].Loans_.push_back(Id);
+  for (const auto &[Lender, Message] : ByLender)
+    State_.Send_(Lender, Message);
+}
+
+void PlacementService::returnIdleLoans() {
+  sendReturns(State_.Ledger_.takeIdleLoans(State_.now() - LoanIdleTime));
+}
+
+} // namespace laburnumspread::entry
--- a/src/entry/internal/plannerservice.cpp
+++ b/src/entry/internal/plannerservice.cpp
@@ -18,6 +18,9 @@
 namespace {
 
 constexpr Duration TickEvery = 500ms;
+/// The pause is at least so many times the last tick's decisions, which keeps
+/// them below 1% of a core: at 11,000 VMs with a wave a tick takes 9 ms.
+constexpr int TicksPerCore = 100;
 /// While another entry is seen to hold the lease, one is tried for only this
 /// often: for the case that the watch missed its end.
 constexpr Duration TryHeldLeaseEvery = 30s;
@@ -51,7 +54,7 @@
     const bool Able = State_.Started_ && !State_.Leaving_ && State_.isMember();
     if (Able && refreshLease())
       tick();
-    sleepFor(TickEvery);
+    sleepFor(std::max(TickEvery, TicksPerCore * LastTick_));
   }
 }
 
