--- a/src/ctl/internal/commands.cpp
+++ b/src/ctl/internal/commands.cpp
@@ -26,7 +26,6 @@
 namespace {
 
 constexpr std::size_t SecretBytes = 24;
-constexpr auto PollEvery = 300ms;
 
 void print(const Command &Given, const std::string &Kind,
            const json::value &Value) {
--- a/src/ctl/internal/following.cpp
+++ b/src/ctl/internal/following.cpp
@@ -16,12 +16,6 @@
 using framework::clock::TimePoint;
 using namespace std::chrono_literals;
 
-namespace {
-
-constexpr auto PollEvery = 300ms;
-
-} // namespace
-
 ExitCode drain(Session &Server, const Command &Given) {
   if (Given.Words_.empty())
     return complain(ExitCode::Usage, "drain needs a VM's name");
--- a/src/ctl/internal/following.h
+++ b/src/ctl/internal/following.h
@@ -5,6 +5,9 @@
 
 namespace laburnumspread::ctl {
 
+/// Time between two looks at what is being followed.
+constexpr framework::clock::Duration PollEvery = std::chrono::milliseconds(300);
+
 /// Sets spec.drain of a VM and follows the drain to its end.
 ExitCode drain(Session &Server, const Command &Given);
 
--- a/src/framework/http/httpclient.cpp
+++ b/src/framework/http/httpclient.cpp
@@ -74,7 +74,6 @@
       Head.set(Field.Name_, Field.Value_);
     if (Length > 0 || Message.Method_ != "GET")
       Head.content_length(Length);
-    HeadOnly_ = Message.Method_ == "HEAD";
     return sendHead(Head, Message.Body_, Deadline);
   }
 
@@ -203,7 +202,6 @@
   clock::TimePoint ProvenAt_{};
   bool Sent_ = false;
   bool Finished_ = false;
-  bool HeadOnly_ = false;
 };
 
 } // namespace
--- a/src/sharing/internal/poolqueue.cpp
+++ b/src/sharing/internal/poolqueue.cpp
@@ -132,11 +132,6 @@
     Wishes_.push_back(Item);
 }
 
-void PoolQueue::forgetPeer(const MemberId &Peer) {
-  std::erase_if(Wishes_,
-                [&](const PeerWish &Item) { return Item.From_ == Peer; });
-}
-
 void PoolQueue::granted(const PeerWish &Item) {
   for (PeerWish &Row : Wishes_)
     if (Row.From_ == Item.From_ && Row.Team_ == Item.Team_ &&
--- a/src/sharing/poolqueue.h
+++ b/src/sharing/poolqueue.h
@@ -48,7 +48,6 @@
 
   /// Notes a peer's wish; it replaces the peer's former one for the team.
   void wish(const PeerWish &Item);
-  void forgetPeer(const MemberId &Peer);
   /// One slot was given to a wish.
   void granted(const PeerWish &Item);
 
