--- a/cmake/module.cmake
+++ b/cmake/module.cmake
@@ -13,6 +13,9 @@
 
 # laburnum_test(LABEL TESTS ... DEPENDS ...): a Boost.Test program.
 function(laburnum_test LABEL)
+  if(NOT LABURNUM_TESTS)
+    return()
+  endif()
   cmake_parse_arguments(T "" "" "TESTS;DEPENDS" ${ARGN})
   add_executable(${LABEL}_test ${T_TESTS} ${CMAKE_SOURCE_DIR}/cmake/testmain.cpp)
   target_compile_definitions(${LABEL}_test PRIVATE BOOST_TEST_DYN_LINK)
--- /dev/null
+++ b/src/app/internal/cellapp.cpp
@@ -0,0 +1,247 @@
+#include "app/cellapp.h"
+
+#include "cell/cellservice.h"
+#include "cell/intake.h"
+#include "framework/fibers/spawn.h"
+#include "framework/http/httpserver.h"
+#include "peers/peermesh.h"
+#include "platform/callerapi.h"
+#include "platform/codecs.h"
+#include "platform/kvstore.h"
+#include "platform/workerclient.h"
+
+#include <boost/json/serialize.hpp>
+#include <boost/json/value.hpp>
+
+namespace laburnumspread::app {
+
+using cell::CellSettings;
+using framework::clock::SteadyClock;
+using framework::clock::TimePoint;
+using framework::fibers::sleepFor;
+using framework::http::Exchange;
+using framework::http::Response;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr auto ReadTime = 900ms;
+constexpr auto RetryPause = 150ms;
+/// The platform needs two missed answers, a second apart, to send no more
+/// callers here.
+constexpr auto NoticeTime = 2200ms;
+constexpr auto InFlightCheck = 20ms;
+/// An entry whose configuration has not been confirmed for this long does not
+/// take callers: it may have missed a withdrawn key.
+constexpr auto ConfigStale = 6s;
+
+membership::MemberId selfOf(const CellSettings &Settings) {
+  return {Settings.Name_, fleet::Incarnation(framework::clock::toMicros(
+                              framework::clock::SystemClock().now()))};
+}
+
+journal::Holder holderOf(const membership::MemberId &Self) {
+  journal::Holder Result;
+  Result.Entry_ = Self.Name_;
+  Result.Incarnation_ = Self.Incarnation_;
+  return Result;
+}
+
+} // namespace
+
+struct CellApp::Parts {
+  using Service = cell::CellService<platform::KvStore, platform::WorkerClient>;
+
+  Parts(boost::asio::io_context &Io, CellSettings Settings)
+      : Settings_(std::move(Settings)), Self_(selfOf(Settings_)),
+        Store_(Io, Settings_.Store_), Workers_(Io),
+        Cell_(Store_, Workers_,
+              {std::string(platform::WorkersPrefix), platform::readWorker},
+              journal::CellKeys(Settings_.StorePrefix_ + "cell/0/"),
+              holderOf(Self_), Settings_.Bounds_, Metrics_),
+        Router_(
+            {[this](const peers::JobCall &Call,
+                    const cell::CallRouter::ReplyFn &Reply) {
+               Cell_.handle(Call, Reply);
+             },
+             [this] { return Cell_.leads(); },
+             [this] { return Cell_.holder(); },
+             [this](const journal::Holder &To, const peers::JobCall &Call) {
+               Mesh_.send({To.Entry_, To.Incarnation_}, To.PeerAddress_, Call);
+             }}),
+        Intake_(Router_, platform::readJob), Api_(Intake_),
+        Mesh_(Io, Self_, Settings_.PeerKeys_,
+              [this](const peers::Sender &From, peers::Message &&Body) {
+                receive(From, Body);
+              }),
+        Callers_(
+            Io, {}, [this](Exchange &Call) { serveCaller(Call); },
+            platform::faultReply),
+        Readiness_(
+            Io, {},
+            [this](Exchange &Call) {
+              Call.reply(platform::readinessReply(ready()));
+            },
+            platform::faultReply),
+        MetricsServer_(
+            Io, {}, [this](Exchange &Call) { serveMetrics(Call); },
+            platform::faultReply) {}
+
+  void serveCaller(Exchange &Call) {
+    ++InFlight_;
+    if (Leaving_)
+      Call.closeAfter();
+    Api_.handle(Call);
+    --InFlight_;
+  }
+
+  void serveMetrics(Exchange &Call) {
+    Response Answer;
+    Answer.Status_ = 200;
+    Answer.Headers_.add("Content-Type", "text/plain; version=0.0.4");
+    Answer.Body_ = Metrics_.exposition();
+    Call.reply(Answer);
+  }
+
+  bool ready() const {
+    return !Leaving_ && Intake_.config().Version_.value() > 0 &&
+           SteadyClock().now() - ConfigSeenAt_ < ConfigStale;
+  }
+
+  void receive(const peers::Sender &From, const peers::Message &Body) {
+    if (const auto *Call = std::get_if<peers::JobCall>(&Body))
+      Cell_.handle(*Call, [this, From](const peers::JobReply &Reply) {
+        Mesh_.send(From.Id_, From.Address_, Reply);
+      });
+    else if (const auto *Reply = std::get_if<peers::JobReply>(&Body))
+      Router_.take(*Reply);
+  }
+
+  /// Follows the operator's configuration.
+  void configLoop() {
+    const std::string Key(platform::ConfigKey);
+    while (true) {
+      const auto Read = Store_.range(Key, fleet::Revision(0),
+                                     framework::clock::wallDeadline(ReadTime));
+      if (!Read.ok()) {
+        sleepFor(RetryPause);
+        continue;
+      }
+      ConfigSeenAt_ = SteadyClock().now();
+      for (const store::KeyValue &Item : Read->Items_)
+        adopt(Item);
+      const absl::Status Ended =
+          Store_.watch(Key, Read->StoreRevision_.next(),
+                       [&](const store::WatchBatch &Batch) {
+                         ConfigSeenAt_ = SteadyClock().now();
+                         for (const store::KeyValue &Item : Batch.Puts_)
+                           adopt(Item);
+                         return true;
+                       });
+      framework::log::info("config.watch_ended")
+          .field("reason", std::string(Ended.message()));
+    }
+  }
+
+  void adopt(const store::KeyValue &Item) {
+    if (Item.Key_ != platform::ConfigKey)
+      return;
+    const auto Next = platform::readConfig(Item.Value_);
+    if (!Next.ok()) {
+      framework::log::error("config.unreadable")
+          .field("revision", Item.ModRevision_.value())
+          .field("reason", std::string(Next.status().message()));
+      return;
+    }
+    if (Next->Version_ <= Intake_.config().Version_)
+      return;
+    framework::log::info("config.in_force")
+        .field("version", Next->Version_.value())
+        .field("before", Intake_.config().Version_.value())
+        .field("queues", static_cast<std::uint64_t>(Next->Queues_.size()));
+    Intake_.setConfig(*Next);
+    Cell_.setConfig(*Next);
+  }
+
+  CellSettings Settings_;
+  membership::MemberId Self_;
+  framework::metrics::Registry Metrics_;
+  platform::KvStore Store_;
+  platform::WorkerClient Workers_;
+  Service Cell_;
+  cell::CallRouter Router_;
+  cell::Intake Intake_;
+  platform::CallerApi Api_;
+  peers::PeerMesh Mesh_;
+  framework::http::Server Callers_;
+  framework::http::Server Readiness_;
+  framework::http::Server MetricsServer_;
+  TimePoint ConfigSeenAt_{};
+  std::size_t InFlight_ = 0;
+  bool Leaving_ = false;
+};
+
+CellApp::CellApp(boost::asio::io_context &Io, CellSettings Settings)
+    : Parts_(std::make_unique<Parts>(Io, std::move(Settings))) {}
+
+CellApp::~CellApp() = default;
+
+absl::Status CellApp::start() {
+  Parts &P = *Parts_;
+  if (absl::Status Bound = P.Mesh_.bind(P.Settings_.Peers_, P.Settings_.Peers_);
+      !Bound.ok())
+    return Bound;
+  const std::array<std::pair<framework::http::Server *, cell::Address>, 3>
+      Servers = {{{&P.Callers_, P.Settings_.Callers_},
+                  {&P.Readiness_, P.Settings_.Readiness_},
+                  {&P.MetricsServer_, P.Settings_.Metrics_}}};
+  for (const auto &[Server, At] : Servers)
+    if (absl::Status Bound = Server->listen(At); !Bound.ok())
+      return Bound;
+  P.Cell_.start(P.Mesh_.advertised().str());
+  framework::fibers::spawn([&P] { P.configLoop(); });
+  return absl::OkStatus();
+}
+
+void CellApp::stop() {
+  Parts &P = *Parts_;
+  framework::log::info("entry.leaving")
+      .field("in_flight", static_cast<std::uint64_t>(P.InFlight_));
+  P.Leaving_ = true;
+  P.Cell_.leave();
+  const TimePoint Noticed = SteadyClock().now() + NoticeTime;
+  const TimePoint Last =
+      SteadyClock().now() + P.Settings_.Bounds_.Grace_ - 1500ms;
+  while (SteadyClock().now() < Noticed ||
+         (P.InFlight_ > 0 && SteadyClock().now() < Last))
+    sleepFor(InFlightCheck);
+  P.Callers_.stopAccepting();
+  while (P.InFlight_ > 0 && SteadyClock().now() < Last)
+    sleepFor(InFlightCheck);
+  framework::log::info("entry.stopped")
+      .field("left_in_flight", static_cast<std::uint64_t>(P.InFlight_));
+}
+
+void CellApp::reload(const CellSettings &Settings) {
+  framework::log::setLevel(Settings.LogLevel_);
+  framework::log::info("settings.reloaded")
+      .field("entry", Settings.Name_.str());
+}
+
+std::string CellApp::dump() const {
+  const Parts &P = *Parts_;
+  boost::json::object Into{
+      {"entry", P.Settings_.Name_.str()},
+      {"configVersion", P.Intake_.config().Version_.value()},
+      {"leads", P.Cell_.leads()},
+      {"holder", P.Cell_.holder().Entry_.str()},
+      {"storeCalls", P.Store_.calls()}};
+  if (const auto &Term = P.Cell_.term()) {
+    Into["token"] = Term->Token_.value();
+    Into["jobsOpen"] = Term->Table_.open().size();
+    Into["workers"] = Term->Workers_.size();
+  }
+  return boost::json::serialize(Into);
+}
+
+} // namespace laburnumspread::app
--- a/src/app/internal/entryapp.cpp
+++ b/src/app/internal/entryapp.cpp
@@ -155,6 +155,9 @@
   void dispatch(const peers::Sender &, const peers::Cancel &Item) {
     Runner_.cancel(Item.Name_);
   }
+  /// Jobs are served by cell entries only.
+  void dispatch(const peers::Sender &, const peers::JobCall &) {}
+  void dispatch(const peers::Sender &, const peers::JobReply &) {}
   template <typename Message>
   void dispatch(const peers::Sender &From, const Message &Item) {
     Reservations_.handle(From, Item);
--- a/src/app/laburnumspreadd.cpp
+++ b/src/app/laburnumspreadd.cpp
@@ -1,12 +1,17 @@
+#include "app/cellapp.h"
 #include "app/entryapp.h"
 
 #include "framework/fibers/asioscheduler.h"
 #include "framework/fibers/spawn.h"
 #include "framework/fibers/waiter.h"
 #include "framework/log/log.h"
+#include "framework/settings/jsonreader.h"
 
 #include <csignal>
+#include <fstream>
+#include <functional>
 #include <iostream>
+#include <sstream>
 
 #include <boost/asio/signal_set.hpp>
 #include <cxxopts.hpp>
@@ -20,43 +25,129 @@
 constexpr int BadSettings = 2;
 constexpr int CannotStart = 1;
 
+/// A settings file that cannot be used leaves the old settings in force.
+void keepSettings(const absl::Status &Reason) {
+  framework::log::error("settings.kept")
+      .field("reason", std::string(Reason.message()));
+}
+
 /// Writes the dump to the standard output on each SIGUSR1.
-void dumpOnSignal(boost::asio::signal_set &Signals, app::EntryApp &App) {
-  Signals.async_wait([&Signals, &App](const auto &Error, int) {
+template <typename App>
+void dumpOnSignal(boost::asio::signal_set &Signals, App &Served) {
+  Signals.async_wait([&Signals, &Served](const auto &Error, int) {
+    if (Error)
+      return;
+    framework::fibers::spawn(
+        [&Served] { std::cout << Served.dump() << std::endl; });
+    dumpOnSignal(Signals, Served);
+  });
+}
+
+/// Calls \p Reload on each SIGHUP, the sign that the settings file has changed.
+void reloadOnSignal(boost::asio::signal_set &Signals,
+                    const std::function<void()> &Reload) {
+  Signals.async_wait([&Signals, Reload](const auto &Error, int) {
     if (Error)
       return;
-    framework::fibers::spawn([&App] { std::cout << App.dump() << std::endl; });
-    dumpOnSignal(Signals, App);
+    framework::fibers::spawn(Reload);
+    reloadOnSignal(Signals, Reload);
   });
 }
 
-int serve(entry::EntrySettings Settings) {
+/// Serves until SIGTERM or SIGINT. \p Stop tells whether the end was clean.
+template <typename App>
+int serveUntilTold(boost::asio::io_context &Io, App &Served,
+                   const std::function<void()> &Reload,
+                   const std::function<bool()> &Stop) {
+  boost::asio::signal_set Dump(Io, SIGUSR1);
+  dumpOnSignal(Dump, Served);
+  boost::asio::signal_set Hangup(Io, SIGHUP);
+  reloadOnSignal(Hangup, Reload);
+  framework::fibers::Waiter Told;
+  boost::asio::signal_set Signals(Io, SIGTERM, SIGINT);
+  Signals.async_wait([&Told](const auto &, int) { Told.signal(); });
+  while (!Told.signalled())
+    Told.waitUntil(framework::clock::SystemClock().now() +
+                   std::chrono::hours(24));
+  const bool Clean = Stop();
+  std::cout.flush();
+  // Fibers of the parts run until the process ends; there is nothing left to
+  // unwind that would matter to anybody else.
+  std::_Exit(Clean ? 0 : 1);
+}
+
+int cannotStart(const absl::Status &Reason) {
+  framework::log::error("entry.cannot_start")
+      .field("reason", std::string(Reason.message()));
+  return CannotStart;
+}
+
+int serve(const entry::EntrySettings &Settings, const std::string &File) {
   framework::log::configure(Settings.LogFormat_, Settings.LogLevel_);
   boost::asio::io_context Io(1);
   framework::fibers::useAsioScheduler(Io);
   app::EntryApp App(Io, Settings);
-  if (absl::Status Started = App.start(); !Started.ok()) {
-    framework::log::error("entry.cannot_start")
-        .field("reason", std::string(Started.message()));
-    return CannotStart;
-  }
+  if (absl::Status Started = App.start(); !Started.ok())
+    return cannotStart(Started);
   framework::log::info("entry.listening")
       .field("entry", Settings.Name_.str())
       .field("http_port", App.httpPort())
       .field("peer_port", App.peerPort());
-  boost::asio::signal_set Dump(Io, SIGUSR1);
-  dumpOnSignal(Dump, App);
-  framework::fibers::Waiter Stop;
-  boost::asio::signal_set Signals(Io, SIGTERM, SIGINT);
-  Signals.async_wait([&Stop](const auto &, int) { Stop.signal(); });
-  while (!Stop.signalled())
-    Stop.waitUntil(framework::clock::SystemClock().now() +
-                   std::chrono::hours(24));
-  const bool Clean = App.stop();
-  std::cout.flush();
-  // Fibers of the parts run until the process ends; there is nothing left to
-  // unwind that would matter to anybody else.
-  std::_Exit(Clean ? 0 : 1);
+  const auto Reload = [File] {
+    const auto Fresh = entry::loadSettings(File);
+    if (!Fresh.ok())
+      return keepSettings(Fresh.status());
+    framework::log::setLevel(Fresh->LogLevel_);
+    framework::log::info("settings.reloaded").field("file", File);
+  };
+  return serveUntilTold(Io, App, Reload, [&App] { return App.stop(); });
+}
+
+int serveCell(const cell::CellSettings &Settings, const std::string &File) {
+  framework::log::configure(Settings.LogFormat_, Settings.LogLevel_);
+  boost::asio::io_context Io(1);
+  framework::fibers::useAsioScheduler(Io);
+  app::CellApp App(Io, Settings);
+  if (absl::Status Started = App.start(); !Started.ok())
+    return cannotStart(Started);
+  framework::log::info("entry.listening")
+      .field("entry", Settings.Name_.str())
+      .field("callers", Settings.Callers_.str());
+  const auto Reload = [File, &App] {
+    const auto Fresh = cell::loadCellSettings(File);
+    if (!Fresh.ok())
+      return keepSettings(Fresh.status());
+    App.reload(*Fresh);
+  };
+  return serveUntilTold(Io, App, Reload, [&App] {
+    App.stop();
+    return true;
+  });
+}
+
+/// Whether the settings are those of an entry that serves jobs.
+bool isCell(const std::string &File) {
+  std::ifstream In(File);
+  std::stringstream Text;
+  Text << In.rdbuf();
+  const auto Document = framework::settings::parseJson(Text.str());
+  const auto *Fields = Document.ok() ? Document->if_object() : nullptr;
+  const auto *Kind = Fields ? Fields->if_contains("kind") : nullptr;
+  return Kind && Kind->is_string() && Kind->get_string() == "cell";
+}
+
+template <typename Settings>
+int checkOrServe(const absl::StatusOr<Settings> &Read, bool OnlyCheck,
+                 const std::function<int(const Settings &)> &Serve) {
+  if (!Read.ok()) {
+    std::cerr << Read.status().message() << '\n';
+    return BadSettings;
+  }
+  if (OnlyCheck) {
+    std::cout << "settings are valid\n";
+    return 0;
+  }
+  return Serve(*Read);
 }
 
 } // namespace
@@ -78,16 +169,15 @@
       std::cerr << "laburnumspreadd: --config is required\n";
       return BadSettings;
     }
-    auto Settings = entry::loadSettings(Given["config"].as<std::string>());
-    if (!Settings.ok()) {
-      std::cerr << Settings.status().message() << '\n';
-      return BadSettings;
-    }
-    if (Given.count("check")) {
-      std::cout << "settings are valid\n";
-      return 0;
-    }
-    return serve(std::move(*Settings));
+    const std::string File = Given["config"].as<std::string>();
+    const bool OnlyCheck = Given.count("check") > 0;
+    if (isCell(File))
+      return checkOrServe<cell::CellSettings>(
+          cell::loadCellSettings(File), OnlyCheck,
+          [&](const auto &Settings) { return serveCell(Settings, File); });
+    return checkOrServe<entry::EntrySettings>(
+        entry::loadSettings(File), OnlyCheck,
+        [&](const auto &Settings) { return serve(Settings, File); });
   } catch (const cxxopts::exceptions::exception &Error) {
     std::cerr << "laburnumspreadd: " << Error.what() << '\n';
     return BadSettings;
--- /dev/null
+++ b/src/cell/cellservice.h
@@ -0,0 +1,526 @@
+#pragma once
+
+#include "cell/sessions.h"
+#include "peers/messages.h"
+#include "scheduling/scheduler.h"
+
+namespace laburnumspread::cell {
+
+using JobReplyFn = std::function<void(const peers::JobReply &)>;
+
+/// Keys under which the platform lists workers, and how an item is read.
+struct WorkerDirectory {
+  std::string Prefix_;
+  /// Empty when the item names no worker that can be used.
+  std::function<std::optional<WorkerRecord>(const store::KeyValue &)> Read_;
+};
+
+/// Leads the cell when no other entry does, and while it leads takes jobs,
+/// schedules them and keeps them running.
+template <store::KeyValueStore Store, WorkerClient Client> class CellService {
+public:
+  using TermPtr = std::shared_ptr<Term<Store>>;
+  using SessionsPtr = std::shared_ptr<Sessions<Store, Client>>;
+
+  /// The lease of two seconds is renewed this often, so that several renewals
+  /// may get lost.
+  static constexpr Duration RenewEvery = std::chrono::milliseconds(400);
+  static constexpr Duration CampaignPause = std::chrono::milliseconds(100);
+  static constexpr Duration TickEvery = std::chrono::milliseconds(100);
+  /// A job is refused at once when the store has owed an answer for this long:
+  /// it could only be told an unknown outcome later.
+  static constexpr Duration StoreSilence = std::chrono::milliseconds(500);
+  static constexpr std::uint64_t RetryAfterOutageMs = 1000;
+  static constexpr Duration ListTime = std::chrono::milliseconds(1500);
+  /// Distrust of a worker halves in this time.
+  static constexpr double DistrustHalvesIn = 4.0;
+
+  CellService(Store &S, Client &C, WorkerDirectory Directory,
+              const journal::CellKeys &Keys, journal::Holder Self,
+              CellBounds Bounds, framework::metrics::Registry &Metrics)
+      : Store_(S), Client_(C), Directory_(std::move(Directory)), Keys_(Keys),
+        Bounds_(Bounds), Metrics_(Metrics), Lead_(S, Keys, std::move(Self)) {}
+
+  void start(std::string PeerAddress) {
+    Lead_.setPeerAddress(std::move(PeerAddress));
+    framework::fibers::spawn([this] { headLoop(); });
+    framework::fibers::spawn([this] { renewLoop(); });
+    framework::fibers::spawn([this] { tickLoop(); });
+  }
+
+  /// Hands the cell over: what is on its way is committed, then the head is
+  /// given up.
+  void leave() {
+    Leaving_ = true;
+    const TimePoint Until = now() + std::chrono::seconds(1);
+    while (Term_ && !Term_->Commits_.idle() && now() < Until)
+      framework::fibers::sleepFor(std::chrono::milliseconds(10));
+    if (Term_)
+      endTerm("leaving");
+    Lead_.resign();
+  }
+
+  void setConfig(const CellConfig &Config) {
+    Config_ = Config;
+    if (Term_)
+      adoptConfig(*Term_);
+  }
+
+  bool leads() const { return Term_ && !Term_->over() && Term_->Loaded_; }
+  const TermPtr &term() const { return Term_; }
+  /// The last holder that was seen; its token is 0 when there is none.
+  const journal::Holder &holder() const { return Seen_; }
+
+  /// Serves a call if this entry leads; \p Reply may run later, once.
+  void handle(const peers::JobCall &Call, const JobReplyFn &Reply) {
+    if (!leads())
+      return Reply({Call.Sequence_, peers::JobVerdict::NotHolder, "", 0, 0});
+    switch (Call.Kind_) {
+    case peers::JobCallKind::Submit:
+      return submit(Call, Reply);
+    case peers::JobCallKind::State:
+      return state(Call, Reply);
+    case peers::JobCallKind::Cancel:
+      return cancel(Call, Reply);
+    case peers::JobCallKind::Waiting:
+      return Reply({Call.Sequence_, peers::JobVerdict::Ok, "",
+                    Term_->Table_.waiting(QueueName(Call.Queue_)), 0});
+    }
+  }
+
+private:
+  static TimePoint now() { return framework::clock::SteadyClock().now(); }
+
+  // Leadership.
+
+  /// Follows the head key, and campaigns while there is none.
+  void headLoop() {
+    while (true) {
+      const auto Read = Store_.range(Keys_.head(), fleet::Revision(0),
+                                     framework::clock::wallDeadline(ListTime));
+      if (!Read.ok()) {
+        framework::fibers::sleepFor(CampaignPause);
+        continue;
+      }
+      Seen_ = journal::Holder();
+      for (const store::KeyValue &Item : Read->Items_)
+        noteHead(Item);
+      if (Seen_.Token_.value() == 0 && !Leaving_ && !Lead_.held())
+        campaign();
+      if (Seen_.Token_.value() != 0 || Lead_.held())
+        watchHead(Read->StoreRevision_);
+      else
+        framework::fibers::sleepFor(CampaignPause);
+    }
+  }
+
+  void noteHead(const store::KeyValue &Item) {
+    if (Item.Key_ != Keys_.head())
+      return;
+    if (const auto Read =
+            journal::decodeHolder(Item.Value_, Item.ModRevision_)) {
+      Seen_ = *Read;
+      if (Lead_.held() && Lead_.token() != Seen_.Token_)
+        endTerm("another holder was seen");
+      else if (!Lead_.held() && Lead_.adoptIfOwn(*Read).value_or(false))
+        beginTerm();
+    }
+  }
+
+  /// Watches until the head is gone or the watch has to be renewed.
+  void watchHead(fleet::Revision After) {
+    bool Gone = false;
+    const absl::Status Ended = Store_.watch(
+        Keys_.head(), After.next(), [&](const store::WatchBatch &Batch) {
+          for (const store::KeyValue &Item : Batch.Puts_)
+            noteHead(Item);
+          for (const std::string &Key : Batch.Deletes_)
+            Gone = Gone || Key == Keys_.head();
+          return !Gone;
+        });
+    if (Gone && Lead_.held())
+      endTerm("the head key is gone");
+    if (!Ended.ok() && !Gone)
+      framework::fibers::sleepFor(CampaignPause);
+  }
+
+  void campaign() {
+    const auto Won = Lead_.campaign();
+    framework::log::info("leadership.campaign")
+        .field("result", !Won.ok() ? "no answer"
+                         : *Won    ? "won"
+                                   : "lost")
+        .field("token", Lead_.token().value());
+    if (!Won.ok() || !*Won)
+      return;
+    Seen_ = Lead_.self();
+    beginTerm();
+  }
+
+  void renewLoop() {
+    while (true) {
+      framework::fibers::sleepFor(RenewEvery);
+      if (!Lead_.held())
+        continue;
+      const jobs::FencingToken Token = Lead_.token();
+      const auto Alive = Lead_.renew();
+      if (Alive.ok() && !*Alive && Lead_.token() == Token)
+        endTerm("the lease has ended");
+    }
+  }
+
+  void beginTerm() {
+    Term_ =
+        std::make_shared<Term<Store>>(Store_, Keys_, Lead_, Metrics_, Bounds_);
+    Sessions_ = std::make_shared<Sessions<Store, Client>>(Term_, Client_);
+    Metrics_.counter("takeovers_total").add();
+    framework::fibers::spawn([this, T = Term_] { runTerm(T); });
+  }
+
+  void endTerm(std::string_view Reason) {
+    if (!Term_)
+      return;
+    framework::log::warning("leadership.ended")
+        .field("token", Term_->Token_.value())
+        .field("reason", Reason);
+    Term_->Over_ = true;
+    Term_->Commits_.stop();
+    for (const auto &[Life, Row] : Term_->Workers_)
+      Row->wake();
+    if (!Leaving_)
+      Lead_.forget();
+    Term_ = nullptr;
+    Sessions_ = nullptr;
+  }
+
+  /// Works for a term from takeover to end.
+  void runTerm(TermPtr T) {
+    const TimePoint Begun = now();
+    if (!load(*T))
+      return;
+    adoptConfig(*T);
+    T->Loaded_ = true;
+    framework::log::info("leadership.begun")
+        .field("token", T->Token_.value())
+        .field("jobs_open", static_cast<std::uint64_t>(T->Table_.open().size()))
+        .field("jobs_known",
+               static_cast<std::uint64_t>(T->Table_.jobs().size()))
+        .field("load_ms", (now() - Begun).count() / 1000);
+    framework::fibers::spawn([this, T] { directoryLoop(T); });
+    SessionsPtr Talks = Sessions_;
+    if (!Talks)
+      return;
+    stopLeftovers(*T, *Talks);
+    T->Commits_.run([this, T, Talks] { schedule(*T, *Talks); });
+    if (Term_ == T)
+      endTerm("the journal cannot be written");
+  }
+
+  bool load(Term<Store> &T) {
+    T.Table_.setAttemptLimit([&T](const QueueName &Name) {
+      const QueueConfig *Queue = T.Config_.find(Name);
+      return Queue ? Queue->MaxAttempts_ : DefaultAttempts;
+    });
+    while (!T.over()) {
+      adoptConfig(T);
+      const absl::Status Read = T.Log_.load(T.Table_, now());
+      if (Read.ok()) {
+        T.Table_.setAges(
+            framework::clock::toMillis(framework::clock::SystemClock().now()),
+            now());
+        return true;
+      }
+      framework::log::error("journal.load_failed")
+          .field("reason", std::string(Read.message()));
+      T.Table_ = jobs::CellTable();
+      T.Table_.setAttemptLimit([&T](const QueueName &Name) {
+        const QueueConfig *Queue = T.Config_.find(Name);
+        return Queue ? Queue->MaxAttempts_ : DefaultAttempts;
+      });
+      framework::fibers::sleepFor(CampaignPause);
+    }
+    return false;
+  }
+
+  /// Runs of jobs that ended under an earlier holder.
+  void stopLeftovers(Term<Store> &T, Sessions<Store, Client> &Talks) {
+    for (const auto &[Id, Job] : T.Table_.jobs())
+      if (Job.ended() && Job.LiveRuns_ > 0)
+        Talks.stopJob(Id);
+  }
+
+  /// Queues that have been removed stay known to the term, so that jobs taken
+  /// before still end.
+  void adoptConfig(Term<Store> &T) {
+    std::vector<QueueConfig> Removed;
+    for (const QueueConfig &Old : T.Config_.Queues_)
+      if (!Config_.find(Old.Name_))
+        Removed.push_back(Old);
+    T.Config_ = Config_;
+    for (QueueConfig &Old : Removed)
+      T.Config_.Queues_.push_back(std::move(Old));
+    T.Commits_.wake();
+  }
+
+  // Workers.
+
+  void directoryLoop(TermPtr T) {
+    while (!T->over()) {
+      const auto Read = Store_.range(Directory_.Prefix_, fleet::Revision(0),
+                                     framework::clock::wallDeadline(ListTime));
+      if (T->over())
+        return;
+      if (!Read.ok()) {
+        framework::fibers::sleepFor(CampaignPause);
+        continue;
+      }
+      replaceDirectory(*T, Read->Items_);
+      const absl::Status Ended =
+          Store_.watch(Directory_.Prefix_, Read->StoreRevision_.next(),
+                       [&](const store::WatchBatch &Batch) {
+                         if (T->over())
+                           return false;
+                         for (const store::KeyValue &Item : Batch.Puts_)
+                           noteWorker(*T, Item);
+                         for (const std::string &Key : Batch.Deletes_)
+                           unlist(*T, Key);
+                         return true;
+                       });
+      if (!Ended.ok())
+        framework::fibers::sleepFor(CampaignPause);
+    }
+  }
+
+  void replaceDirectory(Term<Store> &T,
+                        const std::vector<store::KeyValue> &Items) {
+    std::set<WorkerLife> Listed;
+    for (const store::KeyValue &Item : Items)
+      if (const auto Life = noteWorker(T, Item))
+        Listed.insert(*Life);
+    for (const auto &[Life, Row] : T.Workers_)
+      if (!Listed.contains(Life))
+        Row->Listed_ = false;
+  }
+
+  std::optional<WorkerLife> noteWorker(Term<Store> &T,
+                                       const store::KeyValue &Item) {
+    const auto Record = Directory_.Read_(Item);
+    if (!Record)
+      return std::nullopt;
+    const auto Known = T.Workers_.find(Record->Life_);
+    if (Known != T.Workers_.end()) {
+      if (Record->Draining_ != Known->second->Record_.Draining_)
+        framework::log::info("worker.changed")
+            .field("worker", Record->Life_.Id_.str())
+            .field("draining", Record->Draining_ ? "yes" : "no");
+      Known->second->Record_ = *Record;
+      Known->second->Listed_ = true;
+    } else {
+      addWorker(T, *Record);
+    }
+    T.Commits_.wake();
+    return Record->Life_;
+  }
+
+  void addWorker(Term<Store> &T, const WorkerRecord &Record) {
+    // A worker is one life of a machine, and an id names one life at a time.
+    std::vector<WorkerRowPtr> Over;
+    for (const auto &[Life, Row] : T.Workers_)
+      if ((Life.Id_ == Record.Life_.Id_ &&
+           Life.BornMs_ < Record.Life_.BornMs_) ||
+          (!Record.Machine_.empty() && Life.Id_ != Record.Life_.Id_ &&
+           Row->Record_.Machine_ == Record.Machine_ &&
+           Life.BornMs_ < Record.Life_.BornMs_))
+        Over.push_back(Row);
+    auto Row = std::make_shared<WorkerRow>();
+    Row->Record_ = Record;
+    Row->ClockAt_ = now();
+    T.Workers_[Record.Life_] = Row;
+    framework::log::info("worker.listed")
+        .field("worker", Record.Life_.Id_.str())
+        .field("born_ms", Record.Life_.BornMs_)
+        .field("pool", Record.Pool_.str());
+    if (!Sessions_)
+      return;
+    Sessions_->open(Row);
+    for (const WorkerRowPtr &Old : Over)
+      Sessions_->lifeOver(*Old, "a newer life is listed");
+    endOlderLives(T, Record.Life_);
+  }
+
+  /// Runs on a life that the journal knows and the list does not any more.
+  void endOlderLives(Term<Store> &T, const WorkerLife &Newer) {
+    std::vector<WorkerLife> Older;
+    for (const auto &[Life, Use] : T.Table_.workers())
+      if (Life.Id_ == Newer.Id_ && Life.BornMs_ < Newer.BornMs_)
+        Older.push_back(Life);
+    for (const WorkerLife &Life : Older)
+      Sessions_->loseRuns(Life, "a newer life is listed");
+  }
+
+  void unlist(Term<Store> &T, const std::string &Key) {
+    const std::string Id = Key.substr(Directory_.Prefix_.size());
+    for (const auto &[Life, Row] : T.Workers_)
+      if (Life.Id_.str() == Id) {
+        Row->Listed_ = false;
+        Row->wake();
+        framework::log::info("worker.unlisted").field("worker", Id);
+      }
+  }
+
+  // Time.
+
+  void tickLoop() {
+    while (true) {
+      framework::fibers::sleepFor(TickEvery);
+      const TermPtr T = Term_;
+      if (!T || T->over() || !T->Loaded_)
+        continue;
+      for (const auto &[Life, Row] : T->Workers_)
+        Row->Distrust_ *= DistrustFade;
+      T->Table_.forgetEnded(now() - Bounds_.StatusKept_);
+      loseUnreachable(*T);
+      if (!T->Table_.open().empty())
+        T->Commits_.wake();
+    }
+  }
+
+  /// Runs on workers that nobody lists: their leases have run out by now.
+  void loseUnreachable(Term<Store> &T) {
+    if (now() < T.inheritedLeaseEnds() || !Sessions_)
+      return;
+    std::vector<WorkerLife> Lost;
+    for (const auto &[Life, Use] : T.Table_.workers())
+      if (!T.Workers_.contains(Life))
+        Lost.push_back(Life);
+    for (const WorkerLife &Life : Lost)
+      Sessions_->loseRuns(Life, "unlisted, lease ran out");
+  }
+
+  // Scheduling.
+
+  void schedule(Term<Store> &T, Sessions<Store, Client> &Talks) {
+    if (!T.mayOrder())
+      return;
+    std::vector<scheduling::Candidate> Workers;
+    for (const auto &[Life, Row] : T.Workers_) {
+      if (!Row->usable())
+        continue;
+      const jobs::WorkerUse *Use = T.Table_.useOf(Life);
+      Workers.push_back(
+          {&Row->Record_,
+           Use ? Row->Record_.Room_ - Use->Used_ : Row->Record_.Room_,
+           Row->Distrust_ < LeastDistrust ? 0 : Row->Distrust_});
+    }
+    const scheduling::Scheduler Decide(T.Table_, T.Config_, T.Learned_);
+    const scheduling::Plan Next = Decide.plan(
+        std::move(Workers),
+        {now(),
+         framework::clock::toMillis(framework::clock::SystemClock().now())});
+    for (const jobs::RunIntended &Item : Next.Starts_) {
+      Talks.staged(Item.Run_);
+      T.Commits_.stage(Item, [Item, S = Sessions_](CommitOutcome Outcome) {
+        if (Outcome == CommitOutcome::Stored && S)
+          S->start(Item);
+      });
+    }
+  }
+
+  // Calls.
+
+  bool storeSilent() const {
+    const auto Since = Term_->Commits_.pendingSince();
+    return (Since && now() - *Since > StoreSilence) || !Term_->mayOrder();
+  }
+
+  void submit(const peers::JobCall &Call, const JobReplyFn &Reply) {
+    auto Answer = [Reply, Sequence = Call.Sequence_](CommitOutcome Outcome) {
+      Reply({Sequence,
+             Outcome == CommitOutcome::Stored ? peers::JobVerdict::Ok
+                                              : peers::JobVerdict::Unknown,
+             "", 0, 0});
+    };
+    if (Term_->Table_.find(jobs::JobId(Call.Job_)))
+      return Term_->Commits_.whenStored(Answer);
+    const auto Events = jobs::decodeGroup(Call.Spec_);
+    if (!Events.ok() || Events->size() != 1 ||
+        !std::holds_alternative<jobs::JobAccepted>(Events->front()))
+      return Reply({Call.Sequence_, peers::JobVerdict::Missing, "", 0, 0});
+    if (storeSilent() || Leaving_) {
+      framework::log::info("job.refused")
+          .field("job", Call.Job_)
+          .field("reason", "the store does not answer");
+      return Reply({Call.Sequence_, peers::JobVerdict::Refused, "", 0,
+                    RetryAfterOutageMs});
+    }
+    framework::log::info("job.accepted")
+        .field("job", Call.Job_)
+        .field("queue", Call.Queue_);
+    Metrics_.counter("jobs_accepted_total").add();
+    Term_->Commits_.stage(Events->front(), Answer);
+  }
+
+  void state(const peers::JobCall &Call, const JobReplyFn &Reply) {
+    const jobs::JobRow *Job = Term_->Table_.find(jobs::JobId(Call.Job_));
+    if (!Job)
+      return Reply({Call.Sequence_, peers::JobVerdict::Missing, "", 0, 0});
+    const auto Tell = [&](jobs::JobState State) {
+      Reply({Call.Sequence_, peers::JobVerdict::Ok,
+             std::string(jobs::nameOf(State)), 0, 0});
+    };
+    if (!Job->ended() || Term_->Commits_.idle())
+      return Tell(Job->State_);
+    // An end is told only once it lasts.
+    if (storeSilent())
+      return Tell(jobs::JobState::Running);
+    Term_->Commits_.whenStored([Reply, Sequence = Call.Sequence_,
+                                State = Job->State_](CommitOutcome Outcome) {
+      const bool Lasts = Outcome == CommitOutcome::Stored;
+      Reply({Sequence,
+             Lasts ? peers::JobVerdict::Ok : peers::JobVerdict::Unknown,
+             std::string(jobs::nameOf(State)), 0, 0});
+    });
+  }
+
+  void cancel(const peers::JobCall &Call, const JobReplyFn &Reply) {
+    const jobs::JobId Id(Call.Job_);
+    const jobs::JobRow *Job = Term_->Table_.find(Id);
+    if (!Job)
+      return Reply({Call.Sequence_, peers::JobVerdict::Missing, "", 0, 0});
+    auto Answer = [Reply, Sequence = Call.Sequence_](CommitOutcome Outcome) {
+      Reply({Sequence,
+             Outcome == CommitOutcome::Stored ? peers::JobVerdict::Ok
+                                              : peers::JobVerdict::Unknown,
+             "", 0, 0});
+    };
+    if (Job->ended())
+      return Term_->Commits_.whenStored(Answer);
+    framework::log::info("job.cancelled").field("job", Call.Job_);
+    Term_->Commits_.stage(jobs::JobCancelled{Id},
+                          [Answer, Id, S = Sessions_](CommitOutcome Outcome) {
+                            if (Outcome == CommitOutcome::Stored && S)
+                              S->stopJob(Id);
+                            Answer(Outcome);
+                          });
+  }
+
+  static constexpr std::uint32_t DefaultAttempts = 3;
+  static constexpr double LeastDistrust = 0.1;
+  /// Per tick: half of the distrust is left after DistrustHalvesIn seconds.
+  static constexpr double DistrustFade = 0.983;
+
+  Store &Store_;
+  Client &Client_;
+  WorkerDirectory Directory_;
+  journal::CellKeys Keys_;
+  CellBounds Bounds_;
+  framework::metrics::Registry &Metrics_;
+  journal::Leadership<Store> Lead_;
+  journal::Holder Seen_;
+  CellConfig Config_;
+  TermPtr Term_;
+  SessionsPtr Sessions_;
+  bool Leaving_ = false;
+};
+
+} // namespace laburnumspread::cell
--- /dev/null
+++ b/src/cell/cellsettings.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "cell/celltypes.h"
+#include "framework/log/log.h"
+#include "peers/peermesh.h"
+
+#include <absl/status/statusor.h>
+
+namespace laburnumspread::cell {
+
+/// Settings of one entry that serves jobs, as its file gives them.
+struct CellSettings {
+  fleet::EntryName Name_;
+  ZoneName Zone_;
+  /// Where callers connect.
+  Address Callers_;
+  /// Where the platform asks whether the entry takes callers.
+  Address Readiness_;
+  /// Where other entries connect.
+  Address Peers_;
+  Address Metrics_;
+  Address Store_;
+  /// The platform's API for machines; no port when there is none.
+  Address Machines_;
+  /// The service that says which workers may run a step; no port for none.
+  Address Advisor_;
+  std::string StorePrefix_;
+  peers::PeerKeys PeerKeys_;
+  CellBounds Bounds_;
+  framework::log::Format LogFormat_ = framework::log::Format::KeyValue;
+  framework::log::Level LogLevel_ = framework::log::Level::Info;
+};
+
+/// Reads and checks a settings file. The error has one line for each fault:
+/// file, line where it is known, field, reason.
+absl::StatusOr<CellSettings> loadCellSettings(const std::string &File);
+absl::StatusOr<CellSettings> readCellSettings(std::string_view Text,
+                                              const std::string &File);
+
+} // namespace laburnumspread::cell
--- /dev/null
+++ b/src/cell/commitqueue.h
@@ -0,0 +1,142 @@
+#pragma once
+
+#include "framework/fibers/spawn.h"
+#include "journal/journal.h"
+
+namespace laburnumspread::cell {
+
+/// What became of staged events.
+enum class CommitOutcome {
+  /// The store has them for good.
+  Stored,
+  /// The leadership ended before the store had answered.
+  Unknown,
+};
+
+/// Collects events and commits them in groups: what is staged while one group
+/// is on its way makes up the next. One store write carries all jobs, starts
+/// and ends of some milliseconds, so the cost does not grow with their number.
+///
+/// Events take effect in the table when they are staged, so that decisions
+/// count them; nothing leaves the process on their account before they are
+/// stored.
+template <store::KeyValueStore Store> class CommitQueue {
+public:
+  using Callback = std::function<void(CommitOutcome)>;
+
+  /// Least time between two commits: several hundred events a second then
+  /// share some sixty writes, a sixth of the platform's smallest allowance.
+  static constexpr framework::clock::Duration LeastInterval =
+      std::chrono::milliseconds(16);
+
+  CommitQueue(jobs::CellTable &Table, journal::Journal<Store> &Log)
+      : Table_(Table), Log_(Log) {}
+
+  /// Applies and stages one event; \p Done runs when its fate is known.
+  void stage(jobs::Event Item, Callback Done = nullptr) {
+    Table_.apply(Item, framework::clock::SteadyClock().now());
+    Events_.push_back(std::move(Item));
+    if (Done)
+      Callbacks_.push_back(std::move(Done));
+    wake();
+  }
+
+  /// Runs \p Done when everything staged so far has been stored.
+  void whenStored(Callback Done) {
+    if (Events_.empty() && !Committing_)
+      return Done(CommitOutcome::Stored);
+    if (Events_.empty())
+      InFlight_.push_back(std::move(Done));
+    else
+      Callbacks_.push_back(std::move(Done));
+  }
+
+  /// Commits until the leadership ends. \p BeforeGroup may stage more events
+  /// for the group that is about to be written.
+  void run(const std::function<void()> &BeforeGroup) {
+    framework::clock::TimePoint Next{};
+    while (true) {
+      waitForWork();
+      framework::fibers::sleepFor(
+          std::max(framework::clock::Duration::zero(),
+                   Next - framework::clock::SteadyClock().now()));
+      if (Stopped_)
+        break;
+      BeforeGroup();
+      if (Events_.empty())
+        continue;
+      Next = framework::clock::SteadyClock().now() + LeastInterval;
+      if (!commitGroup())
+        break;
+      if (Log_.wantsSnapshot() && !Log_.writeSnapshot(Table_).ok())
+        break;
+    }
+    finish(CommitOutcome::Unknown);
+  }
+
+  void wake() {
+    Wanted_ = true;
+    if (Wake_)
+      Wake_->signal();
+  }
+
+  void stop() {
+    Stopped_ = true;
+    wake();
+  }
+
+  /// Since when the store owes an answer to a write; empty when it does not.
+  std::optional<framework::clock::TimePoint> pendingSince() const {
+    return Log_.pendingSince();
+  }
+  bool idle() const { return Events_.empty() && !Committing_; }
+
+private:
+  void waitForWork() {
+    while (!Wanted_ && !Stopped_) {
+      Wake_ = std::make_shared<framework::fibers::Waiter>();
+      Wake_->waitUntil(framework::clock::wallDeadline(std::chrono::seconds(1)));
+    }
+    Wanted_ = false;
+  }
+
+  bool commitGroup() {
+    const std::vector<jobs::Event> Group = std::move(Events_);
+    InFlight_ = std::move(Callbacks_);
+    Events_.clear();
+    Callbacks_.clear();
+    Committing_ = true;
+    const absl::Status Written = Log_.append(Group);
+    Committing_ = false;
+    const auto Outcome =
+        Written.ok() ? CommitOutcome::Stored : CommitOutcome::Unknown;
+    const auto Waiting = std::move(InFlight_);
+    InFlight_.clear();
+    for (const Callback &Done : Waiting)
+      Done(Outcome);
+    if (!Written.ok())
+      framework::log::warning("journal.leadership_over")
+          .field("reason", std::string(Written.message()));
+    return Written.ok();
+  }
+
+  void finish(CommitOutcome Outcome) {
+    Stopped_ = true;
+    const auto Waiting = std::move(Callbacks_);
+    Callbacks_.clear();
+    for (const Callback &Done : Waiting)
+      Done(Outcome);
+  }
+
+  jobs::CellTable &Table_;
+  journal::Journal<Store> &Log_;
+  std::vector<jobs::Event> Events_;
+  std::vector<Callback> Callbacks_;
+  std::vector<Callback> InFlight_;
+  framework::fibers::WaiterPtr Wake_;
+  bool Wanted_ = false;
+  bool Committing_ = false;
+  bool Stopped_ = false;
+};
+
+} // namespace laburnumspread::cell
--- /dev/null
+++ b/src/cell/intake.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include "cell/callrouter.h"
+#include "cell/celltypes.h"
+
+#include <absl/status/statusor.h>
+
+namespace laburnumspread::cell {
+
+/// A caller's request about jobs, as it came in.
+struct CallerRequest {
+  enum class Verb { Submit, Read, Cancel, Other };
+
+  Verb Verb_ = Verb::Other;
+  std::string Host_;
+  std::string Path_;
+  std::string Key_;
+  /// How long the caller waits for the answer.
+  Duration Patience_{};
+  std::string Body_;
+};
+
+enum class CallerStatus {
+  /// The job is stored, or cancelled.
+  Accepted,
+  /// State_ holds the job's state.
+  State,
+  /// Waiting_ holds the queue's count.
+  Waiting,
+  NoSuchQueue,
+  NoSuchJob,
+  UnknownKey,
+  Malformed,
+  /// Not taken, and this attempt never will be; RetryAfter_ says when to come
+  /// again.
+  NotNow,
+  /// Whether it was taken is not known.
+  Unknown,
+};
+std::string_view nameOf(CallerStatus Status);
+
+struct CallerAnswer {
+  CallerStatus Status_ = CallerStatus::Unknown;
+  std::string State_;
+  std::uint64_t Waiting_ = 0;
+  Duration RetryAfter_{};
+  std::string Detail_;
+};
+
+/// Lets callers in by the configuration in force, and passes what they ask to
+/// the holder of the cell.
+class Intake {
+public:
+  /// Reads a job's body; the names in it are the platform's.
+  using ReadJob =
+      std::function<absl::StatusOr<jobs::JobSpec>(std::string_view)>;
+
+  /// How long a call may wait for a holder to appear. A takeover after a
+  /// planned stop takes some tens of milliseconds; after a crash it takes
+  /// seconds, and the caller had better come again.
+  static constexpr Duration HolderPatience = std::chrono::milliseconds(150);
+  /// How long a call may wait for the holder's reply: far more than a commit
+  /// takes while the store answers, well within what a caller has.
+  static constexpr Duration ReplyPatience = std::chrono::milliseconds(1000);
+  /// Kept back from the caller's patience for the way of the answer.
+  static constexpr Duration AnswerMargin = std::chrono::milliseconds(100);
+  static constexpr Duration RetryAfter = std::chrono::seconds(1);
+
+  Intake(CallRouter &Router, ReadJob Read)
+      : Router_(Router), ReadJob_(std::move(Read)) {}
+
+  void setConfig(const CellConfig &Config) { Config_ = Config; }
+  const CellConfig &config() const { return Config_; }
+
+  CallerAnswer serve(const CallerRequest &Request);
+
+private:
+  CallerAnswer submit(const CallerRequest &Request, const QueueConfig &Queue,
+                      const std::string &Job);
+  CallerAnswer pass(const CallerRequest &Request, peers::JobCall Call);
+  std::optional<WorkspaceName> workspaceOf(const CallerRequest &Request,
+                                           const QueueConfig &Queue) const;
+
+  CallRouter &Router_;
+  ReadJob ReadJob_;
+  CellConfig Config_;
+};
+
+} // namespace laburnumspread::cell
--- /dev/null
+++ b/src/cell/internal/callrouter.cpp
@@ -0,0 +1,62 @@
+#include "cell/callrouter.h"
+
+#include <algorithm>
+
+namespace laburnumspread::cell {
+
+using framework::clock::SteadyClock;
+using peers::JobReply;
+using peers::JobVerdict;
+
+JobReply CallRouter::call(peers::JobCall Call, TimePoint HolderBy,
+                          TimePoint Deadline) {
+  const std::uint64_t Sequence = Next_++;
+  Call.Sequence_ = Sequence;
+  const auto Mine = std::make_shared<Pending>();
+  Pending_[Sequence] = Mine;
+  bool Sent = false;
+  JobReply Result;
+  Result.Verdict_ = JobVerdict::Unknown;
+  while (SteadyClock().now() < Deadline) {
+    Mine->Wake_ = std::make_shared<framework::fibers::Waiter>();
+    Mine->Reply_.reset();
+    const journal::Holder Holder = Paths_.Holder_();
+    if (Paths_.LeadsHere_()) {
+      Sent = true;
+      Paths_.Local_(Call, [Mine](const JobReply &Reply) {
+        Mine->Reply_ = Reply;
+        Mine->Wake_->signal();
+      });
+    } else if (Holder.Token_.value() != 0) {
+      Sent = true;
+      Paths_.Send_(Holder, Call);
+    }
+    const Duration Wait =
+        std::min<Duration>(ResendEvery, Deadline - SteadyClock().now());
+    if (!Mine->Reply_)
+      Mine->Wake_->waitUntil(framework::clock::wallDeadline(Wait));
+    if (Mine->Reply_ && Mine->Reply_->Verdict_ != JobVerdict::NotHolder) {
+      Result = *Mine->Reply_;
+      break;
+    }
+    if (Mine->Reply_)
+      framework::fibers::sleepFor(ResendEvery / 4);
+    if (!Sent && SteadyClock().now() > HolderBy) {
+      Result.Verdict_ = JobVerdict::Refused;
+      break;
+    }
+  }
+  Pending_.erase(Sequence);
+  return Result;
+}
+
+void CallRouter::take(const JobReply &Reply) {
+  const auto Found = Pending_.find(Reply.Sequence_);
+  if (Found == Pending_.end())
+    return;
+  Found->second->Reply_ = Reply;
+  if (Found->second->Wake_)
+    Found->second->Wake_->signal();
+}
+
+} // namespace laburnumspread::cell
--- /dev/null
+++ b/src/cell/internal/cellsettings.cpp
@@ -0,0 +1,148 @@
+#include "cell/cellsettings.h"
+
+#include "framework/settings/jsonreader.h"
+
+#include <fstream>
+#include <sstream>
+
+namespace laburnumspread::cell {
+
+using framework::settings::FieldErrors;
+using framework::settings::JsonReader;
+
+namespace {
+
+constexpr std::size_t CurveKeyLength = 40;
+constexpr std::int64_t MostMillis = 3'600'000;
+constexpr double MostSeconds = 86'400;
+constexpr double MostFactor = 1000;
+
+Address readAddress(JsonReader &Reader, std::string_view Field, bool Required) {
+  const std::string Text = Required ? Reader.requiredString(Field)
+                                    : Reader.optionalString(Field, "");
+  const auto Parsed = framework::http::parseAddress(Text);
+  if (!Text.empty() && !Parsed)
+    Reader.fault(Field, "must be a numeric ip:port");
+  return Parsed.value_or(Address());
+}
+
+std::string readCurveKey(JsonReader &Reader, std::string_view Field) {
+  std::string Key = Reader.requiredString(Field);
+  if (!Key.empty() && Key.size() != CurveKeyLength)
+    Reader.fault(Field, "must be a Z85 key of 40 characters");
+  return Key;
+}
+
+void readMillis(JsonReader &Reader, std::string_view Field, Duration &Into) {
+  const auto Default =
+      std::chrono::duration_cast<std::chrono::milliseconds>(Into).count();
+  Into = std::chrono::milliseconds(
+      Reader.optionalInt(Field, Default, {0, MostMillis}));
+}
+
+void readSeconds(JsonReader &Reader, std::string_view Field, Duration &Into) {
+  const double Default = std::chrono::duration<double>(Into).count();
+  Into = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
+      Reader.optionalNumber(Field, Default, 0, MostSeconds)));
+}
+
+void readBounds(JsonReader Reader, CellBounds &Into) {
+  readMillis(Reader, "longestHoldMs", Into.LongestHold_);
+  readSeconds(Reader, "statusKeptSeconds", Into.StatusKept_);
+  readMillis(Reader, "gangTimeoutMs", Into.GangTimeout_);
+  readMillis(Reader, "machineLeaseMs", Into.MachineLease_);
+  Into.FarFactor_ =
+      Reader.optionalNumber("farFactor", Into.FarFactor_, 1, MostFactor);
+  readSeconds(Reader, "moveSeconds", Into.Move_);
+  readSeconds(Reader, "upkeepSeconds", Into.Upkeep_);
+  readSeconds(Reader, "graceSeconds", Into.Grace_);
+  Reader.finish();
+}
+
+void readLog(JsonReader Reader, CellSettings &Into) {
+  const std::string Format = Reader.optionalString("format", "kv");
+  if (Format != "kv" && Format != "json")
+    Reader.fault("format", "must be kv or json");
+  if (Format == "json")
+    Into.LogFormat_ = framework::log::Format::Json;
+  const std::string Level = Reader.optionalString("level", "info");
+  if (absl::Status Parsed = framework::log::parseLevel(Level, Into.LogLevel_);
+      !Parsed.ok())
+    Reader.fault("level", std::string_view(Parsed.message().data(),
+                                           Parsed.message().size()));
+  Reader.finish();
+}
+
+CellSettings readFields(JsonReader &Reader) {
+  CellSettings Result;
+  Reader.ignore("kind");
+  Result.Name_ = fleet::EntryName(Reader.requiredString("name"));
+  Result.Zone_ = ZoneName(Reader.requiredString("zone"));
+  JsonReader Listen = Reader.child("listen", true);
+  Result.Callers_ = readAddress(Listen, "callers", true);
+  Result.Readiness_ = readAddress(Listen, "readiness", true);
+  Result.Peers_ = readAddress(Listen, "peers", true);
+  Result.Metrics_ = readAddress(Listen, "metrics", true);
+  Listen.finish();
+  JsonReader Store = Reader.child("store", true);
+  Result.Store_ = readAddress(Store, "address", true);
+  Result.StorePrefix_ = Store.optionalString("prefix", "laburnumspread/");
+  if (!Result.StorePrefix_.ends_with('/'))
+    Store.fault("prefix", "must end with '/'");
+  Store.finish();
+  JsonReader Services = Reader.child("services", false);
+  Result.Machines_ = readAddress(Services, "machines", false);
+  Result.Advisor_ = readAddress(Services, "advisor", false);
+  Services.finish();
+  JsonReader Keys = Reader.child("peerKeys", true);
+  Result.PeerKeys_.Public_ = readCurveKey(Keys, "public");
+  Result.PeerKeys_.Secret_ = readCurveKey(Keys, "secret");
+  Keys.finish();
+  readBounds(Reader.child("bounds", false), Result.Bounds_);
+  readLog(Reader.child("log", false), Result);
+  Reader.finish();
+  return Result;
+}
+
+/// One line for each fault: "file:line: field: reason".
+std::string faultLines(const FieldErrors &Errors, std::string_view Text,
+                       const std::string &File) {
+  std::string Lines;
+  for (const auto &Error : Errors) {
+    if (!Lines.empty())
+      Lines += '\n';
+    Lines += File;
+    if (const int Line = framework::settings::lineOfField(Text, Error.Path_);
+        Line > 0)
+      Lines += ":" + std::to_string(Line);
+    Lines += ": " + Error.Path_ + ": " + Error.Reason_;
+  }
+  return Lines;
+}
+
+} // namespace
+
+absl::StatusOr<CellSettings> readCellSettings(std::string_view Text,
+                                              const std::string &File) {
+  const auto Document = framework::settings::parseJson(Text);
+  if (!Document.ok())
+    return absl::InvalidArgumentError(File + ": " +
+                                      std::string(Document.status().message()));
+  FieldErrors Errors;
+  JsonReader Reader(*Document, "", Errors);
+  CellSettings Result = readFields(Reader);
+  if (!Errors.empty())
+    return absl::InvalidArgumentError(faultLines(Errors, Text, File));
+  return Result;
+}
+
+absl::StatusOr<CellSettings> loadCellSettings(const std::string &File) {
+  std::ifstream In(File);
+  if (!In)
+    return absl::NotFoundError(File + ": cannot be read");
+  std::stringstream Text;
+  Text << In.rdbuf();
+  return readCellSettings(Text.str(), File);
+}
+
+} // namespace laburnumspread::cell
--- /dev/null
+++ b/src/cell/internal/intake.cpp
@@ -0,0 +1,155 @@
+#include "cell/intake.h"
+
+#include "framework/log/log.h"
+#include "jobs/eventcodec.h"
+
+#include <algorithm>
+
+namespace laburnumspread::cell {
+
+using framework::clock::SteadyClock;
+using peers::JobCallKind;
+using peers::JobVerdict;
+
+namespace {
+
+constexpr std::size_t JobIdLength = 16;
+
+bool isJobId(std::string_view Text) {
+  return Text.size() == JobIdLength &&
+         std::all_of(Text.begin(), Text.end(),
+                     [](unsigned char C) { return std::isxdigit(C) != 0; });
+}
+
+CallerAnswer answer(CallerStatus Status, std::string Detail = "") {
+  CallerAnswer Result;
+  Result.Status_ = Status;
+  Result.Detail_ = std::move(Detail);
+  return Result;
+}
+
+CallerAnswer notNow(std::string Detail) {
+  CallerAnswer Result = answer(CallerStatus::NotNow, std::move(Detail));
+  Result.RetryAfter_ = Intake::RetryAfter;
+  return Result;
+}
+
+JobCallKind kindOf(CallerRequest::Verb Verb) {
+  return Verb == CallerRequest::Verb::Cancel ? JobCallKind::Cancel
+                                             : JobCallKind::State;
+}
+
+} // namespace
+
+std::string_view nameOf(CallerStatus Status) {
+  switch (Status) {
+  case CallerStatus::Accepted:
+    return "accepted";
+  case CallerStatus::State:
+    return "state";
+  case CallerStatus::Waiting:
+    return "waiting";
+  case CallerStatus::NoSuchQueue:
+    return "no_such_queue";
+  case CallerStatus::NoSuchJob:
+    return "no_such_job";
+  case CallerStatus::UnknownKey:
+    return "unknown_key";
+  case CallerStatus::Malformed:
+    return "malformed";
+  case CallerStatus::NotNow:
+    return "not_now";
+  case CallerStatus::Unknown:
+    return "unknown";
+  }
+  return "unknown";
+}
+
+std::optional<WorkspaceName>
+Intake::workspaceOf(const CallerRequest &Request,
+                    const QueueConfig &Queue) const {
+  const auto Owner = Config_.KeyOwners_.find(Request.Key_);
+  if (Owner != Config_.KeyOwners_.end())
+    return Owner->second;
+  if (Queue.Public_)
+    return WorkspaceName();
+  return std::nullopt;
+}
+
+CallerAnswer Intake::serve(const CallerRequest &Request) {
+  if (Config_.Version_.value() == 0)
+    return notNow("no configuration yet");
+  const QueueConfig *Queue = Config_.route(Request.Host_, Request.Path_);
+  if (!Queue)
+    return answer(CallerStatus::NoSuchQueue, "no queue at this path");
+  if (!workspaceOf(Request, *Queue))
+    return answer(CallerStatus::UnknownKey, "key is not known");
+  const std::string Job = Request.Path_.substr(Queue->PathPrefix_.size());
+  if (Job.empty() && Request.Verb_ == CallerRequest::Verb::Read) {
+    peers::JobCall Call;
+    Call.Kind_ = JobCallKind::Waiting;
+    Call.Queue_ = Queue->Name_.str();
+    return pass(Request, std::move(Call));
+  }
+  if (!isJobId(Job) || Request.Verb_ == CallerRequest::Verb::Other)
+    return answer(CallerStatus::NoSuchQueue, "no job id at this path");
+  if (Request.Verb_ == CallerRequest::Verb::Submit)
+    return submit(Request, *Queue, Job);
+  peers::JobCall Call;
+  Call.Kind_ = kindOf(Request.Verb_);
+  Call.Job_ = Job;
+  Call.Queue_ = Queue->Name_.str();
+  return pass(Request, std::move(Call));
+}
+
+CallerAnswer Intake::submit(const CallerRequest &Request,
+                            const QueueConfig &Queue, const std::string &Job) {
+  absl::StatusOr<jobs::JobSpec> Spec = ReadJob_(Request.Body_);
+  if (!Spec.ok())
+    return answer(CallerStatus::Malformed,
+                  std::string(Spec.status().message()));
+  Spec->Id_ = jobs::JobId(Job);
+  Spec->Queue_ = Queue.Name_;
+  Spec->Workspace_ = *workspaceOf(Request, Queue);
+  Spec->AcceptedMs_ =
+      framework::clock::toMillis(framework::clock::SystemClock().now());
+  peers::JobCall Call;
+  Call.Kind_ = JobCallKind::Submit;
+  Call.Job_ = Job;
+  Call.Queue_ = Queue.Name_.str();
+  Call.Spec_ = jobs::encodeGroup({jobs::JobAccepted{std::move(*Spec)}});
+  return pass(Request, std::move(Call));
+}
+
+CallerAnswer Intake::pass(const CallerRequest &Request, peers::JobCall Call) {
+  Call.ConfigVersion_ = Config_.Version_.value();
+  const JobCallKind Kind = Call.Kind_;
+  const TimePoint Now = SteadyClock().now();
+  const Duration Patience =
+      std::min(ReplyPatience, Request.Patience_ - AnswerMargin);
+  const peers::JobReply Reply =
+      Router_.call(std::move(Call), Now + HolderPatience, Now + Patience);
+  CallerAnswer Result;
+  switch (Reply.Verdict_) {
+  case JobVerdict::Ok:
+    Result.Status_ = Kind == JobCallKind::State     ? CallerStatus::State
+                     : Kind == JobCallKind::Waiting ? CallerStatus::Waiting
+                                                    : CallerStatus::Accepted;
+    Result.State_ = Reply.State_;
+    Result.Waiting_ = Reply.Waiting_;
+    return Result;
+  case JobVerdict::Missing:
+    return answer(CallerStatus::NoSuchJob, "no such job");
+  case JobVerdict::Refused:
+    Result = notNow("jobs cannot be stored at present");
+    if (Reply.RetryAfterMs_ > 0)
+      Result.RetryAfter_ = std::chrono::milliseconds(Reply.RetryAfterMs_);
+    return Result;
+  case JobVerdict::Unknown:
+  case JobVerdict::NotHolder:
+    return answer(CallerStatus::Unknown, "the outcome is not known");
+  }
+  return answer(CallerStatus::Unknown);
+}
+
+} // namespace laburnumspread::cell
--- /dev/null
+++ b/src/jobs/celltable.h
@@ -0,0 +1,145 @@
+#pragma once
+
+#include "jobs/events.h"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <unordered_map>
+
+namespace laburnumspread::jobs {
+
+/// A run that may still be at work somewhere.
+struct LiveRun {
+  RunNumber Run_;
+  WorkerLife On_;
+  /// Whether the worker has confirmed the start, or listed the run.
+  bool Confirmed_ = false;
+  /// Whether the worker has been told to stop it.
+  bool Stopping_ = false;
+  /// Share of full speed at which the worker says it works, in percent.
+  int Percent_ = 0;
+  TimePoint StartedAt_{};
+};
+
+struct TaskRow {
+  bool Done_ = false;
+  std::uint32_t Failures_ = 0;
+  RunNumber LastRun_;
+  Checkpoint Saved_;
+  /// More than one only for speculative steps.
+  std::vector<LiveRun> Runs_;
+  /// Not to be started again before, after a failure.
+  TimePoint NotBefore_{};
+
+  bool idle() const { return !Done_ && Runs_.empty(); }
+};
+
+/// One step of one occurrence of a job.
+struct StepRow {
+  std::vector<TaskRow> Tasks_;
+  std::uint32_t DoneCount_ = 0;
+  /// Tasks with a live run.
+  std::uint32_t LiveCount_ = 0;
+
+  bool done() const { return DoneCount_ == Tasks_.size(); }
+};
+
+struct OccurrenceRow {
+  std::vector<StepRow> Steps_;
+  std::uint32_t StepsDone_ = 0;
+
+  bool done() const { return StepsDone_ == Steps_.size(); }
+};
+
+struct JobRow {
+  JobSpec Spec_;
+  JobState State_ = JobState::Pending;
+  std::vector<OccurrenceRow> Occurrences_;
+  TimePoint AcceptedAt_{};
+  /// When it was done, failed or cancelled.
+  TimePoint EndedAt_{};
+  std::uint32_t LiveRuns_ = 0;
+  std::uint32_t OccurrencesDone_ = 0;
+
+  bool ended() const {
+    return State_ == JobState::Done || State_ == JobState::Failed ||
+           State_ == JobState::Cancelled;
+  }
+};
+
+/// What a worker has been given.
+struct WorkerUse {
+  Resources Used_;
+  std::set<RunName> Runs_;
+};
+
+/// The tables of a cell: its jobs, their tasks, and what is taken of each
+/// worker's room and each workspace's upper limit. Everything that may still
+/// be running counts, started, in doubt or being stopped. Changed by events
+/// alone, so that replaying a journal gives the same tables.
+class CellTable {
+public:
+  /// Attempts of a task that the queue allows; asked when a run has failed.
+  using AttemptLimit = std::function<std::uint32_t(const QueueName &)>;
+
+  /// Applies one event. Events about jobs or runs that are unknown change
+  /// nothing.
+  void apply(const Event &Item, TimePoint Now);
+
+  void setAttemptLimit(AttemptLimit Limit) { AttemptLimit_ = std::move(Limit); }
+
+  const JobRow *find(const JobId &Job) const;
+  const TaskRow *find(const TaskName &Task) const;
+  const LiveRun *find(const RunName &Run) const;
+  LiveRun *findLive(const RunName &Run);
+  TaskRow *findTask(const TaskName &Task);
+  const StepSpec *specOf(const TaskName &Task) const;
+
+  /// Jobs that have not ended, in the order in which they came.
+  const std::map<std::uint64_t, JobId> &open() const { return Open_; }
+  const std::map<JobId, JobRow> &jobs() const { return Jobs_; }
+  const std::map<WorkerLife, WorkerUse> &workers() const { return Workers_; }
+  const WorkerUse *useOf(const WorkerLife &Worker) const;
+  Resources usedBy(const WorkspaceName &Workspace) const;
+
+  /// Jobs of the queue for which no task has ever been started.
+  std::uint64_t waiting(const QueueName &Queue) const;
+
+  /// Forgets jobs that ended before \p Before and have nothing live.
+  void forgetEnded(TimePoint Before);
+
+  /// Puts back one job of a snapshot.
+  void restore(JobRow Row, TimePoint Now);
+
+  /// Sets the age of open jobs after a replay, from the wall clock.
+  void setAges(std::int64_t WallMs, TimePoint Now);
+
+private:
+  void apply(const JobAccepted &Item, TimePoint Now);
+  void apply(const RunIntended &Item, TimePoint Now);
+  void apply(const RunEnded &Item, TimePoint Now);
+  void apply(const JobCancelled &Item, TimePoint Now);
+  void addLive(JobRow &Job, const RunName &Run, const LiveRun &Live);
+  void taskDone(JobRow &Job, const TaskName &Task, TimePoint Now);
+  void gangDone(JobRow &Job, const RunName &Run, TimePoint Now);
+  void restoreTask(JobRow &Job, const TaskName &Task, TaskRow &&From,
+                   TimePoint Now);
+  void taskFailed(JobRow &Job, TaskRow &Task, TimePoint Now);
+  void close(JobRow &Job, JobState State, TimePoint Now);
+  JobRow *row(const JobId &Job);
+
+  std::map<JobId, JobRow> Jobs_;
+  std::map<JobId, std::uint64_t> Order_;
+  std::map<std::uint64_t, JobId> Open_;
+  std::uint64_t NextOrder_ = 1;
+  std::map<WorkerLife, WorkerUse> Workers_;
+  std::map<WorkspaceName, Resources> Workspaces_;
+  std::map<QueueName, std::uint64_t> Waiting_;
+  std::deque<std::pair<TimePoint, JobId>> Ended_;
+  AttemptLimit AttemptLimit_;
+};
+
+} // namespace laburnumspread::jobs
--- /dev/null
+++ b/src/jobs/events.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "jobs/jobtypes.h"
+
+#include <variant>
+
+namespace laburnumspread::jobs {
+
+/// A job was taken on.
+struct JobAccepted {
+  JobSpec Spec_;
+};
+
+/// A task is about to be started. Written before the order leaves, so that a
+/// successor knows each worker on which the run may exist.
+struct RunIntended {
+  RunName Run_;
+  WorkerLife On_;
+};
+
+/// A run is over for good: it works no more and can never start again.
+struct RunEnded {
+  RunName Run_;
+  EndKind Kind_ = EndKind::Lost;
+  Checkpoint Saved_;
+};
+
+struct JobCancelled {
+  JobId Job_;
+};
+
+/// What changes a cell. The cell's state is the outcome of its events in order.
+using Event = std::variant<JobAccepted, RunIntended, RunEnded, JobCancelled>;
+
+} // namespace laburnumspread::jobs
--- /dev/null
+++ b/src/jobs/internal/celltable.cpp
@@ -0,0 +1,273 @@
+#include "jobs/celltable.h"
+
+#include <algorithm>
+
+namespace laburnumspread::jobs {
+
+namespace {
+
+/// Attempts of a task when the queue's own bound is not known.
+constexpr std::uint32_t DefaultAttempts = 3;
+/// Bound on what a clock that was set wrongly can make of a job's age.
+constexpr std::int64_t LongestAgeMs = 3'600'000;
+
+OccurrenceRow emptyOccurrence(const JobSpec &Spec) {
+  OccurrenceRow Row;
+  Row.Steps_.resize(Spec.Steps_.size());
+  for (std::size_t I = 0; I < Spec.Steps_.size(); ++I)
+    Row.Steps_[I].Tasks_.resize(Spec.Steps_[I].Count_);
+  return Row;
+}
+
+} // namespace
+
+void CellTable::apply(const Event &Item, TimePoint Now) {
+  std::visit([&](const auto &Body) { apply(Body, Now); }, Item);
+}
+
+JobRow *CellTable::row(const JobId &Job) {
+  const auto Found = Jobs_.find(Job);
+  return Found == Jobs_.end() ? nullptr : &Found->second;
+}
+
+const JobRow *CellTable::find(const JobId &Job) const {
+  const auto Found = Jobs_.find(Job);
+  return Found == Jobs_.end() ? nullptr : &Found->second;
+}
+
+const TaskRow *CellTable::find(const TaskName &Task) const {
+  return const_cast<CellTable *>(this)->findTask(Task);
+}
+
+TaskRow *CellTable::findTask(const TaskName &Task) {
+  JobRow *Job = row(Task.Job_);
+  if (!Job || Task.Occurrence_ >= Job->Occurrences_.size())
+    return nullptr;
+  OccurrenceRow &Occurrence = Job->Occurrences_[Task.Occurrence_];
+  if (Task.Step_ >= Occurrence.Steps_.size())
+    return nullptr;
+  StepRow &Step = Occurrence.Steps_[Task.Step_];
+  return Task.Index_ < Step.Tasks_.size() ? &Step.Tasks_[Task.Index_] : nullptr;
+}
+
+const LiveRun *CellTable::find(const RunName &Run) const {
+  return const_cast<CellTable *>(this)->findLive(Run);
+}
+
+LiveRun *CellTable::findLive(const RunName &Run) {
+  TaskRow *Task = findTask(Run.Task_);
+  if (!Task)
+    return nullptr;
+  for (LiveRun &Live : Task->Runs_)
+    if (Live.Run_ == Run.Run_)
+      return &Live;
+  return nullptr;
+}
+
+const StepSpec *CellTable::specOf(const TaskName &Task) const {
+  const JobRow *Job = find(Task.Job_);
+  return Job && Task.Step_ < Job->Spec_.Steps_.size()
+             ? &Job->Spec_.Steps_[Task.Step_]
+             : nullptr;
+}
+
+const WorkerUse *CellTable::useOf(const WorkerLife &Worker) const {
+  const auto Found = Workers_.find(Worker);
+  return Found == Workers_.end() ? nullptr : &Found->second;
+}
+
+Resources CellTable::usedBy(const WorkspaceName &Workspace) const {
+  const auto Found = Workspaces_.find(Workspace);
+  return Found == Workspaces_.end() ? Resources() : Found->second;
+}
+
+std::uint64_t CellTable::waiting(const QueueName &Queue) const {
+  const auto Found = Waiting_.find(Queue);
+  return Found == Waiting_.end() ? 0 : Found->second;
+}
+
+void CellTable::apply(const JobAccepted &Item, TimePoint Now) {
+  if (Jobs_.contains(Item.Spec_.Id_))
+    return;
+  JobRow Row;
+  Row.Spec_ = Item.Spec_;
+  Row.AcceptedAt_ = Now;
+  Row.Occurrences_.assign(Item.Spec_.occurrenceCount(),
+                          emptyOccurrence(Item.Spec_));
+  const std::uint64_t Order = NextOrder_++;
+  Open_[Order] = Item.Spec_.Id_;
+  Order_[Item.Spec_.Id_] = Order;
+  ++Waiting_[Item.Spec_.Queue_];
+  Jobs_.emplace(Item.Spec_.Id_, std::move(Row));
+}
+
+void CellTable::addLive(JobRow &Job, const RunName &Run, const LiveRun &Live) {
+  const TaskName &Name = Run.Task_;
+  StepRow &Step = Job.Occurrences_[Name.Occurrence_].Steps_[Name.Step_];
+  TaskRow &Task = Step.Tasks_[Name.Index_];
+  if (Task.Runs_.empty())
+    ++Step.LiveCount_;
+  Task.Runs_.push_back(Live);
+  ++Job.LiveRuns_;
+  const Resources Demand = Job.Spec_.Steps_[Name.Step_].demand();
+  WorkerUse &Use = Workers_[Live.On_];
+  Use.Used_ += Demand;
+  Use.Runs_.insert(Run);
+  Workspaces_[Job.Spec_.Workspace_] += Job.Spec_.Steps_[Name.Step_].Each_;
+}
+
+void CellTable::apply(const RunIntended &Item, TimePoint Now) {
+  JobRow *Job = row(Item.Run_.Task_.Job_);
+  TaskRow *Task = findTask(Item.Run_.Task_);
+  // A run that was seen before is replayed on top of a later snapshot.
+  if (!Job || !Task || Item.Run_.Run_ <= Task->LastRun_)
+    return;
+  LiveRun Live;
+  Live.Run_ = Item.Run_.Run_;
+  Live.On_ = Item.On_;
+  Live.StartedAt_ = Now;
+  Task->LastRun_ = std::max(Task->LastRun_, Item.Run_.Run_);
+  addLive(*Job, Item.Run_, Live);
+  if (Job->State_ != JobState::Pending)
+    return;
+  Job->State_ = JobState::Running;
+  --Waiting_[Job->Spec_.Queue_];
+}
+
+void CellTable::apply(const RunEnded &Item, TimePoint Now) {
+  JobRow *Job = row(Item.Run_.Task_.Job_);
+  TaskRow *Task = findTask(Item.Run_.Task_);
+  const LiveRun *Live = find(Item.Run_);
+  if (!Job || !Task || !Live)
+    return;
+  const TaskName &Name = Item.Run_.Task_;
+  const StepSpec &Spec = Job->Spec_.Steps_[Name.Step_];
+  WorkerUse &Use = Workers_[Live->On_];
+  Use.Used_ -= Spec.demand();
+  Use.Runs_.erase(Item.Run_);
+  if (Use.Runs_.empty())
+    Workers_.erase(Live->On_);
+  Workspaces_[Job->Spec_.Workspace_] -= Spec.Each_;
+  std::erase_if(Task->Runs_, [&](const LiveRun &Candidate) {
+    return Candidate.Run_ == Item.Run_.Run_;
+  });
+  --Job->LiveRuns_;
+  if (Task->Runs_.empty())
+    --Job->Occurrences_[Name.Occurrence_].Steps_[Name.Step_].LiveCount_;
+  if (!Item.Saved_.empty())
+    Task->Saved_ = Item.Saved_;
+  if (Item.Kind_ == EndKind::Done && Spec.Gang_)
+    gangDone(*Job, Item.Run_, Now);
+  else if (Item.Kind_ == EndKind::Done && !Spec.LongRunning_)
+    taskDone(*Job, Name, Now);
+  else if (Item.Kind_ == EndKind::Failed && !Spec.LongRunning_)
+    taskFailed(*Job, *Task, Now);
+}
+
+/// One member's good end stands for all members of that run.
+void CellTable::gangDone(JobRow &Job, const RunName &Run, TimePoint Now) {
+  const TaskName &Name = Run.Task_;
+  auto &Tasks = Job.Occurrences_[Name.Occurrence_].Steps_[Name.Step_].Tasks_;
+  for (std::uint32_t I = 0; I < Tasks.size(); ++I)
+    taskDone(Job, {Name.Job_, Name.Occurrence_, Name.Step_, I}, Now);
+}
+
+void CellTable::taskDone(JobRow &Job, const TaskName &Name, TimePoint Now) {
+  OccurrenceRow &Occurrence = Job.Occurrences_[Name.Occurrence_];
+  StepRow &Step = Occurrence.Steps_[Name.Step_];
+  TaskRow &Task = Step.Tasks_[Name.Index_];
+  if (Task.Done_)
+    return;
+  Task.Done_ = true;
+  Task.Saved_ = Checkpoint();
+  if (++Step.DoneCount_ < Step.Tasks_.size())
+    return;
+  if (++Occurrence.StepsDone_ < Occurrence.Steps_.size())
+    return;
+  if (++Job.OccurrencesDone_ == Job.Occurrences_.size() && !Job.ended())
+    close(Job, JobState::Done, Now);
+}
+
+void CellTable::taskFailed(JobRow &Job, TaskRow &Task, TimePoint Now) {
+  ++Task.Failures_;
+  const std::uint32_t Most =
+      AttemptLimit_ ? AttemptLimit_(Job.Spec_.Queue_) : DefaultAttempts;
+  if (Task.Failures_ >= Most && !Task.Done_ && !Job.ended())
+    close(Job, JobState::Failed, Now);
+}
+
+void CellTable::apply(const JobCancelled &Item, TimePoint Now) {
+  JobRow *Job = row(Item.Job_);
+  if (Job && !Job->ended())
+    close(*Job, JobState::Cancelled, Now);
+}
+
+void CellTable::close(JobRow &Job, JobState State, TimePoint Now) {
+  if (Job.State_ == JobState::Pending)
+    --Waiting_[Job.Spec_.Queue_];
+  Job.State_ = State;
+  Job.EndedAt_ = Now;
+  const auto Order = Order_.find(Job.Spec_.Id_);
+  if (Order != Order_.end())
+    Open_.erase(Order->second);
+  Ended_.emplace_back(Now, Job.Spec_.Id_);
+  // Nothing of an ended job is started again, so its payload is needless.
+  Job.Spec_.Payload_.clear();
+  Job.Spec_.Payload_.shrink_to_fit();
+}
+
+void CellTable::forgetEnded(TimePoint Before) {
+  while (!Ended_.empty() && Ended_.front().first < Before) {
+    const JobId Job = Ended_.front().second;
+    const JobRow *Row = find(Job);
+    if (Row && Row->LiveRuns_ > 0)
+      return;
+    Ended_.pop_front();
+    Jobs_.erase(Job);
+    Order_.erase(Job);
+  }
+}
+
+void CellTable::restoreTask(JobRow &Job, const TaskName &Name, TaskRow &&From,
+                            TimePoint Now) {
+  const std::vector<LiveRun> Runs = std::move(From.Runs_);
+  const bool Done = From.Done_;
+  From.Runs_.clear();
+  From.Done_ = false;
+  *findTask(Name) = std::move(From);
+  for (const LiveRun &Live : Runs)
+    addLive(Job, {Name, Live.Run_}, Live);
+  if (Done)
+    taskDone(Job, Name, Now);
+}
+
+void CellTable::restore(JobRow Row, TimePoint Now) {
+  const JobId Id = Row.Spec_.Id_;
+  if (Jobs_.contains(Id))
+    return;
+  apply(JobAccepted{Row.Spec_}, Now);
+  JobRow &Put = Jobs_.at(Id);
+  for (std::uint32_t K = 0; K < Row.Occurrences_.size(); ++K)
+    for (std::uint32_t S = 0; S < Row.Occurrences_[K].Steps_.size(); ++S) {
+      auto &Tasks = Row.Occurrences_[K].Steps_[S].Tasks_;
+      for (std::uint32_t I = 0; I < Tasks.size(); ++I)
+        restoreTask(Put, {Id, K, S, I}, std::move(Tasks[I]), Now);
+    }
+  if (Row.State_ == JobState::Pending || Put.ended())
+    return;
+  if (Row.State_ != JobState::Running)
+    return close(Put, Row.State_, Now);
+  Put.State_ = JobState::Running;
+  --Waiting_[Put.Spec_.Queue_];
+}
+
+void CellTable::setAges(std::int64_t WallMs, TimePoint Now) {
+  for (const auto &[Order, Id] : Open_) {
+    JobRow &Job = Jobs_.at(Id);
+    const std::int64_t AgeMs = std::clamp<std::int64_t>(
+        WallMs - Job.Spec_.AcceptedMs_, 0, LongestAgeMs);
+    Job.AcceptedAt_ = Now - std::chrono::milliseconds(AgeMs);
+  }
+}
+
+} // namespace laburnumspread::jobs
--- /dev/null
+++ b/src/jobs/internal/eventcodec.cpp
@@ -0,0 +1,272 @@
+#include "jobs/eventcodec.h"
+
+#include "journal.pb.h"
+
+namespace laburnumspread::jobs {
+
+namespace {
+
+void write(const StepSpec &From, wire::Step &To) {
+  To.set_count(From.Count_);
+  To.set_milli_cpus(From.Each_.MilliCpus_);
+  To.set_memory_mb(From.Each_.MemoryMb_);
+  To.set_accelerators(From.Each_.Accelerators_);
+  To.set_estimate_micros(From.Estimate_.count());
+  for (const std::uint32_t Step : From.After_)
+    To.add_after(Step);
+  To.set_checkpointing(From.Checkpointing_);
+  To.set_gang(From.Gang_);
+  To.set_tightly_coupled(From.TightlyCoupled_);
+  To.set_requirement(From.Requirement_.str());
+  To.set_data_rack(From.DataRack_.str());
+  To.set_anti_affinity(From.AntiAffinity_);
+  To.set_speculative(From.Speculative_);
+  To.set_long_running(From.LongRunning_);
+  To.set_image(From.Image_.str());
+  To.set_target_ms(From.TargetMs_);
+  To.set_filler(From.Filler_);
+  To.set_may_miss(From.MayMiss_);
+}
+
+StepSpec read(const wire::Step &From) {
+  StepSpec To;
+  To.Count_ = From.count();
+  To.Each_ = {From.milli_cpus(), From.memory_mb(), From.accelerators()};
+  To.Estimate_ = Duration(From.estimate_micros());
+  To.After_.assign(From.after().begin(), From.after().end());
+  To.Checkpointing_ = From.checkpointing();
+  To.Gang_ = From.gang();
+  To.TightlyCoupled_ = From.tightly_coupled();
+  To.Requirement_ = Label(From.requirement());
+  To.DataRack_ = Label(From.data_rack());
+  To.AntiAffinity_ = From.anti_affinity();
+  To.Speculative_ = From.speculative();
+  To.LongRunning_ = From.long_running();
+  To.Image_ = ImageName(From.image());
+  To.TargetMs_ = From.target_ms();
+  To.Filler_ = From.filler();
+  To.MayMiss_ = From.may_miss();
+  return To;
+}
+
+void write(const JobSpec &From, wire::Job &To) {
+  To.set_id(From.Id_.str());
+  To.set_queue(From.Queue_.str());
+  To.set_workspace(From.Workspace_.str());
+  To.set_payload(From.Payload_);
+  for (const StepSpec &Step : From.Steps_)
+    write(Step, *To.add_steps());
+  To.set_occurrences(From.Occurrences_);
+  To.set_first_due_ms(From.FirstDueMs_);
+  To.set_interval_micros(From.Interval_.count());
+  To.set_accepted_ms(From.AcceptedMs_);
+}
+
+JobSpec read(const wire::Job &From) {
+  JobSpec To;
+  To.Id_ = JobId(From.id());
+  To.Queue_ = QueueName(From.queue());
+  To.Workspace_ = WorkspaceName(From.workspace());
+  To.Payload_ = From.payload();
+  for (const wire::Step &Step : From.steps())
+    To.Steps_.push_back(read(Step));
+  To.Occurrences_ = From.occurrences();
+  To.FirstDueMs_ = From.first_due_ms();
+  To.Interval_ = Duration(From.interval_micros());
+  To.AcceptedMs_ = From.accepted_ms();
+  return To;
+}
+
+void write(const TaskName &From, wire::Task &To) {
+  To.set_job(From.Job_.str());
+  To.set_occurrence(From.Occurrence_);
+  To.set_step(From.Step_);
+  To.set_index(From.Index_);
+}
+
+TaskName read(const wire::Task &From) {
+  return {JobId(From.job()), From.occurrence(), From.step(), From.index()};
+}
+
+/// An end of a kind that this program does not know is taken for the one that
+/// claims least: the run is over, the task is not done.
+EndKind readEnd(std::uint32_t Value) {
+  return Value <= static_cast<std::uint32_t>(EndKind::Lost)
+             ? static_cast<EndKind>(Value)
+             : EndKind::Lost;
+}
+
+void write(const JobAccepted &From, wire::Event &To) {
+  write(From.Spec_, *To.mutable_accepted());
+}
+
+void write(const RunIntended &From, wire::Event &To) {
+  wire::RunIntended &Into = *To.mutable_intended();
+  write(From.Run_.Task_, *Into.mutable_task());
+  Into.set_run(From.Run_.Run_.value());
+  Into.set_worker(From.On_.Id_.str());
+  Into.set_born_ms(From.On_.BornMs_);
+}
+
+void write(const RunEnded &From, wire::Event &To) {
+  wire::RunEnded &Into = *To.mutable_ended();
+  write(From.Run_.Task_, *Into.mutable_task());
+  Into.set_run(From.Run_.Run_.value());
+  Into.set_kind(static_cast<std::uint32_t>(From.Kind_));
+  Into.set_checkpoint(From.Saved_.str());
+}
+
+void write(const JobCancelled &From, wire::Event &To) {
+  To.set_cancelled(From.Job_.str());
+}
+
+std::optional<Event> read(const wire::Event &From) {
+  switch (From.kind_case()) {
+  case wire::Event::kAccepted:
+    return JobAccepted{read(From.accepted())};
+  case wire::Event::kIntended: {
+    const wire::RunIntended &Item = From.intended();
+    return RunIntended{{read(Item.task()), RunNumber(Item.run())},
+                       {WorkerId(Item.worker()), Item.born_ms()}};
+  }
+  case wire::Event::kEnded: {
+    const wire::RunEnded &Item = From.ended();
+    return RunEnded{{read(Item.task()), RunNumber(Item.run())},
+                    readEnd(Item.kind()),
+                    Checkpoint(Item.checkpoint())};
+  }
+  case wire::Event::kCancelled:
+    return JobCancelled{JobId(From.cancelled())};
+  case wire::Event::KIND_NOT_SET:
+    return std::nullopt;
+  }
+  return std::nullopt;
+}
+
+bool untouched(const TaskRow &Task) {
+  return !Task.Done_ && Task.LastRun_.value() == 0 && Task.Failures_ == 0;
+}
+
+void write(const TaskName &Name, const TaskRow &From, wire::TaskRow &To) {
+  To.set_occurrence(Name.Occurrence_);
+  To.set_step(Name.Step_);
+  To.set_index(Name.Index_);
+  To.set_done(From.Done_);
+  To.set_last_run(From.LastRun_.value());
+  To.set_failures(From.Failures_);
+  To.set_checkpoint(From.Saved_.str());
+  for (const LiveRun &Live : From.Runs_) {
+    wire::LiveRun &Into = *To.add_runs();
+    Into.set_run(Live.Run_.value());
+    Into.set_worker(Live.On_.Id_.str());
+    Into.set_born_ms(Live.On_.BornMs_);
+  }
+}
+
+void write(const JobRow &From, wire::JobRow &To) {
+  write(From.Spec_, *To.mutable_job());
+  To.set_state(static_cast<std::uint32_t>(From.State_));
+  if (From.ended() && From.LiveRuns_ == 0) {
+    // Only the state will be asked for.
+    To.mutable_job()->clear_steps();
+    return;
+  }
+  for (std::uint32_t K = 0; K < From.Occurrences_.size(); ++K)
+    for (std::uint32_t S = 0; S < From.Occurrences_[K].Steps_.size(); ++S) {
+      const auto &Tasks = From.Occurrences_[K].Steps_[S].Tasks_;
+      for (std::uint32_t I = 0; I < Tasks.size(); ++I)
+        if (!untouched(Tasks[I]))
+          write({From.Spec_.Id_, K, S, I}, Tasks[I], *To.add_tasks());
+    }
+}
+
+TaskRow read(const wire::TaskRow &From, TimePoint Now) {
+  TaskRow To;
+  To.Done_ = From.done();
+  To.LastRun_ = RunNumber(From.last_run());
+  To.Failures_ = From.failures();
+  To.Saved_ = Checkpoint(From.checkpoint());
+  for (const wire::LiveRun &Live : From.runs()) {
+    LiveRun Run;
+    Run.Run_ = RunNumber(Live.run());
+    Run.On_ = {WorkerId(Live.worker()), Live.born_ms()};
+    Run.StartedAt_ = Now;
+    To.Runs_.push_back(std::move(Run));
+  }
+  return To;
+}
+
+JobRow read(const wire::JobRow &From, TimePoint Now) {
+  JobRow To;
+  To.Spec_ = read(From.job());
+  if (From.state() <= static_cast<std::uint32_t>(JobState::Cancelled))
+    To.State_ = static_cast<JobState>(From.state());
+  To.Occurrences_.resize(To.Spec_.occurrenceCount());
+  for (OccurrenceRow &Occurrence : To.Occurrences_) {
+    Occurrence.Steps_.resize(To.Spec_.Steps_.size());
+    for (std::size_t S = 0; S < To.Spec_.Steps_.size(); ++S)
+      Occurrence.Steps_[S].Tasks_.resize(To.Spec_.Steps_[S].Count_);
+  }
+  for (const wire::TaskRow &Task : From.tasks()) {
+    if (Task.occurrence() >= To.Occurrences_.size())
+      continue;
+    auto &Steps = To.Occurrences_[Task.occurrence()].Steps_;
+    if (Task.step() < Steps.size() &&
+        Task.index() < Steps[Task.step()].Tasks_.size())
+      Steps[Task.step()].Tasks_[Task.index()] = read(Task, Now);
+  }
+  return To;
+}
+
+} // namespace
+
+std::string encodeGroup(const std::vector<Event> &Events) {
+  wire::Group Group;
+  for (const Event &Item : Events)
+    std::visit([&](const auto &Body) { write(Body, *Group.add_events()); },
+               Item);
+  return Group.SerializeAsString();
+}
+
+absl::StatusOr<std::vector<Event>> decodeGroup(std::string_view Bytes) {
+  wire::Group Group;
+  if (!Group.ParseFromArray(Bytes.data(), static_cast<int>(Bytes.size())))
+    return absl::DataLossError("journal entry cannot be read");
+  std::vector<Event> Events;
+  for (const wire::Event &Item : Group.events())
+    if (auto Read = read(Item))
+      Events.push_back(std::move(*Read));
+  return Events;
+}
+
+std::vector<std::string> encodeSnapshot(const CellTable &Table,
+                                        std::size_t PartBytes) {
+  std::vector<std::string> Parts;
+  wire::Snapshot Part;
+  std::size_t Bytes = 0;
+  for (const auto &[Id, Job] : Table.jobs()) {
+    wire::JobRow &Row = *Part.add_jobs();
+    write(Job, Row);
+    Bytes += Row.ByteSizeLong();
+    if (Bytes < PartBytes)
+      continue;
+    Parts.push_back(Part.SerializeAsString());
+    Part.Clear();
+    Bytes = 0;
+  }
+  if (Part.jobs_size() > 0)
+    Parts.push_back(Part.SerializeAsString());
+  return Parts;
+}
+
+absl::Status decodeSnapshot(std::string_view Bytes, TimePoint Now,
+                            CellTable &Into) {
+  wire::Snapshot Part;
+  if (!Part.ParseFromArray(Bytes.data(), static_cast<int>(Bytes.size())))
+    return absl::DataLossError("snapshot cannot be read");
+  for (const wire::JobRow &Row : Part.jobs())
+    Into.restore(read(Row, Now), Now);
+  return absl::OkStatus();
+}
+
+} // namespace laburnumspread::jobs
--- /dev/null
+++ b/src/journal/journal.h
@@ -0,0 +1,237 @@
+#pragma once
+
+#include "framework/fibers/waiter.h"
+#include "jobs/eventcodec.h"
+#include "journal/leadership.h"
+
+namespace laburnumspread::journal {
+
+struct JournalCounters {
+  std::uint64_t Commits_ = 0;
+  std::uint64_t Retries_ = 0;
+  std::uint64_t Snapshots_ = 0;
+  std::uint64_t Bytes_ = 0;
+};
+
+/// The journal of one cell under one leadership. Each entry is a key of its own
+/// that is created only while the head key is the holder's, so that a write of
+/// a former holder, or one that was delayed, can never take effect. A write
+/// without an answer is sent again as it was: either of the two creates the
+/// key, and the content is the same.
+template <store::KeyValueStore Store> class Journal {
+public:
+  static constexpr std::size_t SnapshotPartBytes = 256 * 1024;
+  /// Entries after which a snapshot shortens the next replay: a page of the
+  /// store's list holds about 500 items.
+  static constexpr std::uint64_t EntriesPerSnapshot = 300;
+  static constexpr std::size_t KeysPerTransaction = 30;
+  /// First wait for an answer; doubled while none comes. The store answers in
+  /// a few milliseconds; sixty times as slow still fits the second try.
+  static constexpr Duration FirstAnswerTime = std::chrono::milliseconds(300);
+  static constexpr Duration LongestAnswerTime = std::chrono::milliseconds(1200);
+  static constexpr Duration RetryPause = std::chrono::milliseconds(50);
+
+  Journal(Store &S, CellKeys Keys, Leadership<Store> &Lead)
+      : Store_(S), Keys_(std::move(Keys)), Lead_(Lead) {}
+
+  /// Reads the whole state into \p Into. Called once after a takeover, when
+  /// nobody else can write any more.
+  absl::Status load(jobs::CellTable &Into, TimePoint Now) {
+    Next_ = 1;
+    const auto Head =
+        Store_.range(Keys_.base(), fleet::Revision(0), wallDeadline(LoadTime));
+    if (!Head.ok())
+      return Head.status();
+    Base_ = Base();
+    BaseRevision_ = fleet::Revision(0);
+    for (const store::KeyValue &Item : Head->Items_) {
+      const auto Read = decodeBase(Item.Value_);
+      if (Item.Key_ != Keys_.base() || !Read)
+        continue;
+      Base_ = *Read;
+      BaseRevision_ = Item.ModRevision_;
+    }
+    if (absl::Status Read = loadSnapshot(Into, Now); !Read.ok())
+      return Read;
+    return loadLog(Into, Now);
+  }
+
+  /// Appends one entry. Ok once the store has it for good. Aborted when the
+  /// leadership is over: then nobody here knows whether it was written.
+  absl::Status append(const std::vector<jobs::Event> &Events) {
+    const std::string Bytes = jobs::encodeGroup(Events);
+    const std::string Key = Keys_.log(Next_);
+    store::Transaction Txn = guarded();
+    Txn.Compares_.push_back({Key, fleet::Revision(0)});
+    Txn.Puts_ = {{Key, Bytes, 0}};
+    const auto Written = commitOnce(Txn, Key, Bytes);
+    if (!Written.ok())
+      return Written.status();
+    ++Next_;
+    ++Counters_.Commits_;
+    Counters_.Bytes_ += Bytes.size();
+    return absl::OkStatus();
+  }
+
+  bool wantsSnapshot() const {
+    return Next_ - Base_.Index_ > EntriesPerSnapshot;
+  }
+
+  /// Writes \p Table as the new base, and removes what it replaces. The table
+  /// holds all committed entries, and may hold later events: replaying those on
+  /// top changes nothing.
+  absl::Status writeSnapshot(const jobs::CellTable &Table) {
+    const Base Old = Base_;
+    const std::uint64_t Index = Next_ - 1;
+    const auto Parts = jobs::encodeSnapshot(Table, SnapshotPartBytes);
+    for (std::size_t I = 0; I < Parts.size(); ++I) {
+      store::Transaction Txn = guarded();
+      Txn.Puts_ = {{Keys_.snapshot(Index, I), Parts[I], 0}};
+      const auto Put = commitOnce(Txn, Keys_.snapshot(Index, I), Parts[I]);
+      if (!Put.ok())
+        return Put.status();
+    }
+    const Base Fresh{Index, Parts.size()};
+    store::Transaction Txn = guarded();
+    // A write of an older base that is carried out late must not take the
+    // place of this one: the entries that it counts on are gone by then.
+    Txn.Compares_.push_back({Keys_.base(), BaseRevision_});
+    Txn.Puts_ = {{Keys_.base(), encodeBase(Fresh), 0}};
+    const auto Put = commitOnce(Txn, Keys_.base(), encodeBase(Fresh));
+    if (!Put.ok())
+      return Put.status();
+    BaseRevision_ = *Put;
+    Base_ = Fresh;
+    ++Counters_.Snapshots_;
+    return removeOld(Old);
+  }
+
+  /// When the write that is on its way was first sent; empty when none is.
+  std::optional<TimePoint> pendingSince() const { return PendingSince_; }
+  const JournalCounters &counters() const { return Counters_; }
+
+private:
+  static constexpr Duration LoadTime = std::chrono::milliseconds(2000);
+
+  store::Transaction guarded() const {
+    store::Transaction Txn;
+    Txn.Compares_ = {{Keys_.head(), fleet::Revision(Lead_.token().value())}};
+    return Txn;
+  }
+
+  absl::Status loadSnapshot(jobs::CellTable &Into, TimePoint Now) {
+    if (Base_.Parts_ == 0)
+      return absl::OkStatus();
+    const auto Parts = Store_.range(Keys_.snapshotPrefix(Base_.Index_),
+                                    fleet::Revision(0), wallDeadline(LoadTime));
+    if (!Parts.ok())
+      return Parts.status();
+    if (Parts->Items_.size() != Base_.Parts_)
+      return absl::DataLossError("a part of the snapshot is missing");
+    for (const store::KeyValue &Item : Parts->Items_)
+      if (absl::Status Read = jobs::decodeSnapshot(Item.Value_, Now, Into);
+          !Read.ok())
+        return Read;
+    return absl::OkStatus();
+  }
+
+  absl::Status loadLog(jobs::CellTable &Into, TimePoint Now) {
+    const auto Log = Store_.range(Keys_.logPrefix(), fleet::Revision(0),
+                                  wallDeadline(LoadTime));
+    if (!Log.ok())
+      return Log.status();
+    Next_ = Base_.Index_ + 1;
+    for (const store::KeyValue &Item : Log->Items_) {
+      const std::uint64_t Index = indexOfLogKey(Item.Key_);
+      if (Index <= Base_.Index_)
+        continue;
+      if (Index != Next_)
+        return absl::DataLossError("journal entry " + std::to_string(Next_) +
+                                   " is missing");
+      const auto Events = jobs::decodeGroup(Item.Value_);
+      if (!Events.ok())
+        return Events.status();
+      for (const jobs::Event &Event : *Events)
+        Into.apply(Event, Now);
+      ++Next_;
+    }
+    return absl::OkStatus();
+  }
+
+  /// Commits until the outcome is known; the revision of the write.
+  absl::StatusOr<fleet::Revision> commitOnce(const store::Transaction &Txn,
+                                             const std::string &Key,
+                                             const std::string &Value) {
+    PendingSince_ = SteadyClock().now();
+    auto Outcome = commitUntilKnown(Txn, Key, Value);
+    PendingSince_.reset();
+    return Outcome;
+  }
+
+  absl::StatusOr<fleet::Revision>
+  commitUntilKnown(const store::Transaction &Txn, const std::string &Key,
+                   const std::string &Value) {
+    Duration Wait = FirstAnswerTime;
+    while (Lead_.held()) {
+      const TimePoint Asked = SteadyClock().now();
+      const auto Written = Store_.commit(Txn, wallDeadline(Wait));
+      if (Written.ok() && Written->Succeeded_) {
+        Lead_.confirmed(Asked);
+        return Written->StoreRevision_;
+      }
+      if (Written.ok()) {
+        const auto Settled = settle(Key, Value);
+        if (Settled.ok() || absl::IsAborted(Settled.status()))
+          return Settled;
+      }
+      ++Counters_.Retries_;
+      Wait = std::min(2 * Wait, LongestAnswerTime);
+      framework::fibers::sleepFor(RetryPause);
+    }
+    return absl::AbortedError("leadership was lost before the store answered");
+  }
+
+  /// The condition did not hold: an earlier try has come through, or the head
+  /// is another's.
+  absl::StatusOr<fleet::Revision> settle(const std::string &Key,
+                                         const std::string &Value) {
+    const auto Read =
+        Store_.range(Key, fleet::Revision(0), wallDeadline(FirstAnswerTime));
+    if (!Read.ok())
+      return Read.status();
+    for (const store::KeyValue &Item : Read->Items_)
+      if (Item.Key_ == Key && Item.Value_ == Value)
+        return Item.ModRevision_;
+    return absl::AbortedError("the cell has another holder");
+  }
+
+  absl::Status removeOld(const Base &Old) {
+    std::vector<std::string> Keys;
+    for (std::uint64_t P = 0; P < Old.Parts_; ++P)
+      Keys.push_back(Keys_.snapshot(Old.Index_, P));
+    for (std::uint64_t I = Old.Index_ + 1; I <= Base_.Index_; ++I)
+      Keys.push_back(Keys_.log(I));
+    for (std::size_t At = 0; At < Keys.size(); At += KeysPerTransaction) {
+      store::Transaction Txn = guarded();
+      const std::size_t End = std::min(At + KeysPerTransaction, Keys.size());
+      Txn.Deletes_.assign(Keys.begin() + At, Keys.begin() + End);
+      // A removal without an answer only leaves keys that a replay passes over.
+      const auto Removed = Store_.commit(Txn, wallDeadline(LongestAnswerTime));
+      if (!Removed.ok())
+        framework::log::warning("journal.removal_unanswered")
+            .field("reason", std::string(Removed.status().message()));
+    }
+    return absl::OkStatus();
+  }
+
+  Store &Store_;
+  CellKeys Keys_;
+  Leadership<Store> &Lead_;
+  std::uint64_t Next_ = 1;
+  Base Base_;
+  fleet::Revision BaseRevision_;
+  std::optional<TimePoint> PendingSince_;
+  JournalCounters Counters_;
+};
+
+} // namespace laburnumspread::journal
--- /dev/null
+++ b/src/journal/leadership.h
@@ -0,0 +1,154 @@
+#pragma once
+
+#include "framework/clock/steadyclock.h"
+#include "framework/log/log.h"
+#include "journal/holder.h"
+#include "store/kvstore.h"
+
+#include <map>
+
+namespace laburnumspread::journal {
+
+using framework::clock::Duration;
+using framework::clock::SteadyClock;
+using framework::clock::TimePoint;
+using framework::clock::wallDeadline;
+
+/// Leadership of one cell: a key that dies with a store lease. The revision at
+/// which it was written is the fencing token, so tokens rise from holder to
+/// holder.
+template <store::KeyValueStore Store> class Leadership {
+public:
+  /// Lease of the head key. A dead holder is replaced after this time, and a
+  /// holder that the store does not hear for as long is replaced too; so it
+  /// must outlast a few renewals over a slow store.
+  static constexpr std::int64_t LeaseSeconds = 2;
+  static constexpr Duration CallTime = std::chrono::milliseconds(900);
+
+  Leadership(Store &S, CellKeys Keys, Holder Self)
+      : Store_(S), Keys_(std::move(Keys)), Self_(std::move(Self)) {}
+
+  void setPeerAddress(std::string Address) {
+    Self_.PeerAddress_ = std::move(Address);
+  }
+
+  /// Tries once to become the holder. True when this entry now is.
+  absl::StatusOr<bool> campaign() {
+    const auto Granted =
+        Store_.grantLease(LeaseSeconds, wallDeadline(CallTime));
+    if (!Granted.ok())
+      return Granted.status();
+    ++Self_.Attempt_;
+    Lease_ = *Granted;
+    const TimePoint Asked = SteadyClock().now();
+    store::Transaction Txn;
+    Txn.Compares_ = {{Keys_.head(), fleet::Revision(0)}};
+    Txn.Puts_ = {{Keys_.head(), encodeHolder(Self_), Lease_}};
+    const auto Written = Store_.commit(Txn, wallDeadline(CallTime));
+    if (Written.ok() && Written->Succeeded_)
+      return adopt(jobs::FencingToken(Written->StoreRevision_.value()), Asked);
+    return readBack();
+  }
+
+  /// Takes up a head that names this process: the answer to an earlier attempt
+  /// was lost, and the write came through after all. An attempt before the last
+  /// one is given back.
+  absl::StatusOr<bool> adoptIfOwn(const Holder &Seen) {
+    if (!Seen.sameProcess(Self_) || held())
+      return false;
+    if (Seen.Attempt_ != Self_.Attempt_) {
+      release();
+      return false;
+    }
+    Self_.Token_ = Seen.Token_;
+    const auto Alive = renew();
+    if (!Alive.ok() || !*Alive)
+      Self_.Token_ = jobs::FencingToken();
+    return Alive;
+  }
+
+  /// Renews the lease. False when it has ended: leadership is lost.
+  absl::StatusOr<bool> renew() {
+    const TimePoint Asked = SteadyClock().now();
+    const auto Alive = Store_.keepLease(Lease_, wallDeadline(CallTime));
+    if (!Alive.ok())
+      return Alive.status();
+    if (*Alive)
+      confirmed(Asked);
+    return *Alive;
+  }
+
+  /// Notes that the store has proved the leadership at \p Asked or later.
+  void confirmed(TimePoint Asked) {
+    ConfirmedAt_ = std::max(ConfirmedAt_, Asked);
+  }
+
+  /// Gives up leadership, so that a successor need not wait for the lease.
+  void resign() {
+    if (!held())
+      return;
+    const jobs::FencingToken Token = Self_.Token_;
+    forget();
+    store::Transaction Txn;
+    Txn.Compares_ = {{Keys_.head(), fleet::Revision(Token.value())}};
+    Txn.Deletes_ = {Keys_.head()};
+    const auto Written = Store_.commit(Txn, wallDeadline(CallTime));
+    framework::log::info("leadership.resigned")
+        .field("token", Token.value())
+        .field("store", Written.ok() ? "acknowledged" : "no answer");
+  }
+
+  /// Leadership has been lost: no order may leave any more.
+  void forget() { Self_.Token_ = jobs::FencingToken(); }
+
+  bool held() const { return Self_.Token_.value() != 0; }
+  jobs::FencingToken token() const { return Self_.Token_; }
+  TimePoint confirmedAt() const { return ConfirmedAt_; }
+  const Holder &self() const { return Self_; }
+
+private:
+  absl::StatusOr<bool> readBack() {
+    const auto Read =
+        Store_.range(Keys_.head(), fleet::Revision(0), wallDeadline(CallTime));
+    if (!Read.ok())
+      return Read.status();
+    for (const store::KeyValue &Item : Read->Items_) {
+      const auto Seen = decodeHolder(Item.Value_, Item.ModRevision_);
+      if (Item.Key_ == Keys_.head() && Seen)
+        return adoptIfOwn(*Seen);
+    }
+    return false;
+  }
+
+  bool adopt(jobs::FencingToken Token, TimePoint Asked) {
+    Self_.Token_ = Token;
+    confirmed(Asked);
+    return true;
+  }
+
+  void release() {
+    store::Transaction Txn;
+    Txn.Deletes_ = {Keys_.head()};
+    const auto Read =
+        Store_.range(Keys_.head(), fleet::Revision(0), wallDeadline(CallTime));
+    if (!Read.ok() || Read->Items_.empty())
+      return;
+    const store::KeyValue &Item = Read->Items_.front();
+    const auto Seen = decodeHolder(Item.Value_, Item.ModRevision_);
+    if (!Seen || !Seen->sameProcess(Self_) || Seen->Attempt_ == Self_.Attempt_)
+      return;
+    Txn.Compares_ = {{Keys_.head(), Item.ModRevision_}};
+    const auto Written = Store_.commit(Txn, wallDeadline(CallTime));
+    framework::log::info("leadership.stale_attempt_removed")
+        .field("attempt", Seen->Attempt_)
+        .field("store", Written.ok() ? "acknowledged" : "no answer");
+  }
+
+  Store &Store_;
+  CellKeys Keys_;
+  Holder Self_;
+  std::int64_t Lease_ = 0;
+  TimePoint ConfirmedAt_{};
+};
+
+} // namespace laburnumspread::journal
--- a/src/peers/internal/messagecodec.cpp
+++ b/src/peers/internal/messagecodec.cpp
@@ -290,6 +290,40 @@
   Out.mutable_cancel()->set_name(From.Name_.str());
 }
 
+void write(const JobCall &From, wire::Envelope &Out) {
+  wire::JobCall &To = *Out.mutable_job_call();
+  To.set_sequence(From.Sequence_);
+  To.set_kind(static_cast<std::uint32_t>(From.Kind_));
+  To.set_job(From.Job_);
+  To.set_queue(From.Queue_);
+  To.set_spec(From.Spec_);
+  To.set_config_version(From.ConfigVersion_);
+}
+
+JobCall read(const wire::JobCall &From) {
+  return {From.sequence(),
+          readEnum(From.kind(), JobCallKind::Waiting, JobCallKind::State),
+          From.job(),
+          From.queue(),
+          From.spec(),
+          From.config_version()};
+}
+
+void write(const JobReply &From, wire::Envelope &Out) {
+  wire::JobReply &To = *Out.mutable_job_reply();
+  To.set_sequence(From.Sequence_);
+  To.set_verdict(static_cast<std::uint32_t>(From.Verdict_));
+  To.set_state(From.State_);
+  To.set_waiting(From.Waiting_);
+  To.set_retry_after_ms(From.RetryAfterMs_);
+}
+
+JobReply read(const wire::JobReply &From) {
+  return {From.sequence(),
+          readEnum(From.verdict(), JobVerdict::NotHolder, JobVerdict::Unknown),
+          From.state(), From.waiting(), From.retry_after_ms()};
+}
+
 absl::StatusOr<Message> readBody(const wire::Envelope &In,
                                  const MemberId &Sender,
                                  const MemberId &Recipient) {
@@ -323,6 +357,10 @@
     return read(In.snapshot());
   case wire::Envelope::kCancel:
     return Cancel{idempotency::RecordName(In.cancel().name())};
+  case wire::Envelope::kJobCall:
+    return read(In.job_call());
+  case wire::Envelope::kJobReply:
+    return read(In.job_reply());
   case wire::Envelope::BODY_NOT_SET:
     break;
   }
--- a/src/peers/messages.h
+++ b/src/peers/messages.h
@@ -92,11 +92,48 @@
   idempotency::RecordName Name_;
 };
 
+enum class JobCallKind { Submit, State, Cancel, Waiting };
+
+/// A caller's request about a job, passed on to the holder of the cell.
+struct JobCall {
+  /// Unique at the sender; the reply carries it.
+  std::uint64_t Sequence_ = 0;
+  JobCallKind Kind_ = JobCallKind::State;
+  std::string Job_;
+  std::string Queue_;
+  /// Encoded job, for Submit.
+  std::string Spec_;
+  /// Version of the configuration by which the caller was let in.
+  std::uint64_t ConfigVersion_ = 0;
+};
+
+enum class JobVerdict {
+  /// Stored, or the state or count is in the reply.
+  Ok,
+  /// Not taken, and never will be by this attempt.
+  Refused,
+  /// No such job or queue.
+  Missing,
+  /// Whether it was stored is not known.
+  Unknown,
+  /// The recipient is not the holder; nothing was done.
+  NotHolder,
+};
+
+struct JobReply {
+  std::uint64_t Sequence_ = 0;
+  JobVerdict Verdict_ = JobVerdict::Unknown;
+  /// Name of the job's state.
+  std::string State_;
+  std::uint64_t Waiting_ = 0;
+  std::uint64_t RetryAfterMs_ = 0;
+};
+
 using Message =
     std::variant<Heartbeat, Borrow, Grant, Return, idempotency::ReserveRequest,
                  idempotency::ReserveReply, Finish, Abandon,
                  idempotency::CopyRequest, idempotency::CopyReply,
-                 SnapshotRequest, Snapshot, Cancel>;
+                 SnapshotRequest, Snapshot, Cancel, JobCall, JobReply>;
 
 /// Who sent a message, and when by its own clock.
 struct Sender {
--- /dev/null
+++ b/src/scheduling/internal/scheduler.cpp
@@ -0,0 +1,299 @@
+#include "scheduling/scheduler.h"
+
+#include <algorithm>
+#include <map>
+#include <tuple>
+
+namespace laburnumspread::scheduling {
+
+using cell::QueueConfig;
+using jobs::JobRow;
+using jobs::Resources;
+using jobs::RunName;
+using jobs::RunNumber;
+using jobs::StepRow;
+using jobs::StepSpec;
+using jobs::TaskName;
+using jobs::TaskRow;
+
+namespace {
+
+/// A step whose tasks may start.
+struct ReadyStep {
+  const JobRow *Job_ = nullptr;
+  const QueueConfig *Queue_ = nullptr;
+  const StepSpec *Spec_ = nullptr;
+  const StepRow *Row_ = nullptr;
+  std::uint32_t Occurrence_ = 0;
+  std::uint32_t Step_ = 0;
+  bool Late_ = false;
+  TimePoint Due_{};
+  /// Processor time that the job still needs, in thousandths of a core and
+  /// seconds.
+  double WorkLeft_ = 0;
+};
+
+/// Tasks that serve come first: each second away costs their users. Then work
+/// that can still be in time, in the order in which it falls due; what is late
+/// already is worth a fraction, so it takes what is left, the smallest first,
+/// which gets most of it done.
+bool before(const ReadyStep &A, const ReadyStep &B) {
+  const auto Rank = [](const ReadyStep &S) {
+    return std::make_tuple(!S.Spec_->LongRunning_, S.Late_, S.Spec_->Filler_,
+                           S.Queue_->Priority_);
+  };
+  if (Rank(A) != Rank(B))
+    return Rank(A) < Rank(B);
+  if (A.Late_)
+    return A.WorkLeft_ < B.WorkLeft_;
+  return A.Due_ < B.Due_;
+}
+
+bool stepReady(const jobs::OccurrenceRow &Occurrence, const StepSpec &Spec) {
+  return std::all_of(Spec.After_.begin(), Spec.After_.end(),
+                     [&](std::uint32_t Step) {
+                       return Step < Occurrence.Steps_.size() &&
+                              Occurrence.Steps_[Step].done();
+                     });
+}
+
+/// Whether some task of the step waits for a start. A gang starts whole.
+bool hasIdle(const StepRow &Row, const StepSpec &Spec) {
+  if (Spec.Gang_)
+    return Row.LiveCount_ == 0 && Row.DoneCount_ < Row.Tasks_.size();
+  return Row.LiveCount_ + Row.DoneCount_ < Row.Tasks_.size();
+}
+
+double workLeft(const JobRow &Job, const Estimates &Learned) {
+  double Sum = 0;
+  for (const jobs::OccurrenceRow &Occurrence : Job.Occurrences_)
+    for (std::size_t S = 0; S < Occurrence.Steps_.size(); ++S) {
+      const StepSpec &Spec = Job.Spec_.Steps_[S];
+      const StepRow &Row = Occurrence.Steps_[S];
+      Sum += static_cast<double>(Row.Tasks_.size() - Row.DoneCount_) *
+             static_cast<double>(Spec.Each_.MilliCpus_) * 1e-6 *
+             static_cast<double>(Learned.of(Job.Spec_.Queue_, Spec).count());
+    }
+  return Sum;
+}
+
+/// Free room while a plan is made.
+class Placement {
+public:
+  Placement(const CellTable &Table, const CellConfig &Config,
+            std::vector<Candidate> Workers)
+      : Table_(Table), Config_(Config), Workers_(std::move(Workers)) {
+    for (std::size_t I = 0; I < Workers_.size(); ++I)
+      ByPool_[Workers_[I].Worker_->Pool_].push_back(I);
+  }
+
+  /// Places the waiting tasks of a step. Returns how many found no worker.
+  std::size_t place(const ReadyStep &Step, TimePoint Now, Plan &Into) {
+    return Step.Spec_->Gang_ ? placeGang(Step, Into)
+                             : placeEach(Step, Now, Into);
+  }
+
+private:
+  std::size_t placeEach(const ReadyStep &Step, TimePoint Now, Plan &Into) {
+    std::size_t Left = 0;
+    bool Full = false;
+    for (std::uint32_t I = 0; I < Step.Row_->Tasks_.size(); ++I) {
+      const TaskRow &Task = Step.Row_->Tasks_[I];
+      if (!Task.idle() || Task.NotBefore_ > Now)
+        continue;
+      // Tasks of a step are alike: where one does not fit, none will.
+      Candidate *Chosen = Full ? nullptr : choose(Step);
+      if (!Chosen) {
+        Full = true;
+        ++Left;
+        continue;
+      }
+      take(Step, I, Task.LastRun_.next(), *Chosen, Into);
+    }
+    return Left;
+  }
+
+  std::size_t placeGang(const ReadyStep &Step, Plan &Into) {
+    RunNumber Run;
+    for (const TaskRow &Task : Step.Row_->Tasks_)
+      Run = std::max(Run, Task.LastRun_);
+    Plan Trial;
+    const auto Saved = Workers_;
+    const auto SavedWorkspaces = Planned_;
+    const auto SavedPerStep = PerStep_;
+    const auto Count = static_cast<std::uint32_t>(Step.Row_->Tasks_.size());
+    for (std::uint32_t I = 0; I < Count; ++I) {
+      Candidate *Chosen = choose(Step);
+      if (!Chosen) {
+        Workers_ = Saved;
+        Planned_ = SavedWorkspaces;
+        PerStep_ = SavedPerStep;
+        return Count;
+      }
+      take(Step, I, Run.next(), *Chosen, Trial);
+    }
+    Into.Starts_.insert(Into.Starts_.end(), Trial.Starts_.begin(),
+                        Trial.Starts_.end());
+    return 0;
+  }
+
+  void take(const ReadyStep &Step, std::uint32_t Index, RunNumber Run,
+            Candidate &On, Plan &Into) {
+    On.Free_ -= Step.Spec_->demand();
+    Planned_[Step.Job_->Spec_.Workspace_] += Step.Spec_->Each_;
+    if (Step.Spec_->AntiAffinity_ > 0)
+      ++PerStep_[keyOf(Step, On)];
+    Into.Starts_.push_back(
+        {{{Step.Job_->Spec_.Id_, Step.Occurrence_, Step.Step_, Index}, Run},
+         On.Worker_->Life_});
+  }
+
+  /// The worker for one task: most trusted, near its data, then the fullest
+  /// that has room, so that others stay empty and can be given away.
+  Candidate *choose(const ReadyStep &Step) {
+    if (!withinWorkspaceLimit(Step))
+      return nullptr;
+    const auto Pool = ByPool_.find(Step.Queue_->Pool_);
+    if (Pool == ByPool_.end())
+      return nullptr;
+    Candidate *Best = nullptr;
+    for (const std::size_t I : Pool->second) {
+      Candidate &Worker = Workers_[I];
+      if (!allowed(Step, Worker))
+        continue;
+      if (!Best || better(Step, Worker, *Best))
+        Best = &Worker;
+    }
+    return Best;
+  }
+
+  bool allowed(const ReadyStep &Step, const Candidate &Worker) const {
+    const StepSpec &Spec = *Step.Spec_;
+    if (!Spec.demand().fitsInto(Worker.Free_))
+      return false;
+    if (!Spec.Requirement_.empty() &&
+        !Worker.Worker_->hasLabel(Spec.Requirement_))
+      return false;
+    return Spec.AntiAffinity_ == 0 ||
+           sameStepOn(Step, Worker) < Spec.AntiAffinity_;
+  }
+
+  static bool better(const ReadyStep &Step, const Candidate &A,
+                     const Candidate &B) {
+    const auto Far = [&](const Candidate &C) {
+      return !Step.Spec_->DataRack_.empty() &&
+             !C.Worker_->hasLabel(Step.Spec_->DataRack_);
+    };
+    return std::make_tuple(A.Distrust_, Far(A), A.Free_.MilliCpus_) <
+           std::make_tuple(B.Distrust_, Far(B), B.Free_.MilliCpus_);
+  }
+
+  using StepOnWorker =
+      std::tuple<jobs::JobId, std::uint32_t, std::uint32_t, jobs::WorkerLife>;
+
+  static StepOnWorker keyOf(const ReadyStep &Step, const Candidate &Worker) {
+    return {Step.Job_->Spec_.Id_, Step.Occurrence_, Step.Step_,
+            Worker.Worker_->Life_};
+  }
+
+  /// Tasks of the step that may be running on the worker, in doubt included.
+  std::uint32_t sameStepOn(const ReadyStep &Step,
+                           const Candidate &Worker) const {
+    std::uint32_t Count = 0;
+    if (const auto Row = PerStep_.find(keyOf(Step, Worker));
+        Row != PerStep_.end())
+      Count = Row->second;
+    for (const TaskRow &Task : Step.Row_->Tasks_)
+      for (const jobs::LiveRun &Live : Task.Runs_)
+        Count += Live.On_ == Worker.Worker_->Life_;
+    return Count;
+  }
+
+  bool withinWorkspaceLimit(const ReadyStep &Step) const {
+    const auto Row = Config_.Workspaces_.find(Step.Job_->Spec_.Workspace_);
+    if (Row == Config_.Workspaces_.end())
+      return true;
+    Resources Used = Table_.usedBy(Row->first);
+    if (const auto More = Planned_.find(Row->first); More != Planned_.end())
+      Used += More->second;
+    Used += Step.Spec_->Each_;
+    const Resources &Most = Row->second.MaxAllowed_;
+    return (Most.MilliCpus_ == 0 || Used.MilliCpus_ <= Most.MilliCpus_) &&
+           (Most.MemoryMb_ == 0 || Used.MemoryMb_ <= Most.MemoryMb_) &&
+           (Most.Accelerators_ == 0 ||
+            Used.Accelerators_ <= Most.Accelerators_);
+  }
+
+  const CellTable &Table_;
+  const CellConfig &Config_;
+  std::vector<Candidate> Workers_;
+  std::map<cell::PoolName, std::vector<std::size_t>> ByPool_;
+  std::map<jobs::WorkspaceName, Resources> Planned_;
+  std::map<StepOnWorker, std::uint32_t> PerStep_;
+};
+
+/// Occurrences that are due by the wall clock.
+std::uint32_t dueOccurrences(const jobs::JobSpec &Job, std::int64_t WallMs) {
+  if (Job.Occurrences_ == 0)
+    return 1;
+  if (WallMs < Job.FirstDueMs_)
+    return 0;
+  const std::int64_t Interval = std::max<std::int64_t>(
+      1, std::chrono::duration_cast<std::chrono::milliseconds>(Job.Interval_)
+             .count());
+  const std::int64_t Due = (WallMs - Job.FirstDueMs_) / Interval + 1;
+  return static_cast<std::uint32_t>(
+      std::min<std::int64_t>(Due, Job.Occurrences_));
+}
+
+} // namespace
+
+TimePoint dueAt(const JobRow &Job, const QueueConfig &Queue,
+                const Estimates &Learned) {
+  const auto Chain = longestChain(Job.Spec_, Learned);
+  return Job.AcceptedAt_ + Queue.AimLatency_ +
+         Duration(static_cast<std::int64_t>(
+             Queue.Stretch_ * static_cast<double>(Chain.count())));
+}
+
+Plan Scheduler::plan(std::vector<Candidate> Workers, Moment At) const {
+  std::vector<ReadyStep> Ready;
+  for (const auto &[Order, Id] : Table_.open()) {
+    const JobRow &Job = *Table_.find(Id);
+    const QueueConfig *Queue = Config_.find(Job.Spec_.Queue_);
+    if (!Queue)
+      continue;
+    ReadyStep Base;
+    Base.Job_ = &Job;
+    Base.Queue_ = Queue;
+    bool Prepared = false;
+    const std::uint32_t Due = dueOccurrences(Job.Spec_, At.WallMs_);
+    for (std::uint32_t K = 0; K < Due; ++K)
+      for (std::uint32_t S = 0; S < Job.Spec_.Steps_.size(); ++S) {
+        const StepSpec &Spec = Job.Spec_.Steps_[S];
+        const StepRow &Row = Job.Occurrences_[K].Steps_[S];
+        if (!hasIdle(Row, Spec) || !stepReady(Job.Occurrences_[K], Spec))
+          continue;
+        if (!Prepared) {
+          Prepared = true;
+          Base.Due_ = dueAt(Job, *Queue, Learned_);
+          Base.Late_ = At.Now_ > Base.Due_ && !Spec.LongRunning_;
+          Base.WorkLeft_ = workLeft(Job, Learned_);
+        }
+        ReadyStep Step = Base;
+        Step.Spec_ = &Spec;
+        Step.Row_ = &Row;
+        Step.Occurrence_ = K;
+        Step.Step_ = S;
+        Ready.push_back(Step);
+      }
+  }
+  std::sort(Ready.begin(), Ready.end(), before);
+  Placement Places(Table_, Config_, std::move(Workers));
+  Plan Result;
+  for (const ReadyStep &Step : Ready)
+    Result.LeftWaiting_ += Places.place(Step, At.Now_, Result);
+  return Result;
+}
+
+} // namespace laburnumspread::scheduling
--- /dev/null
+++ b/src/scheduling/scheduler.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "cell/celltypes.h"
+#include "jobs/celltable.h"
+#include "scheduling/estimates.h"
+
+#include <vector>
+
+/// Decides which task runs next, and on which worker. Pure: tables in, orders
+/// out.
+namespace laburnumspread::scheduling {
+
+using cell::CellConfig;
+using cell::WorkerRecord;
+using framework::clock::Duration;
+using framework::clock::TimePoint;
+using jobs::CellTable;
+
+/// A worker that may be given tasks now.
+struct Candidate {
+  const WorkerRecord *Worker_ = nullptr;
+  jobs::Resources Free_;
+  /// Lower is better: grows while tasks fail or hang there.
+  double Distrust_ = 0;
+};
+
+struct Moment {
+  TimePoint Now_{};
+  /// For jobs that are due at a time of day, in Unix milliseconds.
+  std::int64_t WallMs_ = 0;
+};
+
+/// One pass over what is ready.
+struct Plan {
+  std::vector<jobs::RunIntended> Starts_;
+  /// Tasks that are ready but have found no worker.
+  std::size_t LeftWaiting_ = 0;
+};
+
+/// When a job stops being in time: its stretched chain of work and the queue's
+/// aim after it was taken.
+TimePoint dueAt(const jobs::JobRow &Job, const cell::QueueConfig &Queue,
+                const Estimates &Learned);
+
+class Scheduler {
+public:
+  Scheduler(const CellTable &Table, const CellConfig &Config,
+            const Estimates &Learned)
+      : Table_(Table), Config_(Config), Learned_(Learned) {}
+
+  Plan plan(std::vector<Candidate> Workers, Moment At) const;
+
+private:
+  const CellTable &Table_;
+  const CellConfig &Config_;
+  const Estimates &Learned_;
+};
+
+} // namespace laburnumspread::scheduling
