Only look at a worker that does not answer: its lease must be able to end

Each unanswered hold asked for a new lease and moved the time at which its runs count as lapsed. Change: a worker that owes an answer is asked without a lease end; the rule is a method of WorkerRow with a test, seen red without it.

--- a/src/cell/sessions.h
+++ b/src/cell/sessions.h
@@ -120,17 +120,8 @@
   }
 
   void holdOnce(WorkerRow &Row) {
-    HoldOrder Order;
-    Order.Token_ = Term_->Token_;
-    Order.LastSeen_ = Row.EndsStored_;
-    if (Row.Synced_) {
-      Order.DeadlineMs_ = Row.clockMs(now()) +
-                          std::chrono::duration_cast<std::chrono::milliseconds>(
-                              Term_->Bounds_.LongestHold_)
-                              .count();
-      Order.Wait_ = HoldWait;
-      Row.noteDeadline(Order.DeadlineMs_);
-    }
+    const HoldOrder Order = Row.nextHold(now(), Term_->Token_,
+                                         Term_->Bounds_.LongestHold_, HoldWait);
     const TimePoint SentAt = now();
     const HoldReply Reply =
         Client_.hold(Row.Record_, Order, Order.Wait_ + AnswerTime);
--- /dev/null
+++ b/src/cell/tests/workertabletest.cpp
@@ -0,0 +1,69 @@
+#include "cell/workertable.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace laburnumspread::cell {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr auto Lease = 6000ms;
+constexpr auto Wait = 1500ms;
+const jobs::FencingToken Token(7);
+const TimePoint Start(std::chrono::hours(1));
+
+WorkerRow syncedRow() {
+  WorkerRow Row;
+  Row.Synced_ = true;
+  Row.heardClock(1000, Start);
+  return Row;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(WorkerTableTest)
+
+BOOST_AUTO_TEST_CASE(FirstHoldOnlyLooks) {
+  WorkerRow Row;
+  const HoldOrder Order = Row.nextHold(Start, Token, Lease, Wait);
+  BOOST_TEST(Order.DeadlineMs_ == 0);
+  BOOST_TEST((Row.LeaseEnds_ == TimePoint()));
+}
+
+BOOST_AUTO_TEST_CASE(HoldAsksForAWholeLeaseOnTheWorkersClock) {
+  WorkerRow Row = syncedRow();
+  const HoldOrder Order = Row.nextHold(Start + 500ms, Token, Lease, Wait);
+  BOOST_TEST(Order.DeadlineMs_ == 1000 + 500 + 6000);
+  // The worker's clock may be two in a hundred slow.
+  BOOST_TEST((Row.LeaseEnds_ > Start + 6500ms));
+  BOOST_TEST((Row.LeaseEnds_ < Start + 6700ms));
+}
+
+// A caller's standing task is never restarted: its worker leaves for good, the
+// holder asks it again and again, and each question renews the lease on paper.
+// The runs there then never count as lapsed, and no other worker gets them.
+BOOST_AUTO_TEST_CASE(UnansweredHoldsDoNotPutOffTheEndOfTheLease) {
+  WorkerRow Row = syncedRow();
+  Row.nextHold(Start, Token, Lease, Wait);
+  const TimePoint Ends = Row.LeaseEnds_;
+  for (int I = 1; I < 20; ++I) {
+    Row.Unanswered_ = static_cast<std::uint32_t>(I);
+    const HoldOrder Again = Row.nextHold(Start + I * 700ms, Token, Lease, Wait);
+    BOOST_TEST(Again.DeadlineMs_ == 0);
+  }
+  BOOST_TEST((Row.LeaseEnds_ == Ends));
+}
+
+// Answers on two connections overtake each other: the older clock must not
+// set the newer one back, or a lease would seem to end too early.
+BOOST_AUTO_TEST_CASE(OlderClockIsPassedOver) {
+  WorkerRow Row = syncedRow();
+  Row.heardClock(900, Start + 10ms);
+  BOOST_TEST(Row.ClockMs_ == 1000);
+  BOOST_TEST(Row.clockMs(Start + 50ms) == 1050);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace laburnumspread::cell
--- a/src/cell/workertable.h
+++ b/src/cell/workertable.h
@@ -63,6 +63,24 @@
     LeaseEnds_ = std::max(LeaseEnds_, ClockAt_ + Span);
   }
 
+  /// The next hold to send. A worker that has not answered the last one is only
+  /// looked at: a hold that renews its lease might arrive, and the runs there
+  /// could then never be given up.
+  HoldOrder nextHold(TimePoint Now, jobs::FencingToken Token, Duration Lease,
+                     Duration Wait) {
+    HoldOrder Order;
+    Order.Token_ = Token;
+    Order.LastSeen_ = EndsStored_;
+    if (!Synced_ || Unanswered_ > 0)
+      return Order;
+    Order.DeadlineMs_ =
+        clockMs(Now) +
+        std::chrono::duration_cast<std::chrono::milliseconds>(Lease).count();
+    Order.Wait_ = Wait;
+    noteDeadline(Order.DeadlineMs_);
+    return Order;
+  }
+
   bool usable() const {
     return Listed_ && Synced_ && !Over_ && !Record_.Draining_ &&
            Unanswered_ == 0;
--- a/src/jobs/celltable.h
+++ b/src/jobs/celltable.h
@@ -118,10 +118,10 @@
   void setAges(std::int64_t WallMs, TimePoint Now);
 
 private:
-  void apply(const JobAccepted &Item, TimePoint Now);
-  void apply(const RunIntended &Item, TimePoint Now);
-  void apply(const RunEnded &Item, TimePoint Now);
-  void apply(const JobCancelled &Item, TimePoint Now);
+  void take(const JobAccepted &Item, TimePoint Now);
+  void take(const RunIntended &Item, TimePoint Now);
+  void take(const RunEnded &Item, TimePoint Now);
+  void take(const JobCancelled &Item, TimePoint Now);
   void addLive(JobRow &Job, const RunName &Run, const LiveRun &Live);
   void taskDone(JobRow &Job, const TaskName &Task, TimePoint Now);
   void gangDone(JobRow &Job, const RunName &Run, TimePoint Now);
--- a/src/jobs/internal/celltable.cpp
+++ b/src/jobs/internal/celltable.cpp
@@ -22,7 +22,7 @@
 } // namespace
 
 void CellTable::apply(const Event &Item, TimePoint Now) {
-  std::visit([&](const auto &Body) { apply(Body, Now); }, Item);
+  std::visit([&](const auto &Body) { take(Body, Now); }, Item);
 }
 
 JobRow *CellTable::row(const JobId &Job) {
@@ -86,7 +86,7 @@
   return Found == Waiting_.end() ? 0 : Found->second;
 }
 
-void CellTable::apply(const JobAccepted &Item, TimePoint Now) {
+void CellTable::take(const JobAccepted &Item, TimePoint Now) {
   if (Jobs_.contains(Item.Spec_.Id_))
     return;
   JobRow Row;
@@ -116,7 +116,7 @@
   Workspaces_[Job.Spec_.Workspace_] += Job.Spec_.Steps_[Name.Step_].Each_;
 }
 
-void CellTable::apply(const RunIntended &Item, TimePoint Now) {
+void CellTable::take(const RunIntended &Item, TimePoint Now) {
   JobRow *Job = row(Item.Run_.Task_.Job_);
   TaskRow *Task = findTask(Item.Run_.Task_);
   // A run that was seen before is replayed on top of a later snapshot.
@@ -134,7 +134,7 @@
   --Waiting_[Job->Spec_.Queue_];
 }
 
-void CellTable::apply(const RunEnded &Item, TimePoint Now) {
+void CellTable::take(const RunEnded &Item, TimePoint Now) {
   JobRow *Job = row(Item.Run_.Task_.Job_);
   TaskRow *Task = findTask(Item.Run_.Task_);
   const LiveRun *Live = find(Item.Run_);
@@ -196,7 +196,7 @@
     close(Job, JobState::Failed, Now);
 }
 
-void CellTable::apply(const JobCancelled &Item, TimePoint Now) {
+void CellTable::take(const JobCancelled &Item, TimePoint Now) {
   JobRow *Job = row(Item.Job_);
   if (Job && !Job->ended())
     close(*Job, JobState::Cancelled, Now);
@@ -245,7 +245,7 @@
   const JobId Id = Row.Spec_.Id_;
   if (Jobs_.contains(Id))
     return;
-  apply(JobAccepted{Row.Spec_}, Now);
+  take(JobAccepted{Row.Spec_}, Now);
   JobRow &Put = Jobs_.at(Id);
   for (std::uint32_t K = 0; K < Row.Occurrences_.size(); ++K)
     for (std::uint32_t S = 0; S < Row.Occurrences_[K].Steps_.size(); ++S) {
