--- a/src/jobs/tests/celltabletest.cpp
+++ b/src/jobs/tests/celltabletest.cpp
@@ -155,13 +155,12 @@
   Spec.Steps_[0].Gang_ = true;
   Spec.Steps_.pop_back();
   Table_.apply(JobAccepted{Spec}, Start);
-  for (std::uint32_t I = 0; I < 2; ++I)
-    Table_.apply(RunIntended{{{Spec.Id_, 0, 0, I}, RunNumber(1)}, Worker},
-                 Start);
-  Table_.apply(RunEnded{{{Spec.Id_, 0, 0, 1}, RunNumber(1)},
-                        EndKind::Done,
-                        Checkpoint()},
-               Start);
+  RunName Member = runOf(0, 0, 1);
+  Member.Task_.Job_ = Spec.Id_;
+  start(Member);
+  Member.Task_.Index_ = 1;
+  start(Member);
+  end(Member, EndKind::Done);
   BOOST_TEST((Table_.find(Spec.Id_)->State_ == JobState::Done));
 }
 
