--- a/src/app/internal/cellapp.cpp
+++ b/src/app/internal/cellapp.cpp
@@ -8,6 +8,7 @@
 #include "platform/callerapi.h"
 #include "platform/codecs.h"
 #include "platform/kvstore.h"
+#include "platform/machineclient.h"
 #include "platform/workerclient.h"
 
 #include <boost/json/serialize.hpp>
@@ -50,13 +51,16 @@
 } // namespace
 
 struct CellApp::Parts {
-  using Service = cell::CellService<platform::KvStore, platform::WorkerClient>;
+  using Service = cell::CellService<platform::KvStore, platform::WorkerClient,
+                                    platform::MachineClient>;
 
   Parts(boost::asio::io_context &Io, CellSettings Settings)
       : Settings_(std::move(Settings)), Self_(selfOf(Settings_)),
         Store_(Io, Settings_.Store_), Workers_(Io),
-        Cell_(Store_, Workers_,
+        Machines_(Io, Settings_.Machines_, Settings_.Name_.str()),
+        Cell_(Store_, Workers_, Machines_,
               {std::string(platform::WorkersPrefix), platform::readWorker},
+              {platform::waveStatusKey, platform::waveStatus},
               journal::CellKeys(Settings_.StorePrefix_ + "cell/0/"),
               holderOf(Self_), Settings_.Bounds_, Metrics_),
         Router_(
@@ -117,9 +121,9 @@
       Router_.take(*Reply);
   }
 
-  /// Follows the operator's configuration.
+  /// Follows what the operator asks for: configuration and waves.
   void configLoop() {
-    const std::string Key(platform::ConfigKey);
+    const std::string Key(platform::OperatorPrefix);
     while (true) {
       const auto Read = Store_.range(Key, fleet::Revision(0),
                                      framework::clock::wallDeadline(ReadTime));
@@ -144,6 +148,8 @@
   }
 
   void adopt(const store::KeyValue &Item) {
+    if (const auto Wave = platform::readWave(Item))
+      Cell_.setWave(*Wave);
     if (Item.Key_ != platform::ConfigKey)
       return;
     const auto Next = platform::readConfig(Item.Value_);
@@ -168,6 +174,7 @@
   framework::metrics::Registry Metrics_;
   platform::KvStore Store_;
   platform::WorkerClient Workers_;
+  platform::MachineClient Machines_;
   Service Cell_;
   cell::CallRouter Router_;
   cell::Intake Intake_;
--- /dev/null
+++ b/src/capacity/capacitytypes.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "cell/celltypes.h"
+#include "jobs/celltable.h"
+
+/// Decides over machines: which are given to which pool, and when each has its
+/// upkeep. Pure: tables in, orders out.
+namespace laburnumspread::capacity {
+
+using cell::MachineId;
+using cell::MachineRecord;
+using cell::MachineState;
+using cell::PoolName;
+using cell::Resources;
+using cell::WaveNumber;
+using cell::WaveRecord;
+using framework::clock::Duration;
+using framework::clock::TimePoint;
+
+/// A machine and what runs on it.
+struct MachineView {
+  MachineRecord Record_;
+  /// Its worker takes tasks, or would if it were not held back.
+  bool Usable_ = false;
+  /// Held back for upkeep: it is given no new tasks.
+  bool HeldBack_ = false;
+  /// An order for it has been sent and is not settled, or it is on its way.
+  bool Busy_ = false;
+  /// Tasks that end by themselves, and tasks that last.
+  std::size_t FiniteRuns_ = 0;
+  std::vector<jobs::RunName> StandingRuns_;
+  /// Since when nothing has run on it.
+  TimePoint IdleSince_{};
+
+  bool idle() const { return FiniteRuns_ == 0 && StandingRuns_.empty(); }
+};
+
+} // namespace laburnumspread::capacity
--- /dev/null
+++ b/src/capacity/poolplanner.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "capacity/capacitytypes.h"
+
+#include <map>
+#include <set>
+
+namespace laburnumspread::capacity {
+
+/// What a pool's queues ask for now, in thousandths of a core.
+struct PoolDemand {
+  /// Tasks that last, running or waiting.
+  std::int64_t Standing_ = 0;
+  /// Finite tasks that run, or could run and wait, of jobs that can be in time.
+  std::int64_t Timely_ = 0;
+  /// The same of jobs that are late already.
+  std::int64_t Late_ = 0;
+};
+
+struct MoveOrder {
+  MachineId Machine_;
+  PoolName To_;
+};
+
+/// Moves idle machines to pools whose queues ask for more than they hold.
+///
+/// Demand goes round between queues within seconds, so a pool in its turn asks
+/// for up to twice its own machines while those of others stand idle. A move
+/// takes little more than a second and costs about as much as a machine in a
+/// pool for a second; a machine that is needed earns that many times over.
+/// Machines that are away from their home pool go first, then those that are
+/// off, then those of the pool with most to spare.
+class PoolPlanner {
+public:
+  /// Machines beyond the demand of the moment that a pool keeps.
+  static constexpr std::size_t Spare = 1;
+  /// Part of a worker's room that tasks of mixed sizes fill.
+  static constexpr double Fill = 0.92;
+  /// An idle machine may leave its pool after this.
+  static constexpr Duration SettleTime = std::chrono::milliseconds(300);
+  /// A machine of the standby pool goes back there when it has been idle this
+  /// long: about what switching it off and on again costs.
+  static constexpr Duration ReturnAfter = std::chrono::milliseconds(2500);
+
+  std::vector<MoveOrder> plan(const std::map<MachineId, MachineView> &Machines,
+                              const std::map<PoolName, PoolDemand> &Demand,
+                              const std::map<MachineId, PoolName> &Homes,
+                              const std::set<PoolName> &Standby,
+                              TimePoint Now) const;
+};
+
+} // namespace laburnumspread::capacity
--- a/src/cell/cellservice.h
+++ b/src/cell/cellservice.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "cell/sessions.h"
+#include "cell/machines.h"
 #include "peers/messages.h"
 #include "scheduling/scheduler.h"
 
@@ -17,10 +17,13 @@
 
 /// Leads the cell when no other entry does, and while it leads takes jobs,
 /// schedules them and keeps them running.
-template <store::KeyValueStore Store, WorkerClient Client> class CellService {
+template <store::KeyValueStore Store, WorkerClient Client,
+          MachineService Service>
+class CellService {
 public:
   using TermPtr = std::shared_ptr<Term<Store>>;
   using SessionsPtr = std::shared_ptr<Sessions<Store, Client>>;
+  using MachinesPtr = std::shared_ptr<Machines<Store, Client, Service>>;
 
   /// The lease of two seconds is renewed this often, so that several renewals
   /// may get lost.
@@ -35,11 +38,13 @@
   /// Distrust of a worker halves in this time.
   static constexpr double DistrustHalvesIn = 4.0;
 
-  CellService(Store &S, Client &C, WorkerDirectory Directory,
-              const journal::CellKeys &Keys, journal::Holder Self,
-              CellBounds Bounds, framework::metrics::Registry &Metrics)
-      : Store_(S), Client_(C), Directory_(std::move(Directory)), Keys_(Keys),
-        Bounds_(Bounds), Metrics_(Metrics), Lead_(S, Keys, std::move(Self)) {}
+  CellService(Store &S, Client &C, Service &Api, WorkerDirectory Directory,
+              WaveReports Reports, const journal::CellKeys &Keys,
+              journal::Holder Self, CellBounds Bounds,
+              framework::metrics::Registry &Metrics)
+      : Store_(S), Client_(C), Api_(Api), Directory_(std::move(Directory)),
+        Reports_(std::move(Reports)), Keys_(Keys), Bounds_(Bounds),
+        Metrics_(Metrics), Lead_(S, Keys, std::move(Self)) {}
 
   void start(std::string PeerAddress) {
     Lead_.setPeerAddress(std::move(PeerAddress));
@@ -66,6 +71,12 @@
       adoptConfig(*Term_);
   }
 
+  void setWave(const WaveRecord &Wave) {
+    Waves_[Wave.Number_] = Wave;
+    if (Machines_)
+      Machines_->setWaves(Waves_);
+  }
+
   bool leads() const { return Term_ && !Term_->over() && Term_->Loaded_; }
   const TermPtr &term() const { return Term_; }
   /// The last holder that was seen; its token is 0 when there is none.
@@ -173,6 +184,9 @@
     Term_ =
         std::make_shared<Term<Store>>(Store_, Keys_, Lead_, Metrics_, Bounds_);
     Sessions_ = std::make_shared<Sessions<Store, Client>>(Term_, Client_);
+    Machines_ = std::make_shared<Machines<Store, Client, Service>>(
+        Term_, Sessions_, Store_, Api_, Reports_);
+    Machines_->setKeys(Keys_);
     Metrics_.counter("takeovers_total").add();
     framework::fibers::spawn([this, T = Term_] { runTerm(T); });
   }
@@ -191,6 +205,7 @@
       Lead_.forget();
     Term_ = nullptr;
     Sessions_ = nullptr;
+    Machines_ = nullptr;
   }
 
   /// Works for a term from takeover to end.
@@ -211,6 +226,8 @@
     if (!Talks)
       return;
     stopLeftovers(*T, *Talks);
+    Machines_->setWaves(Waves_);
+    Machines_->start();
     T->Commits_.run([this, T, Talks] { schedule(*T, *Talks); });
     if (Term_ == T)
       endTerm("the journal cannot be written");
@@ -318,6 +335,8 @@
     } else {
       addWorker(T, *Record);
     }
+    if (Machines_)
+      Machines_->noteWorker(*Record);
     T.Commits_.wake();
     return Record->Life_;
   }
@@ -404,7 +423,7 @@
       return;
     std::vector<scheduling::Candidate> Workers;
     for (const auto &[Life, Row] : T.Workers_) {
-      if (!Row->usable())
+      if (!Row->usable() || (Machines_ && Machines_->heldBack(Row->Record_)))
         continue;
       const jobs::WorkerUse *Use = T.Table_.useOf(Life);
       Workers.push_back(
@@ -453,13 +472,34 @@
       return Reply({Call.Sequence_, peers::JobVerdict::Refused, "", 0,
                     RetryAfterOutageMs});
     }
-    framework::log::info("job.accepted")
-        .field("job", Call.Job_)
-        .field("queue", Call.Queue_);
+    logAccepted(std::get<jobs::JobAccepted>(Events->front()).Spec_);
     Metrics_.counter("jobs_accepted_total").add();
     Term_->Commits_.stage(Events->front(), Answer);
   }
 
+  static void logAccepted(const jobs::JobSpec &Spec) {
+    std::uint64_t Tasks = 0;
+    for (const jobs::StepSpec &Step : Spec.Steps_)
+      Tasks += Step.Count_;
+    const jobs::StepSpec &First = Spec.Steps_.front();
+    framework::log::info("job.accepted")
+        .field("job", Spec.Id_.str())
+        .field("queue", Spec.Queue_.str())
+        .field("workspace", Spec.Workspace_.str())
+        .field("steps", static_cast<std::uint64_t>(Spec.Steps_.size()))
+        .field("tasks", Tasks)
+        .field("cpu_milli", First.Each_.MilliCpus_)
+        .field("memory_mb", First.Each_.MemoryMb_)
+        .field("estimate_ms", First.Estimate_.count() / 1000)
+        .field("standing", First.LongRunning_ ? "yes" : "no")
+        .field("filler", First.Filler_ ? "yes" : "no")
+        .field("apart", static_cast<std::uint64_t>(First.AntiAffinity_))
+        .field("may_miss", static_cast<std::uint64_t>(First.MayMiss_))
+        .field("image", First.Image_.str())
+        .field("target_ms", First.TargetMs_)
+        .field("occurrences", static_cast<std::uint64_t>(Spec.Occurrences_));
+  }
+
   void state(const peers::JobCall &Call, const JobReplyFn &Reply) {
     const jobs::JobRow *Job = Term_->Table_.find(jobs::JobId(Call.Job_));
     if (!Job)
@@ -511,7 +551,9 @@
 
   Store &Store_;
   Client &Client_;
+  Service &Api_;
   WorkerDirectory Directory_;
+  WaveReports Reports_;
   journal::CellKeys Keys_;
   CellBounds Bounds_;
   framework::metrics::Registry &Metrics_;
@@ -520,6 +562,8 @@
   CellConfig Config_;
   TermPtr Term_;
   SessionsPtr Sessions_;
+  MachinesPtr Machines_;
+  std::map<WaveNumber, WaveRecord> Waves_;
   bool Leaving_ = false;
 };
 
--- a/src/cell/celltypes.h
+++ b/src/cell/celltypes.h
@@ -7,6 +7,8 @@
 #include <set>
 #include <vector>
 
+#include <absl/status/statusor.h>
+
 /// Schedules jobs on workers: one entry at a time holds a cell and decides.
 namespace laburnumspread::cell {
 
@@ -19,12 +21,12 @@
 using jobs::MachineId;
 using jobs::QueueName;
 using jobs::Resources;
+using jobs::WaveNumber;
 using jobs::WorkerId;
 using jobs::WorkerLife;
 using jobs::WorkspaceName;
 
 using ConfigVersion = framework::ids::StrongNumber<struct ConfigVersionTag>;
-using WaveNumber = framework::ids::StrongNumber<struct WaveNumberTag>;
 
 /// What the advisor of a queue costs, and how long its word holds.
 struct AdviceTerms {
@@ -215,4 +217,28 @@
   C.forget(To);
 };
 
+/// What a call to the platform's machine service came to.
+enum class MachineResult {
+  Done,
+  Fenced,
+  /// Not up, or leaving.
+  Busy,
+  WrongWave,
+  Malformed,
+  /// Too many calls; nothing was done.
+  Refused,
+  Unknown,
+};
+std::string_view nameOf(MachineResult Result);
+
+/// The platform's machine service.
+template <typename T>
+concept MachineService = requires(T &S, const MachineId &Machine,
+                                  const PoolName &Pool, WaveNumber Wave,
+                                  jobs::FencingToken Token) {
+  { S.list() } -> std::same_as<absl::StatusOr<std::vector<MachineRecord>>>;
+  { S.move(Machine, Pool, Token) } -> std::same_as<MachineResult>;
+  { S.upkeep(Machine, Wave, Token) } -> std::same_as<MachineResult>;
+};
+
 } // namespace laburnumspread::cell
--- a/src/cell/internal/celltypes.cpp
+++ b/src/cell/internal/celltypes.cpp
@@ -53,4 +53,24 @@
   return "unknown";
 }
 
+std::string_view nameOf(MachineResult Result) {
+  switch (Result) {
+  case MachineResult::Done:
+    return "done";
+  case MachineResult::Fenced:
+    return "fenced";
+  case MachineResult::Busy:
+    return "busy";
+  case MachineResult::WrongWave:
+    return "wrong_wave";
+  case MachineResult::Malformed:
+    return "malformed";
+  case MachineResult::Refused:
+    return "refused";
+  case MachineResult::Unknown:
+    return "unknown";
+  }
+  return "unknown";
+}
+
 } // namespace laburnumspread::cell
--- /dev/null
+++ b/src/cell/machines.h
@@ -0,0 +1,427 @@
+#pragma once
+
+#include "capacity/poolplanner.h"
+#include "capacity/upkeepplanner.h"
+#include "cell/sessions.h"
+#include "scheduling/scheduler.h"
+
+namespace laburnumspread::cell {
+
+/// How the operator is told of a wave's progress.
+struct WaveReports {
+  std::function<std::string(WaveNumber)> Key_;
+  std::function<std::string(bool Done)> Value_;
+};
+
+/// Gives machines their upkeep and moves them between pools, for one term.
+///
+/// Orders wait until the holder before can have none on the way: two holders
+/// must not take turns on one machine.
+template <store::KeyValueStore Store, WorkerClient Client,
+          MachineService Service>
+class Machines
+    : public std::enable_shared_from_this<Machines<Store, Client, Service>> {
+public:
+  using TermPtr = std::shared_ptr<Term<Store>>;
+  using SessionsPtr = std::shared_ptr<Sessions<Store, Client>>;
+
+  static constexpr Duration PlanEvery = std::chrono::milliseconds(200);
+  /// The list is read this often while something is in question, else at the
+  /// longer interval: each reading is paid for.
+  static constexpr Duration ListBusy = std::chrono::milliseconds(1000);
+  static constexpr Duration ListCalm = std::chrono::milliseconds(10000);
+  static constexpr Duration RetryPause = std::chrono::milliseconds(400);
+  static constexpr Duration ReportTime = std::chrono::milliseconds(900);
+  /// Orders need a leadership that the store has confirmed lately: a successor
+  /// waits for the platform's lease time before its first one.
+  static constexpr Duration OrdersWithoutStore =
+      std::chrono::milliseconds(1000);
+
+  Machines(TermPtr T, SessionsPtr S, Store &Kv, Service &Api,
+           WaveReports Reports)
+      : Term_(std::move(T)), Sessions_(std::move(S)), Store_(Kv), Api_(Api),
+        Reports_(std::move(Reports)) {}
+
+  void start() {
+    framework::fibers::spawn(
+        [Self = this->shared_from_this()] { Self->listLoop(); });
+    framework::fibers::spawn(
+        [Self = this->shared_from_this()] { Self->planLoop(); });
+  }
+
+  void setWaves(const std::map<WaveNumber, WaveRecord> &Waves) {
+    for (const auto &[Number, Record] : Waves) {
+      auto [Row, Fresh] = Waves_.try_emplace(Number);
+      if (!Fresh)
+        continue;
+      Row->second.Record_ = Record;
+      Row->second.SeenAt_ = now();
+      framework::log::info("wave.seen")
+          .field("wave", Number.value())
+          .field("machines",
+                 static_cast<std::uint64_t>(Record.Machines_.size()))
+          .field("at_once", static_cast<std::uint64_t>(Record.MaxAllowed_))
+          .field("duration_ms", Record.Duration_.count() / 1000);
+    }
+  }
+
+  /// A worker has come up: its machine is where the worker says.
+  void noteWorker(const WorkerRecord &Record) {
+    if (Record.Machine_.empty())
+      return;
+    capacity::MachineView &View = Views_[Record.Machine_];
+    if (View.Record_.Worker_ == Record.Life_.Id_ &&
+        LifeOf_[Record.Machine_] == Record.Life_)
+      return;
+    LifeOf_[Record.Machine_] = Record.Life_;
+    View.Record_.Id_ = Record.Machine_;
+    View.Record_.Pool_ = Record.Pool_;
+    View.Record_.State_ = MachineState::Up;
+    View.Record_.Room_ = Record.Room_;
+    View.Record_.Worker_ = Record.Life_.Id_;
+    View.IdleSince_ = now();
+    Homes_.try_emplace(Record.Machine_, Record.Pool_);
+    Ordered_.erase(Record.Machine_);
+  }
+
+  /// Whether the worker is held back for an order on its machine.
+  bool heldBack(const WorkerRecord &Record) const {
+    const auto Found = Views_.find(Record.Machine_);
+    return Found != Views_.end() &&
+           (Found->second.HeldBack_ || Ordered_.contains(Record.Machine_));
+  }
+
+  std::size_t moves() const { return Moves_; }
+
+private:
+  static TimePoint now() { return Term<Store>::now(); }
+
+  bool mayOrder() const {
+    return !Term_->over() &&
+           now() - Term_->BegunAt_ > Term_->Bounds_.MachineLease_ &&
+           now() - Term_->Lead_.confirmedAt() < OrdersWithoutStore;
+  }
+
+  void listLoop() {
+    while (!Term_->over()) {
+      const auto Read = Api_.list();
+      if (Term_->over())
+        return;
+      if (Read.ok())
+        takeList(*Read);
+      else
+        framework::log::warning("machines.list_failed")
+            .field("reason", std::string(Read.status().message()));
+      waitForNextList();
+    }
+  }
+
+  void waitForNextList() {
+    const TimePoint Begun = now();
+    while (!Term_->over()) {
+      framework::fibers::sleepFor(PlanEvery);
+      const Duration Waited = now() - Begun;
+      if (Waited > ListCalm || (Waited > ListBusy && inQuestion()))
+        return;
+    }
+  }
+
+  /// Whether the list could tell something that is waited for.
+  bool inQuestion() const {
+    if (!Ordered_.empty())
+      return true;
+    for (const auto &[Life, Row] : Term_->Workers_)
+      if ((Row->Unanswered_ > 0 || !Row->Listed_) &&
+          Term_->Table_.useOf(Life) != nullptr)
+        return true;
+    for (const auto &[Number, Wave] : Waves_)
+      if (!Wave.ToldDone_)
+        return true;
+    return false;
+  }
+
+  void takeList(const std::vector<MachineRecord> &List) {
+    std::set<MachineId> Listed;
+    for (const MachineRecord &Item : List) {
+      Listed.insert(Item.Id_);
+      capacity::MachineView &View = Views_[Item.Id_];
+      const bool Fresh = View.Record_.Id_.empty();
+      const Resources Room = View.Record_.Room_;
+      View.Record_ = Item;
+      if (Item.Room_ == Resources())
+        View.Record_.Room_ = Room;
+      if (Fresh)
+        View.IdleSince_ = now();
+      Homes_.try_emplace(Item.Id_, Item.Pool_);
+      settle(Item);
+    }
+    std::erase_if(Views_,
+                  [&](const auto &Row) { return !Listed.contains(Row.first); });
+    ListSeen_ = true;
+  }
+
+  /// An order has come through when the machine is up again after it.
+  void settle(const MachineRecord &Item) {
+    const auto Order = Ordered_.find(Item.Id_);
+    if (Order == Ordered_.end() || !Order->second.Acknowledged_)
+      return;
+    if (Item.State_ == MachineState::Up &&
+        now() - Order->second.At_ > Term_->Bounds_.Move_)
+      Ordered_.erase(Order);
+  }
+
+  void planLoop() {
+    while (!Term_->over()) {
+      framework::fibers::sleepFor(PlanEvery);
+      if (!ListSeen_ || !Term_->Loaded_ || Term_->over())
+        continue;
+      refreshViews();
+      planUpkeep();
+      planMoves();
+    }
+  }
+
+  /// Brings the views in line with what the workers run.
+  void refreshViews() {
+    for (auto &[Id, View] : Views_) {
+      View.Usable_ = false;
+      View.Busy_ = Ordered_.contains(Id);
+      View.FiniteRuns_ = 0;
+      View.StandingRuns_.clear();
+    }
+    for (const auto &[Life, Row] : Term_->Workers_) {
+      const auto Found = Views_.find(Row->Record_.Machine_);
+      if (Found == Views_.end() || Row->Over_)
+        continue;
+      capacity::MachineView &View = Found->second;
+      View.Usable_ = View.Usable_ || Row->usable();
+      const jobs::WorkerUse *Use = Term_->Table_.useOf(Life);
+      if (!Use)
+        continue;
+      View.IdleSince_ = now();
+      for (const jobs::RunName &Run : Use->Runs_) {
+        const jobs::StepSpec *Step = Term_->Table_.specOf(Run.Task_);
+        if (Step && Step->LongRunning_)
+          View.StandingRuns_.push_back(Run);
+        else
+          ++View.FiniteRuns_;
+      }
+    }
+  }
+
+  std::set<PoolName> standbyPools() const {
+    std::set<PoolName> Result;
+    for (const auto &[Name, Pool] : Term_->Config_.Pools_)
+      if (Pool.Standby_)
+        Result.insert(Name);
+    return Result;
+  }
+
+  // Upkeep.
+
+  void planUpkeep() {
+    for (auto &[Number, Wave] : Waves_)
+      if (const auto Begun = Term_->Table_.upkeep().find(Number);
+          Begun != Term_->Table_.upkeep().end())
+        Wave.Begun_ = Begun->second;
+    const capacity::UpkeepPlanner Planner(Term_->Table_,
+                                          Term_->Bounds_.Upkeep_);
+    const capacity::UpkeepPlan Plan =
+        Planner.plan(Views_, Waves_, standbyPools(), now());
+    for (auto &[Id, View] : Views_)
+      View.HeldBack_ = Plan.HoldBack_.contains(Id);
+    for (auto &[Number, Wave] : Waves_)
+      if (!Wave.ToldRunning_)
+        report(Number, Wave, false);
+    for (const WaveNumber Number : Plan.Done_)
+      report(Number, Waves_.at(Number), true);
+    if (!mayOrder())
+      return;
+    for (const jobs::RunName &Run : Plan.Evacuate_) {
+      framework::log::info("run.evacuate")
+          .field("task", Run.Task_.str())
+          .field("reason", "upkeep");
+      Sessions_->stop(Run);
+    }
+    for (const capacity::UpkeepOrder &Order : Plan.Orders_)
+      orderUpkeep(Order);
+  }
+
+  void orderUpkeep(const capacity::UpkeepOrder &Order) {
+    Ordered_[Order.Machine_].At_ = now();
+    framework::fibers::spawn([Self = this->shared_from_this(), Order] {
+      const MachineResult Result = Self->repeat([&] {
+        return Self->Api_.upkeep(Order.Machine_, Order.Wave_,
+                                 Self->Term_->Token_);
+      });
+      framework::log::info("machine.upkeep")
+          .field("machine", Order.Machine_.str())
+          .field("wave", Order.Wave_.value())
+          .field("result", nameOf(Result));
+      Self->settleOrder(Order.Machine_, Result);
+      if (Result == MachineResult::Done && !Self->Term_->over())
+        Self->Term_->Commits_.stage(
+            jobs::UpkeepBegun{Order.Wave_, Order.Machine_});
+    });
+  }
+
+  /// Sends an order until it is answered: it may have been carried out, and
+  /// saying it again changes nothing then.
+  template <typename Call> MachineResult repeat(const Call &Send) {
+    while (true) {
+      const MachineResult Result = Send();
+      Term_->Metrics_
+          .counter("machine_orders_total{result=\"" +
+                   std::string(nameOf(Result)) + "\"}")
+          .add();
+      const bool Open =
+          Result == MachineResult::Unknown || Result == MachineResult::Refused;
+      if (!Open || Term_->over())
+        return Result;
+      do
+        framework::fibers::sleepFor(RetryPause);
+      while (!Term_->over() && !mayOrder());
+      if (Term_->over())
+        return Result;
+    }
+  }
+
+  void settleOrder(const MachineId &Machine, MachineResult Result) {
+    if (Term_->over())
+      return;
+    if (Result != MachineResult::Done) {
+      Ordered_.erase(Machine);
+      return;
+    }
+    Ordered_[Machine].Acknowledged_ = true;
+    Ordered_[Machine].At_ = now();
+    const auto Life = LifeOf_.find(Machine);
+    if (Life == LifeOf_.end())
+      return;
+    const auto Row = Term_->Workers_.find(Life->second);
+    if (Row != Term_->Workers_.end())
+      Sessions_->lifeOver(*WorkerRowPtr(Row->second),
+                          "its machine was ordered away");
+  }
+
+  void report(WaveNumber Number, capacity::WaveRow &Wave, bool Done) {
+    if (Wave.ToldDone_)
+      return;
+    Wave.ToldRunning_ = true;
+    Wave.ToldDone_ = Done;
+    framework::fibers::spawn([Self = this->shared_from_this(), Number, Done] {
+      Self->sendReport(Number, Done);
+    });
+  }
+
+  void sendReport(WaveNumber Number, bool Done) {
+    store::Transaction Txn;
+    Txn.Puts_ = {{Reports_.Key_(Number), Reports_.Value_(Done), 0}};
+    while (!Term_->over()) {
+      // An older report that is carried out late must not hide a newer one.
+      if (!Done && Waves_.at(Number).ToldDone_)
+        return;
+      Txn.Compares_ = {{Keys_.head(), fleet::Revision(Term_->Token_.value())}};
+      const auto Written =
+          Store_.commit(Txn, framework::clock::wallDeadline(ReportTime));
+      if (Written.ok()) {
+        framework::log::info("wave.reported")
+            .field("wave", Number.value())
+            .field("state", Done ? "done" : "running");
+        return;
+      }
+      framework::fibers::sleepFor(RetryPause);
+    }
+  }
+
+public:
+  /// Keys of the cell, for the guard of reports.
+  void setKeys(const journal::CellKeys &Keys) { Keys_ = Keys; }
+
+private:
+  // Moves.
+
+  std::map<PoolName, capacity::PoolDemand> demand() const {
+    std::map<PoolName, capacity::PoolDemand> Result;
+    for (const auto &[Order, Id] : Term_->Table_.open()) {
+      const jobs::JobRow &Job = *Term_->Table_.find(Id);
+      const QueueConfig *Queue = Term_->Config_.find(Job.Spec_.Queue_);
+      if (Queue)
+        addDemand(Job, *Queue, Result[Queue->Pool_]);
+    }
+    return Result;
+  }
+
+  void addDemand(const jobs::JobRow &Job, const QueueConfig &Queue,
+                 capacity::PoolDemand &Into) const {
+    const bool Late = now() > scheduling::dueAt(Job, Queue, Term_->Learned_);
+    for (const jobs::OccurrenceRow &Occurrence : Job.Occurrences_)
+      for (std::size_t S = 0; S < Occurrence.Steps_.size(); ++S) {
+        const jobs::StepSpec &Spec = Job.Spec_.Steps_[S];
+        const jobs::StepRow &Row = Occurrence.Steps_[S];
+        const bool Ready = std::all_of(
+            Spec.After_.begin(), Spec.After_.end(), [&](std::uint32_t Before) {
+              return Occurrence.Steps_[Before].done();
+            });
+        if (!Ready || Spec.Filler_)
+          continue;
+        const std::int64_t Cores =
+            static_cast<std::int64_t>(Row.Tasks_.size() - Row.DoneCount_) *
+            Spec.Each_.MilliCpus_;
+        (Spec.LongRunning_ ? Into.Standing_
+         : Late            ? Into.Late_
+                           : Into.Timely_) += Cores;
+      }
+  }
+
+  void planMoves() {
+    if (!mayOrder())
+      return;
+    const auto Orders = capacity::PoolPlanner().plan(Views_, demand(), Homes_,
+                                                     standbyPools(), now());
+    for (const capacity::MoveOrder &Order : Orders)
+      orderMove(Order);
+  }
+
+  void orderMove(const capacity::MoveOrder &Order) {
+    const auto Life = LifeOf_.find(Order.Machine_);
+    if (Life != LifeOf_.end() && Term_->Table_.useOf(Life->second))
+      return;
+    Ordered_[Order.Machine_].At_ = now();
+    ++Moves_;
+    framework::fibers::spawn([Self = this->shared_from_this(), Order] {
+      const MachineResult Result = Self->repeat([&] {
+        return Self->Api_.move(Order.Machine_, Order.To_, Self->Term_->Token_);
+      });
+      framework::log::info("machine.move")
+          .field("machine", Order.Machine_.str())
+          .field("to", Order.To_.str())
+          .field("result", nameOf(Result));
+      if (Result == MachineResult::Done)
+        Self->Views_[Order.Machine_].Record_.Pool_ = Order.To_;
+      Self->settleOrder(Order.Machine_, Result);
+    });
+  }
+
+  /// An order that has been sent and has not come through yet.
+  struct OrderRow {
+    TimePoint At_{};
+    bool Acknowledged_ = false;
+  };
+
+  TermPtr Term_;
+  SessionsPtr Sessions_;
+  Store &Store_;
+  Service &Api_;
+  WaveReports Reports_;
+  journal::CellKeys Keys_{""};
+  std::map<MachineId, capacity::MachineView> Views_;
+  std::map<MachineId, WorkerLife> LifeOf_;
+  std::map<MachineId, PoolName> Homes_;
+  std::map<MachineId, OrderRow> Ordered_;
+  std::map<WaveNumber, capacity::WaveRow> Waves_;
+  bool ListSeen_ = false;
+  std::size_t Moves_ = 0;
+};
+
+} // namespace laburnumspread::cell
--- a/src/jobs/celltable.h
+++ b/src/jobs/celltable.h
@@ -108,6 +108,11 @@
   /// Jobs of the queue for which no task has ever been started.
   std::uint64_t waiting(const QueueName &Queue) const;
 
+  /// Machines whose upkeep has begun, by wave.
+  const std::map<WaveNumber, std::set<MachineId>> &upkeep() const {
+    return Upkeep_;
+  }
+
   /// Forgets jobs that ended before \p Before and have nothing live.
   void forgetEnded(TimePoint Before);
 
@@ -122,6 +127,7 @@
   void take(const RunIntended &Item, TimePoint Now);
   void take(const RunEnded &Item, TimePoint Now);
   void take(const JobCancelled &Item, TimePoint Now);
+  void take(const UpkeepBegun &Item, TimePoint Now);
   void addLive(JobRow &Job, const RunName &Run, const LiveRun &Live);
   void taskDone(JobRow &Job, const TaskName &Task, TimePoint Now);
   void gangDone(JobRow &Job, const RunName &Run, TimePoint Now);
@@ -139,6 +145,7 @@
   std::map<WorkspaceName, Resources> Workspaces_;
   std::map<QueueName, std::uint64_t> Waiting_;
   std::deque<std::pair<TimePoint, JobId>> Ended_;
+  std::map<WaveNumber, std::set<MachineId>> Upkeep_;
   AttemptLimit AttemptLimit_;
 };
 
--- a/src/jobs/events.h
+++ b/src/jobs/events.h
@@ -29,7 +29,14 @@
   JobId Job_;
 };
 
+/// The upkeep of a machine has begun, as a wave asks.
+struct UpkeepBegun {
+  WaveNumber Wave_;
+  MachineId Machine_;
+};
+
 /// What changes a cell. The cell's state is the outcome of its events in order.
-using Event = std::variant<JobAccepted, RunIntended, RunEnded, JobCancelled>;
+using Event =
+    std::variant<JobAccepted, RunIntended, RunEnded, JobCancelled, UpkeepBegun>;
 
 } // namespace laburnumspread::jobs
--- a/src/jobs/internal/celltable.cpp
+++ b/src/jobs/internal/celltable.cpp
@@ -202,6 +202,10 @@
     close(*Job, JobState::Cancelled, Now);
 }
 
+void CellTable::take(const UpkeepBegun &Item, TimePoint) {
+  Upkeep_[Item.Wave_].insert(Item.Machine_);
+}
+
 void CellTable::close(JobRow &Job, JobState State, TimePoint Now) {
   if (Job.State_ == JobState::Pending)
     --Waiting_[Job.Spec_.Queue_];
--- a/src/jobs/internal/eventcodec.cpp
+++ b/src/jobs/internal/eventcodec.cpp
@@ -120,6 +120,19 @@
   To.set_cancelled(From.Job_.str());
 }
 
+void write(const UpkeepBegun &From, wire::UpkeepBegun &To) {
+  To.set_wave(From.Wave_.value());
+  To.set_machine(From.Machine_.str());
+}
+
+UpkeepBegun read(const wire::UpkeepBegun &From) {
+  return {WaveNumber(From.wave()), MachineId(From.machine())};
+}
+
+void write(const UpkeepBegun &From, wire::Event &To) {
+  write(From, *To.mutable_upkeep_begun());
+}
+
 std::optional<Event> read(const wire::Event &From) {
   switch (From.kind_case()) {
   case wire::Event::kAccepted:
@@ -137,6 +150,8 @@
   }
   case wire::Event::kCancelled:
     return JobCancelled{JobId(From.cancelled())};
+  case wire::Event::kUpkeepBegun:
+    return read(From.upkeep_begun());
   case wire::Event::KIND_NOT_SET:
     return std::nullopt;
   }
@@ -254,7 +269,10 @@
     Part.Clear();
     Bytes = 0;
   }
-  if (Part.jobs_size() > 0)
+  for (const auto &[Wave, Machines] : Table.upkeep())
+    for (const MachineId &Machine : Machines)
+      write({Wave, Machine}, *Part.add_upkeep());
+  if (Part.jobs_size() > 0 || Part.upkeep_size() > 0)
     Parts.push_back(Part.SerializeAsString());
   return Parts;
 }
@@ -266,6 +284,8 @@
     return absl::DataLossError("snapshot cannot be read");
   for (const wire::JobRow &Row : Part.jobs())
     Into.restore(read(Row, Now), Now);
+  for (const wire::UpkeepBegun &Row : Part.upkeep())
+    Into.apply(read(Row), Now);
   return absl::OkStatus();
 }
 
--- a/src/jobs/jobtypes.h
+++ b/src/jobs/jobtypes.h
@@ -24,6 +24,7 @@
 /// Name of a worker process on a VM. A process that starts again may keep it.
 using WorkerId = framework::ids::StrongName<struct WorkerIdTag>;
 using MachineId = framework::ids::StrongName<struct MachineIdTag>;
+using WaveNumber = framework::ids::StrongNumber<struct WaveNumberTag>;
 /// Numbers the starts of one task, from 1.
 using RunNumber = framework::ids::StrongNumber<struct RunNumberTag>;
 /// Revision at which the scheduler's holder took its leadership; grows with
