--- /dev/null
+++ b/src/capacity/tests/poolplannertest.cpp
@@ -0,0 +1,104 @@
+#include "capacity/poolplanner.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace laburnumspread::capacity {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+const TimePoint Start(std::chrono::hours(1));
+const PoolName Hot("hot"), Cold("cold"), Off("off");
+
+struct Fixture {
+  void add(const std::string &Name, const PoolName &Pool,
+           Duration IdleFor = 10s) {
+    MachineView View;
+    View.Record_.Id_ = MachineId(Name);
+    View.Record_.Pool_ = Pool;
+    View.Record_.State_ = MachineState::Up;
+    View.Record_.Room_ = {16000, 32768, 0};
+    View.Usable_ = true;
+    View.IdleSince_ = Start - IdleFor;
+    Homes_.try_emplace(View.Record_.Id_, Pool);
+    Machines_[View.Record_.Id_] = View;
+  }
+
+  std::vector<MoveOrder> plan() {
+    return PoolPlanner().plan(Machines_, Demand_, Homes_, {Off}, Start);
+  }
+
+  std::map<MachineId, MachineView> Machines_;
+  std::map<PoolName, PoolDemand> Demand_;
+  std::map<MachineId, PoolName> Homes_;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(PoolPlannerTest, Fixture)
+
+BOOST_AUTO_TEST_CASE(NothingMovesWithoutDemand) {
+  add("a", Hot);
+  add("b", Cold);
+  add("c", Off);
+  BOOST_TEST(plan().empty());
+}
+
+BOOST_AUTO_TEST_CASE(IdleMachinesFollowTheDemand) {
+  add("a", Hot);
+  for (const char *Name : {"b", "c", "d"})
+    add(Name, Cold);
+  Demand_[Hot].Timely_ = 2 * 14000;
+  const auto Orders = plan();
+  BOOST_REQUIRE(Orders.size() == 1u);
+  BOOST_TEST(Orders[0].To_ == Hot);
+  BOOST_TEST(Machines_[Orders[0].Machine_].Record_.Pool_ == Cold);
+}
+
+BOOST_AUTO_TEST_CASE(BusyMachinesStay) {
+  add("a", Hot);
+  for (const char *Name : {"b", "c", "d"}) {
+    add(Name, Cold);
+    Machines_[MachineId(Name)].FiniteRuns_ = 1;
+  }
+  Demand_[Hot].Timely_ = 4 * 14000;
+  BOOST_TEST(plan().empty());
+}
+
+BOOST_AUTO_TEST_CASE(PoolKeepsWhatItNeedsAndASpareOne) {
+  add("a", Hot);
+  for (const char *Name : {"b", "c", "d"})
+    add(Name, Cold);
+  Demand_[Hot].Timely_ = 9 * 14000;
+  Demand_[Cold].Standing_ = 14000;
+  BOOST_TEST(plan().size() == 1u);
+}
+
+// A machine that was on its way to the pool counts as there, or each pass
+// would send more until the first has arrived.
+BOOST_AUTO_TEST_CASE(MachinesOnTheirWayCount) {
+  add("a", Hot);
+  add("b", Hot);
+  Machines_[MachineId("b")].Busy_ = true;
+  Machines_[MachineId("b")].Usable_ = false;
+  add("c", Cold);
+  add("d", Cold);
+  Demand_[Hot].Timely_ = 2 * 14000;
+  BOOST_TEST(plan().empty());
+}
+
+BOOST_AUTO_TEST_CASE(WhatWasSwitchedOnIsSwitchedOffAgain) {
+  add("a", Hot);
+  add("b", Hot, 1s);
+  Homes_[MachineId("b")] = Off;
+  BOOST_TEST(plan().empty());
+  Machines_[MachineId("b")].IdleSince_ = Start - 10s;
+  const auto Orders = plan();
+  BOOST_REQUIRE(Orders.size() == 1u);
+  BOOST_TEST(Orders[0].To_ == Off);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace laburnumspread::capacity
--- a/src/jobs/celltable.h
+++ b/src/jobs/celltable.h
@@ -119,6 +119,9 @@
   /// Puts back one job of a snapshot.
   void restore(JobRow Row, TimePoint Now);
 
+  /// The worker does not answer: what it said of its runs' progress is old.
+  void forgetProgress(const WorkerLife &Worker);
+
   /// Sets the age of open jobs after a replay, from the wall clock.
   void setAges(std::int64_t WallMs, TimePoint Now);
 
--- a/src/jobs/internal/celltable.cpp
+++ b/src/jobs/internal/celltable.cpp
@@ -265,6 +265,14 @@
   --Waiting_[Put.Spec_.Queue_];
 }
 
+void CellTable::forgetProgress(const WorkerLife &Worker) {
+  const WorkerUse *Use = useOf(Worker);
+  if (!Use)
+    return;
+  for (const RunName &Run : Use->Runs_)
+    findLive(Run)->Percent_ = 0;
+}
+
 void CellTable::setAges(std::int64_t WallMs, TimePoint Now) {
   for (const auto &[Order, Id] : Open_) {
     JobRow &Job = Jobs_.at(Id);
