--- a/src/cell/sessions.h
+++ b/src/cell/sessions.h
@@ -144,6 +144,7 @@
           .field("worker", Row.Record_.Life_.Id_.str())
           .field("result", nameOf(Result))
           .field("last_answer_ms_ago", sinceMs(Row.AnsweredAt_));
+    Term_->Table_.forgetProgress(Row.Record_.Life_);
     const TimePoint Ends = Row.Synced_ ? Row.LeaseEnds_ + Term<Store>::Margin
                                        : Term_->inheritedLeaseEnds();
     if (now() > Ends)
