Lead by a lease of a second, and take over from one's own former process at once

Change: the shortest lease, renewed every 200 ms without waiting for answers; a restarted entry replaces its own head.

--- a/src/cell/cellservice.h
+++ b/src/cell/cellservice.h
@@ -25,9 +25,9 @@
   using SessionsPtr = std::shared_ptr<Sessions<Store, Client>>;
   using MachinesPtr = std::shared_ptr<Machines<Store, Client, Service>>;
 
-  /// The lease of two seconds is renewed this often, so that several renewals
-  /// may get lost.
-  static constexpr Duration RenewEvery = std::chrono::milliseconds(400);
+  /// The lease of a second is renewed this often, so that several renewals may
+  /// get lost.
+  static constexpr Duration RenewEvery = std::chrono::milliseconds(200);
   static constexpr Duration CampaignPause = std::chrono::milliseconds(100);
   static constexpr Duration TickEvery = std::chrono::milliseconds(100);
   /// A job is refused at once when the store has owed an answer for this long:
@@ -116,7 +116,7 @@
       Seen_ = journal::Holder();
       for (const store::KeyValue &Item : Read->Items_)
         noteHead(Item);
-      if (Seen_.Token_.value() == 0 && !Leaving_ && !Lead_.held())
+      if (!Leaving_ && !Lead_.held())
         campaign();
       if (Seen_.Token_.value() != 0 || Lead_.held())
         watchHead(Read->StoreRevision_);
@@ -155,8 +155,16 @@
       framework::fibers::sleepFor(CampaignPause);
   }
 
+  /// Campaigns when there is no holder, or when it was an earlier process of
+  /// this entry.
   void campaign() {
-    const auto Won = Lead_.campaign();
+    const bool Free = Seen_.Token_.value() == 0;
+    const journal::Holder &Self = Lead_.self();
+    const bool Former = Seen_.Entry_ == Self.Entry_ &&
+                        Seen_.Incarnation_ < Self.Incarnation_;
+    if (!Free && !Former)
+      return;
+    const auto Won = Free ? Lead_.campaign() : Lead_.replace(Seen_);
     framework::log::info("leadership.campaign")
         .field("result", !Won.ok() ? "no answer"
                          : *Won    ? "won"
@@ -173,13 +181,19 @@
       framework::fibers::sleepFor(RenewEvery);
       if (!Lead_.held())
         continue;
-      const jobs::FencingToken Token = Lead_.token();
-      const auto Alive = Lead_.renew();
-      if (Alive.ok() && !*Alive && Lead_.token() == Token)
-        endTerm("the lease has ended");
+      framework::fibers::spawn([this] { renewOnce(); });
     }
   }
 
+  /// Not waited for: the next renewal must not be late because the answer to
+  /// this one is lost.
+  void renewOnce() {
+    const jobs::FencingToken Token = Lead_.token();
+    const auto Alive = Lead_.renew();
+    if (Alive.ok() && !*Alive && Lead_.token() == Token)
+      endTerm("the lease has ended");
+  }
+
   void beginTerm() {
     Term_ =
         std::make_shared<Term<Store>>(Store_, Keys_, Lead_, Metrics_, Bounds_);
--- a/src/journal/leadership.h
+++ b/src/journal/leadership.h
@@ -19,10 +19,11 @@
 /// holder.
 template <store::KeyValueStore Store> class Leadership {
 public:
-  /// Lease of the head key. A dead holder is replaced after this time, and a
-  /// holder that the store does not hear for as long is replaced too; so it
-  /// must outlast a few renewals over a slow store.
-  static constexpr std::int64_t LeaseSeconds = 2;
+  /// Lease of the head key, the shortest that the platform grants: a dead
+  /// holder is replaced after this time. A holder that the store does not hear
+  /// for as long is replaced too, so renewals are sent several times as often
+  /// and do not wait for each other.
+  static constexpr std::int64_t LeaseSeconds = 1;
   static constexpr Duration CallTime = std::chrono::milliseconds(900);
 
   Leadership(Store &S, CellKeys Keys, Holder Self)
@@ -33,7 +34,11 @@
   }
 
   /// Tries once to become the holder. True when this entry now is.
-  absl::StatusOr<bool> campaign() {
+  absl::StatusOr<bool> campaign() { return campaignAgainst(fleet::Revision()); }
+
+private:
+  /// Writes the head if it is still as it was at \p Before.
+  absl::StatusOr<bool> campaignAgainst(fleet::Revision Before) {
     const auto Granted =
         Store_.grantLease(LeaseSeconds, wallDeadline(CallTime));
     if (!Granted.ok())
@@ -42,7 +47,7 @@
     Lease_ = *Granted;
     const TimePoint Asked = SteadyClock().now();
     store::Transaction Txn;
-    Txn.Compares_ = {{Keys_.head(), fleet::Revision(0)}};
+    Txn.Compares_ = {{Keys_.head(), Before}};
     Txn.Puts_ = {{Keys_.head(), encodeHolder(Self_), Lease_}};
     const auto Written = Store_.commit(Txn, wallDeadline(CallTime));
     if (Written.ok() && Written->Succeeded_)
@@ -50,6 +55,13 @@
     return readBack();
   }
 
+public:
+  /// Takes over from an earlier process of this entry. It has ended, or this
+  /// one could not run in its place; so nobody need wait for its lease.
+  absl::StatusOr<bool> replace(const Holder &Former) {
+    return campaignAgainst(fleet::Revision(Former.Token_.value()));
+  }
+
   /// Takes up a head that names this process: the answer to an earlier attempt
   /// was lost, and the write came through after all. An attempt before the last
   /// one is given back.
