Let only a holder that surely leads answer calls

Change: a holder answers only while its lease cannot have ended; a call that it turned down was surely not taken, so the caller is told so. An entry without a confirmed configuration leaves the rotation after 3 s, not 6.

--- a/src/app/internal/cellapp.cpp
+++ b/src/app/internal/cellapp.cpp
@@ -34,7 +34,7 @@
 constexpr auto InFlightCheck = 20ms;
 /// An entry whose configuration has not been confirmed for this long does not
 /// take callers: it may have missed a withdrawn key.
-constexpr auto ConfigStale = 6s;
+constexpr auto ConfigStale = 3s;
 
 membership::MemberId selfOf(const CellSettings &Settings) {
   return {Settings.Name_, fleet::Incarnation(framework::clock::toMicros(
@@ -70,6 +70,10 @@
              },
              [this] { return Cell_.leads(); },
              [this] { return Cell_.holder(); },
+             [this](const journal::Holder &Seen) {
+               return Seen.Entry_ == Self_.Name_ &&
+                      Seen.Incarnation_ == Self_.Incarnation_;
+             },
              [this](const journal::Holder &To, const peers::JobCall &Call) {
                Mesh_.send({To.Entry_, To.Incarnation_}, To.PeerAddress_, Call);
              }}),
--- a/src/cell/callrouter.h
+++ b/src/cell/callrouter.h
@@ -15,6 +15,22 @@
 using framework::clock::Duration;
 using framework::clock::TimePoint;
 
+/// What may have become of a call that was sent once or more.
+class CallFate {
+public:
+  void sent() { ++Open_; }
+  /// One of the sent calls was turned down unread.
+  void turnedDown() {
+    if (Open_ > 0)
+      --Open_;
+  }
+  /// Whether some holder may have taken the call, or may yet.
+  bool mayBeTaken() const { return Open_ > 0; }
+
+private:
+  std::uint32_t Open_ = 0;
+};
+
 /// Brings callers' requests to the holder of the cell, wherever it is, and its
 /// replies back. Letters may get lost, so a call is sent again until a reply
 /// comes; all calls are idempotent.
@@ -28,6 +44,8 @@
     std::function<void(const peers::JobCall &, const ReplyFn &)> Local_;
     std::function<bool()> LeadsHere_;
     std::function<journal::Holder()> Holder_;
+    /// Whether a holder is this very process.
+    std::function<bool(const journal::Holder &)> IsHere_;
     std::function<void(const journal::Holder &, const peers::JobCall &)> Send_;
   };
 
@@ -38,8 +56,7 @@
   explicit CallRouter(Paths P) : Paths_(std::move(P)) {}
 
   /// Waits for the outcome. Without a holder by \p HolderBy the verdict is
-  /// Refused if the call was never sent, else Unknown, as it is at
-  /// \p Deadline.
+  /// Refused if surely none has taken the call. At \p Deadline it is Unknown.
   peers::JobReply call(peers::JobCall Call, TimePoint HolderBy,
                        TimePoint Deadline);
 
--- a/src/cell/cellservice.h
+++ b/src/cell/cellservice.h
@@ -77,7 +77,10 @@
       Machines_->setWaves(Waves_);
   }
 
-  bool leads() const { return Term_ && !Term_->over() && Term_->Loaded_; }
+  /// Whether this entry may answer calls: it leads, and surely nobody else.
+  bool leads() const {
+    return Term_ && !Term_->over() && Term_->Loaded_ && Lead_.surelyHeld(now());
+  }
   const TermPtr &term() const { return Term_; }
   /// The last holder that was seen; its token is 0 when there is none.
   const journal::Holder &holder() const { return Seen_; }
@@ -160,8 +163,8 @@
   void campaign() {
     const bool Free = Seen_.Token_.value() == 0;
     const journal::Holder &Self = Lead_.self();
-    const bool Former = Seen_.Entry_ == Self.Entry_ &&
-                        Seen_.Incarnation_ < Self.Incarnation_;
+    const bool Former =
+        Seen_.Entry_ == Self.Entry_ && Seen_.Incarnation_ < Self.Incarnation_;
     if (!Free && !Former)
       return;
     const auto Won = Free ? Lead_.campaign() : Lead_.replace(Seen_);
--- a/src/cell/internal/callrouter.cpp
+++ b/src/cell/internal/callrouter.cpp
@@ -14,7 +14,7 @@
   Call.Sequence_ = Sequence;
   const auto Mine = std::make_shared<Pending>();
   Pending_[Sequence] = Mine;
-  bool Sent = false;
+  CallFate Fate;
   JobReply Result;
   Result.Verdict_ = JobVerdict::Unknown;
   while (SteadyClock().now() < Deadline) {
@@ -22,13 +22,13 @@
     Mine->Reply_.reset();
     const journal::Holder Holder = Paths_.Holder_();
     if (Paths_.LeadsHere_()) {
-      Sent = true;
+      Fate.sent();
       Paths_.Local_(Call, [Mine](const JobReply &Reply) {
         Mine->Reply_ = Reply;
         Mine->Wake_->signal();
       });
-    } else if (Holder.Token_.value() != 0) {
-      Sent = true;
+    } else if (Holder.Token_.value() != 0 && !Paths_.IsHere_(Holder)) {
+      Fate.sent();
       Paths_.Send_(Holder, Call);
     }
     const Duration Wait =
@@ -39,9 +39,11 @@
       Result = *Mine->Reply_;
       break;
     }
-    if (Mine->Reply_)
+    if (Mine->Reply_) {
+      Fate.turnedDown();
       framework::fibers::sleepFor(ResendEvery / 4);
-    if (!Sent && SteadyClock().now() > HolderBy) {
+    }
+    if (!Fate.mayBeTaken() && SteadyClock().now() > HolderBy) {
       Result.Verdict_ = JobVerdict::Refused;
       break;
     }
--- a/src/journal/leadership.h
+++ b/src/journal/leadership.h
@@ -25,6 +25,8 @@
   /// and do not wait for each other.
   static constexpr std::int64_t LeaseSeconds = 1;
   static constexpr Duration CallTime = std::chrono::milliseconds(900);
+  /// Between the look at the clock and the answer's leaving.
+  static constexpr Duration AnswerMargin = std::chrono::milliseconds(100);
 
   Leadership(Store &S, CellKeys Keys, Holder Self)
       : Store_(S), Keys_(std::move(Keys)), Self_(std::move(Self)) {}
@@ -113,6 +115,15 @@
   /// Leadership has been lost: no order may leave any more.
   void forget() { Self_.Token_ = jobs::FencingToken(); }
 
+  /// Whether nobody else can lead at \p Now: the store has renewed the lease
+  /// so lately that it cannot have ended. A holder that is cut off from the
+  /// store goes on for a while without knowing of its successor; what it said
+  /// of a job then would be old, and "no such job" could be false.
+  bool surelyHeld(TimePoint Now) const {
+    return held() && Now - ConfirmedAt_ <
+                         std::chrono::seconds(LeaseSeconds) - AnswerMargin;
+  }
+
   bool held() const { return Self_.Token_.value() != 0; }
   jobs::FencingToken token() const { return Self_.Token_; }
   TimePoint confirmedAt() const { return ConfirmedAt_; }
--- /dev/null
+++ b/src/journal/tests/fakestore.h
@@ -0,0 +1,105 @@
+#pragma once
+
+#include "store/kvstore.h"
+
+#include <map>
+
+namespace laburnumspread::journal {
+
+/// A store in memory. Writes can be lost on the way, carried out without an
+/// answer, or kept back to be carried out later.
+class FakeStore {
+public:
+  enum class Fault { None, Lost, AnswerLost, Late };
+
+  absl::StatusOr<store::RangeResult>
+  range(const std::string &Prefix, fleet::Revision Since, store::TimePoint) {
+    store::RangeResult Result;
+    Result.StoreRevision_ = fleet::Revision(Revision_);
+    for (const auto &[Key, Item] : Items_)
+      if (Key.starts_with(Prefix) && Item.ModRevision_ >= Since)
+        Result.Items_.push_back(Item);
+    return Result;
+  }
+
+  absl::StatusOr<store::TransactionResult> commit(const store::Transaction &Txn,
+                                                  store::TimePoint) {
+    const bool Pass = PassFirst_ > 0;
+    PassFirst_ -= Pass;
+    const Fault Now = Pass ? Fault::None : std::exchange(Next_, Fault::None);
+    if (Now == Fault::Lost)
+      return absl::UnavailableError("lost");
+    if (Now == Fault::Late) {
+      Delayed_.push_back(Txn);
+      return absl::DeadlineExceededError("no answer");
+    }
+    const store::TransactionResult Result = apply(Txn);
+    if (Now == Fault::AnswerLost)
+      return absl::DeadlineExceededError("no answer");
+    return Result;
+  }
+
+  absl::Status watch(const std::string &, fleet::Revision,
+                     const std::function<bool(const store::WatchBatch &)> &) {
+    return absl::UnavailableError("not watched here");
+  }
+
+  absl::StatusOr<std::int64_t> grantLease(std::int64_t, store::TimePoint) {
+    return ++Leases_;
+  }
+  absl::StatusOr<bool> keepLease(std::int64_t Lease, store::TimePoint) {
+    return !Ended_.contains(Lease);
+  }
+
+  /// The lease ends: its keys are removed.
+  void endLease(std::int64_t Lease) {
+    Ended_.insert({Lease, true});
+    std::erase_if(Items_, [&](const auto &Row) {
+      const auto Held = LeaseOf_.find(Row.first);
+      return Held != LeaseOf_.end() && Held->second == Lease;
+    });
+  }
+
+  /// Carries out the writes that were kept back.
+  void carryOutDelayed() {
+    for (const store::Transaction &Txn : std::exchange(Delayed_, {}))
+      apply(Txn);
+  }
+
+  bool has(const std::string &Key) const { return Items_.contains(Key); }
+
+  /// What befalls the next write, after PassFirst_ others.
+  Fault Next_ = Fault::None;
+  std::uint32_t PassFirst_ = 0;
+  std::int64_t Leases_ = 0;
+
+private:
+  store::TransactionResult apply(const store::Transaction &Txn) {
+    for (const store::Compare &Item : Txn.Compares_) {
+      const auto Found = Items_.find(Item.Key_);
+      const fleet::Revision Is = Found == Items_.end()
+                                     ? fleet::Revision(0)
+                                     : Found->second.ModRevision_;
+      if (Is != Item.ModRevision_)
+        return {};
+    }
+    ++Revision_;
+    for (const store::Put &Item : Txn.Puts_) {
+      Items_[Item.Key_] = {Item.Key_, Item.Value_, fleet::Revision(Revision_)};
+      LeaseOf_[Item.Key_] = Item.Lease_;
+    }
+    for (const std::string &Key : Txn.Deletes_)
+      Items_.erase(Key);
+    return {true, fleet::Revision(Revision_)};
+  }
+
+  std::uint64_t Revision_ = 100;
+  std::map<std::string, store::KeyValue> Items_;
+  std::map<std::string, std::int64_t> LeaseOf_;
+  std::map<std::int64_t, bool> Ended_;
+  std::vector<store::Transaction> Delayed_;
+};
+
+static_assert(store::KeyValueStore<FakeStore>);
+
+} // namespace laburnumspread::journal
--- /dev/null
+++ b/src/journal/tests/journaltest.cpp
@@ -0,0 +1,190 @@
+#include "journal/journal.h"
+#include "journal/tests/fakestore.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace laburnumspread::journal {
+
+namespace {
+
+using namespace std::chrono_literals;
+using jobs::CellTable;
+using jobs::Event;
+using jobs::JobId;
+
+const CellKeys Keys("cell/");
+
+Holder holder(const char *Name, std::uint64_t Incarnation = 1) {
+  Holder Result;
+  Result.Entry_ = fleet::EntryName(Name);
+  Result.Incarnation_ = fleet::Incarnation(Incarnation);
+  return Result;
+}
+
+Event accepted(const std::string &Id) {
+  jobs::JobAccepted Item;
+  Item.Spec_.Id_ = JobId(Id);
+  Item.Spec_.Steps_.resize(1);
+  return Item;
+}
+
+/// One entry with its leadership and journal.
+struct Entry {
+  Entry(FakeStore &Store, const char *Name, std::uint64_t Incarnation = 1)
+      : Lead_(Store, Keys, holder(Name, Incarnation)),
+        Log_(Store, Keys, Lead_) {}
+
+  Leadership<FakeStore> Lead_;
+  Journal<FakeStore> Log_;
+};
+
+struct Fixture {
+  CellTable loadBy(Entry &Reader) {
+    CellTable Table;
+    BOOST_REQUIRE(Reader.Log_.load(Table, TimePoint()).ok());
+    return Table;
+  }
+
+  FakeStore Store_;
+  Entry First_{Store_, "first"};
+  Entry Second_{Store_, "second"};
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(JournalTest, Fixture)
+
+BOOST_AUTO_TEST_CASE(OneEntryLeadsAtATime) {
+  BOOST_TEST(*First_.Lead_.campaign());
+  BOOST_TEST(!*Second_.Lead_.campaign());
+  First_.Lead_.resign();
+  BOOST_TEST(*Second_.Lead_.campaign());
+}
+
+BOOST_AUTO_TEST_CASE(TokensRiseFromHolderToHolder) {
+  BOOST_REQUIRE(*First_.Lead_.campaign());
+  const auto Before = First_.Lead_.token();
+  First_.Lead_.resign();
+  BOOST_REQUIRE(*Second_.Lead_.campaign());
+  BOOST_TEST((Second_.Lead_.token() > Before));
+}
+
+BOOST_AUTO_TEST_CASE(CampaignWhoseAnswerWasLostIsFoundOut) {
+  Store_.Next_ = FakeStore::Fault::AnswerLost;
+  BOOST_TEST(*First_.Lead_.campaign());
+  BOOST_TEST(First_.Lead_.held());
+}
+
+BOOST_AUTO_TEST_CASE(RestartedEntryReplacesItsFormerProcess) {
+  BOOST_REQUIRE(*First_.Lead_.campaign());
+  Entry Again(Store_, "first", 2);
+  BOOST_TEST(*Again.Lead_.replace(First_.Lead_.self()));
+  BOOST_TEST(!First_.Log_.append({accepted("a")}).ok());
+}
+
+// A caller asks a cut-off holder for a job that its successor has taken, and
+// is told that there is no such job.
+BOOST_AUTO_TEST_CASE(HolderWithoutTheStoreStopsAnsweringBeforeItsLeaseEnds) {
+  BOOST_REQUIRE(*First_.Lead_.campaign());
+  const TimePoint Renewed = First_.Lead_.confirmedAt();
+  BOOST_TEST(First_.Lead_.surelyHeld(Renewed + 800ms));
+  BOOST_TEST(!First_.Lead_.surelyHeld(Renewed + 1s));
+  BOOST_TEST(First_.Lead_.held());
+}
+
+BOOST_AUTO_TEST_CASE(SuccessorReadsWhatWasAcknowledged) {
+  BOOST_REQUIRE(*First_.Lead_.campaign());
+  BOOST_REQUIRE(First_.Log_.append({accepted("a")}).ok());
+  BOOST_REQUIRE(First_.Log_.append({accepted("b")}).ok());
+  First_.Lead_.resign();
+  BOOST_REQUIRE(*Second_.Lead_.campaign());
+  const CellTable Table = loadBy(Second_);
+  BOOST_TEST(Table.find(JobId("a")));
+  BOOST_TEST(Table.find(JobId("b")));
+}
+
+BOOST_AUTO_TEST_CASE(EntryWhoseAnswerWasLostIsWrittenOnce) {
+  BOOST_REQUIRE(*First_.Lead_.campaign());
+  Store_.Next_ = FakeStore::Fault::AnswerLost;
+  BOOST_TEST(First_.Log_.append({accepted("a")}).ok());
+  BOOST_TEST(First_.Log_.append({accepted("b")}).ok());
+  BOOST_TEST(Store_.has(Keys.log(1)));
+  BOOST_TEST(Store_.has(Keys.log(2)));
+  BOOST_TEST(!Store_.has(Keys.log(3)));
+}
+
+// A caller was told that the outcome is unknown and its job must not appear
+// after a successor has said that there is none: the write of the former
+// holder reaches the store only after the takeover.
+BOOST_AUTO_TEST_CASE(LateWriteOfAFormerHolderDoesNothing) {
+  BOOST_REQUIRE(*First_.Lead_.campaign());
+  store::Transaction Late;
+  Late.Compares_ = {
+      {Keys.head(), fleet::Revision(First_.Lead_.token().value())},
+      {Keys.log(1), fleet::Revision(0)}};
+  Late.Puts_ = {{Keys.log(1), jobs::encodeGroup({accepted("a")}), 0}};
+  Store_.Next_ = FakeStore::Fault::Late;
+  BOOST_TEST(!Store_.commit(Late, {}).ok());
+  Store_.endLease(1);
+  BOOST_REQUIRE(*Second_.Lead_.campaign());
+  BOOST_TEST(!loadBy(Second_).find(JobId("a")));
+  Store_.carryOutDelayed();
+  BOOST_TEST(!Store_.has(Keys.log(1)));
+}
+
+// The holder was frozen while its lease ended. On waking it must not tell a
+// caller that the job is stored.
+BOOST_AUTO_TEST_CASE(FormerHolderLearnsThatItMayNotWrite) {
+  BOOST_REQUIRE(*First_.Lead_.campaign());
+  Store_.endLease(1);
+  BOOST_REQUIRE(*Second_.Lead_.campaign());
+  BOOST_TEST(absl::IsAborted(First_.Log_.append({accepted("a")})));
+}
+
+BOOST_AUTO_TEST_CASE(SnapshotTakesThePlaceOfTheEntries) {
+  BOOST_REQUIRE(*First_.Lead_.campaign());
+  CellTable Table;
+  for (int I = 0; I < 40; ++I) {
+    const Event Item = accepted("job" + std::to_string(I));
+    Table.apply(Item, TimePoint());
+    BOOST_REQUIRE(First_.Log_.append({Item}).ok());
+  }
+  BOOST_REQUIRE(First_.Log_.writeSnapshot(Table).ok());
+  BOOST_TEST(!Store_.has(Keys.log(1)));
+  BOOST_TEST(!Store_.has(Keys.log(40)));
+  BOOST_REQUIRE(First_.Log_.append({accepted("after")}).ok());
+  First_.Lead_.resign();
+  BOOST_REQUIRE(*Second_.Lead_.campaign());
+  const CellTable Loaded = loadBy(Second_);
+  BOOST_TEST(Loaded.jobs().size() == 41u);
+  BOOST_TEST(Loaded.find(JobId("after")));
+}
+
+// Every job of the cell is gone for its successor: a base whose answer was
+// lost is written again by the store seconds later, over a newer one, and the
+// entries that it counts on have been removed.
+BOOST_AUTO_TEST_CASE(LateBaseDoesNotTakeThePlaceOfANewerOne) {
+  BOOST_REQUIRE(*First_.Lead_.campaign());
+  CellTable Table;
+  const auto Append = [&](const std::string &Id) {
+    Table.apply(accepted(Id), TimePoint());
+    BOOST_REQUIRE(First_.Log_.append({accepted(Id)}).ok());
+  };
+  Append("a");
+  BOOST_REQUIRE(First_.Log_.writeSnapshot(Table).ok());
+  Append("b");
+  // The part is written, the base is kept back and written by a second try.
+  Store_.Next_ = FakeStore::Fault::Late;
+  Store_.PassFirst_ = 1;
+  BOOST_REQUIRE(First_.Log_.writeSnapshot(Table).ok());
+  Append("c");
+  BOOST_REQUIRE(First_.Log_.writeSnapshot(Table).ok());
+  Store_.carryOutDelayed();
+  First_.Lead_.resign();
+  BOOST_REQUIRE(*Second_.Lead_.campaign());
+  BOOST_TEST(loadBy(Second_).jobs().size() == 3u);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace laburnumspread::journal
