Rank jobs that cannot be in time any more as late, and the smallest first

Change: late is what its remaining chain can no longer bring in before it is due; among the others the smallest work left goes first.

--- a/src/scheduling/internal/scheduler.cpp
+++ b/src/scheduling/internal/scheduler.cpp
@@ -46,7 +46,7 @@
     return Rank(A) < Rank(B);
   if (A.Late_)
     return A.WorkLeft_ < B.WorkLeft_;
-  return A.Due_ < B.Due_;
+  return A.WorkLeft_ < B.WorkLeft_;
 }
 
 bool stepReady(const jobs::OccurrenceRow &Occurrence, const StepSpec &Spec) {
@@ -64,6 +64,24 @@
   return Row.LiveCount_ + Row.DoneCount_ < Row.Tasks_.size();
 }
 
+/// Longest chain of expected run times over the steps that are not done.
+Duration chainLeft(const JobRow &Job, std::uint32_t Occurrence,
+                   const Estimates &Learned) {
+  const auto &Steps = Job.Occurrences_[Occurrence].Steps_;
+  std::vector<Duration> EndOf(Steps.size());
+  Duration Longest{};
+  for (std::size_t S = 0; S < Steps.size(); ++S) {
+    if (Steps[S].done())
+      continue;
+    Duration Begin{};
+    for (const std::uint32_t Before : Job.Spec_.Steps_[S].After_)
+      Begin = std::max(Begin, EndOf[Before]);
+    EndOf[S] = Begin + Learned.of(Job.Spec_.Queue_, Job.Spec_.Steps_[S]);
+    Longest = std::max(Longest, EndOf[S]);
+  }
+  return Longest;
+}
+
 double workLeft(const JobRow &Job, const Estimates &Learned) {
   double Sum = 0;
   for (const jobs::OccurrenceRow &Occurrence : Job.Occurrences_)
@@ -277,7 +295,8 @@
         if (!Prepared) {
           Prepared = true;
           Base.Due_ = dueAt(Job, *Queue, Learned_);
-          Base.Late_ = At.Now_ > Base.Due_ && !Spec.LongRunning_;
+          Base.Late_ = !Spec.LongRunning_ &&
+                       At.Now_ + chainLeft(Job, K, Learned_) > Base.Due_;
           Base.WorkLeft_ = workLeft(Job, Learned_);
         }
         ReadyStep Step = Base;
