Let nothing older than an order settle it

Change: the machine table (pure, tested) settles an order only by a newer life or a list that is late enough; lives that are over stay over.

--- a/src/cell/cellservice.h
+++ b/src/cell/cellservice.h
@@ -339,7 +339,7 @@
   std::optional<WorkerLife> noteWorker(Term<Store> &T,
                                        const store::KeyValue &Item) {
     const auto Record = Directory_.Read_(Item);
-    if (!Record)
+    if (!Record || T.EndedLives_.contains(Record->Life_))
       return std::nullopt;
     const auto Known = T.Workers_.find(Record->Life_);
     if (Known != T.Workers_.end()) {
--- /dev/null
+++ b/src/cell/internal/machinetable.cpp
@@ -0,0 +1,66 @@
+#include "cell/machinetable.h"
+
+namespace laburnumspread::cell {
+
+void MachineTable::takeList(const std::vector<MachineRecord> &List,
+                            TimePoint Now) {
+  std::set<MachineId> Listed;
+  for (const MachineRecord &Item : List) {
+    Listed.insert(Item.Id_);
+    capacity::MachineView &View = Views_[Item.Id_];
+    if (View.Record_.Id_.empty())
+      View.IdleSince_ = Now;
+    const Resources Room = View.Record_.Room_;
+    View.Record_ = Item;
+    if (Item.Room_ == Resources())
+      View.Record_.Room_ = Room;
+    Homes_.try_emplace(Item.Id_, Item.Pool_);
+    const auto Found = Orders_.find(Item.Id_);
+    if (Found != Orders_.end() && Found->second.Acknowledged_ &&
+        Item.State_ == MachineState::Up && Now - Found->second.At_ > Settle_)
+      Orders_.erase(Found);
+  }
+  std::erase_if(Views_,
+                [&](const auto &Row) { return !Listed.contains(Row.first); });
+  ListSeen_ = true;
+}
+
+void MachineTable::noteWorker(const WorkerRecord &Record, TimePoint Now) {
+  if (Record.Machine_.empty())
+    return;
+  const auto Known = LifeOf_.find(Record.Machine_);
+  if (Known != LifeOf_.end() && Known->second.BornMs_ >= Record.Life_.BornMs_)
+    return;
+  LifeOf_[Record.Machine_] = Record.Life_;
+  capacity::MachineView &View = Views_[Record.Machine_];
+  View.Record_.Id_ = Record.Machine_;
+  View.Record_.Pool_ = Record.Pool_;
+  View.Record_.State_ = MachineState::Up;
+  View.Record_.Room_ = Record.Room_;
+  View.Record_.Worker_ = Record.Life_.Id_;
+  View.IdleSince_ = Now;
+  Homes_.try_emplace(Record.Machine_, Record.Pool_);
+  Orders_.erase(Record.Machine_);
+}
+
+void MachineTable::ordered(const MachineId &Machine, TimePoint Now) {
+  Orders_[Machine] = {Now, false};
+}
+
+void MachineTable::acknowledged(const MachineId &Machine, TimePoint Now) {
+  Orders_[Machine] = {Now, true};
+}
+
+bool MachineTable::heldBack(const MachineId &Machine) const {
+  if (busy(Machine))
+    return true;
+  const auto Found = Views_.find(Machine);
+  return Found != Views_.end() && Found->second.HeldBack_;
+}
+
+std::optional<WorkerLife> MachineTable::lifeOn(const MachineId &Machine) const {
+  const auto Found = LifeOf_.find(Machine);
+  return Found == LifeOf_.end() ? std::nullopt : std::optional(Found->second);
+}
+
+} // namespace laburnumspread::cell
--- a/src/cell/machines.h
+++ b/src/cell/machines.h
@@ -2,6 +2,7 @@
 
 #include "capacity/poolplanner.h"
 #include "capacity/upkeepplanner.h"
+#include "cell/machinetable.h"
 #include "cell/sessions.h"
 #include "scheduling/scheduler.h"
 
@@ -40,7 +41,8 @@
   Machines(TermPtr T, SessionsPtr S, Store &Kv, Service &Api,
            WaveReports Reports)
       : Term_(std::move(T)), Sessions_(std::move(S)), Store_(Kv), Api_(Api),
-        Reports_(std::move(Reports)) {}
+        Reports_(std::move(Reports)),
+        Table_(std::max(Term_->Bounds_.Move_, Term_->Bounds_.Upkeep_)) {}
 
   void start() {
     framework::fibers::spawn(
@@ -67,28 +69,12 @@
 
   /// A worker has come up: its machine is where the worker says.
   void noteWorker(const WorkerRecord &Record) {
-    if (Record.Machine_.empty())
-      return;
-    capacity::MachineView &View = Views_[Record.Machine_];
-    if (View.Record_.Worker_ == Record.Life_.Id_ &&
-        LifeOf_[Record.Machine_] == Record.Life_)
-      return;
-    LifeOf_[Record.Machine_] = Record.Life_;
-    View.Record_.Id_ = Record.Machine_;
-    View.Record_.Pool_ = Record.Pool_;
-    View.Record_.State_ = MachineState::Up;
-    View.Record_.Room_ = Record.Room_;
-    View.Record_.Worker_ = Record.Life_.Id_;
-    View.IdleSince_ = now();
-    Homes_.try_emplace(Record.Machine_, Record.Pool_);
-    Ordered_.erase(Record.Machine_);
+    Table_.noteWorker(Record, now());
   }
 
   /// Whether the worker is held back for an order on its machine.
   bool heldBack(const WorkerRecord &Record) const {
-    const auto Found = Views_.find(Record.Machine_);
-    return Found != Views_.end() &&
-           (Found->second.HeldBack_ || Ordered_.contains(Record.Machine_));
+    return Table_.heldBack(Record.Machine_);
   }
 
   std::size_t moves() const { return Moves_; }
@@ -108,7 +94,7 @@
       if (Term_->over())
         return;
       if (Read.ok())
-        takeList(*Read);
+        Table_.takeList(*Read, now());
       else
         framework::log::warning("machines.list_failed")
             .field("reason", std::string(Read.status().message()));
@@ -128,7 +114,7 @@
 
   /// Whether the list could tell something that is waited for.
   bool inQuestion() const {
-    if (!Ordered_.empty())
+    if (Table_.anyBusy())
       return true;
     for (const auto &[Life, Row] : Term_->Workers_)
       if ((Row->Unanswered_ > 0 || !Row->Listed_) &&
@@ -140,40 +126,10 @@
     return false;
   }
 
-  void takeList(const std::vector<MachineRecord> &List) {
-    std::set<MachineId> Listed;
-    for (const MachineRecord &Item : List) {
-      Listed.insert(Item.Id_);
-      capacity::MachineView &View = Views_[Item.Id_];
-      const bool Fresh = View.Record_.Id_.empty();
-      const Resources Room = View.Record_.Room_;
-      View.Record_ = Item;
-      if (Item.Room_ == Resources())
-        View.Record_.Room_ = Room;
-      if (Fresh)
-        View.IdleSince_ = now();
-      Homes_.try_emplace(Item.Id_, Item.Pool_);
-      settle(Item);
-    }
-    std::erase_if(Views_,
-                  [&](const auto &Row) { return !Listed.contains(Row.first); });
-    ListSeen_ = true;
-  }
-
-  /// An order has come through when the machine is up again after it.
-  void settle(const MachineRecord &Item) {
-    const auto Order = Ordered_.find(Item.Id_);
-    if (Order == Ordered_.end() || !Order->second.Acknowledged_)
-      return;
-    if (Item.State_ == MachineState::Up &&
-        now() - Order->second.At_ > Term_->Bounds_.Move_)
-      Ordered_.erase(Order);
-  }
-
   void planLoop() {
     while (!Term_->over()) {
       framework::fibers::sleepFor(PlanEvery);
-      if (!ListSeen_ || !Term_->Loaded_ || Term_->over())
+      if (!Table_.listSeen() || !Term_->Loaded_ || Term_->over())
         continue;
       refreshViews();
       planUpkeep();
@@ -183,15 +139,15 @@
 
   /// Brings the views in line with what the workers run.
   void refreshViews() {
-    for (auto &[Id, View] : Views_) {
+    for (auto &[Id, View] : Table_.views()) {
       View.Usable_ = false;
-      View.Busy_ = Ordered_.contains(Id);
+      View.Busy_ = Table_.busy(Id);
       View.FiniteRuns_ = 0;
       View.StandingRuns_.clear();
     }
     for (const auto &[Life, Row] : Term_->Workers_) {
-      const auto Found = Views_.find(Row->Record_.Machine_);
-      if (Found == Views_.end() || Row->Over_)
+      const auto Found = Table_.views().find(Row->Record_.Machine_);
+      if (Found == Table_.views().end() || Row->Over_)
         continue;
       capacity::MachineView &View = Found->second;
       View.Usable_ = View.Usable_ || Row->usable();
@@ -227,8 +183,8 @@
     const capacity::UpkeepPlanner Planner(Term_->Table_,
                                           Term_->Bounds_.Upkeep_);
     const capacity::UpkeepPlan Plan =
-        Planner.plan(Views_, Waves_, standbyPools(), now());
-    for (auto &[Id, View] : Views_)
+        Planner.plan(Table_.views(), Waves_, standbyPools(), now());
+    for (auto &[Id, View] : Table_.views())
       View.HeldBack_ = Plan.HoldBack_.contains(Id);
     for (auto &[Number, Wave] : Waves_)
       if (!Wave.ToldRunning_)
@@ -248,7 +204,7 @@
   }
 
   void orderUpkeep(const capacity::UpkeepOrder &Order) {
-    Ordered_[Order.Machine_].At_ = now();
+    Table_.ordered(Order.Machine_, now());
     framework::fibers::spawn([Self = this->shared_from_this(), Order] {
       const MachineResult Result = Self->repeat([&] {
         return Self->Api_.upkeep(Order.Machine_, Order.Wave_,
@@ -289,16 +245,13 @@
   void settleOrder(const MachineId &Machine, MachineResult Result) {
     if (Term_->over())
       return;
-    if (Result != MachineResult::Done) {
-      Ordered_.erase(Machine);
+    if (Result != MachineResult::Done)
+      return Table_.refused(Machine);
+    Table_.acknowledged(Machine, now());
+    const auto Life = Table_.lifeOn(Machine);
+    if (!Life)
       return;
-    }
-    Ordered_[Machine].Acknowledged_ = true;
-    Ordered_[Machine].At_ = now();
-    const auto Life = LifeOf_.find(Machine);
-    if (Life == LifeOf_.end())
-      return;
-    const auto Row = Term_->Workers_.find(Life->second);
+    const auto Row = Term_->Workers_.find(*Life);
     if (Row != Term_->Workers_.end())
       Sessions_->lifeOver(*WorkerRowPtr(Row->second),
                           "its machine was ordered away");
@@ -377,17 +330,17 @@
   void planMoves() {
     if (!mayOrder())
       return;
-    const auto Orders = capacity::PoolPlanner().plan(Views_, demand(), Homes_,
-                                                     standbyPools(), now());
+    const auto Orders = capacity::PoolPlanner().plan(
+        Table_.views(), demand(), Table_.homes(), standbyPools(), now());
     for (const capacity::MoveOrder &Order : Orders)
       orderMove(Order);
   }
 
   void orderMove(const capacity::MoveOrder &Order) {
-    const auto Life = LifeOf_.find(Order.Machine_);
-    if (Life != LifeOf_.end() && Term_->Table_.useOf(Life->second))
+    const auto Life = Table_.lifeOn(Order.Machine_);
+    if (Life && Term_->Table_.useOf(*Life))
       return;
-    Ordered_[Order.Machine_].At_ = now();
+    Table_.ordered(Order.Machine_, now());
     ++Moves_;
     framework::fibers::spawn([Self = this->shared_from_this(), Order] {
       const MachineResult Result = Self->repeat([&] {
@@ -398,29 +351,19 @@
           .field("to", Order.To_.str())
           .field("result", nameOf(Result));
       if (Result == MachineResult::Done)
-        Self->Views_[Order.Machine_].Record_.Pool_ = Order.To_;
+        Self->Table_.views()[Order.Machine_].Record_.Pool_ = Order.To_;
       Self->settleOrder(Order.Machine_, Result);
     });
   }
 
-  /// An order that has been sent and has not come through yet.
-  struct OrderRow {
-    TimePoint At_{};
-    bool Acknowledged_ = false;
-  };
-
   TermPtr Term_;
   SessionsPtr Sessions_;
   Store &Store_;
   Service &Api_;
   WaveReports Reports_;
   journal::CellKeys Keys_{""};
-  std::map<MachineId, capacity::MachineView> Views_;
-  std::map<MachineId, WorkerLife> LifeOf_;
-  std::map<MachineId, PoolName> Homes_;
-  std::map<MachineId, OrderRow> Ordered_;
+  MachineTable Table_;
   std::map<WaveNumber, capacity::WaveRow> Waves_;
-  bool ListSeen_ = false;
   std::size_t Moves_ = 0;
 };
 
--- /dev/null
+++ b/src/cell/machinetable.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "capacity/capacitytypes.h"
+
+#include <map>
+
+namespace laburnumspread::cell {
+
+/// What the holder knows of the machines: what the platform lists, which worker
+/// each runs, and which orders have not come through. The platform's list lags,
+/// and so do the workers' entries, so an order counts until something newer
+/// than it is seen.
+class MachineTable {
+public:
+  using Views = std::map<MachineId, capacity::MachineView>;
+
+  /// \p Settle: least time from an order's acknowledgement to its end; a list
+  /// that shows the machine up before is older than the order.
+  explicit MachineTable(Duration Settle) : Settle_(Settle) {}
+
+  /// Takes the platform's list.
+  void takeList(const std::vector<MachineRecord> &List, TimePoint Now);
+
+  /// A worker's entry was seen. A life that is not newer than the last one of
+  /// its machine changes nothing.
+  void noteWorker(const WorkerRecord &Record, TimePoint Now);
+
+  /// An order for a machine leaves; until it is settled the machine is busy.
+  void ordered(const MachineId &Machine, TimePoint Now);
+  /// The platform has carried out the order.
+  void acknowledged(const MachineId &Machine, TimePoint Now);
+  /// The platform has refused the order: nothing was done.
+  void refused(const MachineId &Machine) { Orders_.erase(Machine); }
+
+  bool busy(const MachineId &Machine) const {
+    return Orders_.contains(Machine);
+  }
+  bool anyBusy() const { return !Orders_.empty(); }
+  bool heldBack(const MachineId &Machine) const;
+
+  /// The machine's current worker, if one has been seen.
+  std::optional<WorkerLife> lifeOn(const MachineId &Machine) const;
+
+  Views &views() { return Views_; }
+  const std::map<MachineId, PoolName> &homes() const { return Homes_; }
+  bool listSeen() const { return ListSeen_; }
+
+private:
+  struct Order {
+    TimePoint At_{};
+    bool Acknowledged_ = false;
+  };
+
+  Duration Settle_;
+  Views Views_;
+  std::map<MachineId, WorkerLife> LifeOf_;
+  std::map<MachineId, PoolName> Homes_;
+  std::map<MachineId, Order> Orders_;
+  bool ListSeen_ = false;
+};
+
+} // namespace laburnumspread::cell
--- a/src/cell/sessions.h
+++ b/src/cell/sessions.h
@@ -58,6 +58,7 @@
     if (Row.Over_)
       return;
     Row.Over_ = true;
+    Term_->EndedLives_.insert(Row.Record_.Life_);
     framework::log::info("worker.over")
         .field("worker", Row.Record_.Life_.Id_.str())
         .field("born_ms", Row.Record_.Life_.BornMs_)
--- a/src/cell/term.h
+++ b/src/cell/term.h
@@ -51,6 +51,8 @@
   journal::Journal<Store> Log_;
   CommitQueue<Store> Commits_;
   WorkerTable Workers_;
+  /// Lives that are over. Their entries may stay listed for some seconds.
+  std::set<WorkerLife> EndedLives_;
   CellConfig Config_;
   scheduling::Estimates Learned_;
   framework::metrics::Registry &Metrics_;
--- /dev/null
+++ b/src/cell/tests/machinetabletest.cpp
@@ -0,0 +1,72 @@
+#include "cell/machinetable.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace laburnumspread::cell {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+const TimePoint Start(std::chrono::hours(1));
+const MachineId Machine("m1");
+
+WorkerRecord worker(std::int64_t BornMs) {
+  WorkerRecord Record;
+  Record.Life_ = {WorkerId("w" + std::to_string(BornMs)), BornMs};
+  Record.Machine_ = Machine;
+  Record.Pool_ = PoolName("pool");
+  return Record;
+}
+
+MachineRecord listed(MachineState State) {
+  MachineRecord Record;
+  Record.Id_ = Machine;
+  Record.Pool_ = PoolName("pool");
+  Record.State_ = State;
+  return Record;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(MachineTableTest)
+
+BOOST_AUTO_TEST_CASE(NewWorkerSettlesTheOrder) {
+  MachineTable Table(1500ms);
+  Table.noteWorker(worker(1), Start);
+  Table.ordered(Machine, Start);
+  Table.acknowledged(Machine, Start);
+  Table.noteWorker(worker(2), Start + 2s);
+  BOOST_TEST(!Table.busy(Machine));
+}
+
+// More machines of a wave are down than may be: the store's history is dropped
+// and all workers' entries are read anew, those of machines among them that
+// went down a moment ago. Each took its machine for back.
+BOOST_AUTO_TEST_CASE(EntryOfTheFormerWorkerDoesNotSettleTheOrder) {
+  MachineTable Table(1500ms);
+  Table.noteWorker(worker(1), Start);
+  Table.ordered(Machine, Start);
+  Table.acknowledged(Machine, Start);
+  Table.takeList({listed(MachineState::Upkeep)}, Start + 500ms);
+  Table.noteWorker(worker(1), Start + 1s);
+  BOOST_TEST(Table.busy(Machine));
+}
+
+// The list lags: shown up within the time that the order takes at least, the
+// machine has not even gone down yet.
+BOOST_AUTO_TEST_CASE(EarlyListDoesNotSettleTheOrder) {
+  MachineTable Table(1500ms);
+  Table.ordered(Machine, Start);
+  Table.takeList({listed(MachineState::Up)}, Start + 10s);
+  BOOST_TEST(Table.busy(Machine));
+  Table.acknowledged(Machine, Start + 10s);
+  Table.takeList({listed(MachineState::Up)}, Start + 11s);
+  BOOST_TEST(Table.busy(Machine));
+  Table.takeList({listed(MachineState::Up)}, Start + 12s);
+  BOOST_TEST(!Table.busy(Machine));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace laburnumspread::cell
