--- a/src/cell/cellservice.h
+++ b/src/cell/cellservice.h
@@ -30,9 +30,6 @@
   static constexpr Duration RenewEvery = std::chrono::milliseconds(200);
   static constexpr Duration CampaignPause = std::chrono::milliseconds(100);
   static constexpr Duration TickEvery = std::chrono::milliseconds(100);
-  /// A job is refused at once when the store has owed an answer for this long:
-  /// it could only be told an unknown outcome later.
-  static constexpr Duration StoreSilence = std::chrono::milliseconds(500);
   static constexpr std::uint64_t RetryAfterOutageMs = 1000;
   static constexpr Duration ListTime = std::chrono::milliseconds(1500);
   /// Distrust of a worker halves in this time.
@@ -464,9 +461,9 @@
 
   // Calls.
 
+  /// A job that is taken now could only be told an unknown outcome later.
   bool storeSilent() const {
-    const auto Since = Term_->Commits_.pendingSince();
-    return (Since && now() - *Since > StoreSilence) || !Term_->mayOrder();
+    return Term_->Commits_.stalled() || !Term_->mayOrder();
   }
 
   void submit(const peers::JobCall &Call, const JobReplyFn &Reply) {
--- a/src/cell/commitqueue.h
+++ b/src/cell/commitqueue.h
@@ -85,9 +85,9 @@
     wake();
   }
 
-  /// Since when the store owes an answer to a write; empty when it does not.
-  std::optional<framework::clock::TimePoint> pendingSince() const {
-    return Log_.pendingSince();
+  /// Whether what is staged now would not be stored soon.
+  bool stalled() const {
+    return Log_.stalled(framework::clock::SteadyClock().now());
   }
   bool idle() const { return Events_.empty() && !Committing_; }
 
--- a/src/cell/intake.h
+++ b/src/cell/intake.h
@@ -58,7 +58,7 @@
   /// How long a call may wait for a holder to appear. A takeover after a
   /// planned stop takes some tens of milliseconds; after a crash it takes
   /// seconds, and the caller had better come again.
-  static constexpr Duration HolderPatience = std::chrono::milliseconds(150);
+  static constexpr Duration HolderPatience = std::chrono::milliseconds(80);
   /// How long a call may wait for the holder's reply: far more than a commit
   /// takes while the store answers, well within what a caller has.
   static constexpr Duration ReplyPatience = std::chrono::milliseconds(1000);
--- a/src/cell/sessions.h
+++ b/src/cell/sessions.h
@@ -18,15 +18,18 @@
   using TermPtr = std::shared_ptr<Term<Store>>;
 
   /// A hold waits at the worker this long for an end; the platform allows 2 s.
-  static constexpr Duration HoldWait = std::chrono::milliseconds(1500);
+  /// A worker that has gone dark is noticed after this and AnswerTime.
+  static constexpr Duration HoldWait = std::chrono::milliseconds(800);
   /// Time for an answer beyond the wait: a worker answers within some
-  /// milliseconds.
-  static constexpr Duration AnswerTime = std::chrono::milliseconds(600);
+  /// milliseconds. All orders may be repeated, so a lost answer costs no more
+  /// than this.
+  static constexpr Duration AnswerTime = std::chrono::milliseconds(300);
   static constexpr Duration RetryPause = std::chrono::milliseconds(150);
   /// A start that arrives later than this after it was sent does nothing.
   static constexpr Duration StartWindow = std::chrono::milliseconds(1500);
   static constexpr Duration IdleCheck = std::chrono::milliseconds(500);
-  static constexpr int StartAttempts = 2;
+  /// As many as fit into the window.
+  static constexpr int StartAttempts = 4;
   static constexpr double DistrustOfFailure = 1;
 
   Sessions(TermPtr T, Client &C) : Term_(std::move(T)), Client_(C) {}
--- a/src/journal/journal.h
+++ b/src/journal/journal.h
@@ -106,11 +106,19 @@
     return removeOld(Old);
   }
 
-  /// When the write that is on its way was first sent; empty when none is.
-  std::optional<TimePoint> pendingSince() const { return PendingSince_; }
+  /// Whether a write that was asked for now would not be stored soon: the store
+  /// has refused the one on its way, or owes an answer for much longer than it
+  /// took lately.
+  bool stalled(TimePoint Now) const {
+    return PendingSince_ &&
+           (Refused_ || Now - *PendingSince_ > LeastSilence + 3 * UsualTime_);
+  }
   const JournalCounters &counters() const { return Counters_; }
 
 private:
+  static constexpr Duration LeastSilence = std::chrono::milliseconds(250);
+  /// Weight of the newest write in the usual time: about the last five count.
+  static constexpr int UsualTimeShare = 5;
   static constexpr Duration LoadTime = std::chrono::milliseconds(2000);
 
   store::Transaction guarded() const {
@@ -164,7 +172,10 @@
                                              const std::string &Value) {
     PendingSince_ = SteadyClock().now();
     auto Outcome = commitUntilKnown(Txn, Key, Value);
+    const Duration Took = SteadyClock().now() - *PendingSince_;
+    UsualTime_ += (Took - UsualTime_) / UsualTimeShare;
     PendingSince_.reset();
+    Refused_ = false;
     return Outcome;
   }
 
@@ -185,6 +196,7 @@
           return Settled;
       }
       ++Counters_.Retries_;
+      Refused_ = absl::IsResourceExhausted(Written.status());
       Wait = std::min(2 * Wait, LongestAnswerTime);
       framework::fibers::sleepFor(RetryPause);
     }
@@ -231,6 +243,8 @@
   Base Base_;
   fleet::Revision BaseRevision_;
   std::optional<TimePoint> PendingSince_;
+  bool Refused_ = false;
+  Duration UsualTime_{};
   JournalCounters Counters_;
 };
 
