--- a/src/capacity/internal/upkeepplanner.cpp
+++ b/src/capacity/internal/upkeepplanner.cpp
@@ -116,12 +116,11 @@
 
 bool urgent(const WaveRow &Wave, std::size_t Left, Duration Each,
             TimePoint Now) {
-  const auto Rounds =
-      static_cast<double>((Left + Wave.Record_.MaxAllowed_ - 1) /
-                          std::max<std::size_t>(1, Wave.Record_.MaxAllowed_));
+  const std::size_t AtOnce = std::max<std::size_t>(1, Wave.Record_.MaxAllowed_);
+  const std::size_t Rounds = (Left + AtOnce - 1) / AtOnce;
   const Duration TimeLeft = Wave.SeenAt_ + Wave.Record_.Duration_ - Now;
   return static_cast<double>(TimeLeft.count()) <
-         UpkeepPlanner::UrgentFactor * 2 * Rounds *
+         UpkeepPlanner::UrgentFactor * 2 * static_cast<double>(Rounds) *
              static_cast<double>(Each.count());
 }
 
--- a/src/cell/cellservice.h
+++ b/src/cell/cellservice.h
@@ -30,6 +30,9 @@
   static constexpr Duration RenewEvery = std::chrono::milliseconds(200);
   static constexpr Duration CampaignPause = std::chrono::milliseconds(100);
   static constexpr Duration TickEvery = std::chrono::milliseconds(100);
+  /// An order may be carried out this long after it was sent (the platform's
+  /// word is "seconds later").
+  static constexpr Duration LatestOrder = std::chrono::seconds(12);
   static constexpr std::uint64_t RetryAfterOutageMs = 1000;
   static constexpr Duration ListTime = std::chrono::milliseconds(1500);
   /// Distrust of a worker halves in this time.
@@ -377,18 +380,8 @@
       return;
     Sessions_->open(Row);
     for (const WorkerRowPtr &Old : Over)
-      Sessions_->lifeOver(*Old, "a newer life is listed");
-    endOlderLives(T, Record.Life_);
-  }
-
-  /// Runs on a life that the journal knows and the list does not any more.
-  void endOlderLives(Term<Store> &T, const WorkerLife &Newer) {
-    std::vector<WorkerLife> Older;
-    for (const auto &[Life, Use] : T.Table_.workers())
-      if (Life.Id_ == Newer.Id_ && Life.BornMs_ < Newer.BornMs_)
-        Older.push_back(Life);
-    for (const WorkerLife &Life : Older)
-      Sessions_->loseRuns(Life, "a newer life is listed");
+      Sessions_->lifeOver(*Old, "a newer life is listed",
+                          Old->Record_.Life_.Id_ == Record.Life_.Id_);
   }
 
   void unlist(Term<Store> &T, const std::string &Key) {
@@ -420,16 +413,31 @@
 
   /// Runs on workers that nobody lists: their leases have run out by now.
   void loseUnreachable(Term<Store> &T) {
-    if (now() < T.inheritedLeaseEnds() || !Sessions_)
+    if (!Sessions_)
       return;
     std::vector<WorkerLife> Lost;
     for (const auto &[Life, Use] : T.Table_.workers())
-      if (!T.Workers_.contains(Life))
+      if (!T.Workers_.contains(Life) && now() > goneAfter(T, Life))
         Lost.push_back(Life);
     for (const WorkerLife &Life : Lost)
       Sessions_->loseRuns(Life, "unlisted, lease ran out");
   }
 
+  /// When nothing can run any more on a life without a row. A process that has
+  /// started again settles the runs of its former life itself; if it is never
+  /// listed, an order that is carried out late may still reach it.
+  static TimePoint goneAfter(const Term<Store> &T, const WorkerLife &Life) {
+    const auto Newer = T.Workers_.upper_bound(Life);
+    if (Newer != T.Workers_.end() && Newer->first.Id_ == Life.Id_)
+      return TimePoint::max();
+    const auto Ended = T.EndedLives_.find(Life);
+    const TimePoint Orders =
+        Ended == T.EndedLives_.end()
+            ? T.BegunAt_
+            : std::max(T.BegunAt_, Ended->second + LatestOrder);
+    return inheritedLeaseEnds(Orders, T.Bounds_.LongestHold_);
+  }
+
   // Scheduling.
 
   void schedule(Term<Store> &T, Sessions<Store, Client> &Talks) {
--- /dev/null
+++ b/src/cell/internal/runtracker.cpp
@@ -0,0 +1,136 @@
+#include "cell/runtracker.h"
+
+namespace laburnumspread::cell {
+
+using jobs::Checkpoint;
+using jobs::EndKind;
+using jobs::LiveRun;
+using jobs::RunName;
+
+void RunTracker::startSent(const RunName &Run, std::int64_t DeadlineMs) {
+  Start &Sent = Starts_[Run];
+  Sent.DeadlineMs_ = DeadlineMs;
+  ++Sent.Unanswered_;
+}
+
+std::optional<RunTracker::Ended> RunTracker::startAnswered(const RunName &Run,
+                                                           OrderResult Result,
+                                                           int Attempt,
+                                                           TimePoint Now) {
+  const auto Known = Starts_.find(Run);
+  if (Known == Starts_.end())
+    return std::nullopt;
+  if (Result != OrderResult::Unknown)
+    --Known->second.Unanswered_;
+  if (Result == OrderResult::Done) {
+    Known->second.SettledAt_ = Now;
+    if (LiveRun *Live = Table_.findLive(Run))
+      Live->Confirmed_ = true;
+    return std::nullopt;
+  }
+  // A refusal speaks of this attempt alone. After an unanswered one the run
+  // may be there, or may have been: the next holds tell.
+  if (Result == OrderResult::Unknown || Attempt > 0)
+    return std::nullopt;
+  return Ended{Run, EndKind::Refused, Checkpoint(), nameOf(Result)};
+}
+
+void RunTracker::startFinished(const RunName &Run) {
+  if (const auto Known = Starts_.find(Run); Known != Starts_.end())
+    Known->second.Finished_ = true;
+}
+
+void RunTracker::stopAnswered(const RunName &Run, TimePoint Now) {
+  Starts_[Run].SettledAt_ = Now;
+}
+
+void RunTracker::stopAnsweredLater(const RunName &Run, TimePoint Now) {
+  Starts_[Run].StoppedLaterAt_ = Now;
+}
+
+bool RunTracker::haunted(const WorkerLife &Worker) const {
+  const auto &All = Table_.workers();
+  const auto First = All.lower_bound(WorkerLife{Worker.Id_, 0});
+  return First != All.end() && First->first.Id_ == Worker.Id_ &&
+         First->first.BornMs_ < Worker.BornMs_;
+}
+
+void RunTracker::forget(const RunName &Run) {
+  Starts_.erase(Run);
+  Staged_.erase(Run);
+}
+
+RunTracker::Report RunTracker::report(const WorkerLife &Worker,
+                                      const HoldReply &Reply, TimePoint SentAt,
+                                      std::uint64_t EndsStaged) {
+  Report Result;
+  std::set<RunName> Listed;
+  for (const EndRow &Item : Reply.Ends_) {
+    Listed.insert(Item.Run_);
+    const LiveRun *Live = Table_.find(Item.Run_);
+    const bool Here = Live && Live->On_.Id_ == Worker.Id_ &&
+                      Live->On_.BornMs_ <= Worker.BornMs_;
+    if (Item.Number_ > EndsStaged && Here)
+      Result.Ended_.push_back({Item.Run_, Item.Kind_, Item.Saved_, "listed"});
+  }
+  for (const RunningRow &Item : Reply.Running_) {
+    Listed.insert(Item.Run_);
+    LiveRun *Live = Table_.findLive(Item.Run_);
+    if (!Live || Live->On_ != Worker) {
+      Result.Unknown_.push_back(Item.Run_);
+      continue;
+    }
+    Live->Confirmed_ = true;
+    Live->Percent_ = Item.Percent_;
+    if (!Item.Saved_.empty())
+      Table_.findTask(Item.Run_.Task_)->Saved_ = Item.Saved_;
+  }
+  reportFormerLives(Worker, Listed, SentAt, Result);
+  const jobs::WorkerUse *Use = Table_.useOf(Worker);
+  if (!Use)
+    return Result;
+  for (const RunName &Run : Use->Runs_)
+    if (!Listed.contains(Run) && cannotBegin(Run, Reply.ClockMs_, SentAt))
+      Result.Ended_.push_back({Run, EndKind::Lost, Checkpoint(), "not listed"});
+  return Result;
+}
+
+void RunTracker::reportFormerLives(const WorkerLife &Worker,
+                                   const std::set<RunName> &Listed,
+                                   TimePoint SentAt, Report &Into) const {
+  const auto &All = Table_.workers();
+  for (auto Life = All.lower_bound(WorkerLife{Worker.Id_, 0});
+       Life != All.end() && Life->first < Worker; ++Life)
+    for (const RunName &Run : Life->second.Runs_) {
+      if (Listed.contains(Run))
+        continue;
+      if (cannotBeginAnew(Run, SentAt))
+        Into.Ended_.push_back(
+            {Run, EndKind::Lost, Checkpoint(), "its life is over"});
+      else
+        Into.Haunting_.push_back(Run);
+    }
+}
+
+bool RunTracker::cannotBeginAnew(const RunName &Run, TimePoint SentAt) const {
+  const auto Known = Starts_.find(Run);
+  if (Known == Starts_.end())
+    return !Staged_.contains(Run);
+  const Start &Sent = Known->second;
+  if (Sent.StoppedLaterAt_ && *Sent.StoppedLaterAt_ < SentAt)
+    return true;
+  return Sent.SettledAt_ && *Sent.SettledAt_ < SentAt && Sent.Unanswered_ == 0;
+}
+
+bool RunTracker::cannotBegin(const RunName &Run, std::int64_t ClockMs,
+                             TimePoint SentAt) const {
+  const auto Known = Starts_.find(Run);
+  if (Known == Starts_.end())
+    return !Staged_.contains(Run);
+  const Start &Sent = Known->second;
+  if (Sent.SettledAt_ && *Sent.SettledAt_ < SentAt)
+    return true;
+  return Sent.Finished_ && Sent.DeadlineMs_ < ClockMs;
+}
+
+} // namespace laburnumspread::cell
--- a/src/cell/machines.h
+++ b/src/cell/machines.h
@@ -254,7 +254,7 @@
     const auto Row = Term_->Workers_.find(*Life);
     if (Row != Term_->Workers_.end())
       Sessions_->lifeOver(*WorkerRowPtr(Row->second),
-                          "its machine was ordered away");
+                          "its machine was ordered away", false);
   }
 
   void report(WaveNumber Number, capacity::WaveRow &Wave, bool Done) {
--- /dev/null
+++ b/src/cell/runtracker.h
@@ -0,0 +1,102 @@
+#pragma once
+
+#include "cell/celltypes.h"
+#include "jobs/celltable.h"
+
+#include <map>
+#include <set>
+
+namespace laburnumspread::cell {
+
+/// Tells which runs are over, from what was sent to workers and what they say.
+///
+/// A task may start again only when each earlier run of it is over for good: it
+/// works no more and can never begin. An order without an answer may have been
+/// carried out, or may be carried out seconds later, so silence proves nothing.
+/// A run is over when
+///  - its worker lists its end, or
+///  - a hold that was sent after the start was settled does not list it, or
+///  - a hold does not list it, and its start's deadline has passed on the
+///    worker's own clock, and no further attempt is on its way, or
+///  - a hold does not list it and an earlier holder ordered it: the worker
+///    refuses that holder's token from this hold on, or
+///  - the worker refuses the first and only attempt to start it.
+///
+/// A worker process that starts again may keep its id, and takes a start that
+/// was meant for its former life: its clock begins anew, so no deadline stops
+/// it. A run of a former life is over only when the new one does not list it
+/// and no attempt without an answer is left, or the new life has stopped it.
+class RunTracker {
+public:
+  struct Ended {
+    jobs::RunName Run_;
+    jobs::EndKind Kind_ = jobs::EndKind::Lost;
+    jobs::Checkpoint Saved_;
+    std::string_view Reason_;
+  };
+
+  /// What a worker's report comes to.
+  struct Report {
+    std::vector<Ended> Ended_;
+    /// Runs that the journal does not know of as live there: orders of an
+    /// earlier time that were carried out late.
+    std::vector<jobs::RunName> Unknown_;
+    /// Runs of former lives that may begin on this one: to be stopped there.
+    std::vector<jobs::RunName> Haunting_;
+  };
+
+  explicit RunTracker(jobs::CellTable &Table) : Table_(Table) {}
+
+  /// The intent of a run was staged by this holder.
+  void staged(const jobs::RunName &Run) { Staged_.insert(Run); }
+
+  /// An attempt to start leaves, to be carried out by \p DeadlineMs of the
+  /// worker's clock.
+  void startSent(const jobs::RunName &Run, std::int64_t DeadlineMs);
+  /// An attempt was answered. Returns how the run has ended if it has.
+  std::optional<Ended> startAnswered(const jobs::RunName &Run,
+                                     OrderResult Result, int Attempt,
+                                     TimePoint Now);
+  /// No further attempt will be sent.
+  void startFinished(const jobs::RunName &Run);
+  /// A stop was carried out: from now on the run can only be listed as ended,
+  /// or not at all.
+  void stopAnswered(const jobs::RunName &Run, TimePoint Now);
+  /// The same by a later life of the worker that the run was meant for.
+  void stopAnsweredLater(const jobs::RunName &Run, TimePoint Now);
+  /// Whether a run of a life before \p Worker may still begin.
+  bool haunted(const WorkerLife &Worker) const;
+
+  /// A worker's report that answers a hold sent at \p SentAt. Ends up to
+  /// \p EndsStaged have been taken already. Notes what runs in the table.
+  Report report(const WorkerLife &Worker, const HoldReply &Reply,
+                TimePoint SentAt, std::uint64_t EndsStaged);
+
+  /// The run is over and staged as such.
+  void forget(const jobs::RunName &Run);
+
+private:
+  struct Start {
+    std::int64_t DeadlineMs_ = 0;
+    /// When an answer settled it; empty while it is in doubt.
+    std::optional<TimePoint> SettledAt_;
+    bool Finished_ = false;
+    /// Attempts that have not been answered.
+    std::uint32_t Unanswered_ = 0;
+    /// When a life after the one that it was meant for had stopped it.
+    std::optional<TimePoint> StoppedLaterAt_;
+  };
+
+  void reportFormerLives(const WorkerLife &Worker,
+                         const std::set<jobs::RunName> &Listed,
+                         TimePoint SentAt, Report &Into) const;
+  bool cannotBeginAnew(const jobs::RunName &Run, TimePoint SentAt) const;
+  bool cannotBegin(const jobs::RunName &Run, std::int64_t ClockMs,
+                   TimePoint SentAt) const;
+
+  jobs::CellTable &Table_;
+  std::map<jobs::RunName, Start> Starts_;
+  std::set<jobs::RunName> Staged_;
+};
+
+} // namespace laburnumspread::cell
--- a/src/cell/sessions.h
+++ b/src/cell/sessions.h
@@ -1,17 +1,14 @@
 #pragma once
 
+#include "cell/runtracker.h"
 #include "cell/term.h"
 
 namespace laburnumspread::cell {
 
 /// Talks to the workers of one term: keeps the leases of what runs, starts and
-/// stops tasks, and turns what workers say into events.
-///
-/// A task is started again only when each earlier run of it is known to be
-/// over, since a run without an answer may have begun, or may begin later. A
-/// run is over when its worker lists its end, when a hold that was sent after
-/// the start was settled does not list it, when the worker's life is over, or
-/// when everything that could have kept it alive has lapsed.
+/// stops tasks, and turns what workers say into events. RunTracker decides
+/// which runs are over; here is also the last resort, a lease that has run out
+/// unseen.
 template <store::KeyValueStore Store, WorkerClient Client>
 class Sessions : public std::enable_shared_from_this<Sessions<Store, Client>> {
 public:
@@ -32,7 +29,8 @@
   static constexpr int StartAttempts = 4;
   static constexpr double DistrustOfFailure = 1;
 
-  Sessions(TermPtr T, Client &C) : Term_(std::move(T)), Client_(C) {}
+  Sessions(TermPtr T, Client &C)
+      : Term_(std::move(T)), Client_(C), Tracker_(Term_->Table_) {}
 
   /// Starts the session of a worker that has just come up.
   void open(const WorkerRowPtr &Row) {
@@ -56,17 +54,20 @@
         [Self = this->shared_from_this(), Run] { Self->stopRun(Run); });
   }
 
-  /// The worker's life is over: so is all that ran on it.
-  void lifeOver(WorkerRow &Row, std::string_view Reason) {
+  /// The worker's life is over, and with it all that ran on it. With \p
+  /// SameId its process has started again under its id: what is on its way to
+  /// the former life may begin on the new one, which its session settles.
+  void lifeOver(WorkerRow &Row, std::string_view Reason, bool SameId) {
     if (Row.Over_)
       return;
     Row.Over_ = true;
-    Term_->EndedLives_.insert(Row.Record_.Life_);
+    Term_->EndedLives_.emplace(Row.Record_.Life_, now());
     framework::log::info("worker.over")
         .field("worker", Row.Record_.Life_.Id_.str())
         .field("born_ms", Row.Record_.Life_.BornMs_)
         .field("reason", Reason);
-    loseRuns(Row.Record_.Life_, Reason);
+    if (!SameId)
+      loseRuns(Row.Record_.Life_, Reason);
     Row.wake();
   }
 
@@ -77,19 +78,10 @@
       return;
     const std::set<jobs::RunName> Runs = Use->Runs_;
     for (const jobs::RunName &Run : Runs)
-      endRun(Run, jobs::EndKind::Lost, jobs::Checkpoint(), Reason);
+      endRun({Run, jobs::EndKind::Lost, jobs::Checkpoint(), Reason});
   }
 
 private:
-  /// What was sent for a start.
-  struct Sent {
-    std::int64_t DeadlineMs_ = 0;
-    /// When it was settled by an answer; empty while it is in doubt.
-    std::optional<TimePoint> SettledAt_;
-    /// Whether no further attempt will be sent.
-    bool Finished_ = false;
-  };
-
   static TimePoint now() { return Term<Store>::now(); }
 
   void session(const WorkerRowPtr &Row) {
@@ -113,7 +105,7 @@
   }
 
   bool needsHold(const WorkerRow &Row) const {
-    return !Row.Synced_ || Row.EndsStored_ > Row.EndsTold_ ||
+    return !Row.Synced_ || Row.Haunted_ || Row.EndsStored_ > Row.EndsTold_ ||
            Term_->Table_.useOf(Row.Record_.Life_) != nullptr;
   }
 
@@ -135,7 +127,7 @@
     if (Reply.Result_ == OrderResult::Done)
       return takeReport(Row, Reply, Order, SentAt);
     if (Reply.Result_ == OrderResult::OtherLife)
-      return lifeOver(Row, "another life answers");
+      return lifeOver(Row, "another life answers", true);
     if (Reply.Result_ == OrderResult::Fenced)
       Fenced_ = true;
     noAnswer(Row, Reply.Result_);
@@ -149,9 +141,7 @@
           .field("result", nameOf(Result))
           .field("last_answer_ms_ago", sinceMs(Row.AnsweredAt_));
     Term_->Table_.forgetProgress(Row.Record_.Life_);
-    const TimePoint Ends = Row.Synced_ ? Row.LeaseEnds_ + Term<Store>::Margin
-                                       : Term_->inheritedLeaseEnds();
-    if (now() > Ends)
+    if (Row.surelyLapsed(now(), Term_->inheritedLeaseEnds()))
       loseRuns(Row.Record_.Life_, "lease ran out unseen");
   }
 
@@ -170,32 +160,31 @@
           .field("unanswered", static_cast<std::uint64_t>(Row.Unanswered_));
     Row.Unanswered_ = 0;
     Row.EndsTold_ = std::max(Row.EndsTold_, Order.LastSeen_);
-    std::set<jobs::RunName> Listed;
-    takeEnds(Row, Reply, Listed);
-    for (const RunningRow &Item : Reply.Running_) {
-      Listed.insert(Item.Run_);
-      takeRunning(Row, Item);
-    }
-    endUnlisted(Row, Reply, Listed, SentAt);
+    for (const EndRow &Item : Reply.Ends_)
+      if (Item.Number_ > Row.EndsStaged_)
+        learn(Row, Item);
+    const RunTracker::Report Report =
+        Tracker_.report(Row.Record_.Life_, Reply, SentAt, Row.EndsStaged_);
+    for (const RunTracker::Ended &Item : Report.Ended_)
+      endRun(Item);
+    for (const jobs::RunName &Run : Report.Unknown_)
+      stopUnknown(Row, Run);
+    for (const jobs::RunName &Run : Report.Haunting_)
+      layToRest(Row, Run);
+    Row.Haunted_ = Tracker_.haunted(Row.Record_.Life_);
     if (!Row.Synced_) {
-      Row.Synced_ = true;
+      Row.noteSynced(now(), Term_->Bounds_.LongestHold_);
       Term_->Commits_.wake();
     }
+    noteEnds(Row, Reply);
   }
 
-  void takeEnds(WorkerRow &Row, const HoldReply &Reply,
-                std::set<jobs::RunName> &Listed) {
+  /// Waits until the listed ends are stored, so that the next hold can tell the
+  /// worker that they are noted.
+  void noteEnds(WorkerRow &Row, const HoldReply &Reply) {
     std::uint64_t Last = Row.EndsStaged_;
-    for (const EndRow &Item : Reply.Ends_) {
-      Listed.insert(Item.Run_);
-      if (Item.Number_ <= Row.EndsStaged_)
-        continue;
+    for (const EndRow &Item : Reply.Ends_)
       Last = std::max(Last, Item.Number_);
-      if (Item.Kind_ == jobs::EndKind::Failed)
-        Row.Distrust_ += DistrustOfFailure;
-      learn(Item);
-      endRun(Item.Run_, Item.Kind_, Item.Saved_, "listed");
-    }
     if (Last == Row.EndsStaged_)
       return;
     Row.EndsStaged_ = Last;
@@ -206,12 +195,14 @@
         Kept->EndsStored_ = std::max(Kept->EndsStored_, Last);
       Ready->signal();
     });
-    // The next hold tells the worker that these ends are noted.
     Ready->waitUntil(framework::clock::wallDeadline(HoldWait));
   }
 
-  /// Learns how far the callers' estimates are off.
-  void learn(const EndRow &Item) {
+  /// Learns from an end how far the callers' estimates are off, and how far
+  /// the worker is to be trusted.
+  void learn(WorkerRow &Row, const EndRow &Item) {
+    if (Item.Kind_ == jobs::EndKind::Failed)
+      Row.Distrust_ += DistrustOfFailure;
     if (Item.Kind_ != jobs::EndKind::Done)
       return;
     const jobs::JobRow *Job = Term_->Table_.find(Item.Run_.Task_.Job_);
@@ -225,18 +216,6 @@
                          now() - Live->StartedAt_);
   }
 
-  void takeRunning(WorkerRow &Row, const RunningRow &Item) {
-    jobs::LiveRun *Live = Term_->Table_.findLive(Item.Run_);
-    if (!Live || Live->On_ != Row.Record_.Life_) {
-      stopUnknown(Row, Item.Run_);
-      return;
-    }
-    Live->Confirmed_ = true;
-    Live->Percent_ = Item.Percent_;
-    if (!Item.Saved_.empty())
-      Term_->Table_.findTask(Item.Run_.Task_)->Saved_ = Item.Saved_;
-  }
-
   /// A run that the journal does not know of as live there: an order of an
   /// earlier time that was carried out late.
   void stopUnknown(const WorkerRow &Row, const jobs::RunName &Run) {
@@ -250,37 +229,25 @@
         });
   }
 
-  /// Ends the runs that the worker would have to list and does not.
-  void endUnlisted(const WorkerRow &Row, const HoldReply &Reply,
-                   const std::set<jobs::RunName> &Listed, TimePoint SentAt) {
-    const jobs::WorkerUse *Use = Term_->Table_.useOf(Row.Record_.Life_);
-    if (!Use)
-      return;
-    std::vector<jobs::RunName> Missing;
-    for (const jobs::RunName &Run : Use->Runs_)
-      if (!Listed.contains(Run) && cannotBegin(Run, Reply.ClockMs_, SentAt))
-        Missing.push_back(Run);
-    for (const jobs::RunName &Run : Missing)
-      endRun(Run, jobs::EndKind::Lost, jobs::Checkpoint(), "not listed");
-  }
-
-  /// Whether a run that a hold sent at \p SentAt did not list can never begin
-  /// after it: the start had been settled before, its deadline has passed on
-  /// the worker's clock, or it came from an earlier holder, whom the worker now
-  /// refuses.
-  bool cannotBegin(const jobs::RunName &Run, std::int64_t ClockMs,
-                   TimePoint SentAt) const {
-    const auto Known = Sent_.find(Run);
-    if (Known == Sent_.end())
-      return !Staged_.contains(Run);
-    const Sent &Start = Known->second;
-    if (Start.SettledAt_ && *Start.SettledAt_ < SentAt)
-      return true;
-    return Start.Finished_ && Start.DeadlineMs_ < ClockMs;
+  /// Stops a run of a former life on the one that may have taken its start.
+  void layToRest(const WorkerRow &Row, const jobs::RunName &Run) {
+    framework::fibers::spawn(
+        [Self = this->shared_from_this(), Record = Row.Record_, Run] {
+          const OrderReply Reply =
+              Self->Client_.stop(Record, Run, Self->Term_->Token_, AnswerTime);
+          framework::log::info("run.stop")
+              .field("task", Run.Task_.str())
+              .field("run", Run.Run_.value())
+              .field("worker", Record.Life_.Id_.str())
+              .field("reason", "meant for its former life")
+              .field("result", nameOf(Reply.Result_));
+          if (Reply.Result_ == OrderResult::Done)
+            Self->Tracker_.stopAnsweredLater(Run, now());
+        });
   }
 
-  void endRun(const jobs::RunName &Run, jobs::EndKind Kind,
-              const jobs::Checkpoint &Saved, std::string_view Reason) {
+  void endRun(const RunTracker::Ended &Item) {
+    const jobs::RunName &Run = Item.Run_;
     const jobs::LiveRun *Live = Term_->Table_.find(Run);
     if (!Live)
       return;
@@ -288,12 +255,11 @@
         .field("task", Run.Task_.str())
         .field("run", Run.Run_.value())
         .field("worker", Live->On_.Id_.str())
-        .field("how", jobs::nameOf(Kind))
+        .field("how", jobs::nameOf(Item.Kind_))
         .field("after_ms", sinceMs(Live->StartedAt_))
-        .field("by", Reason);
-    Sent_.erase(Run);
-    Staged_.erase(Run);
-    Term_->Commits_.stage(jobs::RunEnded{Run, Kind, Saved});
+        .field("by", Item.Reason_);
+    Tracker_.forget(Run);
+    Term_->Commits_.stage(jobs::RunEnded{Run, Item.Kind_, Item.Saved_});
     stopEnded(Run.Task_.Job_);
   }
 
@@ -325,7 +291,7 @@
   }
 
   /// Notes that the intent of a run has been staged by this holder.
-  void staged(const jobs::RunName &Run) { Staged_.insert(Run); }
+  void staged(const jobs::RunName &Run) { Tracker_.staged(Run); }
 
   /// Whether a worker has refused this holder for a higher token.
   bool fenced() const { return Fenced_; }
@@ -340,8 +306,8 @@
       return;
     if (!Job || Job->ended() || Live->Stopping_ || !Term_->mayOrder() ||
         Worker == Term_->Workers_.end() || Worker->second->Over_)
-      return endRun(Run, jobs::EndKind::Refused, jobs::Checkpoint(),
-                    "not sent");
+      return endRun(
+          {Run, jobs::EndKind::Refused, jobs::Checkpoint(), "not sent"});
     const WorkerRowPtr Row = Worker->second;
     const std::string Payload = Job->Spec_.Payload_;
     StartOrder Order;
@@ -353,18 +319,19 @@
         Row->clockMs(now()) +
         std::chrono::duration_cast<std::chrono::milliseconds>(StartWindow)
             .count();
-    Row->noteDeadline(Order.DeadlineMs_);
-    Sent_[Run].DeadlineMs_ = Order.DeadlineMs_;
+    Row->noteOrder(Order.DeadlineMs_, now(), Term_->Bounds_.LongestHold_);
     Row->wake();
+    // A run that holds have settled meanwhile needs no further attempt; one
+    // could only do harm at a worker that has started again.
     for (int Attempt = 0; Attempt < StartAttempts; ++Attempt)
-      if (tryStart(*Row, Order, Attempt))
+      if (!Term_->Table_.find(Run) || tryStart(*Row, Order, Attempt))
         break;
-    if (const auto Known = Sent_.find(Run); Known != Sent_.end())
-      Known->second.Finished_ = true;
+    Tracker_.startFinished(Run);
   }
 
   /// One attempt. True when no other is needed.
   bool tryStart(WorkerRow &Row, const StartOrder &Order, int Attempt) {
+    Tracker_.startSent(Order.Run_, Order.DeadlineMs_);
     const OrderReply Reply = Client_.start(Row.Record_, Order, AnswerTime);
     Term_->Metrics_
         .counter("starts_total{result=\"" + std::string(nameOf(Reply.Result_)) +
@@ -376,34 +343,20 @@
     if (Reply.ClockMs_ > 0)
       Row.heardClock(Reply.ClockMs_, now());
     logStart(Row, Order, Reply, Attempt);
-    const auto Known = Sent_.find(Run);
-    if (Known == Sent_.end())
-      return true;
-    if (Reply.Result_ == OrderResult::Done) {
-      Known->second.SettledAt_ = now();
-      if (jobs::LiveRun *Live = Term_->Table_.findLive(Run)) {
-        Live->Confirmed_ = true;
-        if (Live->Stopping_)
-          stopRunAgain(Run);
-      }
-      return true;
-    }
-    if (Reply.Result_ == OrderResult::OtherLife) {
-      lifeOver(Row, "another life answers");
-      return true;
-    }
-    if (Reply.Result_ == OrderResult::Unknown)
-      return false;
+    const auto Ended =
+        Tracker_.startAnswered(Run, Reply.Result_, Attempt, now());
+    if (Reply.Result_ == OrderResult::OtherLife)
+      lifeOver(Row, "another life answers", true);
     if (Reply.Result_ == OrderResult::Fenced)
       Fenced_ = true;
     if (Reply.Result_ == OrderResult::NoRoom)
       Row.Distrust_ += DistrustOfFailure;
-    // A refusal speaks of this attempt alone. After an unanswered one the run
-    // may be there, or may have been: the next holds tell.
-    if (Attempt == 0)
-      endRun(Run, jobs::EndKind::Refused, jobs::Checkpoint(),
-             nameOf(Reply.Result_));
-    return true;
+    if (Ended)
+      endRun(*Ended);
+    const jobs::LiveRun *Live = Term_->Table_.find(Run);
+    if (Live && Live->Stopping_ && Reply.Result_ == OrderResult::Done)
+      stopRunAgain(Run);
+    return Reply.Result_ != OrderResult::Unknown;
   }
 
   static void logStart(const WorkerRow &Row, const StartOrder &Order,
@@ -439,12 +392,11 @@
             .field("worker", Row->Record_.Life_.Id_.str())
             .field("result", nameOf(Reply.Result_));
         if (Reply.Result_ == OrderResult::Done) {
-          // From now on it can only be listed as ended, or not at all.
-          Sent_[Run].SettledAt_ = now();
+          Tracker_.stopAnswered(Run, now());
           return;
         }
         if (Reply.Result_ == OrderResult::OtherLife)
-          return lifeOver(*Row, "another life answers");
+          return lifeOver(*Row, "another life answers", true);
       }
       framework::fibers::sleepFor(RetryPause);
     }
@@ -452,8 +404,7 @@
 
   TermPtr Term_;
   Client &Client_;
-  std::map<jobs::RunName, Sent> Sent_;
-  std::set<jobs::RunName> Staged_;
+  RunTracker Tracker_;
   bool Fenced_ = false;
 };
 
--- a/src/cell/term.h
+++ b/src/cell/term.h
@@ -18,15 +18,6 @@
         Commits_(Table_, Log_), Metrics_(Metrics), Bounds_(Bounds),
         BegunAt_(now()) {}
 
-  /// How long a holder that the store does not confirm goes on renewing what
-  /// runs. Long enough that work outlives an outage of the store of this time
-  /// and a lease; a successor waits as long before it gives up on a worker
-  /// that it cannot reach.
-  static constexpr Duration OrdersWithoutStore =
-      std::chrono::milliseconds(4000);
-  /// Added where clocks of two machines are compared.
-  static constexpr Duration Margin = std::chrono::milliseconds(300);
-
   static TimePoint now() { return framework::clock::SteadyClock().now(); }
 
   bool over() const { return Over_ || Lead_.token() != Token_; }
@@ -36,13 +27,8 @@
     return !over() && now() - Lead_.confirmedAt() < OrdersWithoutStore;
   }
 
-  /// After this, nothing that an earlier holder ordered runs on a worker that
-  /// has not been heard: it went on for OrdersWithoutStore after its head was
-  /// replaced at the latest, and what it ordered last has lapsed.
   TimePoint inheritedLeaseEnds() const {
-    const auto Lease = Duration(static_cast<std::int64_t>(
-        static_cast<double>(Bounds_.LongestHold_.count()) / SlowestClock));
-    return BegunAt_ + OrdersWithoutStore + Lease + Margin;
+    return cell::inheritedLeaseEnds(BegunAt_, Bounds_.LongestHold_);
   }
 
   journal::Leadership<Store> &Lead_;
@@ -51,8 +37,9 @@
   journal::Journal<Store> Log_;
   CommitQueue<Store> Commits_;
   WorkerTable Workers_;
-  /// Lives that are over. Their entries may stay listed for some seconds.
-  std::set<WorkerLife> EndedLives_;
+  /// Lives that are over, and since when. Their entries may stay listed for
+  /// some seconds.
+  std::map<WorkerLife, TimePoint> EndedLives_;
   CellConfig Config_;
   scheduling::Estimates Learned_;
   framework::metrics::Registry &Metrics_;
--- a/src/cell/workertable.h
+++ b/src/cell/workertable.h
@@ -12,6 +12,28 @@
 /// lease may last longer by our clock.
 constexpr double SlowestClock = 0.98;
 
+/// Added where times of two machines are compared.
+constexpr Duration ClockMargin = std::chrono::milliseconds(300);
+
+/// An order to a worker process that has started again since is carried out
+/// within this time, or went with the connection.
+constexpr Duration OrderTransit = std::chrono::milliseconds(1000);
+
+/// How long a holder that the store does not confirm goes on renewing what
+/// runs. Long enough that work outlives an outage of the store of this time and
+/// a lease; a successor waits as long before it gives up on a worker that it
+/// cannot reach.
+constexpr Duration OrdersWithoutStore = std::chrono::milliseconds(4000);
+
+/// After this, nothing that an earlier holder ordered runs on a worker that has
+/// not been heard since the takeover at \p Begun: the earlier one went on for
+/// OrdersWithoutStore at the most, and what it ordered last has lapsed.
+inline TimePoint inheritedLeaseEnds(TimePoint Begun, Duration LongestHold) {
+  const auto Lease = Duration(static_cast<std::int64_t>(
+      static_cast<double>(LongestHold.count()) / SlowestClock));
+  return Begun + OrdersWithoutStore + Lease + ClockMargin;
+}
+
 /// What the holder knows of one life of a worker.
 struct WorkerRow {
   WorkerRecord Record_;
@@ -20,6 +42,8 @@
   /// Whether it has answered under this leadership: its list of runs is known
   /// and it refuses orders of earlier holders.
   bool Synced_ = false;
+  /// A run of a former life may still begin here.
+  bool Haunted_ = false;
   /// Known to be over: everything that ran on it is gone.
   bool Over_ = false;
   /// The worker's clock as it last told, and when that was heard.
@@ -56,11 +80,16 @@
 
   /// Notes that an order with this lease end leaves. The worker's clock is past
   /// its last word and may run slow, so the end by our clock is the later one.
-  void noteDeadline(std::int64_t DeadlineMs) {
-    const double Left = static_cast<double>(DeadlineMs - ClockMs_);
-    const auto Span = Duration(
-        static_cast<std::int64_t>(std::max(0.0, Left) * 1000.0 / SlowestClock));
-    LeaseEnds_ = std::max(LeaseEnds_, ClockAt_ + Span);
+  /// A process that has started again has a clock of its own, on which the
+  /// deadline lies far ahead: there the order lasts for the longest lease.
+  void noteOrder(std::int64_t DeadlineMs, TimePoint Now, Duration Longest) {
+    const double Left = static_cast<double>(DeadlineMs - ClockMs_) * 1000.0;
+    const auto Span =
+        Duration(static_cast<std::int64_t>(std::max(0.0, Left) / SlowestClock));
+    const auto Anew = Duration(static_cast<std::int64_t>(
+        static_cast<double>(Longest.count()) / SlowestClock));
+    LeaseEnds_ =
+        std::max({LeaseEnds_, ClockAt_ + Span, Now + OrderTransit + Anew});
   }
 
   /// The next hold to send. A worker that has not answered the last one is only
@@ -77,12 +106,28 @@
         clockMs(Now) +
         std::chrono::duration_cast<std::chrono::milliseconds>(Lease).count();
     Order.Wait_ = Wait;
-    noteDeadline(Order.DeadlineMs_);
+    noteOrder(Order.DeadlineMs_, Now, Lease);
     return Order;
   }
 
+  /// Whether nothing that was ordered to the worker can still run, though it
+  /// says nothing: what this holder ordered has run out, or, where the worker
+  /// has not answered this holder yet, what earlier ones ordered has.
+  bool surelyLapsed(TimePoint Now, TimePoint InheritedEnds) const {
+    return Now > (Synced_ ? LeaseEnds_ + ClockMargin : InheritedEnds);
+  }
+
+  /// The worker has answered this holder for the first time. What an earlier
+  /// one ordered there may run for a whole lease from now on.
+  void noteSynced(TimePoint Now, Duration Longest) {
+    Synced_ = true;
+    const auto Span = Duration(static_cast<std::int64_t>(
+        static_cast<double>(Longest.count()) / SlowestClock));
+    LeaseEnds_ = std::max(LeaseEnds_, Now + Span);
+  }
+
   bool usable() const {
-    return Listed_ && Synced_ && !Over_ && !Record_.Draining_ &&
+    return Listed_ && Synced_ && !Over_ && !Haunted_ && !Record_.Draining_ &&
            Unanswered_ == 0;
   }
 
--- a/src/scheduling/internal/scheduler.cpp
+++ b/src/scheduling/internal/scheduler.cpp
@@ -9,11 +9,9 @@
 using cell::QueueConfig;
 using jobs::JobRow;
 using jobs::Resources;
-using jobs::RunName;
 using jobs::RunNumber;
 using jobs::StepRow;
 using jobs::StepSpec;
-using jobs::TaskName;
 using jobs::TaskRow;
 
 namespace {
