--- a/src/app/cellapp.h
+++ b/src/app/cellapp.h
@@ -24,6 +24,10 @@
   /// what still comes until the platform has noticed.
   void stop();
 
+  std::uint16_t callerPort() const;
+  /// Whether this entry leads the cell.
+  bool leads() const;
+
   /// Takes up settings that may change while the process runs. Others are
   /// named in the log and wait for a restart.
   void reload(const cell::CellSettings &Settings);
--- a/src/app/internal/cellapp.cpp
+++ b/src/app/internal/cellapp.cpp
@@ -233,6 +233,10 @@
       .field("left_in_flight", static_cast<std::uint64_t>(P.InFlight_));
 }
 
+std::uint16_t CellApp::callerPort() const { return Parts_->Callers_.port(); }
+
+bool CellApp::leads() const { return Parts_->Cell_.leads(); }
+
 void CellApp::reload(const CellSettings &Settings) {
   framework::log::setLevel(Settings.LogLevel_);
   framework::log::info("settings.reloaded")
