Bound the log, never wait for its reader; histograms and gauges of cells

Cause: each line was written at once and waited for whoever reads it; the metrics had no latencies of jobs.

--- a/src/app/internal/cellapp.cpp
+++ b/src/app/internal/cellapp.cpp
@@ -77,7 +77,7 @@
              [this](const journal::Holder &To, const peers::JobCall &Call) {
                Mesh_.send({To.Entry_, To.Incarnation_}, To.PeerAddress_, Call);
              }}),
-        Intake_(Router_, platform::readJob), Api_(Intake_),
+        Intake_(Router_, platform::readJob, Metrics_), Api_(Intake_),
         Mesh_(Io, Self_, Settings_.PeerKeys_,
               [this](const peers::Sender &From, peers::Message &&Body) {
                 receive(From, Body);
@@ -104,6 +104,7 @@
   }
 
   void serveMetrics(Exchange &Call) {
+    refreshGauges();
     Response Answer;
     Answer.Status_ = 200;
     Answer.Headers_.add("Content-Type", "text/plain; version=0.0.4");
@@ -111,6 +112,20 @@
     Call.reply(Answer);
   }
 
+  void refreshGauges() {
+    const auto Age = SteadyClock().now() - ConfigSeenAt_;
+    Metrics_.gauge("config_version")
+        .set(static_cast<double>(Intake_.config().Version_.value()));
+    Metrics_.gauge("config_confirmed_age_seconds")
+        .set(std::chrono::duration<double>(Age).count());
+    Metrics_.gauge("ready").set(ready() ? 1 : 0);
+    Metrics_.gauge("leads").set(Cell_.leads() ? 1 : 0);
+    Metrics_.gauge("store_calls").set(static_cast<double>(Store_.calls()));
+    Metrics_.gauge("caller_requests_in_flight")
+        .set(static_cast<double>(InFlight_));
+    Cell_.fillGauges(Metrics_);
+  }
+
   bool ready() const {
     return !Leaving_ && Intake_.config().Version_.value() > 0 &&
            SteadyClock().now() - ConfigSeenAt_ < ConfigStale;
--- a/src/app/laburnumspreadd.cpp
+++ b/src/app/laburnumspreadd.cpp
@@ -24,6 +24,8 @@
 
 constexpr int BadSettings = 2;
 constexpr int CannotStart = 1;
+/// A process that is killed loses the lines of this time at the most.
+constexpr auto LogFlushEvery = std::chrono::milliseconds(50);
 
 /// A settings file that cannot be used leaves the old settings in force.
 void keepSettings(const absl::Status &Reason) {
@@ -59,6 +61,12 @@
 int serveUntilTold(boost::asio::io_context &Io, App &Served,
                    const std::function<void()> &Reload,
                    const std::function<bool()> &Stop) {
+  framework::fibers::spawn([] {
+    while (true) {
+      framework::log::flush();
+      framework::fibers::sleepFor(LogFlushEvery);
+    }
+  });
   boost::asio::signal_set Dump(Io, SIGUSR1);
   dumpOnSignal(Dump, Served);
   boost::asio::signal_set Hangup(Io, SIGHUP);
@@ -70,6 +78,7 @@
     Told.waitUntil(framework::clock::SystemClock().now() +
                    std::chrono::hours(24));
   const bool Clean = Stop();
+  framework::log::flush();
   std::cout.flush();
   // Fibers of the parts run until the process ends; there is nothing left to
   // unwind that would matter to anybody else.
@@ -79,6 +88,7 @@
 int cannotStart(const absl::Status &Reason) {
   framework::log::error("entry.cannot_start")
       .field("reason", std::string(Reason.message()));
+  framework::log::flush();
   return CannotStart;
 }
 
--- a/src/cell/cellservice.h
+++ b/src/cell/cellservice.h
@@ -85,6 +85,32 @@
   /// The last holder that was seen; its token is 0 when there is none.
   const journal::Holder &holder() const { return Seen_; }
 
+  /// Sets the gauges of the term, if there is one.
+  void fillGauges(framework::metrics::Registry &Into) const {
+    if (!Term_)
+      return;
+    std::size_t Live = 0, Unconfirmed = 0, Silent = 0;
+    for (const auto &[Life, Use] : Term_->Table_.workers())
+      for (const jobs::RunName &Run : Use.Runs_) {
+        ++Live;
+        const jobs::LiveRun *Found = Term_->Table_.find(Run);
+        Unconfirmed += Found && !Found->Confirmed_;
+      }
+    for (const auto &[Life, Row] : Term_->Workers_)
+      Silent += Row->Unanswered_ > 0;
+    const auto Set = [&](std::string_view Name, std::size_t Value) {
+      Into.gauge(Name).set(static_cast<double>(Value));
+    };
+    Set("cell_token", Term_->Token_.value());
+    Set("jobs_open", Term_->Table_.open().size());
+    Set("jobs_known", Term_->Table_.jobs().size());
+    Set("runs_live", Live);
+    Set("runs_unconfirmed", Unconfirmed);
+    Set("workers", Term_->Workers_.size());
+    Set("workers_silent", Silent);
+    Set("store_stalled", Term_->Commits_.stalled() ? 1 : 0);
+  }
+
   /// Serves a call if this entry leads; \p Reply may run later, once.
   void handle(const peers::JobCall &Call, const JobReplyFn &Reply) {
     if (!leads())
@@ -232,6 +258,8 @@
       return;
     adoptConfig(*T);
     T->Loaded_ = true;
+    Metrics_.histogram("takeover_seconds")
+        .record(std::chrono::duration<double>(now() - Begun).count());
     framework::log::info("leadership.begun")
         .field("token", T->Token_.value())
         .field("jobs_open", static_cast<std::uint64_t>(T->Table_.open().size()))
--- a/src/cell/commitqueue.h
+++ b/src/cell/commitqueue.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "framework/fibers/spawn.h"
+#include "framework/metrics/metrics.h"
 #include "journal/journal.h"
 
 namespace laburnumspread::cell {
@@ -29,8 +30,11 @@
   static constexpr framework::clock::Duration LeastInterval =
       std::chrono::milliseconds(16);
 
-  CommitQueue(jobs::CellTable &Table, journal::Journal<Store> &Log)
-      : Table_(Table), Log_(Log) {}
+  CommitQueue(jobs::CellTable &Table, journal::Journal<Store> &Log,
+              framework::metrics::Registry &Metrics)
+      : Table_(Table), Log_(Log),
+        CommitSeconds_(Metrics.histogram("journal_commit_seconds")),
+        EventsCommitted_(Metrics.counter("journal_events_total")) {}
 
   /// Applies and stages one event; \p Done runs when its fate is known.
   void stage(jobs::Event Item, Callback Done = nullptr) {
@@ -106,8 +110,13 @@
     Events_.clear();
     Callbacks_.clear();
     Committing_ = true;
+    const auto Asked = framework::clock::SteadyClock().now();
     const absl::Status Written = Log_.append(Group);
     Committing_ = false;
+    CommitSeconds_.record(std::chrono::duration<double>(
+                              framework::clock::SteadyClock().now() - Asked)
+                              .count());
+    EventsCommitted_.add(Group.size());
     const auto Outcome =
         Written.ok() ? CommitOutcome::Stored : CommitOutcome::Unknown;
     const auto Waiting = std::move(InFlight_);
@@ -130,6 +139,8 @@
 
   jobs::CellTable &Table_;
   journal::Journal<Store> &Log_;
+  framework::metrics::Histogram &CommitSeconds_;
+  framework::metrics::Counter &EventsCommitted_;
   std::vector<jobs::Event> Events_;
   std::vector<Callback> Callbacks_;
   std::vector<Callback> InFlight_;
--- a/src/cell/intake.h
+++ b/src/cell/intake.h
@@ -2,6 +2,7 @@
 
 #include "cell/callrouter.h"
 #include "cell/celltypes.h"
+#include "framework/metrics/metrics.h"
 
 #include <absl/status/statusor.h>
 
@@ -66,15 +67,18 @@
   static constexpr Duration AnswerMargin = std::chrono::milliseconds(100);
   static constexpr Duration RetryAfter = std::chrono::seconds(1);
 
-  Intake(CallRouter &Router, ReadJob Read)
-      : Router_(Router), ReadJob_(std::move(Read)) {}
+  Intake(CallRouter &Router, ReadJob Read,
+         framework::metrics::Registry &Metrics)
+      : Router_(Router), ReadJob_(std::move(Read)), Metrics_(Metrics) {}
 
   void setConfig(const CellConfig &Config) { Config_ = Config; }
   const CellConfig &config() const { return Config_; }
 
+  /// Answers a request, and counts the answer and the time that it took.
   CallerAnswer serve(const CallerRequest &Request);
 
 private:
+  CallerAnswer answerTo(const CallerRequest &Request);
   CallerAnswer submit(const CallerRequest &Request, const QueueConfig &Queue,
                       const std::string &Job);
   CallerAnswer pass(const CallerRequest &Request, peers::JobCall Call);
@@ -83,6 +87,7 @@
 
   CallRouter &Router_;
   ReadJob ReadJob_;
+  framework::metrics::Registry &Metrics_;
   CellConfig Config_;
 };
 
--- a/src/cell/internal/intake.cpp
+++ b/src/cell/internal/intake.cpp
@@ -77,6 +77,19 @@
 }
 
 CallerAnswer Intake::serve(const CallerRequest &Request) {
+  const TimePoint Begun = SteadyClock().now();
+  CallerAnswer Answer = answerTo(Request);
+  Metrics_
+      .counter("caller_answers_total{status=\"" +
+               std::string(nameOf(Answer.Status_)) + "\"}")
+      .add();
+  Metrics_.histogram("caller_answer_seconds")
+      .record(
+          std::chrono::duration<double>(SteadyClock().now() - Begun).count());
+  return Answer;
+}
+
+CallerAnswer Intake::answerTo(const CallerRequest &Request) {
   if (Config_.Version_.value() == 0)
     return notNow("no configuration yet");
   const QueueConfig *Queue = Config_.route(Request.Host_, Request.Path_);
--- a/src/cell/sessions.h
+++ b/src/cell/sessions.h
@@ -259,6 +259,10 @@
         .field("after_ms", sinceMs(Live->StartedAt_))
         .field("by", Item.Reason_);
     Tracker_.forget(Run);
+    Term_->Metrics_
+        .counter("runs_ended_total{how=\"" +
+                 std::string(jobs::nameOf(Item.Kind_)) + "\"}")
+        .add();
     Term_->Commits_.stage(jobs::RunEnded{Run, Item.Kind_, Item.Saved_});
     stopEnded(Run.Task_.Job_);
   }
@@ -315,6 +319,10 @@
     Order.Payload_ = Payload;
     Order.Token_ = Term_->Token_;
     Order.From_ = Term_->Table_.find(Run.Task_)->Saved_;
+    if (Run.Run_ == jobs::RunNumber(1))
+      Term_->Metrics_.histogram("task_first_start_seconds")
+          .record(
+              std::chrono::duration<double>(now() - Job->AcceptedAt_).count());
     Order.DeadlineMs_ =
         Row->clockMs(now()) +
         std::chrono::duration_cast<std::chrono::milliseconds>(StartWindow)
@@ -332,11 +340,14 @@
   /// One attempt. True when no other is needed.
   bool tryStart(WorkerRow &Row, const StartOrder &Order, int Attempt) {
     Tracker_.startSent(Order.Run_, Order.DeadlineMs_);
+    const TimePoint SentAt = now();
     const OrderReply Reply = Client_.start(Row.Record_, Order, AnswerTime);
     Term_->Metrics_
         .counter("starts_total{result=\"" + std::string(nameOf(Reply.Result_)) +
                  "\"}")
         .add();
+    Term_->Metrics_.histogram("start_answer_seconds")
+        .record(std::chrono::duration<double>(now() - SentAt).count());
     if (Term_->over())
       return true;
     const jobs::RunName &Run = Order.Run_;
--- a/src/cell/term.h
+++ b/src/cell/term.h
@@ -15,7 +15,7 @@
        journal::Leadership<Store> &Lead, framework::metrics::Registry &Metrics,
        CellBounds Bounds)
       : Lead_(Lead), Token_(Lead.token()), Log_(S, Keys, Lead),
-        Commits_(Table_, Log_), Metrics_(Metrics), Bounds_(Bounds),
+        Commits_(Table_, Log_, Metrics), Metrics_(Metrics), Bounds_(Bounds),
         BegunAt_(now()) {}
 
   static TimePoint now() { return framework::clock::SteadyClock().now(); }
--- /dev/null
+++ b/src/framework/log/linebudget.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "framework/clock/clock.h"
+
+#include <cstdint>
+
+namespace laburnumspread::framework::log {
+
+/// Bounds how many lines are written in a second, so that a storm of events
+/// costs a known part of a core. Lines that tell of trouble are the last to go:
+/// a part of the budget is theirs alone.
+class LineBudget {
+public:
+  /// At about 5 microseconds a line, a hundredth of a core.
+  static constexpr std::uint32_t LinesPerSecond = 2000;
+  static constexpr std::uint32_t KeptForTrouble = 500;
+
+  /// Whether a line may be written at \p Now.
+  bool admit(bool Trouble, clock::TimePoint Now);
+
+  /// Lines left out in seconds that are over, once.
+  std::uint64_t takeLeftOut();
+
+private:
+  clock::TimePoint Second_{};
+  std::uint32_t Used_ = 0;
+  std::uint64_t LeftOutNow_ = 0;
+  std::uint64_t LeftOut_ = 0;
+};
+
+} // namespace laburnumspread::framework::log
--- a/src/framework/log/log.cpp
+++ b/src/framework/log/log.cpp
@@ -1,5 +1,11 @@
 #include "framework/log/log.h"
 
+#include "framework/clock/steadyclock.h"
+#include "framework/log/linebudget.h"
+#include "framework/log/outputbuffer.h"
+
+#include <unistd.h>
+
 #include <boost/json/serialize.hpp>
 #include <boost/json/string.hpp>
 #include <boost/json/value.hpp>
@@ -11,6 +17,25 @@
 
 namespace {
 
+OutputBuffer &output() {
+  static OutputBuffer Out(STDOUT_FILENO);
+  return Out;
+}
+
+LineBudget &budget() {
+  static LineBudget Budget;
+  return Budget;
+}
+
+/// Takes formatted lines from the logging library.
+class ToOutput : public el::LogDispatchCallback {
+protected:
+  void handle(const el::LogDispatchData *Data) override {
+    const el::LogMessage *Message = Data->logMessage();
+    output().add(Message->logger()->logBuilder()->build(Message, true));
+  }
+};
+
 Format LineFormat = Format::KeyValue;
 Level Lowest = Level::Info;
 
@@ -72,6 +97,16 @@
           ? "{\"time\":\"%datetime{%Y-%M-%dT%H:%m:%s.%g}\",%msg}"
           : "time=%datetime{%Y-%M-%dT%H:%m:%s.%g} %msg");
   el::Loggers::reconfigureAllLoggers(Settings);
+  el::Helpers::uninstallLogDispatchCallback<
+      el::base::DefaultLogDispatchCallback>("DefaultLogDispatchCallback");
+  el::Helpers::installLogDispatchCallback<ToOutput>("ToOutput");
+}
+
+void flush() {
+  const std::uint64_t LeftOut = budget().takeLeftOut() + output().takeDropped();
+  if (LeftOut > 0)
+    LOG(WARNING) << "level=warning event=log.lines_left_out count=" << LeftOut;
+  output().flush();
 }
 
 void setLevel(Level LowestLevel) { Lowest = LowestLevel; }
@@ -91,7 +126,10 @@
 }
 
 Event::Event(Level Severity, std::string_view Name)
-    : Severity_(Severity), Enabled_(Severity >= Lowest) {
+    : Severity_(Severity),
+      Enabled_(Severity >= Lowest &&
+               budget().admit(Severity >= Level::Warning,
+                              clock::SteadyClock().now())) {
   if (!Enabled_)
     return;
   if (LineFormat == Format::Json) {
--- a/src/framework/log/log.h
+++ b/src/framework/log/log.h
@@ -14,6 +14,10 @@
 /// Sets the format of all lines and the lowest level that is written.
 void configure(Format LineFormat, Level Lowest);
 
+/// Hands on what is buffered. Lines wait for some kilobytes or for this call,
+/// which is to be made several times a second and before the process ends.
+void flush();
+
 /// Changes the lowest level while the process runs.
 void setLevel(Level Lowest);
 Level level();
--- a/src/framework/metrics/metrics.cpp
+++ b/src/framework/metrics/metrics.cpp
@@ -84,6 +84,13 @@
   return acc::p_square_quantile(Accumulators_->Upper_);
 }
 
+void Histogram::record(double Seconds) {
+  for (std::size_t I = 0; I < Bounds.size(); ++I)
+    Buckets_[I] += Seconds <= Bounds[I];
+  ++Count_;
+  Sum_ += Seconds;
+}
+
 Counter &Registry::counter(std::string_view Name) {
   return findOrAdd(Counters_, Name);
 }
@@ -94,6 +101,10 @@
   return findOrAdd(Summaries_, Name);
 }
 
+Histogram &Registry::histogram(std::string_view Name) {
+  return findOrAdd(Histograms_, Name);
+}
+
 std::string Registry::exposition() const {
   std::ostringstream Out;
   writeFamilies(Out, Counters_, "counter",
@@ -115,6 +126,16 @@
                       << withSuffix(Name, "_count") << ' ' << Value.count()
                       << '\n';
                 });
+  writeFamilies(Out, Histograms_, "histogram",
+                [&](const std::string &Name, const Histogram &Value) {
+                  for (std::size_t I = 0; I < Histogram::Bounds.size(); ++I)
+                    Out << Name << "_bucket{le=\"" << Histogram::Bounds[I]
+                        << "\"} " << Value.atMost(I) << '\n';
+                  Out << Name << "_bucket{le=\"+Inf\"} " << Value.count()
+                      << '\n'
+                      << Name << "_sum " << Value.sum() << '\n'
+                      << Name << "_count " << Value.count() << '\n';
+                });
   return Out.str();
 }
 
--- a/src/framework/metrics/metrics.h
+++ b/src/framework/metrics/metrics.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <array>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -46,6 +48,26 @@
   std::unique_ptr<Accumulators> Accumulators_;
 };
 
+/// Distribution of a time over fixed bounds, as the text exposition's
+/// cumulative buckets.
+class Histogram {
+public:
+  /// Upper bounds in seconds, from a round trip to a caller's deadline.
+  static constexpr std::array<double, 11> Bounds = {
+      0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5};
+
+  void record(double Seconds);
+  std::uint64_t count() const { return Count_; }
+  double sum() const { return Sum_; }
+  /// How many were at or below Bounds[\p I].
+  std::uint64_t atMost(std::size_t I) const { return Buckets_[I]; }
+
+private:
+  std::array<std::uint64_t, Bounds.size()> Buckets_{};
+  std::uint64_t Count_ = 0;
+  double Sum_ = 0;
+};
+
 /// All metrics of a process by name. Labels are part of the name, in text
 /// exposition form: `requests_total{outcome="ran"}`.
 class Registry {
@@ -53,6 +75,8 @@
   Counter &counter(std::string_view Name);
   Gauge &gauge(std::string_view Name);
   Summary &summary(std::string_view Name);
+  /// \p Name without labels.
+  Histogram &histogram(std::string_view Name);
 
   /// The text exposition format.
   std::string exposition() const;
@@ -61,6 +85,7 @@
   std::map<std::string, Counter, std::less<>> Counters_;
   std::map<std::string, Gauge, std::less<>> Gauges_;
   std::map<std::string, Summary, std::less<>> Summaries_;
+  std::map<std::string, Histogram, std::less<>> Histograms_;
 };
 
 } // namespace laburnumspread::framework::metrics
