Evacuate standing tasks from draining workers; believe the machine list

Cause: a standing task went down with a worker that left as planned, and any run of a dead worker waited 7 s for its lease though the platform's machine list said that the machine was down. Change: standing tasks of draining workers are stopped and start elsewhere; a worker that owes an answer for a second and that the list does not show as up is over.

--- a/src/cell/internal/machinetable.cpp
+++ b/src/cell/internal/machinetable.cpp
@@ -58,6 +58,17 @@
   return Found != Views_.end() && Found->second.HeldBack_;
 }
 
+bool MachineTable::saysGone(const WorkerRecord &Worker) const {
+  if (!ListSeen_ || Worker.Machine_.empty())
+    return false;
+  const auto Found = Views_.find(Worker.Machine_);
+  if (Found == Views_.end())
+    return true;
+  const MachineRecord &Machine = Found->second.Record_;
+  return Machine.State_ != MachineState::Up ||
+         (!Machine.Worker_.empty() && Machine.Worker_ != Worker.Life_.Id_);
+}
+
 std::optional<WorkerLife> MachineTable::lifeOn(const MachineId &Machine) const {
   const auto Found = LifeOf_.find(Machine);
   return Found == LifeOf_.end() ? std::nullopt : std::optional(Found->second);
--- a/src/cell/machines.h
+++ b/src/cell/machines.h
@@ -31,6 +31,9 @@
   /// longer interval: each reading is paid for.
   static constexpr Duration ListBusy = std::chrono::milliseconds(1000);
   static constexpr Duration ListCalm = std::chrono::milliseconds(10000);
+  /// The list may be this old: what it says of a worker that answered later is
+  /// passed over.
+  static constexpr Duration ListLag = std::chrono::milliseconds(1000);
   static constexpr Duration RetryPause = std::chrono::milliseconds(400);
   static constexpr Duration ReportTime = std::chrono::milliseconds(900);
   /// Orders need a leadership that the store has confirmed lately: a successor
@@ -94,7 +97,7 @@
       if (Term_->over())
         return;
       if (Read.ok())
-        Table_.takeList(*Read, now());
+        takeList(*Read);
       else
         framework::log::warning("machines.list_failed")
             .field("reason", std::string(Read.status().message()));
@@ -126,12 +129,49 @@
     return false;
   }
 
+  void takeList(const std::vector<MachineRecord> &List) {
+    Table_.takeList(List, now());
+    std::vector<WorkerRowPtr> Gone;
+    for (const auto &[Life, Row] : Term_->Workers_)
+      if (Row->Unanswered_ > 0 && !Row->Over_ &&
+          now() - Row->AnsweredAt_ > ListLag && Table_.saysGone(Row->Record_))
+        Gone.push_back(Row);
+    for (const WorkerRowPtr &Row : Gone)
+      Sessions_->lifeOver(*Row, "its machine is down or gone by the list",
+                          false);
+  }
+
+  /// Standing tasks on workers that are to leave start elsewhere at once;
+  /// finite ones have the time that is left.
+  void evacuateDraining() {
+    std::vector<jobs::RunName> Leaving;
+    for (const auto &[Life, Row] : Term_->Workers_) {
+      const jobs::WorkerUse *Use = Term_->Table_.useOf(Life);
+      if (!Row->Record_.Draining_ || Row->Over_ || !Use)
+        continue;
+      for (const jobs::RunName &Run : Use->Runs_) {
+        const jobs::StepSpec *Step = Term_->Table_.specOf(Run.Task_);
+        const jobs::LiveRun *Live = Term_->Table_.find(Run);
+        if (Step && Step->LongRunning_ && Live && !Live->Stopping_)
+          Leaving.push_back(Run);
+      }
+    }
+    for (const jobs::RunName &Run : Leaving) {
+      framework::log::info("run.evacuate")
+          .field("task", Run.Task_.str())
+          .field("reason", "its worker drains");
+      Sessions_->stop(Run);
+    }
+  }
+
   void planLoop() {
     while (!Term_->over()) {
       framework::fibers::sleepFor(PlanEvery);
       if (!Table_.listSeen() || !Term_->Loaded_ || Term_->over())
         continue;
       refreshViews();
+      if (Term_->mayOrder())
+        evacuateDraining();
       planUpkeep();
       planMoves();
     }
--- a/src/cell/machinetable.h
+++ b/src/cell/machinetable.h
@@ -38,6 +38,11 @@
   bool anyBusy() const { return !Orders_.empty(); }
   bool heldBack(const MachineId &Machine) const;
 
+  /// Whether the platform's list says that a worker's process is gone: its
+  /// machine is not listed, is not up, or runs another worker. Asked only for
+  /// workers that do not answer; one that is cut off is listed as up.
+  bool saysGone(const WorkerRecord &Worker) const;
+
   /// The machine's current worker, if one has been seen.
   std::optional<WorkerLife> lifeOn(const MachineId &Machine) const;
 
