Ask the advisor for tickets, pace tasks that fill, and lose runs that no machine runs

Change: advice table, pacer (pure, tested), their calls; the end of an id ends the runs of all its lives; runs whose worker no listed machine runs are over.

--- a/src/app/internal/cellapp.cpp
+++ b/src/app/internal/cellapp.cpp
@@ -5,6 +5,7 @@
 #include "framework/fibers/spawn.h"
 #include "framework/http/httpserver.h"
 #include "peers/peermesh.h"
+#include "platform/advisorclient.h"
 #include "platform/callerapi.h"
 #include "platform/codecs.h"
 #include "platform/kvstore.h"
@@ -58,11 +59,17 @@
       : Settings_(std::move(Settings)), Self_(selfOf(Settings_)),
         Store_(Io, Settings_.Store_), Workers_(Io),
         Machines_(Io, Settings_.Machines_, Settings_.Name_.str()),
-        Cell_(Store_, Workers_, Machines_,
-              {std::string(platform::WorkersPrefix), platform::readWorker},
-              {platform::waveStatusKey, platform::waveStatus},
-              journal::CellKeys(Settings_.StorePrefix_ + "cell/0/"),
-              holderOf(Self_), Settings_.Bounds_, Metrics_),
+        Advisor_(Io, Settings_.Advisor_),
+        Cell_(
+            Store_, Workers_, Machines_,
+            {std::string(platform::WorkersPrefix), platform::readWorker},
+            {platform::waveStatusKey, platform::waveStatus},
+            [this](const scheduling::StepName &Step,
+                   const std::vector<cell::WorkerId> &Ids) {
+              return Advisor_.ask(Step, Ids);
+            },
+            journal::CellKeys(Settings_.StorePrefix_ + "cell/0/"),
+            holderOf(Self_), Settings_.Bounds_, Metrics_),
         Router_(
             {[this](const peers::JobCall &Call,
                     const cell::CallRouter::ReplyFn &Reply) {
@@ -194,6 +201,7 @@
   platform::KvStore Store_;
   platform::WorkerClient Workers_;
   platform::MachineClient Machines_;
+  platform::AdvisorClient Advisor_;
   Service Cell_;
   cell::CallRouter Router_;
   cell::Intake Intake_;
--- a/src/cell/cellservice.h
+++ b/src/cell/cellservice.h
@@ -15,6 +15,14 @@
   std::function<std::optional<WorkerRecord>(const store::KeyValue &)> Read_;
 };
 
+/// What the advisor of a queue has answered.
+struct AdviceReply {
+  std::vector<scheduling::Advice> Good_;
+  Duration Valid_{};
+};
+using AskAdvisor = std::function<absl::StatusOr<AdviceReply>(
+    const scheduling::StepName &, const std::vector<WorkerId> &)>;
+
 /// Leads the cell when no other entry does, and while it leads takes jobs,
 /// schedules them and keeps them running.
 template <store::KeyValueStore Store, WorkerClient Client,
@@ -39,12 +47,12 @@
   static constexpr double DistrustHalvesIn = 4.0;
 
   CellService(Store &S, Client &C, Service &Api, WorkerDirectory Directory,
-              WaveReports Reports, const journal::CellKeys &Keys,
-              journal::Holder Self, CellBounds Bounds,
-              framework::metrics::Registry &Metrics)
+              WaveReports Reports, AskAdvisor Ask,
+              const journal::CellKeys &Keys, journal::Holder Self,
+              CellBounds Bounds, framework::metrics::Registry &Metrics)
       : Store_(S), Client_(C), Api_(Api), Directory_(std::move(Directory)),
-        Reports_(std::move(Reports)), Keys_(Keys), Bounds_(Bounds),
-        Metrics_(Metrics), Lead_(S, Keys, std::move(Self)) {}
+        Reports_(std::move(Reports)), Ask_(std::move(Ask)), Keys_(Keys),
+        Bounds_(Bounds), Metrics_(Metrics), Lead_(S, Keys, std::move(Self)) {}
 
   void start(std::string PeerAddress) {
     Lead_.setPeerAddress(std::move(PeerAddress));
@@ -481,11 +489,13 @@
            Use ? Row->Record_.Room_ - Use->Used_ : Row->Record_.Room_,
            Row->Distrust_ < LeastDistrust ? 0 : Row->Distrust_});
     }
-    const scheduling::Scheduler Decide(T.Table_, T.Config_, T.Learned_);
+    const scheduling::Scheduler Decide(T.Table_, T.Config_, T.Learned_,
+                                       T.Advised_);
     const scheduling::Plan Next = Decide.plan(
-        std::move(Workers),
-        {now(),
-         framework::clock::toMillis(framework::clock::SystemClock().now())});
+        Workers, {now(), framework::clock::toMillis(
+                             framework::clock::SystemClock().now())});
+    for (const scheduling::StepName &Step : Next.WantAdvice_)
+      askAdvice(T, Step, Workers);
     for (const jobs::RunIntended &Item : Next.Starts_) {
       Talks.staged(Item.Run_);
       T.Commits_.stage(Item, [Item, S = Sessions_](CommitOutcome Outcome) {
@@ -495,6 +505,40 @@
     }
   }
 
+  /// Asks about a step if nobody is asking: the advisor answers one call of
+  /// this entry at a time, so the next step waits for the next pass.
+  void askAdvice(Term<Store> &T, const scheduling::StepName &Step,
+                 const std::vector<scheduling::Candidate> &Workers) {
+    const jobs::JobRow *Job = T.Table_.find(Step.Job_);
+    const QueueConfig *Queue =
+        Job ? T.Config_.find(Job->Spec_.Queue_) : nullptr;
+    if (!Queue || AskingAdvisor_ || !T.Advised_.beginAsking(Step, now()))
+      return;
+    std::vector<WorkerId> Ids;
+    for (const scheduling::Candidate &Item : Workers)
+      if (Item.Worker_->Pool_ == Queue->Pool_ && Ids.size() < WorkersAskedAbout)
+        Ids.push_back(Item.Worker_->Life_.Id_);
+    AskingAdvisor_ = true;
+    framework::fibers::spawn([this, T = Term_, Step, Ids] {
+      const TimePoint AskedAt = now();
+      const auto Reply = Ask_(Step, Ids);
+      AskingAdvisor_ = false;
+      framework::log::info("advice.answered")
+          .field("step", Step.str())
+          .field("asked", static_cast<std::uint64_t>(Ids.size()))
+          .field("good", static_cast<std::uint64_t>(
+                             Reply.ok() ? Reply->Good_.size() : 0))
+          .field("result", Reply.ok() ? "answered" : "no answer");
+      if (!T || T->over())
+        return;
+      if (Reply.ok())
+        T->Advised_.answered(Step, Reply->Good_, Reply->Valid_, AskedAt);
+      else
+        T->Advised_.unanswered(Step, now());
+      T->Commits_.wake();
+    });
+  }
+
   // Calls.
 
   /// A job that is taken now could only be told an unknown outcome later.
@@ -594,6 +638,8 @@
                           });
   }
 
+  /// The advisor takes its time for each worker that is named.
+  static constexpr std::size_t WorkersAskedAbout = 30;
   static constexpr std::uint32_t DefaultAttempts = 3;
   static constexpr double LeastDistrust = 0.1;
   /// Per tick: half of the distrust is left after DistrustHalvesIn seconds.
@@ -604,6 +650,7 @@
   Service &Api_;
   WorkerDirectory Directory_;
   WaveReports Reports_;
+  AskAdvisor Ask_;
   journal::CellKeys Keys_;
   CellBounds Bounds_;
   framework::metrics::Registry &Metrics_;
@@ -615,6 +662,7 @@
   MachinesPtr Machines_;
   std::map<WaveNumber, WaveRecord> Waves_;
   bool Leaving_ = false;
+  bool AskingAdvisor_ = false;
 };
 
 } // namespace laburnumspread::cell
--- a/src/cell/internal/machinetable.cpp
+++ b/src/cell/internal/machinetable.cpp
@@ -69,6 +69,14 @@
          (!Machine.Worker_.empty() && Machine.Worker_ != Worker.Life_.Id_);
 }
 
+bool MachineTable::listsWorker(const WorkerId &Worker) const {
+  for (const auto &[Id, View] : Views_)
+    if (View.Record_.Worker_ == Worker &&
+        View.Record_.State_ == MachineState::Up)
+      return true;
+  return false;
+}
+
 std::optional<WorkerLife> MachineTable::lifeOn(const MachineId &Machine) const {
   const auto Found = LifeOf_.find(Machine);
   return Found == LifeOf_.end() ? std::nullopt : std::optional(Found->second);
--- a/src/cell/machines.h
+++ b/src/cell/machines.h
@@ -119,6 +119,9 @@
   bool inQuestion() const {
     if (Table_.anyBusy())
       return true;
+    for (const auto &[Life, Use] : Term_->Table_.workers())
+      if (!Term_->Workers_.contains(Life))
+        return true;
     for (const auto &[Life, Row] : Term_->Workers_)
       if ((Row->Unanswered_ > 0 || !Row->Listed_) &&
           Term_->Table_.useOf(Life) != nullptr)
@@ -139,6 +142,22 @@
     for (const WorkerRowPtr &Row : Gone)
       Sessions_->lifeOver(*Row, "its machine is down or gone by the list",
                           false);
+    loseUnlisted();
+  }
+
+  /// Runs on workers that nobody talks to any more and that no machine runs.
+  void loseUnlisted() {
+    std::vector<WorkerLife> Lost;
+    for (const auto &[Life, Use] : Term_->Table_.workers()) {
+      const auto Ended = Term_->EndedLives_.find(Life);
+      const TimePoint Since =
+          Ended == Term_->EndedLives_.end() ? Term_->BegunAt_ : Ended->second;
+      if (!Term_->Workers_.contains(Life) && now() - Since > ListLag &&
+          !Table_.listsWorker(Life.Id_))
+        Lost.push_back(Life);
+    }
+    for (const WorkerLife &Life : Lost)
+      Sessions_->loseRuns(Life, "no machine runs its worker");
   }
 
   /// Standing tasks on workers that are to leave start elsewhere at once;
--- a/src/cell/machinetable.h
+++ b/src/cell/machinetable.h
@@ -43,6 +43,9 @@
   /// workers that do not answer; one that is cut off is listed as up.
   bool saysGone(const WorkerRecord &Worker) const;
 
+  /// Whether the last list shows the worker's process on some machine.
+  bool listsWorker(const WorkerId &Worker) const;
+
   /// The machine's current worker, if one has been seen.
   std::optional<WorkerLife> lifeOn(const MachineId &Machine) const;
 
--- a/src/cell/sessions.h
+++ b/src/cell/sessions.h
@@ -67,10 +67,20 @@
         .field("born_ms", Row.Record_.Life_.BornMs_)
         .field("reason", Reason);
     if (!SameId)
-      loseRuns(Row.Record_.Life_, Reason);
+      idOver(Row.Record_.Life_.Id_, Reason);
     Row.wake();
   }
 
+  /// No process answers to the id any more: the runs of all its lives are over.
+  void idOver(const WorkerId &Id, std::string_view Reason) {
+    std::vector<WorkerLife> Lives;
+    for (const auto &[Life, Use] : Term_->Table_.workers())
+      if (Life.Id_ == Id)
+        Lives.push_back(Life);
+    for (const WorkerLife &Life : Lives)
+      loseRuns(Life, Reason);
+  }
+
   /// Ends all runs on a worker life that cannot be at work any more.
   void loseRuns(const WorkerLife &Life, std::string_view Reason) {
     const jobs::WorkerUse *Use = Term_->Table_.useOf(Life);
@@ -172,6 +182,7 @@
     for (const jobs::RunName &Run : Report.Haunting_)
       layToRest(Row, Run);
     Row.Haunted_ = Tracker_.haunted(Row.Record_.Life_);
+    paceFillers(Row, Reply);
     if (!Row.Synced_) {
       Row.noteSynced(now(), Term_->Bounds_.LongestHold_);
       Term_->Commits_.wake();
@@ -179,6 +190,50 @@
     noteEnds(Row, Reply);
   }
 
+  /// Slows tasks that only fill down while those that serve are near their
+  /// targets.
+  void paceFillers(WorkerRow &Row, const HoldReply &Reply) {
+    std::vector<scheduling::ServingLoad> Serving;
+    std::vector<jobs::RunName> Fillers;
+    for (const RunningRow &Item : Reply.Running_) {
+      const jobs::StepSpec *Step = Term_->Table_.specOf(Item.Run_.Task_);
+      if (!Step)
+        continue;
+      if (Step->Filler_)
+        Fillers.push_back(Item.Run_);
+      else if (Step->TargetMs_ > 0)
+        Serving.push_back({Step->TargetMs_, Item.Figure_});
+    }
+    if (Fillers.empty())
+      return;
+    const int Percent = Row.Pace_.next(Serving);
+    for (const jobs::RunName &Run : Fillers) {
+      const auto Known = Paced_.find(Run);
+      const int Before =
+          Known == Paced_.end() ? scheduling::Pacer::Full : Known->second;
+      if (Before != Percent)
+        pace(Row, Run, Percent);
+    }
+  }
+
+  void pace(const WorkerRow &Row, const jobs::RunName &Run, int Percent) {
+    Paced_[Run] = Percent;
+    framework::fibers::spawn(
+        [Self = this->shared_from_this(), Record = Row.Record_, Run, Percent] {
+          const OrderReply Reply = Self->Client_.pace(
+              Record, Run, Percent, Self->Term_->Token_, AnswerTime);
+          framework::log::info("run.pace")
+              .field("task", Run.Task_.str())
+              .field("run", Run.Run_.value())
+              .field("worker", Record.Life_.Id_.str())
+              .field("percent", Percent)
+              .field("result", nameOf(Reply.Result_));
+          // Unknown or refused: the next report sends it again.
+          if (Reply.Result_ != OrderResult::Done)
+            Self->Paced_.erase(Run);
+        });
+  }
+
   /// Waits until the listed ends are stored, so that the next hold can tell the
   /// worker that they are noted.
   void noteEnds(WorkerRow &Row, const HoldReply &Reply) {
@@ -259,6 +314,7 @@
         .field("after_ms", sinceMs(Live->StartedAt_))
         .field("by", Item.Reason_);
     Tracker_.forget(Run);
+    Paced_.erase(Run);
     Term_->Metrics_
         .counter("runs_ended_total{how=\"" +
                  std::string(jobs::nameOf(Item.Kind_)) + "\"}")
@@ -319,6 +375,11 @@
     Order.Payload_ = Payload;
     Order.Token_ = Term_->Token_;
     Order.From_ = Term_->Table_.find(Run.Task_)->Saved_;
+    Order.Ticket_ =
+        Term_->Advised_
+            .ticket({Run.Task_.Job_, Run.Task_.Occurrence_, Run.Task_.Step_},
+                    Item.On_.Id_, now())
+            .value_or("");
     if (Run.Run_ == jobs::RunNumber(1))
       Term_->Metrics_.histogram("task_first_start_seconds")
           .record(
@@ -360,6 +421,10 @@
       lifeOver(Row, "another life answers", true);
     if (Reply.Result_ == OrderResult::Fenced)
       Fenced_ = true;
+    const scheduling::StepName Step{Run.Task_.Job_, Run.Task_.Occurrence_,
+                                    Run.Task_.Step_};
+    if (Reply.Result_ == OrderResult::BadTicket)
+      Term_->Advised_.refused(Step, Row.Record_.Life_.Id_);
     if (Reply.Result_ == OrderResult::NoRoom)
       Row.Distrust_ += DistrustOfFailure;
     if (Ended)
@@ -416,6 +481,7 @@
   TermPtr Term_;
   Client &Client_;
   RunTracker Tracker_;
+  std::map<jobs::RunName, int> Paced_;
   bool Fenced_ = false;
 };
 
--- a/src/cell/term.h
+++ b/src/cell/term.h
@@ -3,6 +3,7 @@
 #include "cell/commitqueue.h"
 #include "cell/workertable.h"
 #include "framework/metrics/metrics.h"
+#include "scheduling/advicetable.h"
 #include "scheduling/estimates.h"
 
 namespace laburnumspread::cell {
@@ -42,6 +43,7 @@
   std::map<WorkerLife, TimePoint> EndedLives_;
   CellConfig Config_;
   scheduling::Estimates Learned_;
+  scheduling::AdviceTable Advised_;
   framework::metrics::Registry &Metrics_;
   CellBounds Bounds_;
   TimePoint BegunAt_;
--- a/src/cell/tests/machinetabletest.cpp
+++ b/src/cell/tests/machinetabletest.cpp
@@ -67,6 +67,24 @@
   BOOST_TEST(!Table.busy(Machine));
 }
 
+// A worker that does not answer may be cut off and at work; only the list can
+// say before its lease ends that it is not.
+BOOST_AUTO_TEST_CASE(ListTellsWhichSilentWorkersAreGone) {
+  MachineTable Table(1500ms);
+  BOOST_TEST(!Table.saysGone(worker(1)));
+  MachineRecord Up = listed(MachineState::Up);
+  Up.Worker_ = worker(1).Life_.Id_;
+  Table.takeList({Up}, Start);
+  BOOST_TEST(!Table.saysGone(worker(1)));
+  BOOST_TEST(Table.listsWorker(worker(1).Life_.Id_));
+  BOOST_TEST(Table.saysGone(worker(2)));
+  Table.takeList({listed(MachineState::Down)}, Start);
+  BOOST_TEST(Table.saysGone(worker(1)));
+  BOOST_TEST(!Table.listsWorker(worker(1).Life_.Id_));
+  Table.takeList({}, Start);
+  BOOST_TEST(Table.saysGone(worker(1)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace laburnumspread::cell
--- a/src/cell/workertable.h
+++ b/src/cell/workertable.h
@@ -3,6 +3,7 @@
 #include "cell/celltypes.h"
 #include "framework/clock/steadyclock.h"
 #include "framework/fibers/waiter.h"
+#include "scheduling/pacer.h"
 
 #include <memory>
 
@@ -59,6 +60,8 @@
   std::uint64_t EndsStored_ = 0;
   std::uint64_t EndsStaged_ = 0;
   std::uint64_t EndsTold_ = 0;
+  /// Pace of the tasks that only fill.
+  scheduling::Pacer Pace_;
   /// Runs that failed or hung there, fading.
   double Distrust_ = 0;
   framework::fibers::WaiterPtr Wake_;
--- a/src/scheduling/internal/scheduler.cpp
+++ b/src/scheduling/internal/scheduler.cpp
@@ -97,25 +97,32 @@
 class Placement {
 public:
   Placement(const CellTable &Table, const CellConfig &Config,
-            std::vector<Candidate> Workers)
-      : Table_(Table), Config_(Config), Workers_(std::move(Workers)) {
+            const AdviceTable &Advised, std::vector<Candidate> Workers,
+            TimePoint Now)
+      : Table_(Table), Config_(Config), Advised_(Advised),
+        Workers_(std::move(Workers)), Now_(Now) {
     for (std::size_t I = 0; I < Workers_.size(); ++I)
       ByPool_[Workers_[I].Worker_->Pool_].push_back(I);
   }
 
   /// Places the waiting tasks of a step. Returns how many found no worker.
-  std::size_t place(const ReadyStep &Step, TimePoint Now, Plan &Into) {
-    return Step.Spec_->Gang_ ? placeGang(Step, Into)
-                             : placeEach(Step, Now, Into);
+  std::size_t place(const ReadyStep &Step, Plan &Into) {
+    if (Step.Queue_->Advice_)
+      Into.WantAdvice_.push_back(nameOf(Step));
+    return Step.Spec_->Gang_ ? placeGang(Step, Into) : placeEach(Step, Into);
   }
 
 private:
-  std::size_t placeEach(const ReadyStep &Step, TimePoint Now, Plan &Into) {
+  static StepName nameOf(const ReadyStep &Step) {
+    return {Step.Job_->Spec_.Id_, Step.Occurrence_, Step.Step_};
+  }
+
+  std::size_t placeEach(const ReadyStep &Step, Plan &Into) {
     std::size_t Left = 0;
     bool Full = false;
     for (std::uint32_t I = 0; I < Step.Row_->Tasks_.size(); ++I) {
       const TaskRow &Task = Step.Row_->Tasks_[I];
-      if (!Task.idle() || Task.NotBefore_ > Now)
+      if (!Task.idle() || Task.NotBefore_ > Now_)
         continue;
       // Tasks of a step are alike: where one does not fit, none will.
       Candidate *Chosen = Full ? nullptr : choose(Step);
@@ -190,6 +197,9 @@
     if (!Spec.Requirement_.empty() &&
         !Worker.Worker_->hasLabel(Spec.Requirement_))
       return false;
+    if (Step.Queue_->Advice_ &&
+        !Advised_.ticket(nameOf(Step), Worker.Worker_->Life_.Id_, Now_))
+      return false;
     return Spec.AntiAffinity_ == 0 ||
            sameStepOn(Step, Worker) < Spec.AntiAffinity_;
   }
@@ -242,7 +252,9 @@
 
   const CellTable &Table_;
   const CellConfig &Config_;
+  const AdviceTable &Advised_;
   std::vector<Candidate> Workers_;
+  TimePoint Now_;
   std::map<cell::PoolName, std::vector<std::size_t>> ByPool_;
   std::map<jobs::WorkspaceName, Resources> Planned_;
   std::map<StepOnWorker, std::uint32_t> PerStep_;
@@ -306,10 +318,10 @@
       }
   }
   std::sort(Ready.begin(), Ready.end(), before);
-  Placement Places(Table_, Config_, std::move(Workers));
+  Placement Places(Table_, Config_, Advised_, std::move(Workers), At.Now_);
   Plan Result;
   for (const ReadyStep &Step : Ready)
-    Result.LeftWaiting_ += Places.place(Step, At.Now_, Result);
+    Result.LeftWaiting_ += Places.place(Step, Result);
   return Result;
 }
 
--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -2,6 +2,7 @@
 
 #include "cell/celltypes.h"
 #include "jobs/celltable.h"
+#include "scheduling/advicetable.h"
 #include "scheduling/estimates.h"
 
 #include <vector>
@@ -35,6 +36,9 @@
   std::vector<jobs::RunIntended> Starts_;
   /// Tasks that are ready but have found no worker.
   std::size_t LeftWaiting_ = 0;
+  /// Steps that may start only where the queue's advisor says, with tasks
+  /// waiting, in the order in which they would start.
+  std::vector<StepName> WantAdvice_;
 };
 
 /// When a job stops being in time: its stretched chain of work and the queue's
@@ -45,8 +49,8 @@
 class Scheduler {
 public:
   Scheduler(const CellTable &Table, const CellConfig &Config,
-            const Estimates &Learned)
-      : Table_(Table), Config_(Config), Learned_(Learned) {}
+            const Estimates &Learned, const AdviceTable &Advised)
+      : Table_(Table), Config_(Config), Learned_(Learned), Advised_(Advised) {}
 
   Plan plan(std::vector<Candidate> Workers, Moment At) const;
 
@@ -54,6 +58,7 @@
   const CellTable &Table_;
   const CellConfig &Config_;
   const Estimates &Learned_;
+  const AdviceTable &Advised_;
 };
 
 } // namespace laburnumspread::scheduling
--- /dev/null
+++ b/src/scheduling/tests/advicetabletest.cpp
@@ -0,0 +1,60 @@
+#include "scheduling/advicetable.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace laburnumspread::scheduling {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+const TimePoint Start(std::chrono::hours(1));
+const StepName Step{jobs::JobId("job"), 0, 1};
+const jobs::WorkerId Good("good"), Bad("bad");
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(AdviceTableTest)
+
+BOOST_AUTO_TEST_CASE(TicketHoldsForItsTimeLessTheWay) {
+  AdviceTable Table;
+  BOOST_TEST(Table.beginAsking(Step, Start));
+  BOOST_TEST(!Table.beginAsking(Step, Start));
+  Table.answered(Step, {{Good, "t"}}, 3000ms, Start);
+  BOOST_TEST(Table.ticket(Step, Good, Start).value_or("") == "t");
+  BOOST_TEST(!Table.ticket(Step, Bad, Start));
+  BOOST_TEST(!Table.ticket(Step, Good, Start + 2800ms));
+}
+
+BOOST_AUTO_TEST_CASE(AskedAgainBeforeTheTicketsEnd) {
+  AdviceTable Table;
+  Table.beginAsking(Step, Start);
+  Table.answered(Step, {{Good, "t"}}, 3000ms, Start);
+  BOOST_TEST(!Table.beginAsking(Step, Start + 1s));
+  BOOST_TEST(Table.beginAsking(Step, Start + 2500ms));
+}
+
+BOOST_AUTO_TEST_CASE(NoWorkerOrNoAnswerIsAskedAgainSoon) {
+  AdviceTable Table;
+  Table.beginAsking(Step, Start);
+  Table.answered(Step, {}, 3000ms, Start);
+  BOOST_TEST(!Table.beginAsking(Step, Start + 100ms));
+  BOOST_TEST(Table.beginAsking(Step, Start + 500ms));
+  Table.unanswered(Step, Start + 600ms);
+  BOOST_TEST(Table.beginAsking(Step, Start + 1100ms));
+}
+
+// A worker was replaced under its id: its ticket is refused, and the step must
+// not be sent there again and again.
+BOOST_AUTO_TEST_CASE(RefusedTicketIsNotUsedAgain) {
+  AdviceTable Table;
+  Table.beginAsking(Step, Start);
+  Table.answered(Step, {{Good, "t"}}, 3000ms, Start);
+  Table.refused(Step, Good);
+  BOOST_TEST(!Table.ticket(Step, Good, Start));
+  BOOST_TEST(Table.beginAsking(Step, Start));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace laburnumspread::scheduling
--- /dev/null
+++ b/src/scheduling/tests/pacertest.cpp
@@ -0,0 +1,48 @@
+#include "scheduling/pacer.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace laburnumspread::scheduling {
+
+BOOST_AUTO_TEST_SUITE(PacerTest)
+
+BOOST_AUTO_TEST_CASE(FullSpeedWhileNobodyIsNearTheTarget) {
+  Pacer Pace;
+  BOOST_TEST(Pace.next({}) == Pacer::Full);
+  BOOST_TEST(Pace.next({{100, 30}, {200, 120}}) == Pacer::Full);
+}
+
+BOOST_AUTO_TEST_CASE(CutByHalfUntilItStandsStill) {
+  Pacer Pace;
+  BOOST_TEST(Pace.next({{100, 90}}) == 50);
+  BOOST_TEST(Pace.next({{100, 120}}) == 25);
+  BOOST_TEST(Pace.next({{100, 120}}) == 12);
+  BOOST_TEST(Pace.next({{100, 120}}) == 0);
+}
+
+BOOST_AUTO_TEST_CASE(RaisedSlowlyAndKeptInBetween) {
+  Pacer Pace;
+  Pace.next({{100, 90}});
+  BOOST_TEST(Pace.next({{100, 75}}) == 50);
+  BOOST_TEST(Pace.next({{100, 50}}) == 60);
+}
+
+// Service that a filling task slows down by its pace settles below the target
+// and the filling task keeps working.
+BOOST_AUTO_TEST_CASE(SettlesUnderTheTarget) {
+  Pacer Pace;
+  int OverInRow = 0, Worked = 0;
+  int Percent = Pace.percent();
+  for (int I = 0; I < 200; ++I) {
+    const std::int64_t Tail = 40 + Percent;
+    OverInRow = Tail > 100 ? OverInRow + 1 : 0;
+    BOOST_TEST(OverInRow < 4);
+    Percent = Pace.next({{100, Tail}});
+    Worked += Percent;
+  }
+  BOOST_TEST(Worked > 200 * 20);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace laburnumspread::scheduling
--- /dev/null
+++ b/src/scheduling/tests/schedulertest.cpp
@@ -0,0 +1,199 @@
+#include "scheduling/scheduler.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+
+namespace laburnumspread::scheduling {
+
+namespace {
+
+using namespace std::chrono_literals;
+using jobs::JobId;
+using jobs::JobSpec;
+using jobs::StepSpec;
+
+const TimePoint Start(std::chrono::hours(1));
+const cell::PoolName Pool("pool");
+const jobs::QueueName Queue("q");
+
+StepSpec step(std::uint32_t Count, std::int64_t Cpu) {
+  StepSpec Result;
+  Result.Count_ = Count;
+  Result.Each_ = {Cpu, 100, 0};
+  Result.Estimate_ = 1000ms;
+  return Result;
+}
+
+struct Fixture {
+  Fixture() {
+    cell::QueueConfig Item;
+    Item.Name_ = Queue;
+    Item.Pool_ = Pool;
+    Item.Stretch_ = 1.6;
+    Item.AimLatency_ = 600ms;
+    Config_.Queues_ = {Item};
+  }
+
+  void job(const std::string &Id, std::vector<StepSpec> Steps,
+           Duration Age = 0ms, const std::string &Workspace = "ws") {
+    JobSpec Spec;
+    Spec.Id_ = JobId(Id);
+    Spec.Queue_ = Queue;
+    Spec.Workspace_ = jobs::WorkspaceName(Workspace);
+    Spec.Steps_ = std::move(Steps);
+    Table_.apply(jobs::JobAccepted{Spec}, Start - Age);
+  }
+
+  void worker(const std::string &Id, std::int64_t Cpu,
+              std::vector<jobs::Label> Labels = {}) {
+    Records_.emplace_back();
+    cell::WorkerRecord &Record = Records_.back();
+    Record.Life_ = {jobs::WorkerId(Id), 1};
+    Record.Pool_ = Pool;
+    Record.Room_ = {Cpu, 100000, 8};
+    Record.Labels_ = std::move(Labels);
+  }
+
+  std::vector<jobs::RunIntended> plan(TimePoint Now = Start) {
+    std::vector<Candidate> Workers;
+    for (const cell::WorkerRecord &Record : Records_)
+      Workers.push_back({&Record, Record.Room_, 0});
+    return Scheduler(Table_, Config_, Learned_, Advised_)
+        .plan(std::move(Workers), {Now, 1'000'000})
+        .Starts_;
+  }
+
+  static std::size_t startsOf(const std::vector<jobs::RunIntended> &Starts,
+                              const std::string &Id) {
+    return static_cast<std::size_t>(
+        std::count_if(Starts.begin(), Starts.end(), [&](const auto &Item) {
+          return Item.Run_.Task_.Job_.str() == Id;
+        }));
+  }
+
+  CellTable Table_;
+  CellConfig Config_;
+  Estimates Learned_;
+  AdviceTable Advised_;
+  std::deque<cell::WorkerRecord> Records_;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(SchedulerTest, Fixture)
+
+BOOST_AUTO_TEST_CASE(StepsWaitForThoseBefore) {
+  worker("w", 10000);
+  StepSpec Second = step(3, 100);
+  Second.After_ = {0};
+  job("a", {step(2, 100), Second});
+  BOOST_TEST(plan().size() == 2u);
+}
+
+BOOST_AUTO_TEST_CASE(NoWorkerIsGivenMoreThanItsRoom) {
+  worker("w", 1000);
+  worker("v", 500);
+  job("a", {step(9, 400)});
+  BOOST_TEST(plan().size() == 3u);
+}
+
+BOOST_AUTO_TEST_CASE(SmallWorkGoesFirstAmongWhatCanBeInTime) {
+  worker("w", 1000);
+  job("large", {step(10, 200)});
+  job("small", {step(2, 200)});
+  const auto Starts = plan();
+  BOOST_TEST(startsOf(Starts, "small") == 2u);
+  BOOST_TEST(startsOf(Starts, "large") == 3u);
+}
+
+// Under a load that is too high everything would be begun just before it is
+// late, and be late: what can no longer be in time yields to what can.
+BOOST_AUTO_TEST_CASE(WhatCannotBeInTimeYields) {
+  worker("w", 1000);
+  job("hopeless", {step(1, 1000)}, 2s);
+  job("fresh", {step(5, 200)});
+  const auto Starts = plan();
+  BOOST_TEST(startsOf(Starts, "fresh") == 5u);
+  BOOST_TEST(startsOf(Starts, "hopeless") == 0u);
+}
+
+BOOST_AUTO_TEST_CASE(LateWorkTakesWhatIsLeft) {
+  worker("w", 1000);
+  job("late", {step(1, 300)}, 10s);
+  job("fresh", {step(1, 300)});
+  BOOST_TEST(plan().size() == 2u);
+}
+
+BOOST_AUTO_TEST_CASE(StandingTasksComeFirst) {
+  worker("w", 1000);
+  job("work", {step(2, 500)});
+  StepSpec Standing = step(1, 1000);
+  Standing.LongRunning_ = true;
+  job("service", {Standing});
+  const auto Starts = plan();
+  BOOST_TEST(startsOf(Starts, "service") == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(WorkspaceStaysWithinItsUpperLimit) {
+  worker("w", 10000);
+  Config_.Workspaces_[jobs::WorkspaceName("ws")].MaxAllowed_ = {1000, 0, 0};
+  job("a", {step(9, 400)});
+  BOOST_TEST(plan().size() == 2u);
+}
+
+BOOST_AUTO_TEST_CASE(AntiAffinityLabelsAndGangs) {
+  worker("w", 10000, {jobs::Label("gpu")});
+  worker("v", 10000);
+  StepSpec Apart = step(5, 100);
+  Apart.AntiAffinity_ = 1;
+  job("apart", {Apart});
+  StepSpec Labelled = step(2, 100);
+  Labelled.Requirement_ = jobs::Label("gpu");
+  job("labelled", {Labelled});
+  StepSpec Gang = step(30, 1000);
+  Gang.Gang_ = true;
+  job("gang", {Gang});
+  const auto Starts = plan();
+  BOOST_TEST(startsOf(Starts, "apart") == 2u);
+  BOOST_TEST(startsOf(Starts, "labelled") == 2u);
+  // Room for some of the gang only: none starts.
+  BOOST_TEST(startsOf(Starts, "gang") == 0u);
+}
+
+BOOST_AUTO_TEST_CASE(GangStartsWholeUnderOneNumber) {
+  worker("w", 10000);
+  StepSpec Gang = step(4, 1000);
+  Gang.Gang_ = true;
+  job("gang", {Gang});
+  const auto Starts = plan();
+  BOOST_REQUIRE(Starts.size() == 4u);
+  for (const auto &Item : Starts)
+    BOOST_TEST(Item.Run_.Run_ == jobs::RunNumber(1));
+}
+
+BOOST_AUTO_TEST_CASE(AdvisedQueueStartsOnlyWithATicket) {
+  worker("w", 10000);
+  worker("v", 10000);
+  Config_.Queues_[0].Advice_ = cell::AdviceTerms{};
+  job("a", {step(2, 100)});
+  BOOST_TEST(plan().empty());
+  const StepName Step{JobId("a"), 0, 0};
+  Advised_.beginAsking(Step, Start);
+  Advised_.answered(Step, {{jobs::WorkerId("v"), "t"}}, 3s, Start);
+  const auto Starts = plan();
+  BOOST_REQUIRE(Starts.size() == 2u);
+  BOOST_TEST(Starts[0].On_.Id_ == jobs::WorkerId("v"));
+}
+
+BOOST_AUTO_TEST_CASE(FillersCountNoProcessor) {
+  worker("w", 1000);
+  StepSpec Filler = step(3, 5000);
+  Filler.Filler_ = true;
+  job("fill", {Filler});
+  BOOST_TEST(plan().size() == 3u);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace laburnumspread::scheduling
