--- /dev/null
+++ b/src/cell/tests/cellsettingstest.cpp
@@ -0,0 +1,58 @@
+#include "cell/cellsettings.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace laburnumspread::cell {
+
+namespace {
+
+std::string settings(const std::string &Changed = "") {
+  return R"({
+  // comment
+  "kind": "cell", "name": "e1", "zone": "z1",
+  "listen": {"callers": "127.0.0.1:1", "readiness": "127.0.0.1:2",
+             "peers": "127.0.0.1:3", "metrics": "127.0.0.1:4"},
+  "store": {"address": "127.0.0.1:5"},
+  "services": {"machines": "127.0.0.1:6", "advisor": ""},
+  "peerKeys": {"public": "0123456789012345678901234567890123456789",
+               "secret": "0123456789012345678901234567890123456789"})" +
+         Changed + "}";
+}
+
+std::string faultOf(const std::string &Text) {
+  const auto Read = readCellSettings(Text, "file");
+  return Read.ok() ? "" : std::string(Read.status().message());
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(CellSettingsTest)
+
+BOOST_AUTO_TEST_CASE(WholeFileIsRead) {
+  const auto Read = readCellSettings(
+      settings(R"(, "bounds": {"longestHoldMs": 5000, "moveSeconds": 2.5})"),
+      "file");
+  BOOST_REQUIRE_MESSAGE(Read.ok(), Read.status().message());
+  BOOST_TEST(Read->Name_ == fleet::EntryName("e1"));
+  BOOST_TEST(Read->Machines_.Port_ == 6);
+  BOOST_TEST(Read->Advisor_.Port_ == 0);
+  BOOST_TEST((Read->Bounds_.LongestHold_ == std::chrono::seconds(5)));
+  BOOST_TEST((Read->Bounds_.Move_ == std::chrono::milliseconds(2500)));
+}
+
+BOOST_AUTO_TEST_CASE(FaultsNameTheField) {
+  BOOST_TEST(faultOf("{").find("file") != std::string::npos);
+  BOOST_TEST(faultOf(R"({"kind": "cell"})").find("listen") !=
+             std::string::npos);
+  BOOST_TEST(faultOf(settings(R"(, "bounds": {"graceSeconds": -1})"))
+                 .find("bounds.graceSeconds") != std::string::npos);
+  BOOST_TEST(faultOf(settings(R"(, "misspelt": 1)")).find("misspelt") !=
+             std::string::npos);
+  BOOST_TEST(
+      faultOf(settings(R"(, "log": {"level": "loud"})")).find("log.level") !=
+      std::string::npos);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace laburnumspread::cell
