--- a/src/cell/sessions.h
+++ b/src/cell/sessions.h
@@ -2,6 +2,7 @@
 
 #include "cell/runtracker.h"
 #include "cell/term.h"
+#include "scheduling/scheduler.h"
 
 namespace laburnumspread::cell {
 
@@ -28,6 +29,8 @@
   /// As many as fit into the window.
   static constexpr int StartAttempts = 4;
   static constexpr double DistrustOfFailure = 1;
+  /// In the log, of a worker that has not answered this holder yet.
+  static constexpr std::int64_t NeverAnswered = -1;
 
   Sessions(TermPtr T, Client &C)
       : Term_(std::move(T)), Client_(C), Tracker_(Term_->Table_) {}
@@ -149,7 +152,9 @@
       framework::log::warning("worker.unanswered")
           .field("worker", Row.Record_.Life_.Id_.str())
           .field("result", nameOf(Result))
-          .field("last_answer_ms_ago", sinceMs(Row.AnsweredAt_));
+          .field("last_answer_ms_ago", Row.AnsweredAt_ == TimePoint()
+                                           ? NeverAnswered
+                                           : sinceMs(Row.AnsweredAt_));
     Term_->Table_.forgetProgress(Row.Record_.Life_);
     if (Row.surelyLapsed(now(), Term_->inheritedLeaseEnds()))
       loseRuns(Row.Record_.Life_, "lease ran out unseen");
@@ -319,10 +324,35 @@
         .counter("runs_ended_total{how=\"" +
                  std::string(jobs::nameOf(Item.Kind_)) + "\"}")
         .add();
+    const jobs::JobRow *Job = Term_->Table_.find(Run.Task_.Job_);
+    const bool Open = Job && !Job->ended();
     Term_->Commits_.stage(jobs::RunEnded{Run, Item.Kind_, Item.Saved_});
+    if (Open && Job->ended())
+      jobEnded(*Job, Run.Task_);
     stopEnded(Run.Task_.Job_);
   }
 
+  /// Logs a job's end, with the task whose end brought it about.
+  void jobEnded(const jobs::JobRow &Job, const jobs::TaskName &Last) {
+    const QueueConfig *Queue = Term_->Config_.find(Job.Spec_.Queue_);
+    const bool Late =
+        Queue && now() > scheduling::dueAt(Job, *Queue, Term_->Learned_);
+    const jobs::TaskRow *Task = Term_->Table_.find(Last);
+    Term_->Metrics_
+        .counter("jobs_ended_total{state=\"" +
+                 std::string(jobs::nameOf(Job.State_)) + "\"}")
+        .add();
+    framework::log::info("job.ended")
+        .field("job", Job.Spec_.Id_.str())
+        .field("queue", Job.Spec_.Queue_.str())
+        .field("state", jobs::nameOf(Job.State_))
+        .field("after_ms", sinceMs(Job.AcceptedAt_))
+        .field("late", Late ? "yes" : "no")
+        .field("last_task", Last.str())
+        .field("failures",
+               static_cast<std::uint64_t>(Task ? Task->Failures_ : 0));
+  }
+
   /// A job that has failed for good has no use for its other tasks; a task
   /// that is done has none for its copies.
   void stopEnded(const jobs::JobId &Id) {
