--- a/src/app/internal/cellapp.cpp
+++ b/src/app/internal/cellapp.cpp
@@ -68,6 +68,8 @@
                    const std::vector<cell::WorkerId> &Ids) {
               return Advisor_.ask(Step, Ids);
             },
+            cell::Candidacy(cell::Candidacy::weightOf(Settings_.Cores_,
+                                                      Settings_.LinkMbps_)),
             journal::CellKeys(Settings_.StorePrefix_ + "cell/0/"),
             holderOf(Self_), Settings_.Bounds_, Metrics_),
         Router_(
--- a/src/cell/cellservice.h
+++ b/src/cell/cellservice.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "cell/candidacy.h"
 #include "cell/machines.h"
 #include "peers/messages.h"
 #include "scheduling/scheduler.h"
@@ -36,6 +37,9 @@
   /// The lease of a second is renewed this often, so that several renewals may
   /// get lost.
   static constexpr Duration RenewEvery = std::chrono::milliseconds(200);
+  /// At the first start of all entries; they start within some tenths of a
+  /// second of each other.
+  static constexpr Duration FirstStart = std::chrono::milliseconds(500);
   static constexpr Duration CampaignPause = std::chrono::milliseconds(100);
   static constexpr Duration TickEvery = std::chrono::milliseconds(100);
   /// An order may be carried out this long after it was sent (the platform's
@@ -47,12 +51,13 @@
   static constexpr double DistrustHalvesIn = 4.0;
 
   CellService(Store &S, Client &C, Service &Api, WorkerDirectory Directory,
-              WaveReports Reports, AskAdvisor Ask,
+              WaveReports Reports, AskAdvisor Ask, Candidacy Mine,
               const journal::CellKeys &Keys, journal::Holder Self,
               CellBounds Bounds, framework::metrics::Registry &Metrics)
       : Store_(S), Client_(C), Api_(Api), Directory_(std::move(Directory)),
-        Reports_(std::move(Reports)), Ask_(std::move(Ask)), Keys_(Keys),
-        Bounds_(Bounds), Metrics_(Metrics), Lead_(S, Keys, std::move(Self)) {}
+        Reports_(std::move(Reports)), Ask_(std::move(Ask)),
+        Mine_(std::move(Mine)), Keys_(Keys), Bounds_(Bounds), Metrics_(Metrics),
+        Lead_(S, Keys, std::move(Self)) {}
 
   void start(std::string PeerAddress) {
     Lead_.setPeerAddress(std::move(PeerAddress));
@@ -141,8 +146,36 @@
 
   // Leadership.
 
+  /// Tells the other entries this one's weight, and hears theirs. At the very
+  /// first start the others need a moment to do the same.
+  void declareCandidacy() {
+    store::Transaction Txn;
+    Txn.Puts_ = {{Keys_.candidates() + Lead_.self().Entry_.str(),
+                  std::to_string(Mine_.weight()), 0}};
+    const auto Written =
+        Store_.commit(Txn, framework::clock::wallDeadline(ListTime));
+    if (!Written.ok())
+      framework::log::warning("candidacy.not_written")
+          .field("reason", std::string(Written.status().message()));
+    if (readCandidates() <= 1) {
+      framework::fibers::sleepFor(FirstStart);
+      readCandidates();
+    }
+  }
+
+  std::size_t readCandidates() {
+    const auto Read = Store_.range(Keys_.candidates(), fleet::Revision(0),
+                                   framework::clock::wallDeadline(ListTime));
+    if (!Read.ok())
+      return 0;
+    for (const store::KeyValue &Item : Read->Items_)
+      Mine_.note(Item.Key_, std::strtod(Item.Value_.c_str(), nullptr));
+    return Read->Items_.size();
+  }
+
   /// Follows the head key, and campaigns while there is none.
   void headLoop() {
+    declareCandidacy();
     while (true) {
       const auto Read = Store_.range(Keys_.head(), fleet::Revision(0),
                                      framework::clock::wallDeadline(ListTime));
@@ -168,6 +201,7 @@
     if (const auto Read =
             journal::decodeHolder(Item.Value_, Item.ModRevision_)) {
       Seen_ = *Read;
+      Waited_ = false;
       if (Lead_.held() && Lead_.token() != Seen_.Token_)
         endTerm("another holder was seen");
       else if (!Lead_.held() && Lead_.adoptIfOwn(*Read).value_or(false))
@@ -201,6 +235,8 @@
         Seen_.Entry_ == Self.Entry_ && Seen_.Incarnation_ < Self.Incarnation_;
     if (!Free && !Former)
       return;
+    if (Free && !waitedItsTurn())
+      return;
     const auto Won = Free ? Lead_.campaign() : Lead_.replace(Seen_);
     framework::log::info("leadership.campaign")
         .field("result", !Won.ok() ? "no answer"
@@ -222,6 +258,19 @@
     }
   }
 
+  /// Whether the wait before a campaign is over. A weaker entry waits once for
+  /// each time that the cell is without a holder, and looks again.
+  bool waitedItsTurn() {
+    if (std::exchange(Waited_, false))
+      return true;
+    const Duration Wait = Mine_.wait();
+    if (Wait == Duration::zero())
+      return true;
+    framework::fibers::sleepFor(Wait);
+    Waited_ = true;
+    return false;
+  }
+
   /// Not waited for: the next renewal must not be late because the answer to
   /// this one is lost.
   void renewOnce() {
@@ -651,6 +700,7 @@
   WorkerDirectory Directory_;
   WaveReports Reports_;
   AskAdvisor Ask_;
+  Candidacy Mine_;
   journal::CellKeys Keys_;
   CellBounds Bounds_;
   framework::metrics::Registry &Metrics_;
@@ -663,6 +713,7 @@
   std::map<WaveNumber, WaveRecord> Waves_;
   bool Leaving_ = false;
   bool AskingAdvisor_ = false;
+  bool Waited_ = false;
 };
 
 } // namespace laburnumspread::cell
--- a/src/cell/cellsettings.h
+++ b/src/cell/cellsettings.h
@@ -25,6 +25,9 @@
   /// The service that says which workers may run a step; no port for none.
   Address Advisor_;
   std::string StorePrefix_;
+  /// Processor time of the entry, in cores, and the width of its link.
+  double Cores_ = 1;
+  double LinkMbps_ = 1000;
   peers::PeerKeys PeerKeys_;
   CellBounds Bounds_;
   framework::log::Format LogFormat_ = framework::log::Format::KeyValue;
--- /dev/null
+++ b/src/cell/internal/candidacy.cpp
@@ -0,0 +1,30 @@
+#include "cell/candidacy.h"
+
+#include <algorithm>
+
+namespace laburnumspread::cell {
+
+namespace {
+
+/// A holder of some hundred workers sends and hears a few Mbit/s; beyond this
+/// the link does not matter.
+constexpr double WideLinkMbps = 50;
+
+} // namespace
+
+double Candidacy::weightOf(double Cores, double LinkMbps) {
+  return Cores * std::min(1.0, LinkMbps / WideLinkMbps);
+}
+
+framework::clock::Duration Candidacy::wait() const {
+  double Strongest = Weight_;
+  for (const auto &[Entry, Weight] : Others_)
+    Strongest = std::max(Strongest, Weight);
+  if (Strongest <= 0 || Weight_ >= (1 - Alike) * Strongest)
+    return framework::clock::Duration::zero();
+  const double Lack = 1 - Weight_ / Strongest;
+  return LeastWait + std::chrono::duration_cast<framework::clock::Duration>(
+                         Lack * (LongestWait - LeastWait));
+}
+
+} // namespace laburnumspread::cell
--- a/src/cell/internal/cellsettings.cpp
+++ b/src/cell/internal/cellsettings.cpp
@@ -16,6 +16,8 @@
 constexpr std::int64_t MostMillis = 3'600'000;
 constexpr double MostSeconds = 86'400;
 constexpr double MostFactor = 1000;
+constexpr double MostCores = 1024;
+constexpr double MostMbps = 1e6;
 
 Address readAddress(JsonReader &Reader, std::string_view Field, bool Required) {
   const std::string Text = Required ? Reader.requiredString(Field)
@@ -94,6 +96,11 @@
   Result.Machines_ = readAddress(Services, "machines", false);
   Result.Advisor_ = readAddress(Services, "advisor", false);
   Services.finish();
+  JsonReader Capacity = Reader.child("capacity", false);
+  Result.Cores_ = Capacity.optionalNumber("cores", Result.Cores_, 0, MostCores);
+  Result.LinkMbps_ =
+      Capacity.optionalNumber("linkMbps", Result.LinkMbps_, 0, MostMbps);
+  Capacity.finish();
   JsonReader Keys = Reader.child("peerKeys", true);
   Result.PeerKeys_.Public_ = readCurveKey(Keys, "public");
   Result.PeerKeys_.Secret_ = readCurveKey(Keys, "secret");
--- a/src/journal/holder.h
+++ b/src/journal/holder.h
@@ -35,6 +35,8 @@
   explicit CellKeys(std::string Prefix) : Prefix_(std::move(Prefix)) {}
 
   std::string head() const { return Prefix_ + "head"; }
+  /// Each entry's weight as a candidate.
+  std::string candidates() const { return Prefix_ + "candidates/"; }
   std::string base() const { return Prefix_ + "base"; }
   std::string logPrefix() const { return Prefix_ + "log/"; }
   std::string log(std::uint64_t Index) const;
