--- a/src/app/laburnumspreadd.cpp
+++ b/src/app/laburnumspreadd.cpp
@@ -5,13 +5,11 @@
 #include "framework/fibers/spawn.h"
 #include "framework/fibers/waiter.h"
 #include "framework/log/log.h"
-#include "framework/settings/jsonreader.h"
+#include "framework/settings/settingsfile.h"
 
 #include <csignal>
-#include <fstream>
 #include <functional>
 #include <iostream>
-#include <sstream>
 
 #include <boost/asio/signal_set.hpp>
 #include <cxxopts.hpp>
@@ -137,10 +135,10 @@
 
 /// Whether the settings are those of an entry that serves jobs.
 bool isCell(const std::string &File) {
-  std::ifstream In(File);
-  std::stringstream Text;
-  Text << In.rdbuf();
-  const auto Document = framework::settings::parseJson(Text.str());
+  const auto Text = framework::settings::readSettingsFile(File);
+  if (!Text.ok())
+    return false;
+  const auto Document = framework::settings::parseJson(*Text);
   const auto *Fields = Document.ok() ? Document->if_object() : nullptr;
   const auto *Kind = Fields ? Fields->if_contains("kind") : nullptr;
   return Kind && Kind->is_string() && Kind->get_string() == "cell";
--- /dev/null
+++ b/src/cell/fillerpace.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "cell/term.h"
+
+namespace laburnumspread::cell {
+
+/// Slows the tasks that only fill down while tasks that serve beside them are
+/// near their targets. The pace is Pacer's; here it is sent to the worker, and
+/// again while the worker has not confirmed it.
+template <store::KeyValueStore Store, WorkerClient Client> class FillerPace {
+public:
+  static constexpr Duration AnswerTime = std::chrono::milliseconds(300);
+
+  FillerPace(std::shared_ptr<Term<Store>> T, Client &C)
+      : Term_(std::move(T)), Client_(C) {}
+
+  /// Takes a worker's report.
+  void take(WorkerRow &Row, const HoldReply &Reply) {
+    std::vector<scheduling::ServingLoad> Serving;
+    std::vector<jobs::RunName> Fillers;
+    for (const RunningRow &Item : Reply.Running_) {
+      const jobs::StepSpec *Step = Term_->Table_.specOf(Item.Run_.Task_);
+      if (!Step)
+        continue;
+      if (Step->Filler_)
+        Fillers.push_back(Item.Run_);
+      else if (Step->TargetMs_ > 0)
+        Serving.push_back({Step->TargetMs_, Item.Figure_});
+    }
+    if (Fillers.empty())
+      return;
+    const int Percent = Row.Pace_.next(Serving);
+    for (const jobs::RunName &Run : Fillers) {
+      const auto Known = Paced_->find(Run);
+      const int Before =
+          Known == Paced_->end() ? scheduling::Pacer::Full : Known->second;
+      if (Before != Percent)
+        send(Row, Run, Percent);
+    }
+  }
+
+  void forget(const jobs::RunName &Run) { Paced_->erase(Run); }
+
+private:
+  using PaceByRun = std::map<jobs::RunName, int>;
+
+  void send(const WorkerRow &Row, const jobs::RunName &Run, int Percent) {
+    (*Paced_)[Run] = Percent;
+    framework::fibers::spawn([T = Term_, &C = Client_, Paced = Paced_,
+                              Record = Row.Record_, Run, Percent] {
+      const OrderReply Reply =
+          C.pace(Record, Run, Percent, T->Token_, AnswerTime);
+      framework::log::info("run.pace")
+          .field("task", Run.Task_.str())
+          .field("run", Run.Run_.value())
+          .field("worker", Record.Life_.Id_.str())
+          .field("percent", Percent)
+          .field("result", nameOf(Reply.Result_));
+      // Unknown or refused: the next report sends it again.
+      if (Reply.Result_ != OrderResult::Done)
+        Paced->erase(Run);
+    });
+  }
+
+  std::shared_ptr<Term<Store>> Term_;
+  Client &Client_;
+  /// Kept alive by the orders on their way.
+  std::shared_ptr<PaceByRun> Paced_ = std::make_shared<PaceByRun>();
+};
+
+} // namespace laburnumspread::cell
--- a/src/cell/internal/cellsettings.cpp
+++ b/src/cell/internal/cellsettings.cpp
@@ -1,18 +1,14 @@
 #include "cell/cellsettings.h"
 
-#include "framework/settings/jsonreader.h"
-
-#include <fstream>
-#include <sstream>
+#include "framework/settings/settingsfile.h"
 
 namespace laburnumspread::cell {
 
-using framework::settings::FieldErrors;
 using framework::settings::JsonReader;
+using framework::settings::readCurveKey;
 
 namespace {
 
-constexpr std::size_t CurveKeyLength = 40;
 constexpr std::int64_t MostMillis = 3'600'000;
 constexpr double MostSeconds = 86'400;
 constexpr double MostFactor = 1000;
@@ -28,13 +24,6 @@
   return Parsed.value_or(Address());
 }
 
-std::string readCurveKey(JsonReader &Reader, std::string_view Field) {
-  std::string Key = Reader.requiredString(Field);
-  if (!Key.empty() && Key.size() != CurveKeyLength)
-    Reader.fault(Field, "must be a Z85 key of 40 characters");
-  return Key;
-}
-
 void readMillis(JsonReader &Reader, std::string_view Field, Duration &Into) {
   const auto Default =
       std::chrono::duration_cast<std::chrono::milliseconds>(Into).count();
@@ -111,45 +100,19 @@
   return Result;
 }
 
-/// One line for each fault: "file:line: field: reason".
-std::string faultLines(const FieldErrors &Errors, std::string_view Text,
-                       const std::string &File) {
-  std::string Lines;
-  for (const auto &Error : Errors) {
-    if (!Lines.empty())
-      Lines += '\n';
-    Lines += File;
-    if (const int Line = framework::settings::lineOfField(Text, Error.Path_);
-        Line > 0)
-      Lines += ":" + std::to_string(Line);
-    Lines += ": " + Error.Path_ + ": " + Error.Reason_;
-  }
-  return Lines;
-}
-
 } // namespace
 
 absl::StatusOr<CellSettings> readCellSettings(std::string_view Text,
                                               const std::string &File) {
-  const auto Document = framework::settings::parseJson(Text);
-  if (!Document.ok())
-    return absl::InvalidArgumentError(File + ": " +
-                                      std::string(Document.status().message()));
-  FieldErrors Errors;
-  JsonReader Reader(*Document, "", Errors);
-  CellSettings Result = readFields(Reader);
-  if (!Errors.empty())
-    return absl::InvalidArgumentError(faultLines(Errors, Text, File));
-  return Result;
+  return framework::settings::readSettingsText<CellSettings>(Text, File,
+                                                             readFields);
 }
 
 absl::StatusOr<CellSettings> loadCellSettings(const std::string &File) {
-  std::ifstream In(File);
-  if (!In)
-    return absl::NotFoundError(File + ": cannot be read");
-  std::stringstream Text;
-  Text << In.rdbuf();
-  return readCellSettings(Text.str(), File);
+  const auto Text = framework::settings::readSettingsFile(File);
+  if (!Text.ok())
+    return Text.status();
+  return readCellSettings(*Text, File);
 }
 
 } // namespace laburnumspread::cell
--- a/src/cell/sessions.h
+++ b/src/cell/sessions.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "cell/fillerpace.h"
 #include "cell/runtracker.h"
 #include "cell/term.h"
 #include "scheduling/scheduler.h"
@@ -33,7 +34,8 @@
   static constexpr std::int64_t NeverAnswered = -1;
 
   Sessions(TermPtr T, Client &C)
-      : Term_(std::move(T)), Client_(C), Tracker_(Term_->Table_) {}
+      : Term_(std::move(T)), Client_(C), Tracker_(Term_->Table_),
+        Fillers_(Term_, Client_) {}
 
   /// Starts the session of a worker that has just come up.
   void open(const WorkerRowPtr &Row) {
@@ -187,7 +189,7 @@
     for (const jobs::RunName &Run : Report.Haunting_)
       layToRest(Row, Run);
     Row.Haunted_ = Tracker_.haunted(Row.Record_.Life_);
-    paceFillers(Row, Reply);
+    Fillers_.take(Row, Reply);
     if (!Row.Synced_) {
       Row.noteSynced(now(), Term_->Bounds_.LongestHold_);
       Term_->Commits_.wake();
@@ -195,50 +197,6 @@
     noteEnds(Row, Reply);
   }
 
-  /// Slows tasks that only fill down while those that serve are near their
-  /// targets.
-  void paceFillers(WorkerRow &Row, const HoldReply &Reply) {
-    std::vector<scheduling::ServingLoad> Serving;
-    std::vector<jobs::RunName> Fillers;
-    for (const RunningRow &Item : Reply.Running_) {
-      const jobs::StepSpec *Step = Term_->Table_.specOf(Item.Run_.Task_);
-      if (!Step)
-        continue;
-      if (Step->Filler_)
-        Fillers.push_back(Item.Run_);
-      else if (Step->TargetMs_ > 0)
-        Serving.push_back({Step->TargetMs_, Item.Figure_});
-    }
-    if (Fillers.empty())
-      return;
-    const int Percent = Row.Pace_.next(Serving);
-    for (const jobs::RunName &Run : Fillers) {
-      const auto Known = Paced_.find(Run);
-      const int Before =
-          Known == Paced_.end() ? scheduling::Pacer::Full : Known->second;
-      if (Before != Percent)
-        pace(Row, Run, Percent);
-    }
-  }
-
-  void pace(const WorkerRow &Row, const jobs::RunName &Run, int Percent) {
-    Paced_[Run] = Percent;
-    framework::fibers::spawn(
-        [Self = this->shared_from_this(), Record = Row.Record_, Run, Percent] {
-          const OrderReply Reply = Self->Client_.pace(
-              Record, Run, Percent, Self->Term_->Token_, AnswerTime);
-          framework::log::info("run.pace")
-              .field("task", Run.Task_.str())
-              .field("run", Run.Run_.value())
-              .field("worker", Record.Life_.Id_.str())
-              .field("percent", Percent)
-              .field("result", nameOf(Reply.Result_));
-          // Unknown or refused: the next report sends it again.
-          if (Reply.Result_ != OrderResult::Done)
-            Self->Paced_.erase(Run);
-        });
-  }
-
   /// Waits until the listed ends are stored, so that the next hold can tell the
   /// worker that they are noted.
   void noteEnds(WorkerRow &Row, const HoldReply &Reply) {
@@ -319,7 +277,7 @@
         .field("after_ms", sinceMs(Live->StartedAt_))
         .field("by", Item.Reason_);
     Tracker_.forget(Run);
-    Paced_.erase(Run);
+    Fillers_.forget(Run);
     Term_->Metrics_
         .counter("runs_ended_total{how=\"" +
                  std::string(jobs::nameOf(Item.Kind_)) + "\"}")
@@ -511,7 +469,7 @@
   TermPtr Term_;
   Client &Client_;
   RunTracker Tracker_;
-  std::map<jobs::RunName, int> Paced_;
+  FillerPace<Store, Client> Fillers_;
   bool Fenced_ = false;
 };
 
--- a/src/entry/internal/entrysettings.cpp
+++ b/src/entry/internal/entrysettings.cpp
@@ -1,19 +1,15 @@
 #include "entry/entrysettings.h"
 
-#include "framework/settings/jsonreader.h"
-
-#include <fstream>
-#include <sstream>
+#include "framework/settings/settingsfile.h"
 
 namespace laburnumspread::entry {
 
 using framework::http::Address;
-using framework::settings::FieldErrors;
 using framework::settings::JsonReader;
+using framework::settings::readCurveKey;
 
 namespace {
 
-constexpr std::size_t CurveKeyLength = 40;
 constexpr std::size_t Sha256HexLength = 64;
 constexpr std::int64_t MostConnections = 100'000;
 constexpr std::int64_t LargestBody = 1LL << 32;
@@ -28,13 +24,6 @@
   return Parsed.value_or(Address());
 }
 
-std::string readCurveKey(JsonReader &Reader, std::string_view Field) {
-  std::string Key = Reader.requiredString(Field);
-  if (!Key.empty() && Key.size() != CurveKeyLength)
-    Reader.fault(Field, "must be a Z85 key of 40 characters");
-  return Key;
-}
-
 void readStore(JsonReader Reader, EntrySettings &Into) {
   for (const std::string &Text : Reader.stringList("endpoints")) {
     const auto Parsed = framework::http::parseAddress(Text);
@@ -139,45 +128,19 @@
   return Result;
 }
 
-/// One line for each fault: "file:line: field: reason".
-std::string faultLines(const FieldErrors &Errors, std::string_view Text,
-                       const std::string &File) {
-  std::string Lines;
-  for (const auto &Error : Errors) {
-    if (!Lines.empty())
-      Lines += '\n';
-    Lines += File;
-    if (const int Line = framework::settings::lineOfField(Text, Error.Path_);
-        Line > 0)
-      Lines += ":" + std::to_string(Line);
-    Lines += ": " + Error.Path_ + ": " + Error.Reason_;
-  }
-  return Lines;
-}
-
 } // namespace
 
 absl::StatusOr<EntrySettings> readSettings(std::string_view Text,
                                            const std::string &File) {
-  const auto Document = framework::settings::parseJson(Text);
-  if (!Document.ok())
-    return absl::InvalidArgumentError(File + ": " +
-                                      std::string(Document.status().message()));
-  FieldErrors Errors;
-  JsonReader Reader(*Document, "", Errors);
-  EntrySettings Result = readFields(Reader);
-  if (!Errors.empty())
-    return absl::InvalidArgumentError(faultLines(Errors, Text, File));
-  return Result;
+  return framework::settings::readSettingsText<EntrySettings>(Text, File,
+                                                              readFields);
 }
 
 absl::StatusOr<EntrySettings> loadSettings(const std::string &File) {
-  std::ifstream In(File);
-  if (!In)
-    return absl::NotFoundError(File + ": cannot be read");
-  std::stringstream Text;
-  Text << In.rdbuf();
-  return readSettings(Text.str(), File);
+  const auto Text = framework::settings::readSettingsFile(File);
+  if (!Text.ok())
+    return Text.status();
+  return readSettings(*Text, File);
 }
 
 } // namespace laburnumspread::entry
--- /dev/null
+++ b/src/framework/settings/settingsfile.cpp
@@ -0,0 +1,42 @@
+#include "framework/settings/settingsfile.h"
+
+#include <fstream>
+#include <sstream>
+
+namespace laburnumspread::framework::settings {
+
+namespace {
+constexpr std::size_t CurveKeyLength = 40;
+} // namespace
+
+std::string faultLines(const FieldErrors &Errors, std::string_view Text,
+                       const std::string &File) {
+  std::string Lines;
+  for (const auto &Error : Errors) {
+    if (!Lines.empty())
+      Lines += '\n';
+    Lines += File;
+    if (const int Line = lineOfField(Text, Error.Path_); Line > 0)
+      Lines += ":" + std::to_string(Line);
+    Lines += ": " + Error.Path_ + ": " + Error.Reason_;
+  }
+  return Lines;
+}
+
+absl::StatusOr<std::string> readSettingsFile(const std::string &File) {
+  std::ifstream In(File);
+  if (!In)
+    return absl::NotFoundError(File + ": cannot be read");
+  std::stringstream Text;
+  Text << In.rdbuf();
+  return Text.str();
+}
+
+std::string readCurveKey(JsonReader &Reader, std::string_view Field) {
+  std::string Key = Reader.requiredString(Field);
+  if (!Key.empty() && Key.size() != CurveKeyLength)
+    Reader.fault(Field, "must be a Z85 key of 40 characters");
+  return Key;
+}
+
+} // namespace laburnumspread::framework::settings
