Take out what nobody uses in cells; keep the advisor's client small

Cause: read as a newcomer: a flag that nothing asked for, a constant that only a comment needed, the same lambda twice, a client that included the whole service. Change: those; no behaviour. Conclusion: smaller.

--- a/src/cell/cellservice.h
+++ b/src/cell/cellservice.h
@@ -16,12 +16,8 @@
   std::function<std::optional<WorkerRecord>(const store::KeyValue &)> Read_;
 };
 
-/// What the advisor of a queue has answered.
-struct AdviceReply {
-  std::vector<scheduling::Advice> Good_;
-  Duration Valid_{};
-};
-using AskAdvisor = std::function<absl::StatusOr<AdviceReply>(
+/// Asks the advisor which of the workers may run a step.
+using AskAdvisor = std::function<absl::StatusOr<scheduling::AdviceReply>(
     const scheduling::StepName &, const std::vector<WorkerId> &)>;
 
 /// Leads the cell when no other entry does, and while it leads takes jobs,
@@ -47,8 +43,6 @@
   static constexpr Duration LatestOrder = std::chrono::seconds(12);
   static constexpr std::uint64_t RetryAfterOutageMs = 1000;
   static constexpr Duration ListTime = std::chrono::milliseconds(1500);
-  /// Distrust of a worker halves in this time.
-  static constexpr double DistrustHalvesIn = 4.0;
 
   CellService(Store &S, Client &C, Service &Api, WorkerDirectory Directory,
               WaveReports Reports, AskAdvisor Ask, Candidacy Mine,
@@ -335,12 +329,19 @@
       endTerm("the journal cannot be written");
   }
 
-  bool load(Term<Store> &T) {
-    T.Table_.setAttemptLimit([&T](const QueueName &Name) {
+  /// An empty table that knows how many attempts each queue allows.
+  static jobs::CellTable emptyTable(const Term<Store> &T) {
+    jobs::CellTable Table;
+    Table.setAttemptLimit([&T](const QueueName &Name) {
       const QueueConfig *Queue = T.Config_.find(Name);
       return Queue ? Queue->MaxAttempts_ : DefaultAttempts;
     });
+    return Table;
+  }
+
+  bool load(Term<Store> &T) {
     while (!T.over()) {
+      T.Table_ = emptyTable(T);
       adoptConfig(T);
       const absl::Status Read = T.Log_.load(T.Table_, now());
       if (Read.ok()) {
@@ -351,11 +352,6 @@
       }
       framework::log::error("journal.load_failed")
           .field("reason", std::string(Read.message()));
-      T.Table_ = jobs::CellTable();
-      T.Table_.setAttemptLimit([&T](const QueueName &Name) {
-        const QueueConfig *Queue = T.Config_.find(Name);
-        return Queue ? Queue->MaxAttempts_ : DefaultAttempts;
-      });
       framework::fibers::sleepFor(CampaignPause);
     }
     return false;
@@ -691,7 +687,7 @@
   static constexpr std::size_t WorkersAskedAbout = 30;
   static constexpr std::uint32_t DefaultAttempts = 3;
   static constexpr double LeastDistrust = 0.1;
-  /// Per tick: half of the distrust is left after DistrustHalvesIn seconds.
+  /// Part of a worker's distrust that is left after a tick: half after 4 s.
   static constexpr double DistrustFade = 0.983;
 
   Store &Store_;
--- a/src/cell/sessions.h
+++ b/src/cell/sessions.h
@@ -143,8 +143,6 @@
       return takeReport(Row, Reply, Order, SentAt);
     if (Reply.Result_ == OrderResult::OtherLife)
       return lifeOver(Row, "another life answers", true);
-    if (Reply.Result_ == OrderResult::Fenced)
-      Fenced_ = true;
     noAnswer(Row, Reply.Result_);
     framework::fibers::sleepFor(RetryPause);
   }
@@ -341,9 +339,6 @@
   /// Notes that the intent of a run has been staged by this holder.
   void staged(const jobs::RunName &Run) { Tracker_.staged(Run); }
 
-  /// Whether a worker has refused this holder for a higher token.
-  bool fenced() const { return Fenced_; }
-
 private:
   void startRun(const jobs::RunIntended &Item) {
     const jobs::RunName &Run = Item.Run_;
@@ -407,8 +402,6 @@
         Tracker_.startAnswered(Run, Reply.Result_, Attempt, now());
     if (Reply.Result_ == OrderResult::OtherLife)
       lifeOver(Row, "another life answers", true);
-    if (Reply.Result_ == OrderResult::Fenced)
-      Fenced_ = true;
     const scheduling::StepName Step{Run.Task_.Job_, Run.Task_.Occurrence_,
                                     Run.Task_.Step_};
     if (Reply.Result_ == OrderResult::BadTicket)
@@ -470,7 +463,6 @@
   Client &Client_;
   RunTracker Tracker_;
   FillerPace<Store, Client> Fillers_;
-  bool Fenced_ = false;
 };
 
 } // namespace laburnumspread::cell
--- a/src/scheduling/advicetable.h
+++ b/src/scheduling/advicetable.h
@@ -30,6 +30,12 @@
   std::string Ticket_;
 };
 
+/// One answer of the advisor.
+struct AdviceReply {
+  std::vector<Advice> Good_;
+  Duration Valid_{};
+};
+
 /// What the advisor has said lately. A ticket holds for all tasks of a step
 /// during one life of the worker, and for a limited time; one that would end
 /// on the way to the worker is not used.
