Let a stop wait for a worker that is not listed yet

A cancel in between stopped only runs on workers that were listed already. For the others the stop was given up, and the run stayed marked as being stopped, so nothing stopped it later either. Leftovers of jobs that ended under an earlier holder were stopped before any worker was listed, so never.

Ruled out: a lost or late answer (the log has no run.stop at all for the five runs); the workers were listed 0.46 s after the cancel.

Change: a stop is tried again until the run is over; it waits for its worker. Test: CancelBeforeTheWorkersAreListedStillStops, red before.

--- a/src/cell/sessions.h
+++ b/src/cell/sessions.h
@@ -431,34 +431,40 @@
         [Self = this->shared_from_this(), Run] { Self->stopRun(Run); });
   }
 
+  /// Sends the stop until it is answered or the run is over. The worker of a
+  /// run that an earlier holder started may not be listed yet: then the stop
+  /// waits for it.
   void stopRun(const jobs::RunName &Run) {
     while (!Term_->over()) {
       const jobs::LiveRun *Live = Term_->Table_.find(Run);
       if (!Live)
         return;
       const auto Worker = Term_->Workers_.find(Live->On_);
-      if (Worker == Term_->Workers_.end())
+      const bool Reachable =
+          Worker != Term_->Workers_.end() && Term_->mayOrder();
+      if (Reachable && stopOnce(Worker->second, Run))
         return;
-      const WorkerRowPtr Row = Worker->second;
-      if (Term_->mayOrder()) {
-        const OrderReply Reply =
-            Client_.stop(Row->Record_, Run, Term_->Token_, AnswerTime);
-        framework::log::info("run.stop")
-            .field("task", Run.Task_.str())
-            .field("run", Run.Run_.value())
-            .field("worker", Row->Record_.Life_.Id_.str())
-            .field("result", nameOf(Reply.Result_));
-        if (Reply.Result_ == OrderResult::Done) {
-          Tracker_.stopAnswered(Run, now());
-          return;
-        }
-        if (Reply.Result_ == OrderResult::OtherLife)
-          return lifeOver(*Row, "another life answers", true);
-      }
       framework::fibers::sleepFor(RetryPause);
     }
   }
 
+  /// True when no other attempt is needed.
+  bool stopOnce(WorkerRowPtr Row, const jobs::RunName &Run) {
+    const OrderReply Reply =
+        Client_.stop(Row->Record_, Run, Term_->Token_, AnswerTime);
+    framework::log::info("run.stop")
+        .field("task", Run.Task_.str())
+        .field("run", Run.Run_.value())
+        .field("worker", Row->Record_.Life_.Id_.str())
+        .field("result", nameOf(Reply.Result_));
+    if (Reply.Result_ == OrderResult::Done)
+      Tracker_.stopAnswered(Run, now());
+    if (Reply.Result_ == OrderResult::OtherLife)
+      lifeOver(*Row, "another life answers", true);
+    return Reply.Result_ == OrderResult::Done ||
+           Reply.Result_ == OrderResult::OtherLife;
+  }
+
   TermPtr Term_;
   Client &Client_;
   RunTracker Tracker_;
