Let a new holder order machines at once that were not ordered lately

Each holder also took the pool in which it found a machine for its home, so machines of the standby pool that were on at a takeover stayed on.

Ruled out: the takeover itself (60 ms of load) and the workers' holds (first starts 20 ms later).

A successor adds these times up and waits the rest of the lease time only for machines that were ordered less than that ago. Orders of upkeep still wait for all: an upkeep on its way would not be counted against the wave's bound.

--- a/src/capacity/capacitytypes.h
+++ b/src/capacity/capacitytypes.h
@@ -26,6 +26,8 @@
   bool HeldBack_ = false;
   /// An order for it has been sent and is not settled, or it is on its way.
   bool Busy_ = false;
+  /// An earlier holder may have ordered it lately: no order before this.
+  TimePoint NoOrderBefore_{};
   /// Tasks that end by themselves, and tasks that last.
   std::size_t FiniteRuns_ = 0;
   std::vector<jobs::RunName> StandingRuns_;
--- a/src/capacity/internal/poolplanner.cpp
+++ b/src/capacity/internal/poolplanner.cpp
@@ -42,6 +42,7 @@
     const PoolName &Pool = Machine.Record_.Pool_;
     if (Standby.contains(Pool)) {
       if (!Machine.Busy_ && !Machine.HeldBack_ &&
+          Now >= Machine.NoOrderBefore_ &&
           Machine.Record_.State_ == MachineState::Up)
         Off.push_back(&Machine);
       continue;
@@ -53,7 +54,7 @@
       continue;
     ++Row.Have_;
     if (Machine.Usable_ && !Machine.Busy_ && Machine.idle() &&
-        Now - Machine.IdleSince_ >= SettleTime)
+        Now >= Machine.NoOrderBefore_ && Now - Machine.IdleSince_ >= SettleTime)
       Row.Idle_.push_back(&Machine);
   }
   for (const auto &[Pool, Wanted] : Demand) {
--- a/src/capacity/tests/poolplannertest.cpp
+++ b/src/capacity/tests/poolplannertest.cpp
@@ -56,6 +56,20 @@
   BOOST_TEST(Machines_[Orders[0].Machine_].Record_.Pool_ == Cold);
 }
 
+BOOST_AUTO_TEST_CASE(MachinesOrderedByAnEarlierHolderAreLeftAlone) {
+  add("a", Hot);
+  for (const char *Name : {"b", "c", "d"})
+    add(Name, Cold);
+  add("o", Off);
+  Demand_[Hot].Timely_ = 5 * 14000;
+  for (const char *Name : {"b", "o"})
+    Machines_[MachineId(Name)].NoOrderBefore_ = Start + 1ms;
+  const auto Orders = plan();
+  BOOST_REQUIRE(Orders.size() == 2u);
+  BOOST_TEST(Orders[0].Machine_ == MachineId("c"));
+  BOOST_TEST(Orders[1].Machine_ == MachineId("d"));
+}
+
 BOOST_AUTO_TEST_CASE(BusyMachinesStay) {
   add("a", Hot);
   for (const char *Name : {"b", "c", "d"}) {
--- a/src/cell/cellservice.h
+++ b/src/cell/cellservice.h
@@ -600,9 +600,9 @@
     };
     if (Term_->Table_.find(jobs::JobId(Call.Job_)))
       return Term_->Commits_.whenStored(Answer);
-    const auto Events = jobs::decodeGroup(Call.Spec_);
-    if (!Events.ok() || Events->size() != 1 ||
-        !std::holds_alternative<jobs::JobAccepted>(Events->front()))
+    const auto Group = jobs::decodeGroup(Call.Spec_);
+    if (!Group.ok() || Group->Events_.size() != 1 ||
+        !std::holds_alternative<jobs::JobAccepted>(Group->Events_.front()))
       return Reply({Call.Sequence_, peers::JobVerdict::Missing, "", 0, 0});
     if (storeSilent() || Leaving_) {
       framework::log::info("job.refused")
@@ -611,9 +611,10 @@
       return Reply({Call.Sequence_, peers::JobVerdict::Refused, "", 0,
                     RetryAfterOutageMs});
     }
-    logAccepted(std::get<jobs::JobAccepted>(Events->front()).Spec_);
+    const jobs::Event &Accepted = Group->Events_.front();
+    logAccepted(std::get<jobs::JobAccepted>(Accepted).Spec_);
     Metrics_.counter("jobs_accepted_total").add();
-    Term_->Commits_.stage(Events->front(), Answer);
+    Term_->Commits_.stage(Accepted, Answer);
   }
 
   static void logAccepted(const jobs::JobSpec &Spec) {
--- a/src/cell/internal/machinetable.cpp
+++ b/src/cell/internal/machinetable.cpp
@@ -12,6 +12,7 @@
       View.IdleSince_ = Now;
     const Resources Room = View.Record_.Room_;
     View.Record_ = Item;
+    noteLeftAlone(View);
     if (Item.Room_ == Resources())
       View.Record_.Room_ = Room;
     Homes_.try_emplace(Item.Id_, Item.Pool_);
@@ -39,10 +40,17 @@
   View.Record_.Room_ = Record.Room_;
   View.Record_.Worker_ = Record.Life_.Id_;
   View.IdleSince_ = Now;
+  noteLeftAlone(View);
   Homes_.try_emplace(Record.Machine_, Record.Pool_);
   Orders_.erase(Record.Machine_);
 }
 
+void MachineTable::noteLeftAlone(capacity::MachineView &View) const {
+  const auto Found = LeftAlone_.find(View.Record_.Id_);
+  if (Found != LeftAlone_.end())
+    View.NoOrderBefore_ = Found->second;
+}
+
 void MachineTable::ordered(const MachineId &Machine, TimePoint Now) {
   Orders_[Machine] = {Now, false};
 }
--- a/src/cell/machines.h
+++ b/src/cell/machines.h
@@ -16,8 +16,9 @@
 
 /// Gives machines their upkeep and moves them between pools, for one term.
 ///
-/// Orders wait until the holder before can have none on the way: two holders
-/// must not take turns on one machine.
+/// Two holders must not take turns on one machine within the platform's lease
+/// time. So each order is noted in the journal before it leaves, and a new
+/// holder leaves the machines alone that the journal shows as ordered lately.
 template <store::KeyValueStore Store, WorkerClient Client,
           MachineService Service>
 class Machines
@@ -48,6 +49,12 @@
         Table_(std::max(Term_->Bounds_.Move_, Term_->Bounds_.Upkeep_)) {}
 
   void start() {
+    for (const auto &[Machine, Order] : Term_->Table_.machineOrders()) {
+      Table_.setHome(Machine, Order.Home_);
+      Table_.leaveAloneUntil(Machine, Term_->BegunAt_ +
+                                          Term_->Bounds_.MachineLease_ -
+                                          Order.Quiet_);
+    }
     framework::fibers::spawn(
         [Self = this->shared_from_this()] { Self->listLoop(); });
     framework::fibers::spawn(
@@ -87,10 +94,15 @@
 
   bool mayOrder() const {
     return !Term_->over() &&
-           now() - Term_->BegunAt_ > Term_->Bounds_.MachineLease_ &&
            now() - Term_->Lead_.confirmedAt() < OrdersWithoutStore;
   }
 
+  /// An upkeep that an earlier holder ordered last may not show in any list
+  /// yet, and would not be counted against the wave's bound.
+  bool mayOrderUpkeep() const {
+    return mayOrder() && now() - Term_->BegunAt_ > Term_->Bounds_.MachineLease_;
+  }
+
   void listLoop() {
     while (!Term_->over()) {
       const auto Read = Api_.list();
@@ -250,7 +262,7 @@
         report(Number, Wave, false);
     for (const WaveNumber Number : Plan.Done_)
       report(Number, Waves_.at(Number), true);
-    if (!mayOrder())
+    if (!mayOrderUpkeep())
       return;
     for (const jobs::RunName &Run : Plan.Evacuate_) {
       framework::log::info("run.evacuate")
@@ -265,7 +277,7 @@
   void orderUpkeep(const capacity::UpkeepOrder &Order) {
     Table_.ordered(Order.Machine_, now());
     framework::fibers::spawn([Self = this->shared_from_this(), Order] {
-      const MachineResult Result = Self->repeat([&] {
+      const MachineResult Result = Self->repeat(Order.Machine_, [&] {
         return Self->Api_.upkeep(Order.Machine_, Order.Wave_,
                                  Self->Term_->Token_);
       });
@@ -282,8 +294,11 @@
 
   /// Sends an order until it is answered: it may have been carried out, and
   /// saying it again changes nothing then.
-  template <typename Call> MachineResult repeat(const Call &Send) {
+  template <typename Call>
+  MachineResult repeat(const MachineId &Machine, const Call &Send) {
     while (true) {
+      if (!noteInJournal(Machine))
+        return MachineResult::Unknown;
       const MachineResult Result = Send();
       Term_->Metrics_
           .counter("machine_orders_total{result=\"" +
@@ -293,14 +308,37 @@
           Result == MachineResult::Unknown || Result == MachineResult::Refused;
       if (!Open || Term_->over())
         return Result;
-      do
-        framework::fibers::sleepFor(RetryPause);
-      while (!Term_->over() && !mayOrder());
-      if (Term_->over())
-        return Result;
+      framework::fibers::sleepFor(RetryPause);
     }
   }
 
+  /// Waits until the store has the note that an order leaves now. False when
+  /// the leadership ended first: then nothing may leave.
+  bool noteInJournal(const MachineId &Machine) {
+    const auto View = Table_.views().find(Machine);
+    jobs::MachineOrdered Note{Machine, PoolName()};
+    if (View != Table_.views().end())
+      Note.From_ = View->second.Record_.Pool_;
+    while (!Term_->over()) {
+      if (stored(Note) && mayOrder())
+        return true;
+      framework::fibers::sleepFor(RetryPause);
+    }
+    return false;
+  }
+
+  bool stored(const jobs::Event &Item) {
+    auto Ready = std::make_shared<framework::fibers::Waiter>();
+    auto Known = std::make_shared<std::optional<CommitOutcome>>();
+    Term_->Commits_.stage(Item, [Ready, Known](CommitOutcome Outcome) {
+      *Known = Outcome;
+      Ready->signal();
+    });
+    while (!Term_->over() && !*Known)
+      Ready->waitUntil(framework::clock::wallDeadline(RetryPause));
+    return *Known == CommitOutcome::Stored;
+  }
+
   void settleOrder(const MachineId &Machine, MachineResult Result) {
     if (Term_->over())
       return;
@@ -402,7 +440,7 @@
     Table_.ordered(Order.Machine_, now());
     ++Moves_;
     framework::fibers::spawn([Self = this->shared_from_this(), Order] {
-      const MachineResult Result = Self->repeat([&] {
+      const MachineResult Result = Self->repeat(Order.Machine_, [&] {
         return Self->Api_.move(Order.Machine_, Order.To_, Self->Term_->Token_);
       });
       framework::log::info("machine.move")
--- a/src/cell/machinetable.h
+++ b/src/cell/machinetable.h
@@ -36,6 +36,15 @@
     return Orders_.contains(Machine);
   }
   bool anyBusy() const { return !Orders_.empty(); }
+  /// The pool to which the machine belongs, as an earlier holder found it.
+  void setHome(const MachineId &Machine, const PoolName &Home) {
+    Homes_[Machine] = Home;
+  }
+  /// No order for the machine before \p Until.
+  void leaveAloneUntil(const MachineId &Machine, TimePoint Until) {
+    LeftAlone_[Machine] = Until;
+  }
+
   bool heldBack(const MachineId &Machine) const;
 
   /// Whether the platform's list says that a worker's process is gone: its
@@ -59,11 +68,14 @@
     bool Acknowledged_ = false;
   };
 
+  void noteLeftAlone(capacity::MachineView &View) const;
+
   Duration Settle_;
   Views Views_;
   std::map<MachineId, WorkerLife> LifeOf_;
   std::map<MachineId, PoolName> Homes_;
   std::map<MachineId, Order> Orders_;
+  std::map<MachineId, TimePoint> LeftAlone_;
   bool ListSeen_ = false;
 };
 
--- a/src/cell/tests/machinetabletest.cpp
+++ b/src/cell/tests/machinetabletest.cpp
@@ -53,6 +53,28 @@
   BOOST_TEST(Table.busy(Machine));
 }
 
+// A new holder must not order a machine that its predecessor ordered a moment
+// ago. It learns of the machine only later, by the list or by its worker.
+BOOST_AUTO_TEST_CASE(MachineIsLeftAloneHoweverItBecomesKnown) {
+  MachineTable Table(1500ms);
+  Table.leaveAloneUntil(Machine, Start + 3s);
+  Table.noteWorker(worker(1), Start);
+  BOOST_TEST((Table.views()[Machine].NoOrderBefore_ == Start + 3s));
+  MachineTable Other(1500ms);
+  Other.leaveAloneUntil(Machine, Start + 3s);
+  Other.takeList({listed(MachineState::Up)}, Start);
+  BOOST_TEST((Other.views()[Machine].NoOrderBefore_ == Start + 3s));
+}
+
+// Machines of the standby pool stay on for good: each new holder took the pool
+// in which it found a machine for its home.
+BOOST_AUTO_TEST_CASE(HomeIsKeptOverTakeovers) {
+  MachineTable Table(1500ms);
+  Table.setHome(Machine, PoolName("standby"));
+  Table.takeList({listed(MachineState::Up)}, Start);
+  BOOST_TEST(Table.homes().at(Machine) == PoolName("standby"));
+}
+
 // The list lags: shown up within the time that the order takes at least, the
 // machine has not even gone down yet.
 BOOST_AUTO_TEST_CASE(EarlyListDoesNotSettleTheOrder) {
--- a/src/jobs/celltable.h
+++ b/src/jobs/celltable.h
@@ -70,6 +70,17 @@
   }
 };
 
+/// Orders for a machine, over all holders.
+struct MachineOrderRow {
+  /// The pool from which it was first taken.
+  fleet::PoolName Home_;
+  /// Least time that has passed since the last order left, as far as the
+  /// journal tells.
+  Duration Quiet_{};
+  /// The order may not have left yet when the last entry was written.
+  bool Leaving_ = true;
+};
+
 /// What a worker has been given.
 struct WorkerUse {
   Resources Used_;
@@ -113,6 +124,13 @@
     return Upkeep_;
   }
 
+  /// Machines for which orders have been given.
+  const std::map<MachineId, MachineOrderRow> &machineOrders() const {
+    return MachineOrders_;
+  }
+  /// While the journal is read: time that passed before the next entry.
+  void passTime(Duration Passed);
+
   /// Forgets jobs that ended before \p Before and have nothing live.
   void forgetEnded(TimePoint Before);
 
@@ -131,6 +149,7 @@
   void take(const RunEnded &Item, TimePoint Now);
   void take(const JobCancelled &Item, TimePoint Now);
   void take(const UpkeepBegun &Item, TimePoint Now);
+  void take(const MachineOrdered &Item, TimePoint Now);
   void addLive(JobRow &Job, const RunName &Run, const LiveRun &Live);
   void taskDone(JobRow &Job, const TaskName &Task, TimePoint Now);
   void gangDone(JobRow &Job, const RunName &Run, TimePoint Now);
@@ -149,6 +168,7 @@
   std::map<QueueName, std::uint64_t> Waiting_;
   std::deque<std::pair<TimePoint, JobId>> Ended_;
   std::map<WaveNumber, std::set<MachineId>> Upkeep_;
+  std::map<MachineId, MachineOrderRow> MachineOrders_;
   AttemptLimit AttemptLimit_;
 };
 
--- a/src/jobs/eventcodec.h
+++ b/src/jobs/eventcodec.h
@@ -11,8 +11,9 @@
 namespace laburnumspread::jobs {
 
 /// One entry of the journal: events that were committed together.
-std::string encodeGroup(const std::vector<Event> &Events);
-absl::StatusOr<std::vector<Event>> decodeGroup(std::string_view Bytes);
+std::string encodeGroup(const std::vector<Event> &Events,
+                        const GroupStamp &Stamp = {});
+absl::StatusOr<EventGroup> decodeGroup(std::string_view Bytes);
 
 /// The table as parts of at most about \p PartBytes each. Of ended jobs only
 /// the name, the state and what is still live are kept.
--- a/src/jobs/events.h
+++ b/src/jobs/events.h
@@ -35,8 +35,29 @@
   MachineId Machine_;
 };
 
+/// An order for a machine is about to leave. Written before it does, so that a
+/// successor knows which machines its orders must leave alone for a while, and
+/// from which pool each machine was first taken.
+struct MachineOrdered {
+  MachineId Machine_;
+  fleet::PoolName From_;
+};
+
 /// What changes a cell. The cell's state is the outcome of its events in order.
-using Event =
-    std::variant<JobAccepted, RunIntended, RunEnded, JobCancelled, UpkeepBegun>;
+using Event = std::variant<JobAccepted, RunIntended, RunEnded, JobCancelled,
+                           UpkeepBegun, MachineOrdered>;
+
+/// When a group of events was written: how long after the takeover of the
+/// holder with this token, by that holder's own steady clock.
+struct GroupStamp {
+  FencingToken By_;
+  Duration SinceTakeover_{};
+};
+
+/// A group as it was read from the journal.
+struct EventGroup {
+  std::vector<Event> Events_;
+  GroupStamp Stamp_;
+};
 
 } // namespace laburnumspread::jobs
--- a/src/jobs/internal/celltable.cpp
+++ b/src/jobs/internal/celltable.cpp
@@ -206,6 +206,24 @@
   Upkeep_[Item.Wave_].insert(Item.Machine_);
 }
 
+void CellTable::take(const MachineOrdered &Item, TimePoint) {
+  const auto Row = MachineOrders_.try_emplace(Item.Machine_).first;
+  if (Row->second.Home_.empty())
+    Row->second.Home_ = Item.From_;
+  Row->second.Quiet_ = Duration::zero();
+  Row->second.Leaving_ = true;
+}
+
+void CellTable::passTime(Duration Passed) {
+  for (auto &[Machine, Order] : MachineOrders_) {
+    // The order left only when its own entry was stored, which the next one
+    // proves; time counts from there.
+    if (!Order.Leaving_)
+      Order.Quiet_ += Passed;
+    Order.Leaving_ = false;
+  }
+}
+
 void CellTable::close(JobRow &Job, JobState State, TimePoint Now) {
   if (Job.State_ == JobState::Pending)
     --Waiting_[Job.Spec_.Queue_];
--- a/src/jobs/internal/eventcodec.cpp
+++ b/src/jobs/internal/eventcodec.cpp
@@ -133,6 +133,19 @@
   write(From, *To.mutable_upkeep_begun());
 }
 
+void write(const MachineOrdered &From, wire::MachineOrdered &To) {
+  To.set_machine(From.Machine_.str());
+  To.set_from_pool(From.From_.str());
+}
+
+MachineOrdered read(const wire::MachineOrdered &From) {
+  return {MachineId(From.machine()), fleet::PoolName(From.from_pool())};
+}
+
+void write(const MachineOrdered &From, wire::Event &To) {
+  write(From, *To.mutable_machine_ordered());
+}
+
 std::optional<Event> read(const wire::Event &From) {
   switch (From.kind_case()) {
   case wire::Event::kAccepted:
@@ -152,6 +165,8 @@
     return JobCancelled{JobId(From.cancelled())};
   case wire::Event::kUpkeepBegun:
     return read(From.upkeep_begun());
+  case wire::Event::kMachineOrdered:
+    return read(From.machine_ordered());
   case wire::Event::KIND_NOT_SET:
     return std::nullopt;
   }
@@ -235,23 +250,28 @@
 
 } // namespace
 
-std::string encodeGroup(const std::vector<Event> &Events) {
+std::string encodeGroup(const std::vector<Event> &Events,
+                        const GroupStamp &Stamp) {
   wire::Group Group;
+  Group.set_token(Stamp.By_.value());
+  Group.set_since_takeover_micros(Stamp.SinceTakeover_.count());
   for (const Event &Item : Events)
     std::visit([&](const auto &Body) { write(Body, *Group.add_events()); },
                Item);
   return Group.SerializeAsString();
 }
 
-absl::StatusOr<std::vector<Event>> decodeGroup(std::string_view Bytes) {
+absl::StatusOr<EventGroup> decodeGroup(std::string_view Bytes) {
   wire::Group Group;
   if (!Group.ParseFromArray(Bytes.data(), static_cast<int>(Bytes.size())))
     return absl::DataLossError("journal entry cannot be read");
-  std::vector<Event> Events;
+  EventGroup Result;
+  Result.Stamp_ = {FencingToken(Group.token()),
+                   Duration(Group.since_takeover_micros())};
   for (const wire::Event &Item : Group.events())
     if (auto Read = read(Item))
-      Events.push_back(std::move(*Read));
-  return Events;
+      Result.Events_.push_back(std::move(*Read));
+  return Result;
 }
 
 std::vector<std::string> encodeSnapshot(const CellTable &Table,
@@ -272,7 +292,9 @@
   for (const auto &[Wave, Machines] : Table.upkeep())
     for (const MachineId &Machine : Machines)
       write({Wave, Machine}, *Part.add_upkeep());
-  if (Part.jobs_size() > 0 || Part.upkeep_size() > 0)
+  for (const auto &[Machine, Order] : Table.machineOrders())
+    write(MachineOrdered{Machine, Order.Home_}, *Part.add_machine_orders());
+  if (Part.ByteSizeLong() > 0)
     Parts.push_back(Part.SerializeAsString());
   return Parts;
 }
@@ -286,6 +308,8 @@
     Into.restore(read(Row, Now), Now);
   for (const wire::UpkeepBegun &Row : Part.upkeep())
     Into.apply(read(Row), Now);
+  for (const wire::MachineOrdered &Row : Part.machine_orders())
+    Into.apply(read(Row), Now);
   return absl::OkStatus();
 }
 
--- a/src/jobs/tests/celltabletest.cpp
+++ b/src/jobs/tests/celltabletest.cpp
@@ -127,7 +127,7 @@
     BOOST_REQUIRE(decodeSnapshot(Part, Start, Again).ok());
   const auto Log = decodeGroup(encodeGroup(Events));
   BOOST_REQUIRE(Log.ok());
-  for (const Event &Item : *Log)
+  for (const Event &Item : Log->Events_)
     Again.apply(Item, Start);
   const TaskRow *Task = Again.find(TaskName{Job, 0, 0, 0});
   BOOST_REQUIRE(Task);
--- a/src/journal/journal.h
+++ b/src/journal/journal.h
@@ -13,6 +13,25 @@
   std::uint64_t Bytes_ = 0;
 };
 
+/// How much time passed between the entries of a journal, by the steady clocks
+/// of those who wrote them. The time between two holders is not counted but
+/// for what the later one measured itself, so the sum is never too long.
+class JournalAge {
+public:
+  /// Time since the entry before, at least.
+  Duration advance(const jobs::GroupStamp &Stamp) {
+    const Duration Before =
+        Stamp.By_ == Last_.By_ ? Last_.SinceTakeover_ : Duration::zero();
+    const bool First = Last_.By_.value() == 0;
+    Last_ = Stamp;
+    return First ? Duration::zero()
+                 : std::max(Duration::zero(), Stamp.SinceTakeover_ - Before);
+  }
+
+private:
+  jobs::GroupStamp Last_;
+};
+
 /// The journal of one cell under one leadership. Each entry is a key of its own
 /// that is created only while the head key is the holder's, so that a write of
 /// a former holder, or one that was delayed, can never take effect. A write
@@ -59,7 +78,8 @@
   /// Appends one entry. Ok once the store has it for good. Aborted when the
   /// leadership is over: then nobody here knows whether it was written.
   absl::Status append(const std::vector<jobs::Event> &Events) {
-    const std::string Bytes = jobs::encodeGroup(Events);
+    const std::string Bytes = jobs::encodeGroup(
+        Events, {Lead_.token(), SteadyClock().now() - Lead_.begunAt()});
     const std::string Key = Keys_.log(Next_);
     store::Transaction Txn = guarded();
     Txn.Compares_.push_back({Key, fleet::Revision(0)});
@@ -149,6 +169,7 @@
     if (!Log.ok())
       return Log.status();
     Next_ = Base_.Index_ + 1;
+    JournalAge Ages;
     for (const store::KeyValue &Item : Log->Items_) {
       const std::uint64_t Index = indexOfLogKey(Item.Key_);
       if (Index <= Base_.Index_)
@@ -156,10 +177,11 @@
       if (Index != Next_)
         return absl::DataLossError("journal entry " + std::to_string(Next_) +
                                    " is missing");
-      const auto Events = jobs::decodeGroup(Item.Value_);
-      if (!Events.ok())
-        return Events.status();
-      for (const jobs::Event &Event : *Events)
+      const auto Group = jobs::decodeGroup(Item.Value_);
+      if (!Group.ok())
+        return Group.status();
+      Into.passTime(Ages.advance(Group->Stamp_));
+      for (const jobs::Event &Event : Group->Events_)
         Into.apply(Event, Now);
       ++Next_;
     }
--- a/src/journal/leadership.h
+++ b/src/journal/leadership.h
@@ -74,7 +74,7 @@
       release();
       return false;
     }
-    Self_.Token_ = Seen.Token_;
+    begin(Seen.Token_);
     const auto Alive = renew();
     if (!Alive.ok() || !*Alive)
       Self_.Token_ = jobs::FencingToken();
@@ -127,6 +127,8 @@
   bool held() const { return Self_.Token_.value() != 0; }
   jobs::FencingToken token() const { return Self_.Token_; }
   TimePoint confirmedAt() const { return ConfirmedAt_; }
+  /// When this leadership was found to be won.
+  TimePoint begunAt() const { return BegunAt_; }
   const Holder &self() const { return Self_; }
 
 private:
@@ -144,11 +146,16 @@
   }
 
   bool adopt(jobs::FencingToken Token, TimePoint Asked) {
-    Self_.Token_ = Token;
+    begin(Token);
     confirmed(Asked);
     return true;
   }
 
+  void begin(jobs::FencingToken Token) {
+    Self_.Token_ = Token;
+    BegunAt_ = SteadyClock().now();
+  }
+
   void release() {
     store::Transaction Txn;
     Txn.Deletes_ = {Keys_.head()};
@@ -172,6 +179,7 @@
   Holder Self_;
   std::int64_t Lease_ = 0;
   TimePoint ConfirmedAt_{};
+  TimePoint BegunAt_{};
 };
 
 } // namespace laburnumspread::journal
--- a/src/journal/tests/journaltest.cpp
+++ b/src/journal/tests/journaltest.cpp
@@ -141,6 +141,58 @@
   BOOST_TEST(absl::IsAborted(First_.Log_.append({accepted("a")})));
 }
 
+BOOST_AUTO_TEST_CASE(AgeCountsEachHoldersOwnTime) {
+  JournalAge Age;
+  const auto At = [&](std::uint64_t Token, Duration Since) {
+    return Age.advance({jobs::FencingToken(Token), Since});
+  };
+  BOOST_TEST((At(4, 900ms) == 0ms));
+  BOOST_TEST((At(4, 1500ms) == 600ms));
+  BOOST_TEST((At(9, 200ms) == 200ms));
+  BOOST_TEST((At(9, 150ms) == 0ms));
+}
+
+// Two holders take turns on one machine within the platform's lease time: the
+// later one knows only from the journal how long ago the order left. It leaves
+// after its entry is stored, so time counts from the entry after it.
+BOOST_AUTO_TEST_CASE(JournalTellsHowLongAgoAMachineWasOrdered) {
+  BOOST_REQUIRE(*First_.Lead_.campaign());
+  const jobs::MachineId Early("m1"), Last("m2");
+  const auto Put = [&](std::uint64_t Index, std::vector<Event> Events,
+                       Duration Since) {
+    store::Transaction Txn;
+    const jobs::GroupStamp Stamp{First_.Lead_.token(), Since};
+    Txn.Puts_ = {{Keys.log(Index), jobs::encodeGroup(Events, Stamp), 0}};
+    BOOST_REQUIRE(Store_.commit(Txn, {}).ok());
+  };
+  Put(1, {jobs::MachineOrdered{Early, fleet::PoolName("off")}}, 1s);
+  Put(2, {accepted("a")}, 4s);
+  Put(3, {jobs::MachineOrdered{Last, fleet::PoolName("on")}}, 6s);
+  Store_.endLease(1);
+  BOOST_REQUIRE(*Second_.Lead_.campaign());
+  const CellTable Loaded = loadBy(Second_);
+  BOOST_REQUIRE(Loaded.machineOrders().size() == 2u);
+  BOOST_TEST((Loaded.machineOrders().at(Early).Quiet_ == 2s));
+  BOOST_TEST((Loaded.machineOrders().at(Last).Quiet_ == 0s));
+  BOOST_TEST(Loaded.machineOrders().at(Early).Home_ == fleet::PoolName("off"));
+}
+
+BOOST_AUTO_TEST_CASE(SnapshotKeepsOrdersOfMachines) {
+  BOOST_REQUIRE(*First_.Lead_.campaign());
+  CellTable Table;
+  const Event Item =
+      jobs::MachineOrdered{jobs::MachineId("m1"), fleet::PoolName("off")};
+  Table.apply(Item, TimePoint());
+  BOOST_REQUIRE(First_.Log_.append({Item}).ok());
+  BOOST_REQUIRE(First_.Log_.writeSnapshot(Table).ok());
+  First_.Lead_.resign();
+  BOOST_REQUIRE(*Second_.Lead_.campaign());
+  const CellTable Loaded = loadBy(Second_);
+  BOOST_REQUIRE(Loaded.machineOrders().size() == 1u);
+  BOOST_TEST(Loaded.machineOrders().begin()->second.Home_ ==
+             fleet::PoolName("off"));
+}
+
 BOOST_AUTO_TEST_CASE(SnapshotTakesThePlaceOfTheEntries) {
   BOOST_REQUIRE(*First_.Lead_.campaign());
   CellTable Table;
