Let the wait for an answer follow the answers that came

A hold waits 800 ms at the worker for an end, so a lost one hid the ends of a busy worker for 1.1 s and a pause.

Holds wait 250 ms where finite tasks run. After the first unanswered hold the look follows at once.

--- a/src/cell/sessions.h
+++ b/src/cell/sessions.h
@@ -17,18 +17,19 @@
   using TermPtr = std::shared_ptr<Term<Store>>;
 
   /// A hold waits at the worker this long for an end; the platform allows 2 s.
-  /// A worker that has gone dark is noticed after this and AnswerTime.
+  /// A worker that has gone dark is noticed after this and the time for an
+  /// answer. All orders may be repeated, so a lost answer costs no more.
   static constexpr Duration HoldWait = std::chrono::milliseconds(800);
-  /// Time for an answer beyond the wait: a worker answers within some
-  /// milliseconds. All orders may be repeated, so a lost answer costs no more
-  /// than this.
-  static constexpr Duration AnswerTime = std::chrono::milliseconds(300);
+  /// The same where finite tasks run: a lost answer hides their ends for as
+  /// long, and the next ones cannot start. Each hold is paid for, but there
+  /// most are answered by an end before this anyway.
+  static constexpr Duration BusyHoldWait = std::chrono::milliseconds(250);
   static constexpr Duration RetryPause = std::chrono::milliseconds(150);
   /// A start that arrives later than this after it was sent does nothing.
   static constexpr Duration StartWindow = std::chrono::milliseconds(1500);
   static constexpr Duration IdleCheck = std::chrono::milliseconds(500);
   /// As many as fit into the window.
-  static constexpr int StartAttempts = 4;
+  static constexpr int StartAttempts = 6;
   static constexpr double DistrustOfFailure = 1;
   /// In the log, of a worker that has not answered this holder yet.
   static constexpr std::int64_t NeverAnswered = -1;
@@ -131,11 +132,13 @@
   }
 
   void holdOnce(WorkerRow &Row) {
-    const HoldOrder Order = Row.nextHold(now(), Term_->Token_,
-                                         Term_->Bounds_.LongestHold_, HoldWait);
+    const HoldOrder Order =
+        Row.nextHold(now(), Term_->Token_, Term_->Bounds_.LongestHold_,
+                     runsFinite(Row) ? BusyHoldWait : HoldWait);
     const TimePoint SentAt = now();
     const HoldReply Reply =
-        Client_.hold(Row.Record_, Order, Order.Wait_ + AnswerTime);
+        Client_.hold(Row.Record_, Order, Order.Wait_ + Row.Answers_.wait());
+    noteAnswer(Row, Reply.Result_, SentAt + Order.Wait_);
     Term_->Metrics_.counter("holds_total").add();
     if (Term_->over())
       return;
@@ -144,7 +147,29 @@
     if (Reply.Result_ == OrderResult::OtherLife)
       return lifeOver(Row, "another life answers", true);
     noAnswer(Row, Reply.Result_);
-    framework::fibers::sleepFor(RetryPause);
+    // The first look follows at once: what ended meanwhile waits for it.
+    if (Row.Unanswered_ > 1)
+      framework::fibers::sleepFor(RetryPause);
+  }
+
+  bool runsFinite(const WorkerRow &Row) const {
+    const jobs::WorkerUse *Use = Term_->Table_.useOf(Row.Record_.Life_);
+    return Use && std::any_of(Use->Runs_.begin(), Use->Runs_.end(),
+                              [&](const jobs::RunName &Run) {
+                                const jobs::StepSpec *Step =
+                                    Term_->Table_.specOf(Run.Task_);
+                                return Step && !Step->LongRunning_;
+                              });
+  }
+
+  /// Learns from one call how long this worker's answers take. An answer
+  /// before \p Expected was given for an end and tells nothing.
+  static void noteAnswer(WorkerRow &Row, OrderResult Result,
+                         TimePoint Expected) {
+    if (Result == OrderResult::Unknown)
+      Row.Answers_.missed();
+    else if (now() >= Expected)
+      Row.Answers_.answered(now() - Expected);
   }
 
   void noAnswer(WorkerRow &Row, OrderResult Result) {
@@ -241,25 +266,25 @@
         .field("worker", Row.Record_.Life_.Id_.str());
     framework::fibers::spawn(
         [Self = this->shared_from_this(), Record = Row.Record_, Run] {
-          Self->Client_.stop(Record, Run, Self->Term_->Token_, AnswerTime);
+          Self->Client_.stop(Record, Run, Self->Term_->Token_, MostAnswerTime);
         });
   }
 
   /// Stops a run of a former life on the one that may have taken its start.
   void layToRest(const WorkerRow &Row, const jobs::RunName &Run) {
-    framework::fibers::spawn(
-        [Self = this->shared_from_this(), Record = Row.Record_, Run] {
-          const OrderReply Reply =
-              Self->Client_.stop(Record, Run, Self->Term_->Token_, AnswerTime);
-          framework::log::info("run.stop")
-              .field("task", Run.Task_.str())
-              .field("run", Run.Run_.value())
-              .field("worker", Record.Life_.Id_.str())
-              .field("reason", "meant for its former life")
-              .field("result", nameOf(Reply.Result_));
-          if (Reply.Result_ == OrderResult::Done)
-            Self->Tracker_.stopAnsweredLater(Run, now());
-        });
+    framework::fibers::spawn([Self = this->shared_from_this(),
+                              Record = Row.Record_, Run] {
+      const OrderReply Reply =
+          Self->Client_.stop(Record, Run, Self->Term_->Token_, MostAnswerTime);
+      framework::log::info("run.stop")
+          .field("task", Run.Task_.str())
+          .field("run", Run.Run_.value())
+          .field("worker", Record.Life_.Id_.str())
+          .field("reason", "meant for its former life")
+          .field("result", nameOf(Reply.Result_));
+      if (Reply.Result_ == OrderResult::Done)
+        Self->Tracker_.stopAnsweredLater(Run, now());
+    });
   }
 
   void endRun(const RunTracker::Ended &Item) {
@@ -385,7 +410,9 @@
   bool tryStart(WorkerRow &Row, const StartOrder &Order, int Attempt) {
     Tracker_.startSent(Order.Run_, Order.DeadlineMs_);
     const TimePoint SentAt = now();
-    const OrderReply Reply = Client_.start(Row.Record_, Order, AnswerTime);
+    const OrderReply Reply =
+        Client_.start(Row.Record_, Order, Row.Answers_.wait());
+    noteAnswer(Row, Reply.Result_, SentAt);
     Term_->Metrics_
         .counter("starts_total{result=\"" + std::string(nameOf(Reply.Result_)) +
                  "\"}")
@@ -450,8 +477,10 @@
 
   /// True when no other attempt is needed.
   bool stopOnce(WorkerRowPtr Row, const jobs::RunName &Run) {
+    const TimePoint SentAt = now();
     const OrderReply Reply =
-        Client_.stop(Row->Record_, Run, Term_->Token_, AnswerTime);
+        Client_.stop(Row->Record_, Run, Term_->Token_, Row->Answers_.wait());
+    noteAnswer(*Row, Reply.Result_, SentAt);
     framework::log::info("run.stop")
         .field("task", Run.Task_.str())
         .field("run", Run.Run_.value())
--- a/src/cell/workertable.h
+++ b/src/cell/workertable.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cell/celltypes.h"
+#include "framework/clock/answertime.h"
 #include "framework/clock/steadyclock.h"
 #include "framework/fibers/waiter.h"
 #include "scheduling/pacer.h"
@@ -40,6 +41,12 @@
 /// some tenths of a second; a dark worker gets a few starts more meanwhile.
 constexpr std::uint32_t UnansweredInUse = 1;
 
+/// Bounds of the wait for a worker's answer. A worker answers within some
+/// milliseconds; an entry whose processor time is a quota stands still for up
+/// to a tenth of a second, which must not look like a lost answer.
+constexpr Duration LeastAnswerTime = std::chrono::milliseconds(120);
+constexpr Duration MostAnswerTime = std::chrono::milliseconds(300);
+
 /// What the holder knows of one life of a worker.
 struct WorkerRow {
   WorkerRecord Record_;
@@ -70,6 +77,7 @@
   /// Runs that failed or hung there, fading.
   double Distrust_ = 0;
   framework::fibers::WaiterPtr Wake_;
+  framework::clock::AnswerTime Answers_{LeastAnswerTime, MostAnswerTime};
 
   /// The worker's clock now, by its last word.
   std::int64_t clockMs(TimePoint Now) const {
--- a/src/journal/journal.h
+++ b/src/journal/journal.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "framework/clock/answertime.h"
 #include "framework/fibers/waiter.h"
 #include "jobs/eventcodec.h"
 #include "journal/leadership.h"
@@ -44,10 +45,13 @@
   /// store's list holds about 500 items.
   static constexpr std::uint64_t EntriesPerSnapshot = 300;
   static constexpr std::size_t KeysPerTransaction = 30;
-  /// First wait for an answer; doubled while none comes. The store answers in
-  /// a few milliseconds; sixty times as slow still fits the second try.
-  static constexpr Duration FirstAnswerTime = std::chrono::milliseconds(300);
+  /// Bounds of the wait for an answer. The store answers in a few
+  /// milliseconds, and sixty times as slow when it is in trouble; an entry's
+  /// own pauses last up to a tenth of a second. All entries behind a lost
+  /// answer wait for it.
+  static constexpr Duration LeastAnswerTime = std::chrono::milliseconds(120);
   static constexpr Duration LongestAnswerTime = std::chrono::milliseconds(1200);
+  /// After a refusal: nothing was done, and asking at once would be refused.
   static constexpr Duration RetryPause = std::chrono::milliseconds(50);
 
   Journal(Store &S, CellKeys Keys, Leadership<Store> &Lead)
@@ -204,10 +208,11 @@
   absl::StatusOr<fleet::Revision>
   commitUntilKnown(const store::Transaction &Txn, const std::string &Key,
                    const std::string &Value) {
-    Duration Wait = FirstAnswerTime;
     while (Lead_.held()) {
       const TimePoint Asked = SteadyClock().now();
-      const auto Written = Store_.commit(Txn, wallDeadline(Wait));
+      const auto Written = Store_.commit(Txn, wallDeadline(Answers_.wait()));
+      if (Written.ok())
+        Answers_.answered(SteadyClock().now() - Asked);
       if (Written.ok() && Written->Succeeded_) {
         Lead_.confirmed(Asked);
         return Written->StoreRevision_;
@@ -219,8 +224,10 @@
       }
       ++Counters_.Retries_;
       Refused_ = absl::IsResourceExhausted(Written.status());
-      Wait = std::min(2 * Wait, LongestAnswerTime);
-      framework::fibers::sleepFor(RetryPause);
+      if (absl::IsDeadlineExceeded(Written.status()))
+        Answers_.missed();
+      else
+        framework::fibers::sleepFor(RetryPause);
     }
     return absl::AbortedError("leadership was lost before the store answered");
   }
@@ -230,7 +237,7 @@
   absl::StatusOr<fleet::Revision> settle(const std::string &Key,
                                          const std::string &Value) {
     const auto Read =
-        Store_.range(Key, fleet::Revision(0), wallDeadline(FirstAnswerTime));
+        Store_.range(Key, fleet::Revision(0), wallDeadline(Answers_.wait()));
     if (!Read.ok())
       return Read.status();
     for (const store::KeyValue &Item : Read->Items_)
@@ -267,6 +274,7 @@
   std::optional<TimePoint> PendingSince_;
   bool Refused_ = false;
   Duration UsualTime_{};
+  framework::clock::AnswerTime Answers_{LeastAnswerTime, LongestAnswerTime};
   JournalCounters Counters_;
 };
 
