Refuse a call that was never sent to a holder

Cause: a caller's attempts carry the time that it has left. The last one of an outage arrives with none, so the entry asked no holder at all, and answered "unknown" (504). A caller may not hand an unsafe order in again after that. In one outage of 4.5 s 19 tries ended so; all others of the same jobs had been refused.

Change: at the end of its time a call of which no sending can have been taken is refused, as without a holder. Test: CallWithoutTimeLeftIsNotTaken, red before.

--- a/src/cell/callrouter.h
+++ b/src/cell/callrouter.h
@@ -55,8 +55,9 @@
 
   explicit CallRouter(Paths P) : Paths_(std::move(P)) {}
 
-  /// Waits for the outcome. Without a holder by \p HolderBy the verdict is
-  /// Refused if surely none has taken the call. At \p Deadline it is Unknown.
+  /// Waits for the outcome. Without a holder by \p HolderBy, or at \p Deadline,
+  /// the verdict is Refused if surely none has taken the call; else it is
+  /// Unknown at \p Deadline.
   peers::JobReply call(peers::JobCall Call, TimePoint HolderBy,
                        TimePoint Deadline);
 
--- a/src/cell/internal/callrouter.cpp
+++ b/src/cell/internal/callrouter.cpp
@@ -15,8 +15,7 @@
   const auto Mine = std::make_shared<Pending>();
   Pending_[Sequence] = Mine;
   CallFate Fate;
-  JobReply Result;
-  Result.Verdict_ = JobVerdict::Unknown;
+  std::optional<JobReply> Answer;
   while (SteadyClock().now() < Deadline) {
     Mine->Wake_ = std::make_shared<framework::fibers::Waiter>();
     Mine->Reply_.reset();
@@ -36,19 +35,22 @@
     if (!Mine->Reply_)
       Mine->Wake_->waitUntil(framework::clock::wallDeadline(Wait));
     if (Mine->Reply_ && Mine->Reply_->Verdict_ != JobVerdict::NotHolder) {
-      Result = *Mine->Reply_;
+      Answer = *Mine->Reply_;
       break;
     }
     if (Mine->Reply_) {
       Fate.turnedDown();
       framework::fibers::sleepFor(ResendEvery / 4);
     }
-    if (!Fate.mayBeTaken() && SteadyClock().now() > HolderBy) {
-      Result.Verdict_ = JobVerdict::Refused;
+    if (!Fate.mayBeTaken() && SteadyClock().now() > HolderBy)
       break;
-    }
   }
   Pending_.erase(Sequence);
+  if (Answer)
+    return *Answer;
+  JobReply Result;
+  Result.Verdict_ =
+      Fate.mayBeTaken() ? JobVerdict::Unknown : JobVerdict::Refused;
   return Result;
 }
 
--- a/src/cell/tests/callfatetest.cpp
+++ b/src/cell/tests/callfatetest.cpp
@@ -28,6 +28,20 @@
   BOOST_TEST(Fate.mayBeTaken());
 }
 
+// During an outage a caller's last attempt comes with no time left. It hears
+// "unknown", though no holder was ever asked, and does not dare to hand the
+// order in again.
+BOOST_AUTO_TEST_CASE(CallWithoutTimeLeftIsNotTaken) {
+  CallRouter Router(
+      {[](const peers::JobCall &, const CallRouter::ReplyFn &) {},
+       [] { return false; }, [] { return journal::Holder(); },
+       [](const journal::Holder &) { return false; },
+       [](const journal::Holder &, const peers::JobCall &) {}});
+  const TimePoint Past = framework::clock::SteadyClock().now();
+  const peers::JobReply Reply = Router.call({}, Past, Past);
+  BOOST_TEST((Reply.Verdict_ == peers::JobVerdict::Refused));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace laburnumspread::cell
