--- a/src/capacity/internal/poolplanner.cpp
+++ b/src/capacity/internal/poolplanner.cpp
@@ -94,7 +94,13 @@
     for (const MachineView *Machine : Off)
       if (!Taken.contains(Machine->Record_.Id_))
         Donors.emplace_back(1, 0, Machine);
-    std::sort(Donors.begin(), Donors.end());
+    // Stable: equal donors stay in the order of their names, so that the same
+    // tables give the same orders.
+    std::stable_sort(Donors.begin(), Donors.end(),
+                     [](const auto &A, const auto &B) {
+                       return std::tie(std::get<0>(A), std::get<1>(A)) <
+                              std::tie(std::get<0>(B), std::get<1>(B));
+                     });
     std::size_t Left = Lack;
     for (const auto &[Class, Rank, Machine] : Donors) {
       if (Left == 0)
--- a/src/capacity/internal/turns.cpp
+++ b/src/capacity/internal/turns.cpp
@@ -19,8 +19,8 @@
   if (Own == LastPeak_.end() || Own->second == TimePoint() ||
       Now - Own->second < PeakEnds)
     return false;
-  const auto Before = std::count_if(
-      LastPeak_.begin(), LastPeak_.end(), [&](const auto &Other) {
+  const auto Before =
+      std::count_if(LastPeak_.begin(), LastPeak_.end(), [&](const auto &Other) {
         return Other.first != Pool && Other.second < Own->second;
       });
   return static_cast<std::size_t>(Before) >= Others;
--- a/src/cell/tests/callfatetest.cpp
+++ b/src/cell/tests/callfatetest.cpp
@@ -32,11 +32,10 @@
 // "unknown", though no holder was ever asked, and does not dare to hand the
 // order in again.
 BOOST_AUTO_TEST_CASE(CallWithoutTimeLeftIsNotTaken) {
-  CallRouter Router(
-      {[](const peers::JobCall &, const CallRouter::ReplyFn &) {},
-       [] { return false; }, [] { return journal::Holder(); },
-       [](const journal::Holder &) { return false; },
-       [](const journal::Holder &, const peers::JobCall &) {}});
+  CallRouter Router({[](const peers::JobCall &, const CallRouter::ReplyFn &) {},
+                     [] { return false; }, [] { return journal::Holder(); },
+                     [](const journal::Holder &) { return false; },
+                     [](const journal::Holder &, const peers::JobCall &) {}});
   const TimePoint Past = framework::clock::SteadyClock().now();
   const peers::JobReply Reply = Router.call({}, Past, Past);
   BOOST_TEST((Reply.Verdict_ == peers::JobVerdict::Refused));
