Let a peer lead at once when the store turns the holder away alone

Cause: the store can refuse one entry and serve the others.

Ruled out: a shorter lease (the platform grants no less), resigning (the holder cannot reach the store), peers that take over on their own account (a holder they cannot reach may still answer callers).

Change: a holder without a confirmation for 350 ms stops answering and offers its token to the entries it has heard from; one that reads that head replaces it by compare-and-swap. A holder whose token a worker refuses ends its term.

--- a/src/app/internal/cellapp.cpp
+++ b/src/app/internal/cellapp.cpp
@@ -140,7 +140,15 @@
            SteadyClock().now() - ConfigSeenAt_ < ConfigStale;
   }
 
+  void offerLeadership(const peers::HeadOffer &Offer) {
+    for (const auto &[Name, Peer] : Heard_)
+      Mesh_.send(Peer.Id_, Peer.Address_, Offer);
+  }
+
   void receive(const peers::Sender &From, const peers::Message &Body) {
+    Heard_[From.Id_.Name_] = From;
+    if (const auto *Offer = std::get_if<peers::HeadOffer>(&Body))
+      return Cell_.takeOffer(*Offer);
     if (const auto *Call = std::get_if<peers::JobCall>(&Body))
       Cell_.handle(*Call, [this, From](const peers::JobReply &Reply) {
         Mesh_.send(From.Id_, From.Address_, Reply);
@@ -212,6 +220,8 @@
   framework::http::Server Callers_;
   framework::http::Server Readiness_;
   framework::http::Server MetricsServer_;
+  /// Entries that have sent anything, by name: the latest process of each.
+  std::map<fleet::EntryName, peers::Sender> Heard_;
   TimePoint ConfigSeenAt_{};
   std::size_t InFlight_ = 0;
   bool Leaving_ = false;
@@ -234,6 +244,8 @@
   for (const auto &[Server, At] : Servers)
     if (absl::Status Bound = Server->listen(At); !Bound.ok())
       return Bound;
+  P.Cell_.setOffer(
+      [&P](const peers::HeadOffer &Offer) { P.offerLeadership(Offer); });
   P.Cell_.start(P.Mesh_.advertised().str());
   framework::fibers::spawn([&P] { P.configLoop(); });
   return absl::OkStatus();
--- a/src/app/internal/entryapp.cpp
+++ b/src/app/internal/entryapp.cpp
@@ -158,6 +158,7 @@
   /// Jobs are served by cell entries only.
   void dispatch(const peers::Sender &, const peers::JobCall &) {}
   void dispatch(const peers::Sender &, const peers::JobReply &) {}
+  void dispatch(const peers::Sender &, const peers::HeadOffer &) {}
   template <typename Message>
   void dispatch(const peers::Sender &From, const Message &Item) {
     Reservations_.handle(From, Item);
--- a/src/cell/cellservice.h
+++ b/src/cell/cellservice.h
@@ -43,6 +43,14 @@
   static constexpr Duration LatestOrder = std::chrono::seconds(12);
   static constexpr std::uint64_t RetryAfterOutageMs = 1000;
   static constexpr Duration ListTime = std::chrono::milliseconds(1500);
+  /// A holder that the store has not confirmed for this long offers the
+  /// leadership to its peers: renewals leave every 200 ms and commits between
+  /// them, so several in a row have failed. The lease would take a second.
+  static constexpr Duration OfferAfter = std::chrono::milliseconds(350);
+  /// Time of a peer for its look at the head; past it the offer is old.
+  static constexpr Duration OfferTime = std::chrono::milliseconds(300);
+
+  using OfferFn = std::function<void(const peers::HeadOffer &)>;
 
   CellService(Store &S, Client &C, Service &Api, WorkerDirectory Directory,
               WaveReports Reports, AskAdvisor Ask, Candidacy Mine,
@@ -72,6 +80,20 @@
     Lead_.resign();
   }
 
+  /// How an offer of the leadership reaches the peers.
+  void setOffer(OfferFn Offer) { Offer_ = std::move(Offer); }
+
+  /// The holder with this token cannot reach the store and lets others lead.
+  void takeOffer(const peers::HeadOffer &Offer) {
+    if (Leaving_ || Lead_.held() || Campaigning_)
+      return;
+    Campaigning_ = true;
+    framework::fibers::spawn([this, Offer] {
+      takeOver(jobs::FencingToken(Offer.Token_));
+      Campaigning_ = false;
+    });
+  }
+
   void setConfig(const CellConfig &Config) {
     Config_ = Config;
     if (Term_)
@@ -86,7 +108,8 @@
 
   /// Whether this entry may answer calls: it leads, and surely nobody else.
   bool leads() const {
-    return Term_ && !Term_->over() && Term_->Loaded_ && Lead_.surelyHeld(now());
+    return Term_ && !Term_->over() && Term_->Loaded_ && !Offered_ &&
+           Lead_.surelyHeld(now());
   }
   const TermPtr &term() const { return Term_; }
   /// The last holder that was seen; its token is 0 when there is none.
@@ -180,8 +203,11 @@
       Seen_ = journal::Holder();
       for (const store::KeyValue &Item : Read->Items_)
         noteHead(Item);
-      if (!Leaving_ && !Lead_.held())
+      if (!Leaving_ && !Lead_.held() && !Campaigning_) {
+        Campaigning_ = true;
         campaign();
+        Campaigning_ = false;
+      }
       if (Seen_.Token_.value() != 0 || Lead_.held())
         watchHead(Read->StoreRevision_);
       else
@@ -231,8 +257,13 @@
       return;
     if (Free && !waitedItsTurn())
       return;
-    const auto Won = Free ? Lead_.campaign() : Lead_.replace(Seen_);
+    finishCampaign(Free ? Lead_.campaign() : Lead_.replace(Seen_),
+                   Free ? "free" : "former process");
+  }
+
+  void finishCampaign(const absl::StatusOr<bool> &Won, std::string_view Cause) {
     framework::log::info("leadership.campaign")
+        .field("cause", Cause)
         .field("result", !Won.ok() ? "no answer"
                          : *Won    ? "won"
                                    : "lost")
@@ -249,9 +280,55 @@
       if (!Lead_.held())
         continue;
       framework::fibers::spawn([this] { renewOnce(); });
+      offerIfCutOff();
+    }
+  }
+
+  /// The failure: the store turns away this entry alone. Nothing can be stored
+  /// and callers wait until the lease has run out, a second or more. From the
+  /// offer on this entry answers no call, since a peer may lead at any moment;
+  /// what runs keeps its leases, as without an offer.
+  void offerIfCutOff() {
+    if (!Term_ || !Term_->Loaded_ || Leaving_ || !Offer_ ||
+        now() - Lead_.confirmedAt() < OfferAfter)
+      return;
+    if (!std::exchange(Offered_, true))
+      framework::log::warning("leadership.offered")
+          .field("token", Lead_.token().value())
+          .field("confirmed_ms_ago",
+                 (now() - Lead_.confirmedAt()).count() / 1000);
+    Offer_({Lead_.token().value()});
+  }
+
+  /// Takes over from the holder with \p Token if the store still shows it.
+  void takeOver(jobs::FencingToken Token) {
+    framework::fibers::sleepFor(Mine_.wait());
+    const auto Read = Store_.range(Keys_.head(), fleet::Revision(0),
+                                   framework::clock::wallDeadline(OfferTime));
+    if (!Read.ok() || Lead_.held() || Leaving_)
+      return;
+    for (const store::KeyValue &Item : Read->Items_) {
+      const auto Former = journal::decodeHolder(Item.Value_, Item.ModRevision_);
+      if (Item.Key_ == Keys_.head() && Former && Former->Token_ == Token)
+        finishCampaign(Lead_.replace(*Former), "offered");
     }
   }
 
+  /// The store answers again before any peer has taken the offer up. An answer
+  /// to a peer's late write must not be possible any more.
+  void takeBack() {
+    const auto Written = Lead_.rewrite();
+    if (!Term_ || !Written.ok())
+      return;
+    if (!*Written)
+      return endTerm("a peer has taken the offer up");
+    Term_->Token_ = Lead_.token();
+    Seen_ = Lead_.self();
+    Offered_ = false;
+    framework::log::info("leadership.taken_back")
+        .field("token", Lead_.token().value());
+  }
+
   /// Whether the wait before a campaign is over. A weaker entry waits once for
   /// each time that the cell is without a holder, and looks again.
   bool waitedItsTurn() {
@@ -270,11 +347,16 @@
   void renewOnce() {
     const jobs::FencingToken Token = Lead_.token();
     const auto Alive = Lead_.renew();
-    if (Alive.ok() && !*Alive && Lead_.token() == Token)
+    if (!Alive.ok() || Lead_.token() != Token)
+      return;
+    if (!*Alive)
       endTerm("the lease has ended");
+    else if (Offered_)
+      takeBack();
   }
 
   void beginTerm() {
+    Offered_ = false;
     Term_ =
         std::make_shared<Term<Store>>(Store_, Keys_, Lead_, Metrics_, Bounds_);
     Sessions_ = std::make_shared<Sessions<Store, Client>>(Term_, Client_);
@@ -483,6 +565,10 @@
       const TermPtr T = Term_;
       if (!T || T->over() || !T->Loaded_)
         continue;
+      if (T->Superseded_) {
+        endTerm("a worker has seen a later holder");
+        continue;
+      }
       for (const auto &[Life, Row] : T->Workers_)
         Row->Distrust_ *= DistrustFade;
       T->Table_.forgetEnded(now() - Bounds_.StatusKept_);
@@ -708,6 +794,10 @@
   SessionsPtr Sessions_;
   MachinesPtr Machines_;
   std::map<WaveNumber, WaveRecord> Waves_;
+  OfferFn Offer_;
+  /// Peers have been told that they may lead.
+  bool Offered_ = false;
+  bool Campaigning_ = false;
   bool Leaving_ = false;
   bool AskingAdvisor_ = false;
   bool Waited_ = false;
--- a/src/cell/sessions.h
+++ b/src/cell/sessions.h
@@ -146,6 +146,8 @@
       return takeReport(Row, Reply, Order, SentAt);
     if (Reply.Result_ == OrderResult::OtherLife)
       return lifeOver(Row, "another life answers", true);
+    if (Reply.Result_ == OrderResult::Fenced && Order.Token_ == Term_->Token_)
+      Term_->Superseded_ = true;
     noAnswer(Row, Reply.Result_);
     // The first look follows at once: what ended meanwhile waits for it.
     if (Row.Unanswered_ > 1)
--- a/src/cell/term.h
+++ b/src/cell/term.h
@@ -33,7 +33,8 @@
   }
 
   journal::Leadership<Store> &Lead_;
-  const jobs::FencingToken Token_;
+  /// Rises when the head is written anew under this leadership.
+  jobs::FencingToken Token_;
   jobs::CellTable Table_;
   journal::Journal<Store> Log_;
   CommitQueue<Store> Commits_;
@@ -50,6 +51,8 @@
   /// Whether the journal has been read: before, nothing is known of any job.
   bool Loaded_ = false;
   bool Over_ = false;
+  /// A worker has refused the token: there is a later holder.
+  bool Superseded_ = false;
 };
 
 } // namespace laburnumspread::cell
--- a/src/journal/journal.h
+++ b/src/journal/journal.h
@@ -147,10 +147,14 @@
 
   store::Transaction guarded() const {
     store::Transaction Txn;
-    Txn.Compares_ = {{Keys_.head(), fleet::Revision(Lead_.token().value())}};
+    Txn.Compares_ = {headIs(Lead_.token())};
     return Txn;
   }
 
+  store::Compare headIs(jobs::FencingToken Token) const {
+    return {Keys_.head(), fleet::Revision(Token.value())};
+  }
+
   absl::Status loadSnapshot(jobs::CellTable &Into, TimePoint Now) {
     if (Base_.Parts_ == 0)
       return absl::OkStatus();
@@ -208,9 +212,14 @@
   absl::StatusOr<fleet::Revision>
   commitUntilKnown(const store::Transaction &Txn, const std::string &Key,
                    const std::string &Value) {
+    store::Transaction Guarded = Txn;
     while (Lead_.held()) {
+      // The head may have been written anew since the last try.
+      const jobs::FencingToken Token = Lead_.token();
+      Guarded.Compares_.front() = headIs(Token);
       const TimePoint Asked = SteadyClock().now();
-      const auto Written = Store_.commit(Txn, wallDeadline(Answers_.wait()));
+      const auto Written =
+          Store_.commit(Guarded, wallDeadline(Answers_.wait()));
       if (Written.ok())
         Answers_.answered(SteadyClock().now() - Asked);
       if (Written.ok() && Written->Succeeded_) {
@@ -219,7 +228,9 @@
       }
       if (Written.ok()) {
         const auto Settled = settle(Key, Value);
-        if (Settled.ok() || absl::IsAborted(Settled.status()))
+        const bool Over =
+            absl::IsAborted(Settled.status()) && Lead_.token() == Token;
+        if (Settled.ok() || Over)
           return Settled;
       }
       ++Counters_.Retries_;
--- a/src/journal/leadership.h
+++ b/src/journal/leadership.h
@@ -81,6 +81,23 @@
     return Alive;
   }
 
+  /// Writes the head anew under the lease that holds it. The token rises, and a
+  /// peer that still means to take the former one over fails. False when
+  /// another has.
+  absl::StatusOr<bool> rewrite() {
+    const jobs::FencingToken Before = Self_.Token_;
+    const TimePoint Asked = SteadyClock().now();
+    store::Transaction Txn;
+    Txn.Compares_ = {{Keys_.head(), fleet::Revision(Before.value())}};
+    Txn.Puts_ = {{Keys_.head(), encodeHolder(Self_), Lease_}};
+    const auto Written = Store_.commit(Txn, wallDeadline(CallTime));
+    if (!Written.ok())
+      return Written.status();
+    if (!Written->Succeeded_ || Self_.Token_ != Before)
+      return false;
+    return adopt(jobs::FencingToken(Written->StoreRevision_.value()), Asked);
+  }
+
   /// Renews the lease. False when it has ended: leadership is lost.
   absl::StatusOr<bool> renew() {
     const TimePoint Asked = SteadyClock().now();
--- a/src/journal/tests/journaltest.cpp
+++ b/src/journal/tests/journaltest.cpp
@@ -141,6 +141,25 @@
   BOOST_TEST(absl::IsAborted(First_.Log_.append({accepted("a")})));
 }
 
+// Two entries answer callers for one cell: a peer means to take up an offer of
+// the leadership, its write is late, and meanwhile the holder goes on.
+BOOST_AUTO_TEST_CASE(HeadThatWasWrittenAnewIsNotTakenOver) {
+  BOOST_REQUIRE(*First_.Lead_.campaign());
+  const Holder Offered = First_.Lead_.self();
+  BOOST_REQUIRE(First_.Log_.append({accepted("a")}).ok());
+  BOOST_TEST(*First_.Lead_.rewrite());
+  BOOST_TEST((First_.Lead_.token() > Offered.Token_));
+  BOOST_TEST(!*Second_.Lead_.replace(Offered));
+  BOOST_TEST(First_.Log_.append({accepted("b")}).ok());
+}
+
+BOOST_AUTO_TEST_CASE(HolderThatWasReplacedCannotGoOn) {
+  BOOST_REQUIRE(*First_.Lead_.campaign());
+  BOOST_TEST(*Second_.Lead_.replace(First_.Lead_.self()));
+  BOOST_TEST(!*First_.Lead_.rewrite());
+  BOOST_TEST(absl::IsAborted(First_.Log_.append({accepted("a")})));
+}
+
 BOOST_AUTO_TEST_CASE(AgeCountsEachHoldersOwnTime) {
   JournalAge Age;
   const auto At = [&](std::uint64_t Token, Duration Since) {
--- a/src/peers/internal/messagecodec.cpp
+++ b/src/peers/internal/messagecodec.cpp
@@ -290,6 +290,10 @@
   Out.mutable_cancel()->set_name(From.Name_.str());
 }
 
+void write(const HeadOffer &From, wire::Envelope &Out) {
+  Out.mutable_head_offer()->set_token(From.Token_);
+}
+
 void write(const JobCall &From, wire::Envelope &Out) {
   wire::JobCall &To = *Out.mutable_job_call();
   To.set_sequence(From.Sequence_);
@@ -361,6 +365,8 @@
     return read(In.job_call());
   case wire::Envelope::kJobReply:
     return read(In.job_reply());
+  case wire::Envelope::kHeadOffer:
+    return HeadOffer{In.head_offer().token()};
   case wire::Envelope::BODY_NOT_SET:
     break;
   }
--- a/src/peers/messages.h
+++ b/src/peers/messages.h
@@ -129,11 +129,18 @@
   std::uint64_t RetryAfterMs_ = 0;
 };
 
+/// The holder of the cell cannot reach the store. Whoever can may take the
+/// leadership with this token over at once.
+struct HeadOffer {
+  std::uint64_t Token_ = 0;
+};
+
 using Message =
     std::variant<Heartbeat, Borrow, Grant, Return, idempotency::ReserveRequest,
                  idempotency::ReserveReply, Finish, Abandon,
                  idempotency::CopyRequest, idempotency::CopyReply,
-                 SnapshotRequest, Snapshot, Cancel, JobCall, JobReply>;
+                 SnapshotRequest, Snapshot, Cancel, JobCall, JobReply,
+                 HeadOffer>;
 
 /// Who sent a message, and when by its own clock.
 struct Sender {
