Fit expected run times to declared ones by queue

Cause: what can still be in time and what is smallest is judged by estimates, and those of the callers are off by a factor of each job's own. The mean ratio that was learned cannot mend that.

Change: by queue, a straight line through the logarithms, older runs fading. Tests: EstimatesTest, on drawn tasks declared 0.9 off: under 0.65 of the callers' error.

--- a/src/scheduling/estimates.h
+++ b/src/scheduling/estimates.h
@@ -6,14 +6,25 @@
 
 namespace laburnumspread::scheduling {
 
-/// Run times as they were seen, beside the callers' own estimates: the ratio of
-/// the two by queue, as an exponentially weighted mean.
+/// Run times as they were seen, beside the callers' own estimates.
+///
+/// Declared estimates are several times off, each by a factor of its own, so a
+/// mean ratio does not mend them: what is declared long is on average not that
+/// long, and what is declared short not that short. So the logarithm of the
+/// time seen is fitted to that of the time declared, by queue, as a straight
+/// line (least squares, the older runs fading). Where the declared times say
+/// nothing, the line is flat and every task is expected to take the queue's
+/// mean; where they are right, it follows them.
 class Estimates {
 public:
-  /// Weight of the newest run: about the last twenty count.
-  static constexpr double NewestWeight = 0.05;
-  static constexpr double LeastRatio = 0.1;
-  static constexpr double MostRatio = 10;
+  /// Weight of the newest run once enough are known: about the last hundred
+  /// count. Fewer leave the slope to chance.
+  static constexpr double NewestWeight = 0.01;
+  /// Runs of a queue before which the declared times are taken as they are.
+  static constexpr std::uint64_t FewRuns = 10;
+  /// A run that took longer or shorter than declared by more than this is taken
+  /// as off by this: its worker hung, or its end was noticed late.
+  static constexpr double MostOff = 10;
 
   void note(const jobs::QueueName &Queue, jobs::Duration Declared,
             jobs::Duration Seen);
@@ -23,7 +34,19 @@
                     const jobs::StepSpec &Step) const;
 
 private:
-  std::map<jobs::QueueName, double> Ratios_;
+  /// Means of the logarithms of both times, and how they vary together.
+  struct Fit {
+    std::uint64_t Runs_ = 0;
+    double Declared_ = 0;
+    double Seen_ = 0;
+    double Variance_ = 0;
+    double Covariance_ = 0;
+
+    void add(double LogDeclared, double LogSeen);
+    double expected(double LogDeclared) const;
+  };
+
+  std::map<jobs::QueueName, Fit> Fits_;
 };
 
 /// Longest chain of expected run times over the job's steps.
--- /dev/null
+++ b/src/scheduling/tests/estimatestest.cpp
@@ -0,0 +1,95 @@
+#include "scheduling/estimates.h"
+
+#include <cmath>
+#include <random>
+
+#include <boost/test/unit_test.hpp>
+
+namespace laburnumspread::scheduling {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+const jobs::QueueName Queue("q");
+
+jobs::StepSpec declared(jobs::Duration Time) {
+  jobs::StepSpec Step;
+  Step.Estimate_ = Time;
+  return Step;
+}
+
+/// Tasks with true times around a second, declared wrongly by a factor of their
+/// own.
+struct Tasks {
+  explicit Tasks(double Off) : Truth_(0, 0.5), Error_(0, Off) {}
+
+  std::pair<jobs::Duration, jobs::Duration> next() {
+    const double True = 1e6 * std::exp(Truth_(Random_));
+    const double Told = True * std::exp(Error_(Random_));
+    return {jobs::Duration(static_cast<std::int64_t>(Told)),
+            jobs::Duration(static_cast<std::int64_t>(True))};
+  }
+
+  std::mt19937 Random_{7};
+  std::normal_distribution<double> Truth_;
+  std::normal_distribution<double> Error_;
+};
+
+/// Mean error of the logarithm over 2,000 tasks, after 200 others.
+std::pair<double, double> errors(double Off) {
+  Tasks Source(Off);
+  Estimates Learned;
+  for (int I = 0; I < 200; ++I) {
+    const auto [Told, True] = Source.next();
+    Learned.note(Queue, Told, True);
+  }
+  double Ours = 0, Callers = 0;
+  for (int I = 0; I < 2000; ++I) {
+    const auto [Told, True] = Source.next();
+    const auto Log = [](jobs::Duration Time) {
+      return std::log(static_cast<double>(Time.count()));
+    };
+    Ours += std::abs(Log(Learned.of(Queue, declared(Told))) - Log(True));
+    Callers += std::abs(Log(Told) - Log(True));
+  }
+  return {Ours / 2000, Callers / 2000};
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(EstimatesTest)
+
+BOOST_AUTO_TEST_CASE(DeclaredTimesHoldUntilSomeRunsAreKnown) {
+  Estimates Learned;
+  for (std::uint64_t I = 1; I < Estimates::FewRuns; ++I)
+    Learned.note(Queue, 1s, 5s);
+  BOOST_TEST((Learned.of(Queue, declared(1s)) == 1s));
+  Learned.note(Queue, 1s, 5s);
+  BOOST_TEST((Learned.of(Queue, declared(1s)) > 4900ms));
+}
+
+// Callers whose jobs are declared too short are put behind the others as late,
+// though they could be in time, and callers who declare too long hold up the
+// rest.
+BOOST_AUTO_TEST_CASE(WildDeclarationsAreMended) {
+  const auto [Ours, Callers] = errors(0.9);
+  BOOST_TEST(Ours < 0.65 * Callers);
+}
+
+BOOST_AUTO_TEST_CASE(GoodDeclarationsAreFollowed) {
+  const auto [Ours, Callers] = errors(0.05);
+  BOOST_TEST(Ours < 1.3 * Callers);
+}
+
+BOOST_AUTO_TEST_CASE(RunThatHungChangesLittle) {
+  Estimates Learned;
+  for (int I = 0; I < 100; ++I)
+    Learned.note(Queue, 1s, 1s);
+  Learned.note(Queue, 1s, 60s);
+  BOOST_TEST((Learned.of(Queue, declared(1s)) < 1100ms));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace laburnumspread::scheduling
