Send machines to where jobs begin to pour in

Cause: a pool's need was what its queue holds now, so at the start of a peak machines were sent for a few at a time as the queue grew. One hot workspace alone on ksp from 10.0 s: the first move left at 10.8 s, the last at 12.2 s, and a move takes 1.5 s; 34 of 121 jobs of the first two seconds were late while 22 machines of other pools stood idle at 11 s.

Change: the work of the jobs taken in the last second, less one standard deviation of such a sum, counts as need too. One large job foretells nothing, many small ones do. Tests: MachinesAreSentForWhenJobsBeginToPourIn, OneLargeJobForetellsNothing.

--- a/src/capacity/internal/poolplanner.cpp
+++ b/src/capacity/internal/poolplanner.cpp
@@ -23,7 +23,8 @@
 std::size_t machinesFor(const PoolDemand &Demand, std::int64_t RoomEach) {
   if (RoomEach <= 0)
     return 0;
-  const double Cores = static_cast<double>(Demand.Standing_ + Demand.Timely_);
+  const std::int64_t Finite = std::max(Demand.Timely_, Demand.Coming_.likely());
+  const double Cores = static_cast<double>(Demand.Standing_ + Finite);
   return static_cast<std::size_t>(
       std::ceil(Cores / (PoolPlanner::Fill * static_cast<double>(RoomEach))));
 }
--- a/src/capacity/poolplanner.h
+++ b/src/capacity/poolplanner.h
@@ -2,11 +2,33 @@
 
 #include "capacity/capacitytypes.h"
 
+#include <algorithm>
+#include <cmath>
 #include <map>
 #include <set>
 
 namespace laburnumspread::capacity {
 
+/// Work that came in lately, as thousandths of a core that it will keep busy at
+/// a time if it goes on so.
+class Inflow {
+public:
+  void add(double MilliCpus) {
+    Sum_ += MilliCpus;
+    Squares_ += MilliCpus * MilliCpus;
+  }
+  /// What it is with fair certainty: one standard deviation below the sum, for
+  /// jobs that come by chance. One large job alone foretells nothing; many
+  /// small ones do.
+  std::int64_t likely() const {
+    return static_cast<std::int64_t>(std::max(0.0, Sum_ - std::sqrt(Squares_)));
+  }
+
+private:
+  double Sum_ = 0;
+  double Squares_ = 0;
+};
+
 /// What a pool's queues ask for now, in thousandths of a core.
 struct PoolDemand {
   /// Tasks that last, running or waiting.
@@ -15,6 +37,8 @@
   std::int64_t Timely_ = 0;
   /// The same of jobs that are late already.
   std::int64_t Late_ = 0;
+  /// Finite tasks of jobs that have come lately, waiting or not.
+  Inflow Coming_;
 };
 
 struct MoveOrder {
--- a/src/capacity/tests/poolplannertest.cpp
+++ b/src/capacity/tests/poolplannertest.cpp
@@ -70,6 +70,29 @@
   BOOST_TEST(Orders[1].Machine_ == MachineId("d"));
 }
 
+BOOST_AUTO_TEST_CASE(OneLargeJobForetellsNothing) {
+  Inflow One;
+  One.add(40000);
+  BOOST_TEST(One.likely() == 0);
+  Inflow Many;
+  for (int I = 0; I < 100; ++I)
+    Many.add(400);
+  BOOST_TEST(Many.likely() == 36000);
+}
+
+// Callers wait at the start of a peak: jobs come ten times as fast as before,
+// but machines were sent for only as the queue grew, a few at a time, and each
+// takes longer than a second to come.
+BOOST_AUTO_TEST_CASE(MachinesAreSentForWhenJobsBeginToPourIn) {
+  add("a", Hot);
+  for (const char *Name : {"b", "c", "d", "e"})
+    add(Name, Cold);
+  Demand_[Hot].Timely_ = 4000;
+  for (int I = 0; I < 100; ++I)
+    Demand_[Hot].Coming_.add(600);
+  BOOST_TEST(plan().size() == 3u);
+}
+
 BOOST_AUTO_TEST_CASE(BusyMachinesStay) {
   add("a", Hot);
   for (const char *Name : {"b", "c", "d"}) {
--- a/src/cell/machines.h
+++ b/src/cell/machines.h
@@ -36,6 +36,10 @@
   /// passed over.
   static constexpr Duration ListLag = std::chrono::milliseconds(1000);
   static constexpr Duration RetryPause = std::chrono::milliseconds(400);
+  /// Jobs that were taken within this time tell how fast work comes in. About
+  /// as long as a move: a shorter one takes chance for demand, a longer one
+  /// sees a peak only when its queue has grown.
+  static constexpr Duration InflowWindow = std::chrono::milliseconds(1000);
   static constexpr Duration ReportTime = std::chrono::milliseconds(900);
   /// Orders need a leadership that the store has confirmed lately: a successor
   /// waits for the platform's lease time before its first one.
@@ -404,6 +408,9 @@
 
   void addDemand(const jobs::JobRow &Job, const QueueConfig &Queue,
                  capacity::PoolDemand &Into) const {
+    if (now() - Job.AcceptedAt_ < InflowWindow)
+      Into.Coming_.add(scheduling::workOf(Job.Spec_, Term_->Learned_) /
+                       static_cast<double>(InflowWindow.count()));
     const bool Late = now() > scheduling::dueAt(Job, Queue, Term_->Learned_);
     for (const jobs::OccurrenceRow &Occurrence : Job.Occurrences_)
       for (std::size_t S = 0; S < Occurrence.Steps_.size(); ++S) {
--- a/src/scheduling/estimates.h
+++ b/src/scheduling/estimates.h
@@ -52,4 +52,8 @@
 /// Longest chain of expected run times over the job's steps.
 jobs::Duration longestChain(const jobs::JobSpec &Job, const Estimates &Learned);
 
+/// Processor time of all finite tasks of one occurrence, in thousandths of a
+/// core times microseconds.
+double workOf(const jobs::JobSpec &Job, const Estimates &Learned);
+
 } // namespace laburnumspread::scheduling
--- a/src/scheduling/internal/estimates.cpp
+++ b/src/scheduling/internal/estimates.cpp
@@ -61,4 +61,14 @@
   return Longest;
 }
 
+double workOf(const jobs::JobSpec &Job, const Estimates &Learned) {
+  double Sum = 0;
+  for (const jobs::StepSpec &Step : Job.Steps_)
+    if (!Step.LongRunning_)
+      Sum += static_cast<double>(Step.Count_) *
+             static_cast<double>(Step.demand().MilliCpus_) *
+             static_cast<double>(Learned.of(Job.Queue_, Step).count());
+  return Sum;
+}
+
 } // namespace laburnumspread::scheduling
