Offer the leadership only on refusal or silence; know one's own rewrite

Confirmations count from when they were asked for, so each was older than 350 ms and the holder offered, though all answers came. leadership.offered at 9.74 s. - two renewals wrote the head anew at once; the second one's condition failed, and the holder took that for a peer. leadership.taken_back at 10.17 s, leadership.ended "a peer has taken the offer up" at 10.30 s, the next holder at 12.54 s. And after an outage for all a peer took the offer before the holder was back; a weak entry (0.12 cores) was one of them and never got to serve.

Change: offer after two refused renewals in a row, or when nothing has arrived for 400 ms at two looks; one rewrite at a time, and a failed condition is read back; a head of this process is no other's; a peer whose own calls failed in the last 2 s takes nothing up.

--- a/src/cell/cellservice.h
+++ b/src/cell/cellservice.h
@@ -43,10 +43,17 @@
   static constexpr Duration LatestOrder = std::chrono::seconds(12);
   static constexpr std::uint64_t RetryAfterOutageMs = 1000;
   static constexpr Duration ListTime = std::chrono::milliseconds(1500);
-  /// A holder that the store has not confirmed for this long offers the
-  /// leadership to its peers: renewals leave every 200 ms and commits between
-  /// them, so several in a row have failed. The lease would take a second.
-  static constexpr Duration OfferAfter = std::chrono::milliseconds(350);
+  /// A holder that hears nothing of the store for this long, at two looks in a
+  /// row, offers the leadership to its peers: renewals leave every 200 ms and
+  /// commits between them, so several in a row have failed, and the process has
+  /// had its turn to read what came. The lease would take a second.
+  static constexpr Duration OfferAfter = std::chrono::milliseconds(400);
+  static constexpr std::uint32_t SilentLooks = 2;
+  /// So many renewals in a row that the store refuses say the same sooner.
+  static constexpr std::uint32_t OfferAfterRefusals = 2;
+  /// A peer whose own calls have failed this lately takes up no offer: the
+  /// store is away for all, and the holder had better go on after it.
+  static constexpr Duration OwnTrouble = std::chrono::milliseconds(2000);
   /// Time of a peer for its look at the head; past it the offer is old.
   static constexpr Duration OfferTime = std::chrono::milliseconds(300);
 
@@ -85,7 +92,8 @@
 
   /// The holder with this token cannot reach the store and lets others lead.
   void takeOffer(const peers::HeadOffer &Offer) {
-    if (Leaving_ || Lead_.held() || Campaigning_)
+    if (Leaving_ || Lead_.held() || Campaigning_ ||
+        now() - StoreFailedAt_ < OwnTrouble)
       return;
     Campaigning_ = true;
     framework::fibers::spawn([this, Offer] {
@@ -197,6 +205,7 @@
       const auto Read = Store_.range(Keys_.head(), fleet::Revision(0),
                                      framework::clock::wallDeadline(ListTime));
       if (!Read.ok()) {
+        StoreFailedAt_ = now();
         framework::fibers::sleepFor(CampaignPause);
         continue;
       }
@@ -222,7 +231,10 @@
             journal::decodeHolder(Item.Value_, Item.ModRevision_)) {
       Seen_ = *Read;
       Waited_ = false;
-      if (Lead_.held() && Lead_.token() != Seen_.Token_)
+      // A head of this process that is not the known one is its own rewrite,
+      // seen before the answer to it.
+      const bool Others = !Read->sameProcess(Lead_.self());
+      if (Others && Lead_.held() && Lead_.token() != Seen_.Token_)
         endTerm("another holder was seen");
       else if (!Lead_.held() && Lead_.adoptIfOwn(*Read).value_or(false))
         beginTerm();
@@ -242,8 +254,10 @@
         });
     if (Gone && Lead_.held())
       endTerm("the head key is gone");
-    if (!Ended.ok() && !Gone)
-      framework::fibers::sleepFor(CampaignPause);
+    if (Ended.ok() || Gone)
+      return;
+    StoreFailedAt_ = now();
+    framework::fibers::sleepFor(CampaignPause);
   }
 
   /// Campaigns when there is no holder, or when it was an earlier process of
@@ -289,8 +303,11 @@
   /// offer on this entry answers no call, since a peer may lead at any moment;
   /// what runs keeps its leases, as without an offer.
   void offerIfCutOff() {
-    if (!Term_ || !Term_->Loaded_ || Leaving_ || !Offer_ ||
-        now() - Lead_.confirmedAt() < OfferAfter)
+    const bool Silent = now() - Lead_.heardAt() > OfferAfter;
+    SilentLooks_ = Silent ? SilentLooks_ + 1 : 0;
+    const bool CutOff =
+        SilentLooks_ >= SilentLooks || Lead_.refusals() >= OfferAfterRefusals;
+    if (!CutOff || !Term_ || !Term_->Loaded_ || Leaving_ || !Offer_)
       return;
     if (!std::exchange(Offered_, true))
       framework::log::warning("leadership.offered")
@@ -305,6 +322,8 @@
     framework::fibers::sleepFor(Mine_.wait());
     const auto Read = Store_.range(Keys_.head(), fleet::Revision(0),
                                    framework::clock::wallDeadline(OfferTime));
+    if (!Read.ok())
+      StoreFailedAt_ = now();
     if (!Read.ok() || Lead_.held() || Leaving_)
       return;
     for (const store::KeyValue &Item : Read->Items_) {
@@ -317,8 +336,12 @@
   /// The store answers again before any peer has taken the offer up. An answer
   /// to a peer's late write must not be possible any more.
   void takeBack() {
+    if (std::exchange(TakingBack_, true))
+      return;
+    const TermPtr T = Term_;
     const auto Written = Lead_.rewrite();
-    if (!Term_ || !Written.ok())
+    TakingBack_ = false;
+    if (!T || Term_ != T || !Written.ok())
       return;
     if (!*Written)
       return endTerm("a peer has taken the offer up");
@@ -797,6 +820,9 @@
   OfferFn Offer_;
   /// Peers have been told that they may lead.
   bool Offered_ = false;
+  bool TakingBack_ = false;
+  std::uint32_t SilentLooks_ = 0;
+  TimePoint StoreFailedAt_{};
   bool Campaigning_ = false;
   bool Leaving_ = false;
   bool AskingAdvisor_ = false;
--- a/src/journal/leadership.h
+++ b/src/journal/leadership.h
@@ -93,15 +93,20 @@
     const auto Written = Store_.commit(Txn, wallDeadline(CallTime));
     if (!Written.ok())
       return Written.status();
-    if (!Written->Succeeded_ || Self_.Token_ != Before)
-      return false;
-    return adopt(jobs::FencingToken(Written->StoreRevision_.value()), Asked);
+    if (Self_.Token_ != Before)
+      return absl::CancelledError("the token has changed meanwhile");
+    if (Written->Succeeded_)
+      return adopt(jobs::FencingToken(Written->StoreRevision_.value()), Asked);
+    return adoptRewritten();
   }
 
   /// Renews the lease. False when it has ended: leadership is lost.
   absl::StatusOr<bool> renew() {
     const TimePoint Asked = SteadyClock().now();
     const auto Alive = Store_.keepLease(Lease_, wallDeadline(CallTime));
+    if (absl::IsResourceExhausted(Alive.status()) ||
+        absl::IsUnavailable(Alive.status()))
+      ++Refusals_;
     if (!Alive.ok())
       return Alive.status();
     if (*Alive)
@@ -112,8 +117,16 @@
   /// Notes that the store has proved the leadership at \p Asked or later.
   void confirmed(TimePoint Asked) {
     ConfirmedAt_ = std::max(ConfirmedAt_, Asked);
+    HeardAt_ = SteadyClock().now();
+    Refusals_ = 0;
   }
 
+  /// Renewals that the store has refused since it last confirmed anything.
+  std::uint32_t refusals() const { return Refusals_; }
+  /// When the last confirmation arrived. A slow store's arrive late, but as
+  /// often as before.
+  TimePoint heardAt() const { return HeardAt_; }
+
   /// Gives up leadership, so that a successor need not wait for the lease.
   void resign() {
     if (!held())
@@ -162,6 +175,23 @@
     return false;
   }
 
+  /// The head is not as it was: an earlier rewrite of this process came through
+  /// without an answer, or it is another's.
+  absl::StatusOr<bool> adoptRewritten() {
+    const TimePoint Asked = SteadyClock().now();
+    const auto Read =
+        Store_.range(Keys_.head(), fleet::Revision(0), wallDeadline(CallTime));
+    if (!Read.ok())
+      return Read.status();
+    for (const store::KeyValue &Item : Read->Items_) {
+      const auto Seen = decodeHolder(Item.Value_, Item.ModRevision_);
+      if (Item.Key_ == Keys_.head() && Seen && Seen->sameProcess(Self_) &&
+          Seen->Attempt_ == Self_.Attempt_)
+        return adopt(Seen->Token_, Asked);
+    }
+    return false;
+  }
+
   bool adopt(jobs::FencingToken Token, TimePoint Asked) {
     begin(Token);
     confirmed(Asked);
@@ -196,6 +226,8 @@
   Holder Self_;
   std::int64_t Lease_ = 0;
   TimePoint ConfirmedAt_{};
+  TimePoint HeardAt_{};
+  std::uint32_t Refusals_ = 0;
   TimePoint BegunAt_{};
 };
 
--- a/src/journal/tests/journaltest.cpp
+++ b/src/journal/tests/journaltest.cpp
@@ -153,6 +153,17 @@
   BOOST_TEST(First_.Log_.append({accepted("b")}).ok());
 }
 
+// Callers wait for seconds: the store is slow, a holder that has written its
+// head anew hears no answer, takes its own write for a peer's and steps down,
+// though nobody else leads.
+BOOST_AUTO_TEST_CASE(RewriteWhoseAnswerWasLostIsFoundOut) {
+  BOOST_REQUIRE(*First_.Lead_.campaign());
+  Store_.Next_ = FakeStore::Fault::AnswerLost;
+  BOOST_TEST(!First_.Lead_.rewrite().ok());
+  BOOST_TEST(*First_.Lead_.rewrite());
+  BOOST_TEST(First_.Log_.append({accepted("a")}).ok());
+}
+
 BOOST_AUTO_TEST_CASE(HolderThatWasReplacedCannotGoOn) {
   BOOST_REQUIRE(*First_.Lead_.campaign());
   BOOST_TEST(*Second_.Lead_.replace(First_.Lead_.self()));
