Take up a settings file that changes without a signal

Change: the file is looked at every 2 s and read again when its text differs; bounds are taken up by the next leadership; settings.reloaded names the groups that need a restart.

--- a/src/app/internal/cellapp.cpp
+++ b/src/app/internal/cellapp.cpp
@@ -275,9 +275,16 @@
 bool CellApp::leads() const { return Parts_->Cell_.leads(); }
 
 void CellApp::reload(const CellSettings &Settings) {
+  CellSettings &InForce = Parts_->Settings_;
   framework::log::setLevel(Settings.LogLevel_);
+  Parts_->Cell_.setBounds(Settings.Bounds_);
   framework::log::info("settings.reloaded")
-      .field("entry", Settings.Name_.str());
+      .field("entry", InForce.Name_.str())
+      .field("bounds_changed",
+             InForce.Bounds_ == Settings.Bounds_ ? "no" : "yes")
+      .field("need_restart", cell::needRestart(InForce, Settings));
+  InForce.LogLevel_ = Settings.LogLevel_;
+  InForce.Bounds_ = Settings.Bounds_;
 }
 
 std::string CellApp::dump() const {
--- a/src/app/laburnumspreadd.cpp
+++ b/src/app/laburnumspreadd.cpp
@@ -5,7 +5,7 @@
 #include "framework/fibers/spawn.h"
 #include "framework/fibers/waiter.h"
 #include "framework/log/log.h"
-#include "framework/settings/settingsfile.h"
+#include "framework/settings/settingswatch.h"
 
 #include <csignal>
 #include <functional>
@@ -24,6 +24,9 @@
 constexpr int CannotStart = 1;
 /// A process that is killed loses the lines of this time at the most.
 constexpr auto LogFlushEvery = std::chrono::milliseconds(50);
+/// A settings file that changes without a signal is taken up after this at the
+/// most; a look reads a page.
+constexpr auto SettingsLookEvery = std::chrono::seconds(2);
 
 /// A settings file that cannot be used leaves the old settings in force.
 void keepSettings(const absl::Status &Reason) {
@@ -54,10 +57,23 @@
   });
 }
 
+/// Calls \p Reload when the file has changed without a signal.
+void reloadOnChange(
+    const std::shared_ptr<framework::settings::SettingsWatch> &Watch,
+    const std::function<void()> &Reload) {
+  framework::fibers::spawn([Watch, Reload] {
+    while (true) {
+      framework::fibers::sleepFor(SettingsLookEvery);
+      if (Watch->changed())
+        Reload();
+    }
+  });
+}
+
 /// Serves until SIGTERM or SIGINT. \p Stop tells whether the end was clean.
 template <typename App>
 int serveUntilTold(boost::asio::io_context &Io, App &Served,
-                   const std::function<void()> &Reload,
+                   const std::string &File, const std::function<void()> &Reload,
                    const std::function<bool()> &Stop) {
   framework::fibers::spawn([] {
     while (true) {
@@ -68,7 +84,12 @@
   boost::asio::signal_set Dump(Io, SIGUSR1);
   dumpOnSignal(Dump, Served);
   boost::asio::signal_set Hangup(Io, SIGHUP);
-  reloadOnSignal(Hangup, Reload);
+  const auto Watch = std::make_shared<framework::settings::SettingsWatch>(File);
+  reloadOnSignal(Hangup, [Watch, Reload] {
+    Watch->changed();
+    Reload();
+  });
+  reloadOnChange(Watch, Reload);
   framework::fibers::Waiter Told;
   boost::asio::signal_set Signals(Io, SIGTERM, SIGINT);
   Signals.async_wait([&Told](const auto &, int) { Told.signal(); });
@@ -108,7 +129,7 @@
     framework::log::setLevel(Fresh->LogLevel_);
     framework::log::info("settings.reloaded").field("file", File);
   };
-  return serveUntilTold(Io, App, Reload, [&App] { return App.stop(); });
+  return serveUntilTold(Io, App, File, Reload, [&App] { return App.stop(); });
 }
 
 int serveCell(const cell::CellSettings &Settings, const std::string &File) {
@@ -127,7 +148,7 @@
       return keepSettings(Fresh.status());
     App.reload(*Fresh);
   };
-  return serveUntilTold(Io, App, Reload, [&App] {
+  return serveUntilTold(Io, App, File, Reload, [&App] {
     App.stop();
     return true;
   });
--- a/src/cell/cellservice.h
+++ b/src/cell/cellservice.h
@@ -102,6 +102,10 @@
     });
   }
 
+  /// Bounds of the terms that begin from now on: what runs under the present
+  /// one has been given its leases by the old ones.
+  void setBounds(const CellBounds &Bounds) { Bounds_ = Bounds; }
+
   void setConfig(const CellConfig &Config) {
     Config_ = Config;
     if (Term_)
--- a/src/cell/cellsettings.h
+++ b/src/cell/cellsettings.h
@@ -40,4 +40,8 @@
 absl::StatusOr<CellSettings> readCellSettings(std::string_view Text,
                                               const std::string &File);
 
+/// Groups of fields in which \p Fresh differs and that an entry takes up only
+/// when it starts; empty for none.
+std::string needRestart(const CellSettings &InForce, const CellSettings &Fresh);
+
 } // namespace laburnumspread::cell
--- a/src/cell/celltypes.h
+++ b/src/cell/celltypes.h
@@ -111,6 +111,8 @@
   Duration Move_ = std::chrono::milliseconds(1500);
   Duration Upkeep_ = std::chrono::milliseconds(2000);
   Duration Grace_ = std::chrono::seconds(6);
+
+  bool operator==(const CellBounds &) const = default;
 };
 
 // What a worker says and is told.
--- a/src/cell/internal/cellsettings.cpp
+++ b/src/cell/internal/cellsettings.cpp
@@ -115,4 +115,32 @@
   return readCellSettings(*Text, File);
 }
 
+std::string needRestart(const CellSettings &InForce,
+                        const CellSettings &Fresh) {
+  std::string Names;
+  const auto Note = [&](bool Differs, std::string_view Name) {
+    if (Differs)
+      Names += (Names.empty() ? "" : ",") + std::string(Name);
+  };
+  Note(InForce.Name_ != Fresh.Name_, "name");
+  Note(InForce.Zone_ != Fresh.Zone_, "zone");
+  Note(InForce.Callers_ != Fresh.Callers_ ||
+           InForce.Readiness_ != Fresh.Readiness_ ||
+           InForce.Peers_ != Fresh.Peers_ || InForce.Metrics_ != Fresh.Metrics_,
+       "listen");
+  Note(InForce.Store_ != Fresh.Store_ ||
+           InForce.StorePrefix_ != Fresh.StorePrefix_,
+       "store");
+  Note(InForce.Machines_ != Fresh.Machines_ ||
+           InForce.Advisor_ != Fresh.Advisor_,
+       "services");
+  Note(InForce.PeerKeys_.Public_ != Fresh.PeerKeys_.Public_ ||
+           InForce.PeerKeys_.Secret_ != Fresh.PeerKeys_.Secret_,
+       "peerKeys");
+  Note(InForce.Cores_ != Fresh.Cores_ || InForce.LinkMbps_ != Fresh.LinkMbps_,
+       "capacity");
+  Note(InForce.LogFormat_ != Fresh.LogFormat_, "log.format");
+  return Names;
+}
+
 } // namespace laburnumspread::cell
--- a/src/cell/tests/cellsettingstest.cpp
+++ b/src/cell/tests/cellsettingstest.cpp
@@ -53,6 +53,17 @@
       std::string::npos);
 }
 
+BOOST_AUTO_TEST_CASE(FieldsThatNeedARestartAreNamed) {
+  const CellSettings Before = *readCellSettings(settings(), "file");
+  CellSettings After = Before;
+  After.Bounds_.Grace_ = std::chrono::seconds(9);
+  After.LogLevel_ = framework::log::Level::Warning;
+  BOOST_TEST(needRestart(Before, After) == "");
+  After.Store_.Port_ = 99;
+  After.Zone_ = ZoneName("other");
+  BOOST_TEST(needRestart(Before, After) == "zone,store");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace laburnumspread::cell
