Split the calls, the list of workers and the gauges from the cell service

Change: JobCalls answers callers, Directory follows the list of workers, Term sets its gauges; no change of behaviour. The head is read with 600 ms.

Tests and lint green.

--- a/src/cell/cellservice.h
+++ b/src/cell/cellservice.h
@@ -1,21 +1,12 @@
 #pragma once
 
 #include "cell/candidacy.h"
-#include "cell/machines.h"
-#include "peers/messages.h"
+#include "cell/directory.h"
+#include "cell/jobcalls.h"
 #include "scheduling/scheduler.h"
 
 namespace laburnumspread::cell {
 
-using JobReplyFn = std::function<void(const peers::JobReply &)>;
-
-/// Keys under which the platform lists workers, and how an item is read.
-struct WorkerDirectory {
-  std::string Prefix_;
-  /// Empty when the item names no worker that can be used.
-  std::function<std::optional<WorkerRecord>(const store::KeyValue &)> Read_;
-};
-
 /// Asks the advisor which of the workers may run a step.
 using AskAdvisor = std::function<absl::StatusOr<scheduling::AdviceReply>(
     const scheduling::StepName &, const std::vector<WorkerId> &)>;
@@ -41,8 +32,10 @@
   /// An order may be carried out this long after it was sent (the platform's
   /// word is "seconds later").
   static constexpr Duration LatestOrder = std::chrono::seconds(12);
-  static constexpr std::uint64_t RetryAfterOutageMs = 1000;
   static constexpr Duration ListTime = std::chrono::milliseconds(1500);
+  /// The same for the head: a call that hangs in an outage holds up the
+  /// campaign after it. Twice what a store takes that is sixty times as slow.
+  static constexpr Duration HeadTime = std::chrono::milliseconds(600);
   /// A holder that hears nothing of the store for this long, at two looks in a
   /// row, offers the leadership to its peers: renewals leave every 200 ms and
   /// commits between them, so several in a row have failed, and the process has
@@ -129,45 +122,15 @@
 
   /// Sets the gauges of the term, if there is one.
   void fillGauges(framework::metrics::Registry &Into) const {
-    if (!Term_)
-      return;
-    std::size_t Live = 0, Unconfirmed = 0, Silent = 0;
-    for (const auto &[Life, Use] : Term_->Table_.workers())
-      for (const jobs::RunName &Run : Use.Runs_) {
-        ++Live;
-        const jobs::LiveRun *Found = Term_->Table_.find(Run);
-        Unconfirmed += Found && !Found->Confirmed_;
-      }
-    for (const auto &[Life, Row] : Term_->Workers_)
-      Silent += Row->Unanswered_ > 0;
-    const auto Set = [&](std::string_view Name, std::size_t Value) {
-      Into.gauge(Name).set(static_cast<double>(Value));
-    };
-    Set("cell_token", Term_->Token_.value());
-    Set("jobs_open", Term_->Table_.open().size());
-    Set("jobs_known", Term_->Table_.jobs().size());
-    Set("runs_live", Live);
-    Set("runs_unconfirmed", Unconfirmed);
-    Set("workers", Term_->Workers_.size());
-    Set("workers_silent", Silent);
-    Set("store_stalled", Term_->Commits_.stalled() ? 1 : 0);
+    if (Term_)
+      Term_->fillGauges(Into);
   }
 
   /// Serves a call if this entry leads; \p Reply may run later, once.
   void handle(const peers::JobCall &Call, const JobReplyFn &Reply) {
     if (!leads())
       return Reply({Call.Sequence_, peers::JobVerdict::NotHolder, "", 0, 0});
-    switch (Call.Kind_) {
-    case peers::JobCallKind::Submit:
-      return submit(Call, Reply);
-    case peers::JobCallKind::State:
-      return state(Call, Reply);
-    case peers::JobCallKind::Cancel:
-      return cancel(Call, Reply);
-    case peers::JobCallKind::Waiting:
-      return Reply({Call.Sequence_, peers::JobVerdict::Ok, "",
-                    Term_->Table_.waiting(QueueName(Call.Queue_)), 0});
-    }
+    Calls_->handle(Call, Leaving_, Reply);
   }
 
 private:
@@ -207,7 +170,7 @@
     declareCandidacy();
     while (true) {
       const auto Read = Store_.range(Keys_.head(), fleet::Revision(0),
-                                     framework::clock::wallDeadline(ListTime));
+                                     framework::clock::wallDeadline(HeadTime));
       if (!Read.ok()) {
         StoreFailedAt_ = now();
         framework::fibers::sleepFor(CampaignPause);
@@ -390,6 +353,7 @@
     Machines_ = std::make_shared<Machines<Store, Client, Service>>(
         Term_, Sessions_, Store_, Api_, Reports_);
     Machines_->setKeys(Keys_);
+    Calls_ = std::make_shared<JobCalls<Store, Client>>(Term_, Sessions_);
     Metrics_.counter("takeovers_total").add();
     framework::fibers::spawn([this, T = Term_] { runTerm(T); });
   }
@@ -409,6 +373,7 @@
     Term_ = nullptr;
     Sessions_ = nullptr;
     Machines_ = nullptr;
+    Calls_ = nullptr;
   }
 
   /// Works for a term from takeover to end.
@@ -426,10 +391,12 @@
         .field("jobs_known",
                static_cast<std::uint64_t>(T->Table_.jobs().size()))
         .field("load_ms", (now() - Begun).count() / 1000);
-    framework::fibers::spawn([this, T] { directoryLoop(T); });
     SessionsPtr Talks = Sessions_;
     if (!Talks)
       return;
+    framework::fibers::spawn(
+        [List = std::make_shared<Directory<Store, Client, Service>>(
+             Store_, Directory_, T, Talks, Machines_)] { List->follow(); });
     stopLeftovers(*T, *Talks);
     Machines_->setWaves(Waves_);
     Machines_->start();
@@ -486,104 +453,6 @@
     T.Commits_.wake();
   }
 
-  // Workers.
-
-  void directoryLoop(TermPtr T) {
-    while (!T->over()) {
-      const auto Read = Store_.range(Directory_.Prefix_, fleet::Revision(0),
-                                     framework::clock::wallDeadline(ListTime));
-      if (T->over())
-        return;
-      if (!Read.ok()) {
-        framework::fibers::sleepFor(CampaignPause);
-        continue;
-      }
-      replaceDirectory(*T, Read->Items_);
-      const absl::Status Ended =
-          Store_.watch(Directory_.Prefix_, Read->StoreRevision_.next(),
-                       [&](const store::WatchBatch &Batch) {
-                         if (T->over())
-                           return false;
-                         for (const store::KeyValue &Item : Batch.Puts_)
-                           noteWorker(*T, Item);
-                         for (const std::string &Key : Batch.Deletes_)
-                           unlist(*T, Key);
-                         return true;
-                       });
-      if (!Ended.ok())
-        framework::fibers::sleepFor(CampaignPause);
-    }
-  }
-
-  void replaceDirectory(Term<Store> &T,
-                        const std::vector<store::KeyValue> &Items) {
-    std::set<WorkerLife> Listed;
-    for (const store::KeyValue &Item : Items)
-      if (const auto Life = noteWorker(T, Item))
-        Listed.insert(*Life);
-    for (const auto &[Life, Row] : T.Workers_)
-      if (!Listed.contains(Life))
-        Row->Listed_ = false;
-  }
-
-  std::optional<WorkerLife> noteWorker(Term<Store> &T,
-                                       const store::KeyValue &Item) {
-    const auto Record = Directory_.Read_(Item);
-    if (!Record || T.EndedLives_.contains(Record->Life_))
-      return std::nullopt;
-    const auto Known = T.Workers_.find(Record->Life_);
-    if (Known != T.Workers_.end()) {
-      if (Record->Draining_ != Known->second->Record_.Draining_)
-        framework::log::info("worker.changed")
-            .field("worker", Record->Life_.Id_.str())
-            .field("draining", Record->Draining_ ? "yes" : "no");
-      Known->second->Record_ = *Record;
-      Known->second->Listed_ = true;
-    } else {
-      addWorker(T, *Record);
-    }
-    if (Machines_)
-      Machines_->noteWorker(*Record);
-    T.Commits_.wake();
-    return Record->Life_;
-  }
-
-  void addWorker(Term<Store> &T, const WorkerRecord &Record) {
-    // A worker is one life of a machine, and an id names one life at a time.
-    std::vector<WorkerRowPtr> Over;
-    for (const auto &[Life, Row] : T.Workers_)
-      if ((Life.Id_ == Record.Life_.Id_ &&
-           Life.BornMs_ < Record.Life_.BornMs_) ||
-          (!Record.Machine_.empty() && Life.Id_ != Record.Life_.Id_ &&
-           Row->Record_.Machine_ == Record.Machine_ &&
-           Life.BornMs_ < Record.Life_.BornMs_))
-        Over.push_back(Row);
-    auto Row = std::make_shared<WorkerRow>();
-    Row->Record_ = Record;
-    Row->ClockAt_ = now();
-    T.Workers_[Record.Life_] = Row;
-    framework::log::info("worker.listed")
-        .field("worker", Record.Life_.Id_.str())
-        .field("born_ms", Record.Life_.BornMs_)
-        .field("pool", Record.Pool_.str());
-    if (!Sessions_)
-      return;
-    Sessions_->open(Row);
-    for (const WorkerRowPtr &Old : Over)
-      Sessions_->lifeOver(*Old, "a newer life is listed",
-                          Old->Record_.Life_.Id_ == Record.Life_.Id_);
-  }
-
-  void unlist(Term<Store> &T, const std::string &Key) {
-    const std::string Id = Key.substr(Directory_.Prefix_.size());
-    for (const auto &[Life, Row] : T.Workers_)
-      if (Life.Id_.str() == Id) {
-        Row->Listed_ = false;
-        Row->wake();
-        framework::log::info("worker.unlisted").field("worker", Id);
-      }
-  }
-
   // Time.
 
   void tickLoop() {
@@ -697,106 +566,6 @@
     });
   }
 
-  // Calls.
-
-  /// A job that is taken now could only be told an unknown outcome later.
-  bool storeSilent() const {
-    return Term_->Commits_.stalled() || !Term_->mayOrder();
-  }
-
-  void submit(const peers::JobCall &Call, const JobReplyFn &Reply) {
-    auto Answer = [Reply, Sequence = Call.Sequence_](CommitOutcome Outcome) {
-      Reply({Sequence,
-             Outcome == CommitOutcome::Stored ? peers::JobVerdict::Ok
-                                              : peers::JobVerdict::Unknown,
-             "", 0, 0});
-    };
-    if (Term_->Table_.find(jobs::JobId(Call.Job_)))
-      return Term_->Commits_.whenStored(Answer);
-    const auto Group = jobs::decodeGroup(Call.Spec_);
-    if (!Group.ok() || Group->Events_.size() != 1 ||
-        !std::holds_alternative<jobs::JobAccepted>(Group->Events_.front()))
-      return Reply({Call.Sequence_, peers::JobVerdict::Missing, "", 0, 0});
-    if (storeSilent() || Leaving_) {
-      framework::log::info("job.refused")
-          .field("job", Call.Job_)
-          .field("reason", "the store does not answer");
-      return Reply({Call.Sequence_, peers::JobVerdict::Refused, "", 0,
-                    RetryAfterOutageMs});
-    }
-    const jobs::Event &Accepted = Group->Events_.front();
-    logAccepted(std::get<jobs::JobAccepted>(Accepted).Spec_);
-    Metrics_.counter("jobs_accepted_total").add();
-    Term_->Commits_.stage(Accepted, Answer);
-  }
-
-  static void logAccepted(const jobs::JobSpec &Spec) {
-    std::uint64_t Tasks = 0;
-    for (const jobs::StepSpec &Step : Spec.Steps_)
-      Tasks += Step.Count_;
-    const jobs::StepSpec &First = Spec.Steps_.front();
-    framework::log::info("job.accepted")
-        .field("job", Spec.Id_.str())
-        .field("queue", Spec.Queue_.str())
-        .field("workspace", Spec.Workspace_.str())
-        .field("steps", static_cast<std::uint64_t>(Spec.Steps_.size()))
-        .field("tasks", Tasks)
-        .field("cpu_milli", First.Each_.MilliCpus_)
-        .field("memory_mb", First.Each_.MemoryMb_)
-        .field("estimate_ms", First.Estimate_.count() / 1000)
-        .field("standing", First.LongRunning_ ? "yes" : "no")
-        .field("filler", First.Filler_ ? "yes" : "no")
-        .field("apart", static_cast<std::uint64_t>(First.AntiAffinity_))
-        .field("may_miss", static_cast<std::uint64_t>(First.MayMiss_))
-        .field("image", First.Image_.str())
-        .field("target_ms", First.TargetMs_)
-        .field("occurrences", static_cast<std::uint64_t>(Spec.Occurrences_));
-  }
-
-  void state(const peers::JobCall &Call, const JobReplyFn &Reply) {
-    const jobs::JobRow *Job = Term_->Table_.find(jobs::JobId(Call.Job_));
-    if (!Job)
-      return Reply({Call.Sequence_, peers::JobVerdict::Missing, "", 0, 0});
-    const auto Tell = [&](jobs::JobState State) {
-      Reply({Call.Sequence_, peers::JobVerdict::Ok,
-             std::string(jobs::nameOf(State)), 0, 0});
-    };
-    if (!Job->ended() || Term_->Commits_.idle())
-      return Tell(Job->State_);
-    // An end is told only once it lasts.
-    if (storeSilent())
-      return Tell(jobs::JobState::Running);
-    Term_->Commits_.whenStored([Reply, Sequence = Call.Sequence_,
-                                State = Job->State_](CommitOutcome Outcome) {
-      const bool Lasts = Outcome == CommitOutcome::Stored;
-      Reply({Sequence,
-             Lasts ? peers::JobVerdict::Ok : peers::JobVerdict::Unknown,
-             std::string(jobs::nameOf(State)), 0, 0});
-    });
-  }
-
-  void cancel(const peers::JobCall &Call, const JobReplyFn &Reply) {
-    const jobs::JobId Id(Call.Job_);
-    const jobs::JobRow *Job = Term_->Table_.find(Id);
-    if (!Job)
-      return Reply({Call.Sequence_, peers::JobVerdict::Missing, "", 0, 0});
-    auto Answer = [Reply, Sequence = Call.Sequence_](CommitOutcome Outcome) {
-      Reply({Sequence,
-             Outcome == CommitOutcome::Stored ? peers::JobVerdict::Ok
-                                              : peers::JobVerdict::Unknown,
-             "", 0, 0});
-    };
-    if (Job->ended())
-      return Term_->Commits_.whenStored(Answer);
-    framework::log::info("job.cancelled").field("job", Call.Job_);
-    Term_->Commits_.stage(jobs::JobCancelled{Id},
-                          [Answer, Id, S = Sessions_](CommitOutcome Outcome) {
-                            if (Outcome == CommitOutcome::Stored && S)
-                              S->stopJob(Id);
-                            Answer(Outcome);
-                          });
-  }
-
   /// The advisor takes its time for each worker that is named.
   static constexpr std::size_t WorkersAskedAbout = 30;
   static constexpr std::uint32_t DefaultAttempts = 3;
@@ -820,6 +589,7 @@
   TermPtr Term_;
   SessionsPtr Sessions_;
   MachinesPtr Machines_;
+  std::shared_ptr<JobCalls<Store, Client>> Calls_;
   std::map<WaveNumber, WaveRecord> Waves_;
   OfferFn Offer_;
   /// Peers have been told that they may lead.
--- /dev/null
+++ b/src/cell/directory.h
@@ -0,0 +1,137 @@
+#pragma once
+
+#include "cell/machines.h"
+
+namespace laburnumspread::cell {
+
+/// Keys under which the platform lists workers, and how an item is read.
+struct WorkerDirectory {
+  std::string Prefix_;
+  /// Empty when the item names no worker that can be used.
+  std::function<std::optional<WorkerRecord>(const store::KeyValue &)> Read_;
+};
+
+/// Follows the platform's list of workers for one term: opens the session of
+/// each worker that comes up, and ends the life that a newer one replaces.
+template <store::KeyValueStore Store, WorkerClient Client,
+          MachineService Service>
+class Directory {
+public:
+  using TermPtr = std::shared_ptr<Term<Store>>;
+  using SessionsPtr = std::shared_ptr<Sessions<Store, Client>>;
+  using MachinesPtr = std::shared_ptr<Machines<Store, Client, Service>>;
+
+  static constexpr Duration RetryPause = std::chrono::milliseconds(100);
+  static constexpr Duration ListTime = std::chrono::milliseconds(1500);
+
+  Directory(Store &S, WorkerDirectory Where, TermPtr T, SessionsPtr Talks,
+            MachinesPtr M)
+      : Store_(S), Directory_(std::move(Where)), Term_(std::move(T)),
+        Sessions_(std::move(Talks)), Machines_(std::move(M)) {}
+
+  /// Reads and watches the list until the term is over.
+  void follow() {
+    const TermPtr T = Term_;
+    while (!T->over()) {
+      const auto Read = Store_.range(Directory_.Prefix_, fleet::Revision(0),
+                                     framework::clock::wallDeadline(ListTime));
+      if (T->over())
+        return;
+      if (!Read.ok()) {
+        framework::fibers::sleepFor(RetryPause);
+        continue;
+      }
+      replaceDirectory(*T, Read->Items_);
+      const absl::Status Ended =
+          Store_.watch(Directory_.Prefix_, Read->StoreRevision_.next(),
+                       [&](const store::WatchBatch &Batch) {
+                         if (T->over())
+                           return false;
+                         for (const store::KeyValue &Item : Batch.Puts_)
+                           noteWorker(*T, Item);
+                         for (const std::string &Key : Batch.Deletes_)
+                           unlist(*T, Key);
+                         return true;
+                       });
+      if (!Ended.ok())
+        framework::fibers::sleepFor(RetryPause);
+    }
+  }
+
+private:
+  static TimePoint now() { return Term<Store>::now(); }
+
+  void replaceDirectory(Term<Store> &T,
+                        const std::vector<store::KeyValue> &Items) {
+    std::set<WorkerLife> Listed;
+    for (const store::KeyValue &Item : Items)
+      if (const auto Life = noteWorker(T, Item))
+        Listed.insert(*Life);
+    for (const auto &[Life, Row] : T.Workers_)
+      if (!Listed.contains(Life))
+        Row->Listed_ = false;
+  }
+
+  std::optional<WorkerLife> noteWorker(Term<Store> &T,
+                                       const store::KeyValue &Item) {
+    const auto Record = Directory_.Read_(Item);
+    if (!Record || T.EndedLives_.contains(Record->Life_))
+      return std::nullopt;
+    const auto Known = T.Workers_.find(Record->Life_);
+    if (Known != T.Workers_.end()) {
+      if (Record->Draining_ != Known->second->Record_.Draining_)
+        framework::log::info("worker.changed")
+            .field("worker", Record->Life_.Id_.str())
+            .field("draining", Record->Draining_ ? "yes" : "no");
+      Known->second->Record_ = *Record;
+      Known->second->Listed_ = true;
+    } else {
+      addWorker(T, *Record);
+    }
+    Machines_->noteWorker(*Record);
+    T.Commits_.wake();
+    return Record->Life_;
+  }
+
+  void addWorker(Term<Store> &T, const WorkerRecord &Record) {
+    // A worker is one life of a machine, and an id names one life at a time.
+    std::vector<WorkerRowPtr> Over;
+    for (const auto &[Life, Row] : T.Workers_)
+      if ((Life.Id_ == Record.Life_.Id_ &&
+           Life.BornMs_ < Record.Life_.BornMs_) ||
+          (!Record.Machine_.empty() && Life.Id_ != Record.Life_.Id_ &&
+           Row->Record_.Machine_ == Record.Machine_ &&
+           Life.BornMs_ < Record.Life_.BornMs_))
+        Over.push_back(Row);
+    auto Row = std::make_shared<WorkerRow>();
+    Row->Record_ = Record;
+    Row->ClockAt_ = now();
+    T.Workers_[Record.Life_] = Row;
+    framework::log::info("worker.listed")
+        .field("worker", Record.Life_.Id_.str())
+        .field("born_ms", Record.Life_.BornMs_)
+        .field("pool", Record.Pool_.str());
+    Sessions_->open(Row);
+    for (const WorkerRowPtr &Old : Over)
+      Sessions_->lifeOver(*Old, "a newer life is listed",
+                          Old->Record_.Life_.Id_ == Record.Life_.Id_);
+  }
+
+  void unlist(Term<Store> &T, const std::string &Key) {
+    const std::string Id = Key.substr(Directory_.Prefix_.size());
+    for (const auto &[Life, Row] : T.Workers_)
+      if (Life.Id_.str() == Id) {
+        Row->Listed_ = false;
+        Row->wake();
+        framework::log::info("worker.unlisted").field("worker", Id);
+      }
+  }
+
+  Store &Store_;
+  WorkerDirectory Directory_;
+  TermPtr Term_;
+  SessionsPtr Sessions_;
+  MachinesPtr Machines_;
+};
+
+} // namespace laburnumspread::cell
--- /dev/null
+++ b/src/cell/jobcalls.h
@@ -0,0 +1,143 @@
+#pragma once
+
+#include "cell/sessions.h"
+#include "peers/messages.h"
+
+namespace laburnumspread::cell {
+
+using JobReplyFn = std::function<void(const peers::JobReply &)>;
+
+/// Answers callers' requests about jobs, for one term. What is told lasts: a
+/// reply leaves only when the store has what it says.
+template <store::KeyValueStore Store, WorkerClient Client> class JobCalls {
+public:
+  using TermPtr = std::shared_ptr<Term<Store>>;
+  using SessionsPtr = std::shared_ptr<Sessions<Store, Client>>;
+
+  static constexpr std::uint64_t RetryAfterOutageMs = 1000;
+
+  JobCalls(TermPtr T, SessionsPtr S)
+      : Term_(std::move(T)), Sessions_(std::move(S)) {}
+
+  /// Serves a call; \p Reply may run later, once. \p Leaving: the entry takes
+  /// no more jobs.
+  void handle(const peers::JobCall &Call, bool Leaving,
+              const JobReplyFn &Reply) {
+    switch (Call.Kind_) {
+    case peers::JobCallKind::Submit:
+      return submit(Call, Leaving, Reply);
+    case peers::JobCallKind::State:
+      return state(Call, Reply);
+    case peers::JobCallKind::Cancel:
+      return cancel(Call, Reply);
+    case peers::JobCallKind::Waiting:
+      return Reply({Call.Sequence_, peers::JobVerdict::Ok, "",
+                    Term_->Table_.waiting(QueueName(Call.Queue_)), 0});
+    }
+  }
+
+private:
+  /// A job that is taken now could only be told an unknown outcome later.
+  bool storeSilent() const {
+    return Term_->Commits_.stalled() || !Term_->mayOrder();
+  }
+
+  void submit(const peers::JobCall &Call, bool Leaving,
+              const JobReplyFn &Reply) {
+    auto Answer = [Reply, Sequence = Call.Sequence_](CommitOutcome Outcome) {
+      Reply({Sequence,
+             Outcome == CommitOutcome::Stored ? peers::JobVerdict::Ok
+                                              : peers::JobVerdict::Unknown,
+             "", 0, 0});
+    };
+    if (Term_->Table_.find(jobs::JobId(Call.Job_)))
+      return Term_->Commits_.whenStored(Answer);
+    const auto Group = jobs::decodeGroup(Call.Spec_);
+    if (!Group.ok() || Group->Events_.size() != 1 ||
+        !std::holds_alternative<jobs::JobAccepted>(Group->Events_.front()))
+      return Reply({Call.Sequence_, peers::JobVerdict::Missing, "", 0, 0});
+    if (storeSilent() || Leaving) {
+      framework::log::info("job.refused")
+          .field("job", Call.Job_)
+          .field("reason", "the store does not answer");
+      return Reply({Call.Sequence_, peers::JobVerdict::Refused, "", 0,
+                    RetryAfterOutageMs});
+    }
+    const jobs::Event &Accepted = Group->Events_.front();
+    logAccepted(std::get<jobs::JobAccepted>(Accepted).Spec_);
+    Term_->Metrics_.counter("jobs_accepted_total").add();
+    Term_->Commits_.stage(Accepted, Answer);
+  }
+
+  static void logAccepted(const jobs::JobSpec &Spec) {
+    std::uint64_t Tasks = 0;
+    for (const jobs::StepSpec &Step : Spec.Steps_)
+      Tasks += Step.Count_;
+    const jobs::StepSpec &First = Spec.Steps_.front();
+    framework::log::info("job.accepted")
+        .field("job", Spec.Id_.str())
+        .field("queue", Spec.Queue_.str())
+        .field("workspace", Spec.Workspace_.str())
+        .field("steps", static_cast<std::uint64_t>(Spec.Steps_.size()))
+        .field("tasks", Tasks)
+        .field("cpu_milli", First.Each_.MilliCpus_)
+        .field("memory_mb", First.Each_.MemoryMb_)
+        .field("estimate_ms", First.Estimate_.count() / 1000)
+        .field("standing", First.LongRunning_ ? "yes" : "no")
+        .field("filler", First.Filler_ ? "yes" : "no")
+        .field("apart", static_cast<std::uint64_t>(First.AntiAffinity_))
+        .field("may_miss", static_cast<std::uint64_t>(First.MayMiss_))
+        .field("image", First.Image_.str())
+        .field("target_ms", First.TargetMs_)
+        .field("occurrences", static_cast<std::uint64_t>(Spec.Occurrences_));
+  }
+
+  void state(const peers::JobCall &Call, const JobReplyFn &Reply) {
+    const jobs::JobRow *Job = Term_->Table_.find(jobs::JobId(Call.Job_));
+    if (!Job)
+      return Reply({Call.Sequence_, peers::JobVerdict::Missing, "", 0, 0});
+    const auto Tell = [&](jobs::JobState State) {
+      Reply({Call.Sequence_, peers::JobVerdict::Ok,
+             std::string(jobs::nameOf(State)), 0, 0});
+    };
+    if (!Job->ended() || Term_->Commits_.idle())
+      return Tell(Job->State_);
+    // An end is told only once it lasts.
+    if (storeSilent())
+      return Tell(jobs::JobState::Running);
+    Term_->Commits_.whenStored([Reply, Sequence = Call.Sequence_,
+                                State = Job->State_](CommitOutcome Outcome) {
+      const bool Lasts = Outcome == CommitOutcome::Stored;
+      Reply({Sequence,
+             Lasts ? peers::JobVerdict::Ok : peers::JobVerdict::Unknown,
+             std::string(jobs::nameOf(State)), 0, 0});
+    });
+  }
+
+  void cancel(const peers::JobCall &Call, const JobReplyFn &Reply) {
+    const jobs::JobId Id(Call.Job_);
+    const jobs::JobRow *Job = Term_->Table_.find(Id);
+    if (!Job)
+      return Reply({Call.Sequence_, peers::JobVerdict::Missing, "", 0, 0});
+    auto Answer = [Reply, Sequence = Call.Sequence_](CommitOutcome Outcome) {
+      Reply({Sequence,
+             Outcome == CommitOutcome::Stored ? peers::JobVerdict::Ok
+                                              : peers::JobVerdict::Unknown,
+             "", 0, 0});
+    };
+    if (Job->ended())
+      return Term_->Commits_.whenStored(Answer);
+    framework::log::info("job.cancelled").field("job", Call.Job_);
+    Term_->Commits_.stage(jobs::JobCancelled{Id},
+                          [Answer, Id, S = Sessions_](CommitOutcome Outcome) {
+                            if (Outcome == CommitOutcome::Stored && S)
+                              S->stopJob(Id);
+                            Answer(Outcome);
+                          });
+  }
+
+  TermPtr Term_;
+  SessionsPtr Sessions_;
+};
+
+} // namespace laburnumspread::cell
--- a/src/cell/term.h
+++ b/src/cell/term.h
@@ -32,6 +32,29 @@
     return cell::inheritedLeaseEnds(BegunAt_, Bounds_.LongestHold_);
   }
 
+  void fillGauges(framework::metrics::Registry &Into) const {
+    std::size_t Live = 0, Unconfirmed = 0, Silent = 0;
+    for (const auto &[Life, Use] : Table_.workers())
+      for (const jobs::RunName &Run : Use.Runs_) {
+        ++Live;
+        const jobs::LiveRun *Found = Table_.find(Run);
+        Unconfirmed += Found && !Found->Confirmed_;
+      }
+    for (const auto &[Life, Row] : Workers_)
+      Silent += Row->Unanswered_ > 0;
+    const auto Set = [&](std::string_view Name, std::size_t Value) {
+      Into.gauge(Name).set(static_cast<double>(Value));
+    };
+    Set("cell_token", Token_.value());
+    Set("jobs_open", Table_.open().size());
+    Set("jobs_known", Table_.jobs().size());
+    Set("runs_live", Live);
+    Set("runs_unconfirmed", Unconfirmed);
+    Set("workers", Workers_.size());
+    Set("workers_silent", Silent);
+    Set("store_stalled", Commits_.stalled() ? 1 : 0);
+  }
+
   journal::Leadership<Store> &Lead_;
   /// Rises when the head is written anew under this leadership.
   jobs::FencingToken Token_;
