--- a/src/journal/journal.h
+++ b/src/journal/journal.h
@@ -228,8 +228,8 @@
       }
       if (Written.ok()) {
         const auto Settled = settle(Key, Value);
-        const bool Over =
-            absl::IsAborted(Settled.status()) && Lead_.token() == Token;
+        const bool Over = absl::IsAborted(Settled.status()) &&
+                          Lead_.token() == Token && !Lead_.rewritePending();
         if (Settled.ok() || Over)
           return Settled;
       }
--- a/src/journal/leadership.h
+++ b/src/journal/leadership.h
@@ -86,6 +86,7 @@
   /// another has.
   absl::StatusOr<bool> rewrite() {
     const jobs::FencingToken Before = Self_.Token_;
+    RewritePending_ = true;
     const TimePoint Asked = SteadyClock().now();
     store::Transaction Txn;
     Txn.Compares_ = {{Keys_.head(), fleet::Revision(Before.value())}};
@@ -95,11 +96,18 @@
       return Written.status();
     if (Self_.Token_ != Before)
       return absl::CancelledError("the token has changed meanwhile");
-    if (Written->Succeeded_)
-      return adopt(jobs::FencingToken(Written->StoreRevision_.value()), Asked);
-    return adoptRewritten();
+    const auto Held =
+        Written->Succeeded_
+            ? adopt(jobs::FencingToken(Written->StoreRevision_.value()), Asked)
+            : adoptRewritten();
+    RewritePending_ = !Held.ok();
+    return Held;
   }
 
+  /// Whether a rewrite may have come through of which the answer is missing:
+  /// then a head that is not as it was may still be this process's own.
+  bool rewritePending() const { return RewritePending_; }
+
   /// Renews the lease. False when it has ended: leadership is lost.
   absl::StatusOr<bool> renew() {
     const TimePoint Asked = SteadyClock().now();
@@ -192,7 +200,7 @@
     return false;
   }
 
-  bool adopt(jobs::FencingToken Token, TimePoint Asked) {
+  absl::StatusOr<bool> adopt(jobs::FencingToken Token, TimePoint Asked) {
     begin(Token);
     confirmed(Asked);
     return true;
@@ -200,6 +208,7 @@
 
   void begin(jobs::FencingToken Token) {
     Self_.Token_ = Token;
+    RewritePending_ = false;
     BegunAt_ = SteadyClock().now();
   }
 
@@ -228,6 +237,7 @@
   TimePoint ConfirmedAt_{};
   TimePoint HeardAt_{};
   std::uint32_t Refusals_ = 0;
+  bool RewritePending_ = false;
   TimePoint BegunAt_{};
 };
 
--- a/src/journal/tests/journaltest.cpp
+++ b/src/journal/tests/journaltest.cpp
@@ -1,6 +1,7 @@
 #include "journal/journal.h"
 #include "journal/tests/fakestore.h"
 
+#include <boost/fiber/fiber.hpp>
 #include <boost/test/unit_test.hpp>
 
 namespace laburnumspread::journal {
@@ -164,6 +165,19 @@
   BOOST_TEST(First_.Log_.append({accepted("a")}).ok());
 }
 
+// The answer to a rewrite of the head is lost, and the next entry's condition
+// fails before the holder has found out: it must not step down for that, or
+// callers wait for a lease to run out that nobody else wants.
+BOOST_AUTO_TEST_CASE(EntryWaitsForARewriteWithoutAnswer) {
+  BOOST_REQUIRE(*First_.Lead_.campaign());
+  Store_.Next_ = FakeStore::Fault::AnswerLost;
+  BOOST_REQUIRE(!First_.Lead_.rewrite().ok());
+  boost::fibers::fiber Later([&] { BOOST_TEST(*First_.Lead_.rewrite()); });
+  BOOST_TEST(First_.Log_.append({accepted("a")}).ok());
+  Later.join();
+  BOOST_TEST(Store_.has(Keys.log(1)));
+}
+
 BOOST_AUTO_TEST_CASE(HolderThatWasReplacedCannotGoOn) {
   BOOST_REQUIRE(*First_.Lead_.campaign());
   BOOST_TEST(*Second_.Lead_.replace(First_.Lead_.self()));
