Show which runs are to be gone, and nothing of a former term

Tasks of a cancelled job ran on, and the lines of the entries could tell the possible causes apart only by what was missing: nothing said how many runs a new holder had to stop, that a stop waited, or that a run was still listed long after its cancel.

Lines: leadership.begun and job.cancelled count what is left to stop, job.cancel_repeated says that an earlier try had been stored, run.stop_waits why a stop cannot leave, run.runs_on that a worker still lists a run a second after it was to be gone. Figures: runs_unwanted, oldest_unwanted_run_seconds, runs_on_total. An entry that leads no more went on showing the last figures of its term; they are zero now.

--- a/src/app/cellapp.h
+++ b/src/app/cellapp.h
@@ -25,6 +25,7 @@
   void stop();
 
   std::uint16_t callerPort() const;
+  std::uint16_t metricsPort() const;
   /// Whether this entry leads the cell.
   bool leads() const;
 
--- a/src/app/internal/cellapp.cpp
+++ b/src/app/internal/cellapp.cpp
@@ -271,6 +271,9 @@
 }
 
 std::uint16_t CellApp::callerPort() const { return Parts_->Callers_.port(); }
+std::uint16_t CellApp::metricsPort() const {
+  return Parts_->MetricsServer_.port();
+}
 
 bool CellApp::leads() const { return Parts_->Cell_.leads(); }
 
--- a/src/cell/cellservice.h
+++ b/src/cell/cellservice.h
@@ -120,10 +120,9 @@
   /// The last holder that was seen; its token is 0 when there is none.
   const journal::Holder &holder() const { return Seen_; }
 
-  /// Sets the gauges of the term, if there is one.
+  /// Sets the gauges of the term; all are zero when there is none.
   void fillGauges(framework::metrics::Registry &Into) const {
-    if (Term_)
-      Term_->fillGauges(Into);
+    (Term_ ? Term_->gauges() : TermGauges()).publish(Into);
   }
 
   /// Serves a call if this entry leads; \p Reply may run later, once.
@@ -390,6 +389,7 @@
         .field("jobs_open", static_cast<std::uint64_t>(T->Table_.open().size()))
         .field("jobs_known",
                static_cast<std::uint64_t>(T->Table_.jobs().size()))
+        .field("runs_unwanted", unwantedRuns(*T))
         .field("load_ms", (now() - Begun).count() / 1000);
     SessionsPtr Talks = Sessions_;
     if (!Talks)
@@ -433,6 +433,16 @@
     return false;
   }
 
+  /// Live runs of jobs that have ended: an earlier holder did not stop them, or
+  /// did not hear of their ends.
+  static std::uint64_t unwantedRuns(const Term<Store> &T) {
+    std::uint64_t Count = 0;
+    for (const auto &[Id, Job] : T.Table_.jobs())
+      if (Job.ended())
+        Count += Job.LiveRuns_;
+    return Count;
+  }
+
   /// Runs of jobs that ended under an earlier holder.
   void stopLeftovers(Term<Store> &T, Sessions<Store, Client> &Talks) {
     for (const auto &[Id, Job] : T.Table_.jobs())
--- /dev/null
+++ b/src/cell/internal/termgauges.cpp
@@ -0,0 +1,22 @@
+#include "cell/termgauges.h"
+
+namespace laburnumspread::cell {
+
+void TermGauges::publish(framework::metrics::Registry &Into) const {
+  const auto Set = [&](std::string_view Name, double Value) {
+    Into.gauge(Name).set(Value);
+  };
+  Set("cell_token", static_cast<double>(Token_));
+  Set("jobs_open", static_cast<double>(JobsOpen_));
+  Set("jobs_known", static_cast<double>(JobsKnown_));
+  Set("runs_live", static_cast<double>(RunsLive_));
+  Set("runs_unconfirmed", static_cast<double>(RunsUnconfirmed_));
+  Set("runs_unwanted", static_cast<double>(RunsUnwanted_));
+  Set("oldest_unwanted_run_seconds",
+      std::chrono::duration<double>(OldestUnwanted_).count());
+  Set("workers", static_cast<double>(Workers_));
+  Set("workers_silent", static_cast<double>(WorkersSilent_));
+  Set("store_stalled", StoreStalled_ ? 1 : 0);
+}
+
+} // namespace laburnumspread::cell
--- a/src/cell/jobcalls.h
+++ b/src/cell/jobcalls.h
@@ -125,9 +125,11 @@
                                               : peers::JobVerdict::Unknown,
              "", 0, 0});
     };
-    if (Job->ended())
+    if (Job->ended()) {
+      logCancel("job.cancel_repeated", *Job);
       return Term_->Commits_.whenStored(Answer);
-    framework::log::info("job.cancelled").field("job", Call.Job_);
+    }
+    logCancel("job.cancelled", *Job);
     Term_->Commits_.stage(jobs::JobCancelled{Id},
                           [Answer, Id, S = Sessions_](CommitOutcome Outcome) {
                             if (Outcome == CommitOutcome::Stored && S)
@@ -136,6 +138,13 @@
                           });
   }
 
+  static void logCancel(std::string_view Event, const jobs::JobRow &Job) {
+    framework::log::info(Event)
+        .field("job", Job.Spec_.Id_.str())
+        .field("state", jobs::nameOf(Job.State_))
+        .field("runs_live", static_cast<std::uint64_t>(Job.LiveRuns_));
+  }
+
   TermPtr Term_;
   SessionsPtr Sessions_;
 };
--- a/src/cell/sessions.h
+++ b/src/cell/sessions.h
@@ -31,6 +31,8 @@
   /// As many as fit into the window.
   static constexpr int StartAttempts = 6;
   static constexpr double DistrustOfFailure = 1;
+  /// Past this, a run that is to be stopped and still listed is told of.
+  static constexpr Duration StopExpected = std::chrono::milliseconds(1000);
   /// In the log, of a worker that has not answered this holder yet.
   static constexpr std::int64_t NeverAnswered = -1;
 
@@ -56,6 +58,7 @@
     if (!Live || Live->Stopping_)
       return;
     Live->Stopping_ = true;
+    Live->StoppingSince_ = now();
     framework::fibers::spawn(
         [Self = this->shared_from_this(), Run] { Self->stopRun(Run); });
   }
@@ -209,6 +212,8 @@
         Tracker_.report(Row.Record_.Life_, Reply, SentAt, Row.EndsStaged_);
     for (const RunTracker::Ended &Item : Report.Ended_)
       endRun(Item);
+    for (const RunningRow &Item : Reply.Running_)
+      noteRunsOn(Row, Item.Run_);
     for (const jobs::RunName &Run : Report.Unknown_)
       stopUnknown(Row, Run);
     for (const jobs::RunName &Run : Report.Haunting_)
@@ -259,6 +264,23 @@
                          now() - Live->StartedAt_);
   }
 
+  /// Says once that a run is listed as at work long after it was to be gone.
+  void noteRunsOn(const WorkerRow &Row, const jobs::RunName &Run) {
+    const auto Since = Term_->unwantedSince(Run);
+    jobs::LiveRun *Live = Term_->Table_.findLive(Run);
+    if (!Since || now() - *Since < StopExpected ||
+        std::exchange(Live->ToldRunsOn_, true))
+      return;
+    framework::log::warning("run.runs_on")
+        .field("task", Run.Task_.str())
+        .field("run", Run.Run_.value())
+        .field("worker", Row.Record_.Life_.Id_.str())
+        .field("unwanted_for_ms", sinceMs(*Since))
+        .field("job", jobs::nameOf(Term_->Table_.find(Run.Task_.Job_)->State_))
+        .field("being_stopped", Live->Stopping_ ? "yes" : "no");
+    Term_->Metrics_.counter("runs_on_total").add();
+  }
+
   /// A run that the journal does not know of as live there: an order of an
   /// earlier time that was carried out late.
   void stopUnknown(const WorkerRow &Row, const jobs::RunName &Run) {
@@ -464,6 +486,7 @@
   /// run that an earlier holder started may not be listed yet: then the stop
   /// waits for it.
   void stopRun(const jobs::RunName &Run) {
+    bool ToldWaits = false;
     while (!Term_->over()) {
       const jobs::LiveRun *Live = Term_->Table_.find(Run);
       if (!Live)
@@ -473,13 +496,25 @@
           Worker != Term_->Workers_.end() && Term_->mayOrder();
       if (Reachable && stopOnce(Worker->second, Run))
         return;
+      if (!Reachable && !std::exchange(ToldWaits, true))
+        logStopWaits(Run, Worker != Term_->Workers_.end());
       framework::fibers::sleepFor(RetryPause);
     }
   }
 
+  void logStopWaits(const jobs::RunName &Run, bool Listed) const {
+    framework::log::info("run.stop_waits")
+        .field("task", Run.Task_.str())
+        .field("run", Run.Run_.value())
+        .field("worker", Term_->Table_.find(Run)->On_.Id_.str())
+        .field("reason", Listed ? "the store does not confirm the leadership"
+                                : "its worker is not listed");
+  }
+
   /// True when no other attempt is needed.
   bool stopOnce(WorkerRowPtr Row, const jobs::RunName &Run) {
     const TimePoint SentAt = now();
+    const auto Since = Term_->unwantedSince(Run);
     const OrderReply Reply =
         Client_.stop(Row->Record_, Run, Term_->Token_, Row->Answers_.wait());
     noteAnswer(*Row, Reply.Result_, SentAt);
@@ -487,6 +522,7 @@
         .field("task", Run.Task_.str())
         .field("run", Run.Run_.value())
         .field("worker", Row->Record_.Life_.Id_.str())
+        .field("unwanted_for_ms", Since ? sinceMs(*Since) : 0)
         .field("result", nameOf(Reply.Result_));
     if (Reply.Result_ == OrderResult::Done)
       Tracker_.stopAnswered(Run, now());
--- a/src/cell/term.h
+++ b/src/cell/term.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cell/commitqueue.h"
+#include "cell/termgauges.h"
 #include "cell/workertable.h"
 #include "framework/metrics/metrics.h"
 #include "scheduling/advicetable.h"
@@ -32,27 +33,44 @@
     return cell::inheritedLeaseEnds(BegunAt_, Bounds_.LongestHold_);
   }
 
-  void fillGauges(framework::metrics::Registry &Into) const {
-    std::size_t Live = 0, Unconfirmed = 0, Silent = 0;
+  /// Since when a live run is to be gone: its job has ended, or it is being
+  /// stopped for another reason. Empty when it is wanted.
+  std::optional<TimePoint> unwantedSince(const jobs::RunName &Run) const {
+    const jobs::LiveRun *Live = Table_.find(Run);
+    if (!Live)
+      return std::nullopt;
+    const jobs::JobRow &Job = *Table_.find(Run.Task_.Job_);
+    if (Live->Stopping_ && Job.ended())
+      return std::min(Live->StoppingSince_, Job.EndedAt_);
+    if (Live->Stopping_)
+      return Live->StoppingSince_;
+    return Job.ended() ? std::optional(Job.EndedAt_) : std::nullopt;
+  }
+
+  TermGauges gauges() const {
+    TermGauges Result;
+    Result.Token_ = Token_.value();
+    Result.JobsOpen_ = Table_.open().size();
+    Result.JobsKnown_ = Table_.jobs().size();
+    Result.Workers_ = Workers_.size();
+    Result.StoreStalled_ = Commits_.stalled();
     for (const auto &[Life, Use] : Table_.workers())
-      for (const jobs::RunName &Run : Use.Runs_) {
-        ++Live;
-        const jobs::LiveRun *Found = Table_.find(Run);
-        Unconfirmed += Found && !Found->Confirmed_;
-      }
+      for (const jobs::RunName &Run : Use.Runs_)
+        count(Run, Result);
     for (const auto &[Life, Row] : Workers_)
-      Silent += Row->Unanswered_ > 0;
-    const auto Set = [&](std::string_view Name, std::size_t Value) {
-      Into.gauge(Name).set(static_cast<double>(Value));
-    };
-    Set("cell_token", Token_.value());
-    Set("jobs_open", Table_.open().size());
-    Set("jobs_known", Table_.jobs().size());
-    Set("runs_live", Live);
-    Set("runs_unconfirmed", Unconfirmed);
-    Set("workers", Workers_.size());
-    Set("workers_silent", Silent);
-    Set("store_stalled", Commits_.stalled() ? 1 : 0);
+      Result.WorkersSilent_ += Row->Unanswered_ > 0;
+    return Result;
+  }
+
+  void count(const jobs::RunName &Run, TermGauges &Into) const {
+    const jobs::LiveRun *Live = Table_.find(Run);
+    ++Into.RunsLive_;
+    Into.RunsUnconfirmed_ += Live && !Live->Confirmed_;
+    const auto Since = unwantedSince(Run);
+    if (!Since)
+      return;
+    ++Into.RunsUnwanted_;
+    Into.OldestUnwanted_ = std::max(Into.OldestUnwanted_, now() - *Since);
   }
 
   journal::Leadership<Store> &Lead_;
--- a/src/jobs/celltable.h
+++ b/src/jobs/celltable.h
@@ -17,8 +17,11 @@
   WorkerLife On_;
   /// Whether the worker has confirmed the start, or listed the run.
   bool Confirmed_ = false;
-  /// Whether the worker has been told to stop it.
+  /// Whether it is to be stopped, and since when by this process's clock.
   bool Stopping_ = false;
+  TimePoint StoppingSince_{};
+  /// Whether the log tells that it is at work though it is to be stopped.
+  bool ToldRunsOn_ = false;
   /// Share of full speed at which the worker says it works, in percent.
   int Percent_ = 0;
   TimePoint StartedAt_{};
