End the life that a machine order was given for, not the one found later

Callers saw tasks wait beside an empty worker, and a task could run twice. Cause: when an order for a machine was answered, the life that was on the machine at that moment counted as ended. An order without an answer is said again, and "done already" comes when the machine is back: the new worker was given up for the whole term, its runs were taken for lost while they worked on, and nothing takes an ended life up again.

The life is now the one that was on the machine when the order first left. A life that came between is found gone by the list or by its successor, as any.

--- a/src/cell/machines.h
+++ b/src/cell/machines.h
@@ -279,8 +279,9 @@
   }
 
   void orderUpkeep(const capacity::UpkeepOrder &Order) {
+    const auto Life = Table_.lifeOn(Order.Machine_);
     Table_.ordered(Order.Machine_, now());
-    framework::fibers::spawn([Self = this->shared_from_this(), Order] {
+    framework::fibers::spawn([Self = this->shared_from_this(), Order, Life] {
       const MachineResult Result = Self->repeat(Order.Machine_, [&] {
         return Self->Api_.upkeep(Order.Machine_, Order.Wave_,
                                  Self->Term_->Token_);
@@ -289,7 +290,7 @@
           .field("machine", Order.Machine_.str())
           .field("wave", Order.Wave_.value())
           .field("result", nameOf(Result));
-      Self->settleOrder(Order.Machine_, Result);
+      Self->settleOrder(Order.Machine_, Life, Result);
       if (Result == MachineResult::Done && !Self->Term_->over())
         Self->Term_->Commits_.stage(
             jobs::UpkeepBegun{Order.Wave_, Order.Machine_});
@@ -343,16 +344,20 @@
     return *Known == CommitOutcome::Stored;
   }
 
-  void settleOrder(const MachineId &Machine, MachineResult Result) {
+  /// \p Ordered: the life that was on the machine when the order first left.
+  /// The order ends that one. An order that is said again is answered after
+  /// the machine has come back, when a life that it spares runs there.
+  void settleOrder(const MachineId &Machine,
+                   const std::optional<WorkerLife> &Ordered,
+                   MachineResult Result) {
     if (Term_->over())
       return;
     if (Result != MachineResult::Done)
       return Table_.refused(Machine);
     Table_.acknowledged(Machine, now());
-    const auto Life = Table_.lifeOn(Machine);
-    if (!Life)
+    if (!Ordered)
       return;
-    const auto Row = Term_->Workers_.find(*Life);
+    const auto Row = Term_->Workers_.find(*Ordered);
     if (Row != Term_->Workers_.end())
       Sessions_->lifeOver(*WorkerRowPtr(Row->second),
                           "its machine was ordered away", false);
@@ -446,7 +451,7 @@
       return;
     Table_.ordered(Order.Machine_, now());
     ++Moves_;
-    framework::fibers::spawn([Self = this->shared_from_this(), Order] {
+    framework::fibers::spawn([Self = this->shared_from_this(), Order, Life] {
       const MachineResult Result = Self->repeat(Order.Machine_, [&] {
         return Self->Api_.move(Order.Machine_, Order.To_, Self->Term_->Token_);
       });
@@ -456,7 +461,7 @@
           .field("result", nameOf(Result));
       if (Result == MachineResult::Done)
         Self->Table_.views()[Order.Machine_].Record_.Pool_ = Order.To_;
-      Self->settleOrder(Order.Machine_, Result);
+      Self->settleOrder(Order.Machine_, Life, Result);
     });
   }
 
