Let stops follow from the tables at every report

Cause: a stop was an order given once, at the event that first called for it (the cancel, a job's end, a takeover), and a flag on the run said that somebody saw to it. Given up at a bad moment, right after a takeover when no worker is listed yet, it was missing for good, while the holds that list the run kept it alive.

Change: after each report of a worker, its live runs whose job has ended, or that are being stopped, are asked for from the tables, and each without a stop on its way gets one. A stop that cannot leave is not waited with: the next report asks again. The special look for leftovers at a takeover is gone, as is the second stop after a start that was answered late.

--- a/src/cell/cellservice.h
+++ b/src/cell/cellservice.h
@@ -397,7 +397,6 @@
     framework::fibers::spawn(
         [List = std::make_shared<Directory<Store, Client, Service>>(
              Store_, Directory_, T, Talks, Machines_)] { List->follow(); });
-    stopLeftovers(*T, *Talks);
     Machines_->setWaves(Waves_);
     Machines_->start();
     T->Commits_.run([this, T, Talks] { schedule(*T, *Talks); });
@@ -443,13 +442,6 @@
     return Count;
   }
 
-  /// Runs of jobs that ended under an earlier holder.
-  void stopLeftovers(Term<Store> &T, Sessions<Store, Client> &Talks) {
-    for (const auto &[Id, Job] : T.Table_.jobs())
-      if (Job.ended() && Job.LiveRuns_ > 0)
-        Talks.stopJob(Id);
-  }
-
   /// Queues that have been removed stay known to the term, so that jobs taken
   /// before still end.
   void adoptConfig(Term<Store> &T) {
--- a/src/cell/internal/runtracker.cpp
+++ b/src/cell/internal/runtracker.cpp
@@ -41,13 +41,33 @@
 }
 
 void RunTracker::stopAnswered(const RunName &Run, TimePoint Now) {
-  Starts_[Run].SettledAt_ = Now;
+  Start &Known = Starts_[Run];
+  Known.SettledAt_ = Now;
+  Known.StoppedAt_ = Now;
 }
 
 void RunTracker::stopAnsweredLater(const RunName &Run, TimePoint Now) {
   Starts_[Run].StoppedLaterAt_ = Now;
 }
 
+std::vector<RunName> RunTracker::unwanted(const WorkerLife &Worker,
+                                          TimePoint AsOf) const {
+  std::vector<RunName> Result;
+  const jobs::WorkerUse *Use = Table_.useOf(Worker);
+  if (!Use)
+    return Result;
+  for (const RunName &Run : Use->Runs_)
+    if (Table_.unwantedSince(Run) && !stoppedSince(Run, AsOf))
+      Result.push_back(Run);
+  return Result;
+}
+
+bool RunTracker::stoppedSince(const RunName &Run, TimePoint AsOf) const {
+  const auto Known = Starts_.find(Run);
+  return Known != Starts_.end() && Known->second.StoppedAt_ &&
+         *Known->second.StoppedAt_ >= AsOf;
+}
+
 bool RunTracker::haunted(const WorkerLife &Worker) const {
   const auto &All = Table_.workers();
   const auto First = All.lower_bound(WorkerLife{Worker.Id_, 0});
--- a/src/cell/runtracker.h
+++ b/src/cell/runtracker.h
@@ -64,6 +64,10 @@
   void stopAnswered(const jobs::RunName &Run, TimePoint Now);
   /// The same by a later life of the worker that the run was meant for.
   void stopAnsweredLater(const jobs::RunName &Run, TimePoint Now);
+  /// Live runs on \p Worker that are to be gone, but for those whose stop was
+  /// answered at \p AsOf or later: a report that is as old still lists them.
+  std::vector<jobs::RunName> unwanted(const WorkerLife &Worker,
+                                      TimePoint AsOf) const;
   /// Whether a run of a life before \p Worker may still begin.
   bool haunted(const WorkerLife &Worker) const;
 
@@ -83,6 +87,8 @@
     bool Finished_ = false;
     /// Attempts that have not been answered.
     std::uint32_t Unanswered_ = 0;
+    /// When its stop was last answered.
+    std::optional<TimePoint> StoppedAt_;
     /// When a life after the one that it was meant for had stopped it.
     std::optional<TimePoint> StoppedLaterAt_;
   };
@@ -90,6 +96,7 @@
   void reportFormerLives(const WorkerLife &Worker,
                          const std::set<jobs::RunName> &Listed,
                          TimePoint SentAt, Report &Into) const;
+  bool stoppedSince(const jobs::RunName &Run, TimePoint AsOf) const;
   bool cannotBeginAnew(const jobs::RunName &Run, TimePoint SentAt) const;
   bool cannotBegin(const jobs::RunName &Run, std::int64_t ClockMs,
                    TimePoint SentAt) const;
--- a/src/cell/sessions.h
+++ b/src/cell/sessions.h
@@ -52,15 +52,20 @@
         [Self = this->shared_from_this(), Item] { Self->startRun(Item); });
   }
 
-  /// Stops a run and makes sure that it cannot begin any more.
+  /// Stops a run and makes sure that it cannot begin any more. The stop leaves
+  /// at once if it can; if not, it follows from the worker's next report.
   void stop(const jobs::RunName &Run) {
     jobs::LiveRun *Live = Term_->Table_.findLive(Run);
-    if (!Live || Live->Stopping_)
+    if (!Live)
       return;
-    Live->Stopping_ = true;
-    Live->StoppingSince_ = now();
-    framework::fibers::spawn(
-        [Self = this->shared_from_this(), Run] { Self->stopRun(Run); });
+    if (!std::exchange(Live->Stopping_, true))
+      Live->StoppingSince_ = now();
+    if (!StopsOnWay_.insert(Run).second)
+      return;
+    framework::fibers::spawn([Self = this->shared_from_this(), Run] {
+      Self->stopRun(Run);
+      Self->StopsOnWay_.erase(Run);
+    });
   }
 
   /// The worker's life is over, and with it all that ran on it. With \p
@@ -214,6 +219,13 @@
       endRun(Item);
     for (const RunningRow &Item : Reply.Running_)
       noteRunsOn(Row, Item.Run_);
+    // What is to be gone follows from the tables at each report. An order to
+    // stop that was lost, or that could not leave when it was first called for
+    // (after a takeover, no worker is listed yet), would otherwise be missing
+    // for good, and the run would be kept alive by the very holds that list it.
+    for (const jobs::RunName &Run :
+         Tracker_.unwanted(Row.Record_.Life_, SentAt))
+      stop(Run);
     for (const jobs::RunName &Run : Report.Unknown_)
       stopUnknown(Row, Run);
     for (const jobs::RunName &Run : Report.Haunting_)
@@ -266,7 +278,7 @@
 
   /// Says once that a run is listed as at work long after it was to be gone.
   void noteRunsOn(const WorkerRow &Row, const jobs::RunName &Run) {
-    const auto Since = Term_->unwantedSince(Run);
+    const auto Since = Term_->Table_.unwantedSince(Run);
     jobs::LiveRun *Live = Term_->Table_.findLive(Run);
     if (!Since || now() - *Since < StopExpected ||
         std::exchange(Live->ToldRunsOn_, true))
@@ -461,9 +473,6 @@
       Row.Distrust_ += DistrustOfFailure;
     if (Ended)
       endRun(*Ended);
-    const jobs::LiveRun *Live = Term_->Table_.find(Run);
-    if (Live && Live->Stopping_ && Reply.Result_ == OrderResult::Done)
-      stopRunAgain(Run);
     return Reply.Result_ != OrderResult::Unknown;
   }
 
@@ -477,27 +486,19 @@
         .field("result", nameOf(Reply.Result_));
   }
 
-  void stopRunAgain(const jobs::RunName &Run) {
-    framework::fibers::spawn(
-        [Self = this->shared_from_this(), Run] { Self->stopRun(Run); });
-  }
-
-  /// Sends the stop until it is answered or the run is over. The worker of a
-  /// run that an earlier holder started may not be listed yet: then the stop
-  /// waits for it.
+  /// Sends the stop until it is answered or the run is over. Gives up when it
+  /// cannot leave: the worker's next report asks for it again.
   void stopRun(const jobs::RunName &Run) {
-    bool ToldWaits = false;
     while (!Term_->over()) {
       const jobs::LiveRun *Live = Term_->Table_.find(Run);
       if (!Live)
         return;
       const auto Worker = Term_->Workers_.find(Live->On_);
-      const bool Reachable =
-          Worker != Term_->Workers_.end() && Term_->mayOrder();
-      if (Reachable && stopOnce(Worker->second, Run))
+      const bool Listed = Worker != Term_->Workers_.end();
+      if (!Listed || !Term_->mayOrder())
+        return logStopWaits(Run, Listed);
+      if (stopOnce(Worker->second, Run))
         return;
-      if (!Reachable && !std::exchange(ToldWaits, true))
-        logStopWaits(Run, Worker != Term_->Workers_.end());
       framework::fibers::sleepFor(RetryPause);
     }
   }
@@ -514,7 +515,7 @@
   /// True when no other attempt is needed.
   bool stopOnce(WorkerRowPtr Row, const jobs::RunName &Run) {
     const TimePoint SentAt = now();
-    const auto Since = Term_->unwantedSince(Run);
+    const auto Since = Term_->Table_.unwantedSince(Run);
     const OrderReply Reply =
         Client_.stop(Row->Record_, Run, Term_->Token_, Row->Answers_.wait());
     noteAnswer(*Row, Reply.Result_, SentAt);
@@ -536,6 +537,8 @@
   Client &Client_;
   RunTracker Tracker_;
   FillerPace<Store, Client> Fillers_;
+  /// Runs for which a fiber sends stops at present.
+  std::set<jobs::RunName> StopsOnWay_;
 };
 
 } // namespace laburnumspread::cell
--- a/src/cell/term.h
+++ b/src/cell/term.h
@@ -33,20 +33,6 @@
     return cell::inheritedLeaseEnds(BegunAt_, Bounds_.LongestHold_);
   }
 
-  /// Since when a live run is to be gone: its job has ended, or it is being
-  /// stopped for another reason. Empty when it is wanted.
-  std::optional<TimePoint> unwantedSince(const jobs::RunName &Run) const {
-    const jobs::LiveRun *Live = Table_.find(Run);
-    if (!Live)
-      return std::nullopt;
-    const jobs::JobRow &Job = *Table_.find(Run.Task_.Job_);
-    if (Live->Stopping_ && Job.ended())
-      return std::min(Live->StoppingSince_, Job.EndedAt_);
-    if (Live->Stopping_)
-      return Live->StoppingSince_;
-    return Job.ended() ? std::optional(Job.EndedAt_) : std::nullopt;
-  }
-
   TermGauges gauges() const {
     TermGauges Result;
     Result.Token_ = Token_.value();
@@ -66,7 +52,7 @@
     const jobs::LiveRun *Live = Table_.find(Run);
     ++Into.RunsLive_;
     Into.RunsUnconfirmed_ += Live && !Live->Confirmed_;
-    const auto Since = unwantedSince(Run);
+    const auto Since = Table_.unwantedSince(Run);
     if (!Since)
       return;
     ++Into.RunsUnwanted_;
--- a/src/jobs/celltable.h
+++ b/src/jobs/celltable.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <unordered_map>
 
@@ -117,6 +118,9 @@
   const std::map<JobId, JobRow> &jobs() const { return Jobs_; }
   const std::map<WorkerLife, WorkerUse> &workers() const { return Workers_; }
   const WorkerUse *useOf(const WorkerLife &Worker) const;
+  /// Since when a live run is to be gone: its job has ended, or it is being
+  /// stopped for another reason. Empty when it is wanted, or not live.
+  std::optional<TimePoint> unwantedSince(const RunName &Run) const;
   Resources usedBy(const WorkspaceName &Workspace) const;
 
   /// Jobs of the queue for which no task has ever been started.
--- a/src/jobs/internal/celltable.cpp
+++ b/src/jobs/internal/celltable.cpp
@@ -76,6 +76,18 @@
   return Found == Workers_.end() ? nullptr : &Found->second;
 }
 
+std::optional<TimePoint> CellTable::unwantedSince(const RunName &Run) const {
+  const LiveRun *Live = find(Run);
+  if (!Live)
+    return std::nullopt;
+  const JobRow &Job = Jobs_.at(Run.Task_.Job_);
+  if (Live->Stopping_ && Job.ended())
+    return std::min(Live->StoppingSince_, Job.EndedAt_);
+  if (Live->Stopping_)
+    return Live->StoppingSince_;
+  return Job.ended() ? std::optional(Job.EndedAt_) : std::nullopt;
+}
+
 Resources CellTable::usedBy(const WorkspaceName &Workspace) const {
   const auto Found = Workspaces_.find(Workspace);
   return Found == Workspaces_.end() ? Resources() : Found->second;
