Show no figures of a term that the store does not confirm

An entry that is cut off from the store may never hear of its successor: its watch of the head is a poll, and a poll that ends while the store is shut shows nothing. It went on showing the figures of its term.

Seen in RunsThatAreToBeGoneAreShown, red once in a run of the whole suite.

--- a/src/cell/cellservice.h
+++ b/src/cell/cellservice.h
@@ -120,9 +120,12 @@
   /// The last holder that was seen; its token is 0 when there is none.
   const journal::Holder &holder() const { return Seen_; }
 
-  /// Sets the gauges of the term; all are zero when there is none.
+  /// Sets the gauges of the term. All are zero when there is none, or when the
+  /// store has not confirmed it for so long that nothing is ordered any more: a
+  /// holder that is cut off may never hear of its successor.
   void fillGauges(framework::metrics::Registry &Into) const {
-    (Term_ ? Term_->gauges() : TermGauges()).publish(Into);
+    const bool Acts = Term_ && Term_->mayOrder();
+    (Acts ? Term_->gauges() : TermGauges()).publish(Into);
   }
 
   /// Serves a call if this entry leads; \p Reply may run later, once.
