Look at a worker until the runs that nobody knows are gone

When that was lost nobody looked again, as nothing else ran there, and the run went on until its lease ended, seconds after its job was over.

Change: a worker that lists such runs is looked at until they are gone, and each report gives the stop again. The lease is not renewed for them alone. A worker that stays silent is looked at until its lease has surely run out.

--- a/src/cell/sessions.h
+++ b/src/cell/sessions.h
@@ -129,7 +129,8 @@
   }
 
   bool needsHold(const WorkerRow &Row) const {
-    return !Row.Synced_ || Row.Haunted_ || Row.EndsStored_ > Row.EndsTold_ ||
+    return !Row.Synced_ || Row.Haunted_ || Row.Strays_ ||
+           Row.EndsStored_ > Row.EndsTold_ ||
            Term_->Table_.useOf(Row.Record_.Life_) != nullptr;
   }
 
@@ -140,9 +141,7 @@
   }
 
   void holdOnce(WorkerRow &Row) {
-    const HoldOrder Order =
-        Row.nextHold(now(), Term_->Token_, Term_->Bounds_.LongestHold_,
-                     runsFinite(Row) ? BusyHoldWait : HoldWait);
+    const HoldOrder Order = nextOrder(Row);
     const TimePoint SentAt = now();
     const HoldReply Reply =
         Client_.hold(Row.Record_, Order, Order.Wait_ + Row.Answers_.wait());
@@ -162,6 +161,16 @@
       framework::fibers::sleepFor(RetryPause);
   }
 
+  /// Where only strays are at work the lease is left to run out.
+  HoldOrder nextOrder(WorkerRow &Row) const {
+    const bool Known = Term_->Table_.useOf(Row.Record_.Life_) != nullptr;
+    if (Row.Strays_ && !Known)
+      return Row.nextLook(Term_->Token_, BusyHoldWait);
+    const bool Soon = Row.Strays_ || runsFinite(Row);
+    return Row.nextHold(now(), Term_->Token_, Term_->Bounds_.LongestHold_,
+                        Soon ? BusyHoldWait : HoldWait);
+  }
+
   bool runsFinite(const WorkerRow &Row) const {
     const jobs::WorkerUse *Use = Term_->Table_.useOf(Row.Record_.Life_);
     return Use && std::any_of(Use->Runs_.begin(), Use->Runs_.end(),
@@ -191,8 +200,10 @@
                                            ? NeverAnswered
                                            : sinceMs(Row.AnsweredAt_));
     Term_->Table_.forgetProgress(Row.Record_.Life_);
-    if (Row.surelyLapsed(now(), Term_->inheritedLeaseEnds()))
-      loseRuns(Row.Record_.Life_, "lease ran out unseen");
+    if (!Row.surelyLapsed(now(), Term_->inheritedLeaseEnds()))
+      return;
+    Row.Strays_ = false;
+    loseRuns(Row.Record_.Life_, "lease ran out unseen");
   }
 
   static std::int64_t sinceMs(TimePoint When) {
@@ -231,6 +242,7 @@
     for (const jobs::RunName &Run : Report.Haunting_)
       layToRest(Row, Run);
     Row.Haunted_ = Tracker_.haunted(Row.Record_.Life_);
+    Row.Strays_ = !Report.Unknown_.empty();
     Fillers_.take(Row, Reply);
     if (!Row.Synced_) {
       Row.noteSynced(now(), Term_->Bounds_.LongestHold_);
@@ -296,14 +308,29 @@
   /// A run that the journal does not know of as live there: an order of an
   /// earlier time that was carried out late.
   void stopUnknown(const WorkerRow &Row, const jobs::RunName &Run) {
+    if (!StopsOnWay_.insert(Run).second)
+      return;
     framework::log::warning("run.unknown")
         .field("task", Run.Task_.str())
         .field("run", Run.Run_.value())
         .field("worker", Row.Record_.Life_.Id_.str());
-    framework::fibers::spawn(
-        [Self = this->shared_from_this(), Record = Row.Record_, Run] {
+    framework::fibers::spawn([Self = this->shared_from_this(),
+                              Record = Row.Record_, Run] {
+      const OrderReply Reply =
           Self->Client_.stop(Record, Run, Self->Term_->Token_, MostAnswerTime);
-        });
+      logStop(Record, Run, "the journal does not know it there", Reply);
+      Self->StopsOnWay_.erase(Run);
+    });
+  }
+
+  static void logStop(const WorkerRecord &Record, const jobs::RunName &Run,
+                      std::string_view Reason, const OrderReply &Reply) {
+    framework::log::info("run.stop")
+        .field("task", Run.Task_.str())
+        .field("run", Run.Run_.value())
+        .field("worker", Record.Life_.Id_.str())
+        .field("reason", Reason)
+        .field("result", nameOf(Reply.Result_));
   }
 
   /// Stops a run of a former life on the one that may have taken its start.
@@ -312,12 +339,7 @@
                               Record = Row.Record_, Run] {
       const OrderReply Reply =
           Self->Client_.stop(Record, Run, Self->Term_->Token_, MostAnswerTime);
-      framework::log::info("run.stop")
-          .field("task", Run.Task_.str())
-          .field("run", Run.Run_.value())
-          .field("worker", Record.Life_.Id_.str())
-          .field("reason", "meant for its former life")
-          .field("result", nameOf(Reply.Result_));
+      logStop(Record, Run, "meant for its former life", Reply);
       if (Reply.Result_ == OrderResult::Done)
         Self->Tracker_.stopAnsweredLater(Run, now());
     });
--- a/src/cell/workertable.h
+++ b/src/cell/workertable.h
@@ -57,6 +57,9 @@
   bool Synced_ = false;
   /// A run of a former life may still begin here.
   bool Haunted_ = false;
+  /// It lists runs that the journal does not know of there. It is looked at
+  /// until they are gone: a lost order to stop one is then given again.
+  bool Strays_ = false;
   /// Known to be over: everything that ran on it is gone.
   bool Over_ = false;
   /// The worker's clock as it last told, and when that was heard.
@@ -108,14 +111,21 @@
         std::max({LeaseEnds_, ClockAt_ + Span, Now + OrderTransit + Anew});
   }
 
+  /// A hold that asks for a report and renews no lease.
+  HoldOrder nextLook(jobs::FencingToken Token, Duration Wait) const {
+    HoldOrder Order;
+    Order.Token_ = Token;
+    Order.LastSeen_ = EndsStored_;
+    Order.Wait_ = Wait;
+    return Order;
+  }
+
   /// The next hold to send. A worker that has not answered the last one is only
   /// looked at: a hold that renews its lease might arrive, and the runs there
   /// could then never be given up.
   HoldOrder nextHold(TimePoint Now, jobs::FencingToken Token, Duration Lease,
                      Duration Wait) {
-    HoldOrder Order;
-    Order.Token_ = Token;
-    Order.LastSeen_ = EndsStored_;
+    HoldOrder Order = nextLook(Token, Duration::zero());
     if (!Synced_ || Unanswered_ > 0)
       return Order;
     Order.DeadlineMs_ =
