Begin one term for a leadership, however often its head becomes known

Callers saw finite tasks start over and over, and some run twice, after a peer had taken up an offered leadership. Cause: the peer learns of its own head from the watch and from the answer to its write, and began a term at each.

A term is now begun only if none has the leadership's token.

--- a/src/cell/cellservice.h
+++ b/src/cell/cellservice.h
@@ -345,7 +345,12 @@
       takeBack();
   }
 
+  /// A leadership has one term. Its head may become known twice: by the watch,
+  /// and by the answer to the write. A second term beside the first would take
+  /// the runs that the other starts for unknown ones and stop them.
   void beginTerm() {
+    if (Term_ && Term_->Token_ == Lead_.token())
+      return;
     Offered_ = false;
     Term_ =
         std::make_shared<Term<Store>>(Store_, Keys_, Lead_, Metrics_, Bounds_);
