Repeat a wave's report that the store has turned down

The operator was not told that a wave was done until the next takeover. Cause: an answer of the store ended the sending, also one that says that the condition did not hold and nothing was written. That is so while the holder writes its own head anew; the wave's mark as told then kept everybody else from telling it.

The report is sent until it is written; each try goes by the token of the time.

Before: CellAppTest/WaveIsReportedWhileTheHeadIsWrittenAnew red, no done within a minute.

--- a/src/cell/machines.h
+++ b/src/cell/machines.h
@@ -383,7 +383,9 @@
       Txn.Compares_ = {{Keys_.head(), fleet::Revision(Term_->Token_.value())}};
       const auto Written =
           Store_.commit(Txn, framework::clock::wallDeadline(ReportTime));
-      if (Written.ok()) {
+      // The head may be written anew at this moment: then nothing was written,
+      // and the next try goes by the new token.
+      if (Written.ok() && Written->Succeeded_) {
         framework::log::info("wave.reported")
             .field("wave", Number.value())
             .field("state", Done ? "done" : "running");
