Send a pace that is not known to be in force

Tasks that only fill worked slowly for good after a takeover, or after a lost answer. Cause: a pace that the holder did not know counted as the full one, so nothing was sent where the pacer said full; but a former holder may have cut it, or an order without an answer may have come through or not.

An unknown pace is now sent whatever it is. Runs that this holder starts begin at the full pace, which is then known: they cost no further order. A fresh holder begins at the full pace also where the serving tasks stand between the two bounds of the pacer; it cuts at the next report that is above.

--- a/src/cell/fillerpace.h
+++ b/src/cell/fillerpace.h
@@ -6,7 +6,8 @@
 
 /// Slows the tasks that only fill down while tasks that serve beside them are
 /// near their targets. The pace is Pacer's; here it is sent to the worker, and
-/// again while the worker has not confirmed it.
+/// again while the worker has not confirmed it. A pace that is not known may be
+/// any: a former holder may have set it, or an order without an answer.
 template <store::KeyValueStore Store, WorkerClient Client> class FillerPace {
 public:
   static constexpr Duration AnswerTime = std::chrono::milliseconds(300);
@@ -14,6 +15,11 @@
   FillerPace(std::shared_ptr<Term<Store>> T, Client &C)
       : Term_(std::move(T)), Client_(C) {}
 
+  /// A run is about to be started by this holder: it begins at the full pace.
+  void started(const jobs::RunName &Run) {
+    (*Paced_)[Run] = scheduling::Pacer::Full;
+  }
+
   /// Takes a worker's report.
   void take(WorkerRow &Row, const HoldReply &Reply) {
     std::vector<scheduling::ServingLoad> Serving;
@@ -32,9 +38,7 @@
     const int Percent = Row.Pace_.next(Serving);
     for (const jobs::RunName &Run : Fillers) {
       const auto Known = Paced_->find(Run);
-      const int Before =
-          Known == Paced_->end() ? scheduling::Pacer::Full : Known->second;
-      if (Before != Percent)
+      if (Known == Paced_->end() || Known->second != Percent)
         send(Row, Run, Percent);
     }
   }
--- a/src/cell/sessions.h
+++ b/src/cell/sessions.h
@@ -364,7 +364,10 @@
   }
 
   /// Notes that the intent of a run has been staged by this holder.
-  void staged(const jobs::RunName &Run) { Tracker_.staged(Run); }
+  void staged(const jobs::RunName &Run) {
+    Tracker_.staged(Run);
+    Fillers_.started(Run);
+  }
 
 private:
   void startRun(const jobs::RunIntended &Item) {
--- a/src/cell/tests/fillerpacetest.cpp
+++ b/src/cell/tests/fillerpacetest.cpp
@@ -103,6 +103,16 @@
   BOOST_TEST(Client_.Sent_ == std::vector<int>{scheduling::Pacer::Full});
 }
 
+/// Each order is paid for: a run of this holder's own begins at the full pace
+/// and needs none until the pace changes.
+BOOST_AUTO_TEST_CASE(OwnRunIsPacedOnlyWhenThePaceChanges) {
+  Fillers_.started(Filler);
+  report(FarBelow);
+  BOOST_TEST(Client_.Sent_.empty());
+  report(Over);
+  BOOST_TEST(Client_.Sent_ == std::vector<int>{scheduling::Pacer::Full / 2});
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace laburnumspread::cell
