Settle a run of a former life though a stop follows each report

A worker whose process starts again with a start on its way must not take that run: each report of its new life brings a stop of it, until the stop has been answered and a later hold does not list the run. The stop leaves after the report, as the next hold does, and is answered after that hold has left. Each answer replaced the time of the one before, so no hold was ever later than the answer: the run stayed in doubt, its task was started nowhere and the worker got no work, until some stop was not answered or another holder took over.

Found by the run model once it asks that what is to be stopped does end.

Now the first answer counts, and a further attempt to start makes it void, since that one may reach a life that has stopped nothing.

Before, with the former assignment put back: RunTrackerTest/ ARunOfAFormerLifeIsOverThoughAStopFollowsEachReport fails, "check isOver(...) has failed"; after, it passes.

--- a/src/cell/internal/runtracker.cpp
+++ b/src/cell/internal/runtracker.cpp
@@ -7,9 +7,24 @@
 using jobs::LiveRun;
 using jobs::RunName;
 
+namespace {
+
+/// Of stops that follow each other the first answer counts. One leaves after
+/// each report and is answered after the next hold has left: were the last
+/// answer to count, no hold would ever be later than it, and the run would stay
+/// in doubt for good.
+void noteFirst(std::optional<TimePoint> &At, TimePoint Now) {
+  if (!At)
+    At = Now;
+}
+
+} // namespace
+
 void RunTracker::startSent(const RunName &Run, std::int64_t DeadlineMs) {
   Start &Sent = Starts_[Run];
   Sent.DeadlineMs_ = DeadlineMs;
+  // This attempt may reach a life that has stopped nothing yet.
+  Sent.StoppedLaterAt_.reset();
   ++Sent.Unanswered_;
 }
 
@@ -45,7 +60,7 @@
 }
 
 void RunTracker::stopAnsweredLater(const RunName &Run, TimePoint Now) {
-  Starts_[Run].StoppedLaterAt_ = Now;
+  noteFirst(Starts_[Run].StoppedLaterAt_, Now);
 }
 
 bool RunTracker::haunted(const WorkerLife &Worker) const {
--- a/src/cell/runtracker.h
+++ b/src/cell/runtracker.h
@@ -83,7 +83,8 @@
     bool Finished_ = false;
     /// Attempts that have not been answered.
     std::uint32_t Unanswered_ = 0;
-    /// When a life after the one that it was meant for had stopped it.
+    /// When a life after the one that it was meant for had first stopped it,
+    /// since the last attempt left.
     std::optional<TimePoint> StoppedLaterAt_;
   };
 
