Let RunTracker tell which runs of a worker are to be stopped

When a stop is sent was decided in fibers, from the moment at which it was first ordered: a holder that knew no worker then, or was gone before, left the tasks of a cancelled job at work. unwanted() tells it from the tables alone: runs whose job has ended, or whose stop was ordered. Nothing calls it yet.

Whoever asks after each report sends one more stop for each that was answered after the next hold had left. So of the answers of the life that the run was meant for, too, the first one counts; with the last one the run would stay live and its room taken, which the case below shows.

--- a/src/cell/internal/runtracker.cpp
+++ b/src/cell/internal/runtracker.cpp
@@ -56,7 +56,7 @@
 }
 
 void RunTracker::stopAnswered(const RunName &Run, TimePoint Now) {
-  Starts_[Run].SettledAt_ = Now;
+  noteFirst(Starts_[Run].SettledAt_, Now);
 }
 
 void RunTracker::stopAnsweredLater(const RunName &Run, TimePoint Now) {
@@ -70,6 +70,20 @@
          First->first.BornMs_ < Worker.BornMs_;
 }
 
+std::vector<RunName> RunTracker::unwanted(const WorkerLife &Worker) const {
+  std::vector<RunName> Result;
+  const jobs::WorkerUse *Use = Table_.useOf(Worker);
+  if (!Use)
+    return Result;
+  for (const RunName &Run : Use->Runs_) {
+    const jobs::JobRow *Job = Table_.find(Run.Task_.Job_);
+    const LiveRun *Live = Table_.find(Run);
+    if ((Job && Job->ended()) || (Live && Live->Stopping_))
+      Result.push_back(Run);
+  }
+  return Result;
+}
+
 void RunTracker::forget(const RunName &Run) {
   Starts_.erase(Run);
   Staged_.erase(Run);
--- a/src/cell/runtracker.h
+++ b/src/cell/runtracker.h
@@ -72,6 +72,13 @@
   Report report(const WorkerLife &Worker, const HoldReply &Reply,
                 TimePoint SentAt, std::uint64_t EndsStaged);
 
+  /// Live runs on the worker that are to be stopped: their job has ended, or a
+  /// stop was ordered. Told from the tables alone, so that a stop may be
+  /// ordered, lost or handed on to a later holder at any moment: whoever asks
+  /// after each report of the worker misses none, and what is asked for once
+  /// more does no harm there.
+  std::vector<jobs::RunName> unwanted(const WorkerLife &Worker) const;
+
   /// The run is over and staged as such.
   void forget(const jobs::RunName &Run);
 
--- a/src/cell/tests/runtrackertest.cpp
+++ b/src/cell/tests/runtrackertest.cpp
@@ -13,10 +13,14 @@
 const TimePoint Now(std::chrono::hours(1));
 const WorkerLife Here{WorkerId("w"), 2};
 const WorkerLife Former{WorkerId("w"), 1};
+const WorkerLife Elsewhere{WorkerId("x"), 2};
 
-/// A job of two tasks, and the runs that a holder has read of it.
+/// Two jobs of two tasks, and the runs that a holder has read of them.
 struct Fixture {
-  Fixture() { accept("kept"); }
+  Fixture() {
+    accept("kept");
+    accept("gone");
+  }
 
   void accept(const std::string &Id) {
     jobs::JobAccepted Item;
@@ -33,6 +37,14 @@
     return Run;
   }
 
+  void cancel(const std::string &Job) {
+    Table_.apply(jobs::JobCancelled{JobId(Job)}, Now);
+  }
+
+  std::vector<RunName> unwanted(const WorkerLife &Worker) const {
+    return Tracker_.unwanted(Worker);
+  }
+
   /// Whether the run is over after some holds that do not list it. Each leaves
   /// at once after the report before; \p StopAnswered comes a moment later.
   template <typename Answer>
@@ -58,6 +70,41 @@
 
 BOOST_FIXTURE_TEST_SUITE(RunTrackerTest, Fixture)
 
+BOOST_AUTO_TEST_CASE(WhatIsWantedIsNotStopped) {
+  begin("kept", 0, Here);
+  begin("gone", 0, Elsewhere);
+  cancel("gone");
+  BOOST_TEST(unwanted(Here).empty());
+  BOOST_TEST(unwanted(Former).empty());
+}
+
+// Tasks of a cancelled job ran on: their holder was gone before it had stopped
+// them, and the next one, which reads only the journal, knew no worker at the
+// moment at which it ordered the stops.
+BOOST_AUTO_TEST_CASE(RunsOfAnEndedJobAreUnwantedWithoutAnyOrder) {
+  begin("kept", 0, Here);
+  const RunName First = begin("gone", 0, Here);
+  const RunName Second = begin("gone", 1, Elsewhere);
+  cancel("gone");
+  BOOST_TEST((unwanted(Here) == std::vector{First}));
+  BOOST_TEST((unwanted(Elsewhere) == std::vector{Second}));
+}
+
+// A stop without an answer may not have been carried out, and one that was
+// answered need not have reached the life that runs the task. The run stays
+// unwanted until it has ended, so that each report asks for it once more.
+BOOST_AUTO_TEST_CASE(ARunStaysUnwantedUntilItHasEnded) {
+  const RunName Run = begin("gone", 0, Here);
+  cancel("gone");
+  Tracker_.stopAnswered(Run, Now);
+  BOOST_TEST((unwanted(Here) == std::vector{Run}));
+  jobs::RunEnded End;
+  End.Run_ = Run;
+  Table_.apply(End, Now);
+  Tracker_.forget(Run);
+  BOOST_TEST(unwanted(Here).empty());
+}
+
 // A worker's process started again with a start on its way, and the worker went
 // out of use for good, its task nowhere at work: a stop of the former life's
 // run left after each report and was answered after the next hold had left. The
@@ -70,6 +117,32 @@
       isOver(Run, [&](TimePoint At) { Tracker_.stopAnsweredLater(Run, At); }));
 }
 
+// The same on the life that the run was meant for, once each report asks for
+// the stop of what is unwanted: the room of a cancelled job stayed taken.
+BOOST_AUTO_TEST_CASE(AnUnwantedRunIsOverThoughAStopFollowsEachReport) {
+  const RunName Run = begin("gone", 0, Here);
+  cancel("gone");
+  Tracker_.staged(Run);
+  BOOST_TEST(
+      isOver(Run, [&](TimePoint At) { Tracker_.stopAnswered(Run, At); }));
+}
+
+BOOST_AUTO_TEST_CASE(ARunThatIsBeingStoppedIsUnwantedThoughItsJobGoesOn) {
+  const RunName Run = begin("kept", 0, Here);
+  begin("kept", 1, Here);
+  Table_.findLive(Run)->Stopping_ = true;
+  BOOST_TEST((unwanted(Here) == std::vector{Run}));
+}
+
+// The later life does not run what its former one ran; such runs are settled by
+// its reports.
+BOOST_AUTO_TEST_CASE(RunsOfAFormerLifeAreNotStoppedOnTheNextOne) {
+  const RunName Run = begin("gone", 0, Former);
+  cancel("gone");
+  BOOST_TEST(unwanted(Here).empty());
+  BOOST_TEST((unwanted(Former) == std::vector{Run}));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace laburnumspread::cell
