--- a/src/cell/runtracker.h
+++ b/src/cell/runtracker.h
@@ -64,8 +64,11 @@
   void stopAnswered(const jobs::RunName &Run, TimePoint Now);
   /// The same by a later life of the worker that the run was meant for.
   void stopAnsweredLater(const jobs::RunName &Run, TimePoint Now);
-  /// Live runs on \p Worker that are to be gone, but for those whose stop was
-  /// answered at \p AsOf or later: a report that is as old still lists them.
+  /// Live runs on \p Worker that are to be gone: their job has ended, or a stop
+  /// was ordered. Told from the tables alone, so that a stop may be lost, or
+  /// its need be left to a later holder, at any moment: whoever asks after each
+  /// report of the worker misses none. Without those whose stop was answered at
+  /// \p AsOf or later: a report that is as old may still list them.
   std::vector<jobs::RunName> unwanted(const WorkerLife &Worker,
                                       TimePoint AsOf) const;
   /// Whether a run of a life before \p Worker may still begin.
@@ -89,7 +92,8 @@
     std::uint32_t Unanswered_ = 0;
     /// When its stop was last answered.
     std::optional<TimePoint> StoppedAt_;
-    /// When a life after the one that it was meant for had stopped it.
+    /// When a life after the one that it was meant for had first stopped it,
+    /// since the last attempt left.
     std::optional<TimePoint> StoppedLaterAt_;
   };
 
