Let the list, not an acknowledged order, tell that a worker is gone

Callers saw tasks wait beside an empty worker after a takeover in a wave. Cause: an acknowledged order for a machine counted as the end of the worker there, for the whole term. The platform also acknowledges what was done before: a successor that does not know of an upkeep whose answer was lost orders it again, nothing happens, and a worker that is alive was never taken up again.

An acknowledgement now ends nothing. The machine stays held back as before, and the life that the order was given for is over when a list that is newer than the acknowledgement says so, or when a newer life is listed. This takes the place of the life that was handed through the orders; MachineTable keeps it.

--- a/src/cell/internal/machinetable.cpp
+++ b/src/cell/internal/machinetable.cpp
@@ -52,11 +52,23 @@
 }
 
 void MachineTable::ordered(const MachineId &Machine, TimePoint Now) {
-  Orders_[Machine] = {Now, false};
+  Orders_[Machine] = {Now, false, lifeOn(Machine)};
 }
 
 void MachineTable::acknowledged(const MachineId &Machine, TimePoint Now) {
-  Orders_[Machine] = {Now, true};
+  // A newer worker may have settled it before the answer came; that one is not
+  // the life that the order was given for.
+  Order &Known = Orders_[Machine];
+  Known.At_ = Now;
+  Known.Acknowledged_ = true;
+}
+
+std::set<WorkerLife> MachineTable::orderedAway(TimePoint Before) const {
+  std::set<WorkerLife> Lives;
+  for (const auto &[Machine, Item] : Orders_)
+    if (Item.Acknowledged_ && Item.At_ < Before && Item.Life_)
+      Lives.insert(*Item.Life_);
+  return Lives;
 }
 
 bool MachineTable::heldBack(const MachineId &Machine) const {
--- a/src/cell/machines.h
+++ b/src/cell/machines.h
@@ -149,12 +149,16 @@
   }
 
   void takeList(const std::vector<MachineRecord> &List) {
+    const std::set<WorkerLife> Away = Table_.orderedAway(now() - ListLag);
     Table_.takeList(List, now());
     std::vector<WorkerRowPtr> Gone;
-    for (const auto &[Life, Row] : Term_->Workers_)
-      if (Row->Unanswered_ > 0 && !Row->Over_ &&
-          now() - Row->AnsweredAt_ > ListLag && Table_.saysGone(Row->Record_))
+    for (const auto &[Life, Row] : Term_->Workers_) {
+      const bool Silent =
+          Row->Unanswered_ > 0 && now() - Row->AnsweredAt_ > ListLag;
+      if (!Row->Over_ && (Silent || Away.contains(Life)) &&
+          Table_.saysGone(Row->Record_))
         Gone.push_back(Row);
+    }
     for (const WorkerRowPtr &Row : Gone)
       Sessions_->lifeOver(*Row, "its machine is down or gone by the list",
                           false);
@@ -279,9 +283,8 @@
   }
 
   void orderUpkeep(const capacity::UpkeepOrder &Order) {
-    const auto Life = Table_.lifeOn(Order.Machine_);
     Table_.ordered(Order.Machine_, now());
-    framework::fibers::spawn([Self = this->shared_from_this(), Order, Life] {
+    framework::fibers::spawn([Self = this->shared_from_this(), Order] {
       const MachineResult Result = Self->repeat(Order.Machine_, [&] {
         return Self->Api_.upkeep(Order.Machine_, Order.Wave_,
                                  Self->Term_->Token_);
@@ -290,7 +293,7 @@
           .field("machine", Order.Machine_.str())
           .field("wave", Order.Wave_.value())
           .field("result", nameOf(Result));
-      Self->settleOrder(Order.Machine_, Life, Result);
+      Self->settleOrder(Order.Machine_, Result);
       if (Result == MachineResult::Done && !Self->Term_->over())
         Self->Term_->Commits_.stage(
             jobs::UpkeepBegun{Order.Wave_, Order.Machine_});
@@ -344,23 +347,12 @@
     return *Known == CommitOutcome::Stored;
   }
 
-  /// \p Ordered: the life that was on the machine when the order first left.
-  /// The order ends that one. An order that is said again is answered after
-  /// the machine has come back, when a life that it spares runs there.
-  void settleOrder(const MachineId &Machine,
-                   const std::optional<WorkerLife> &Ordered,
-                   MachineResult Result) {
+  void settleOrder(const MachineId &Machine, MachineResult Result) {
     if (Term_->over())
       return;
     if (Result != MachineResult::Done)
       return Table_.refused(Machine);
     Table_.acknowledged(Machine, now());
-    if (!Ordered)
-      return;
-    const auto Row = Term_->Workers_.find(*Ordered);
-    if (Row != Term_->Workers_.end())
-      Sessions_->lifeOver(*WorkerRowPtr(Row->second),
-                          "its machine was ordered away", false);
   }
 
   void report(WaveNumber Number, capacity::WaveRow &Wave, bool Done) {
@@ -453,7 +445,7 @@
       return;
     Table_.ordered(Order.Machine_, now());
     ++Moves_;
-    framework::fibers::spawn([Self = this->shared_from_this(), Order, Life] {
+    framework::fibers::spawn([Self = this->shared_from_this(), Order] {
       const MachineResult Result = Self->repeat(Order.Machine_, [&] {
         return Self->Api_.move(Order.Machine_, Order.To_, Self->Term_->Token_);
       });
@@ -463,7 +455,7 @@
           .field("result", nameOf(Result));
       if (Result == MachineResult::Done)
         Self->Table_.views()[Order.Machine_].Record_.Pool_ = Order.To_;
-      Self->settleOrder(Order.Machine_, Life, Result);
+      Self->settleOrder(Order.Machine_, Result);
     });
   }
 
--- a/src/cell/machinetable.h
+++ b/src/cell/machinetable.h
@@ -27,8 +27,12 @@
 
   /// An order for a machine leaves; until it is settled the machine is busy.
   void ordered(const MachineId &Machine, TimePoint Now);
-  /// The platform has carried out the order.
+  /// The platform has carried out the order, now or earlier: one that was done
+  /// before is acknowledged too, and ends nothing.
   void acknowledged(const MachineId &Machine, TimePoint Now);
+  /// Lives for which orders were given that were acknowledged before \p Before.
+  /// Each is over if a list that is newer says that it is gone.
+  std::set<WorkerLife> orderedAway(TimePoint Before) const;
   /// The platform has refused the order: nothing was done.
   void refused(const MachineId &Machine) { Orders_.erase(Machine); }
 
@@ -49,7 +53,8 @@
 
   /// Whether the platform's list says that a worker's process is gone: its
   /// machine is not listed, is not up, or runs another worker. Asked only for
-  /// workers that do not answer; one that is cut off is listed as up.
+  /// workers that do not answer, since one that is cut off is listed as up, and
+  /// for those whose machine was ordered away.
   bool saysGone(const WorkerRecord &Worker) const;
 
   /// Whether the last list shows the worker's process on some machine.
@@ -66,6 +71,8 @@
   struct Order {
     TimePoint At_{};
     bool Acknowledged_ = false;
+    /// The life on the machine when the order left, if one had been seen.
+    std::optional<WorkerLife> Life_;
   };
 
   void noteLeftAlone(capacity::MachineView &View) const;
--- a/src/cell/tests/machinetabletest.cpp
+++ b/src/cell/tests/machinetabletest.cpp
@@ -107,6 +107,22 @@
   BOOST_TEST(Table.saysGone(worker(1)));
 }
 
+// An order that was done before is acknowledged as well, and an order that is
+// said again when the machine is back. Only the life that the order was given
+// for may count as ended by it, and only if a list that is newer says so.
+BOOST_AUTO_TEST_CASE(OrderEndsOnlyTheLifeThatItWasGivenFor) {
+  MachineTable Table(1500ms);
+  Table.noteWorker(worker(1), Start);
+  Table.ordered(Machine, Start);
+  BOOST_TEST(Table.orderedAway(Start + 2s).empty());
+  Table.acknowledged(Machine, Start + 1s);
+  BOOST_TEST(Table.orderedAway(Start + 1s).empty());
+  BOOST_TEST((Table.orderedAway(Start + 2s) == std::set{worker(1).Life_}));
+  Table.noteWorker(worker(2), Start + 3s);
+  Table.acknowledged(Machine, Start + 4s);
+  BOOST_TEST(Table.orderedAway(Start + 5s).empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace laburnumspread::cell
