--- a/src/cell/fillerpace.h
+++ b/src/cell/fillerpace.h
@@ -15,9 +15,12 @@
   FillerPace(std::shared_ptr<Term<Store>> T, Client &C)
       : Term_(std::move(T)), Client_(C) {}
 
-  /// A run is about to be started by this holder: it begins at the full pace.
+  /// A run is about to be started by this holder: one that fills begins at the
+  /// full pace.
   void started(const jobs::RunName &Run) {
-    (*Paced_)[Run] = scheduling::Pacer::Full;
+    const jobs::StepSpec *Step = Term_->Table_.specOf(Run.Task_);
+    if (Step && Step->Filler_)
+      (*Paced_)[Run] = scheduling::Pacer::Full;
   }
 
   /// Takes a worker's report.
