Ask a silent worker again though nothing can run there any more

Callers' tasks waited beside an empty worker. A worker that does not answer for longer than its lease loses its runs in the tables; from then on nobody looked at it, and as it owed an answer it was given nothing, for the whole term.

--- a/src/cell/sessions.h
+++ b/src/cell/sessions.h
@@ -121,9 +121,19 @@
   }
 
   bool needsHold(const WorkerRow &Row) const {
-    return !Row.Synced_ || Row.Haunted_ || Row.Strays_ ||
-           Row.EndsStored_ > Row.EndsTold_ ||
-           Term_->Table_.useOf(Row.Record_.Life_) != nullptr;
+    return !Row.Synced_ || Row.Haunted_ || Row.Strays_ || fellSilent(Row) ||
+           Row.EndsStored_ > Row.EndsTold_ || inUse(Row);
+  }
+
+  /// A worker that fell silent is given nothing until it answers, so it is
+  /// asked again also when nothing can run there any more: it would stand empty
+  /// for good.
+  static bool fellSilent(const WorkerRow &Row) {
+    return Row.Listed_ && Row.Unanswered_ > 0;
+  }
+
+  bool inUse(const WorkerRow &Row) const {
+    return Term_->Table_.useOf(Row.Record_.Life_) != nullptr;
   }
 
   void waitForWake(WorkerRow &Row) {
@@ -150,13 +160,12 @@
     noAnswer(Row, Reply.Result_);
     // The first look follows at once: what ended meanwhile waits for it.
     if (Row.Unanswered_ > 1)
-      framework::fibers::sleepFor(RetryPause);
+      framework::fibers::sleepFor(inUse(Row) ? RetryPause : IdleCheck);
   }
 
   /// Where only strays are at work the lease is left to run out.
   HoldOrder nextOrder(WorkerRow &Row) const {
-    const bool Known = Term_->Table_.useOf(Row.Record_.Life_) != nullptr;
-    if (Row.Strays_ && !Known)
+    if (Row.Strays_ && !inUse(Row))
       return Row.nextLook(Term_->Token_, BusyHoldWait);
     const bool Soon = Row.Strays_ || runsFinite(Row);
     return Row.nextHold(now(), Term_->Token_, Term_->Bounds_.LongestHold_,
--- a/src/cell/tests/runmodeltest.cpp
+++ b/src/cell/tests/runmodeltest.cpp
@@ -395,7 +395,9 @@
   }
 
   static bool needsHold(const ModelHolder &Holder, const WorkerRow &Row) {
-    return !Row.Synced_ || Row.Haunted_ || Row.EndsStored_ > Row.EndsTold_ ||
+    const bool FellSilent = Row.Listed_ && Row.Unanswered_ > 0;
+    return !Row.Synced_ || Row.Haunted_ || FellSilent ||
+           Row.EndsStored_ > Row.EndsTold_ ||
            Holder.Table_.useOf(Row.Record_.Life_) != nullptr;
   }
 
