--- a/src/cell/tests/runmodeltest.cpp
+++ b/src/cell/tests/runmodeltest.cpp
@@ -842,11 +842,14 @@
 using Schedule = std::vector<std::pair<int, int>>;
 constexpr int LongestSchedule = 400;
 
+rc::Gen<int> anyDetail() {
+  return rc::gen::resize(LongestSchedule, rc::gen::inRange(0, Model::Details));
+}
+
 rc::Gen<Schedule> anySchedule() {
   return rc::gen::resize(
-      LongestSchedule, rc::gen::container<Schedule>(
-                           rc::gen::pair(rc::gen::inRange(0, Model::Choices),
-                                         rc::gen::inRange(0, Model::Details))));
+      LongestSchedule, rc::gen::container<Schedule>(rc::gen::pair(
+                           rc::gen::inRange(0, Model::Choices), anyDetail())));
 }
 
 } // namespace
@@ -861,7 +864,7 @@
     const Schedule Steps = *anySchedule();
     for (const auto &[Choice, Detail] : Steps)
       World.step(Choice, Detail);
-    World.settle(*rc::gen::inRange(0, Model::Details));
+    World.settle(*anyDetail());
     Starts += World.starts();
     Leftovers += World.leftovers();
   };
