--- a/src/cell/cellservice.h
+++ b/src/cell/cellservice.h
@@ -120,10 +120,12 @@
   /// The last holder that was seen; its token is 0 when there is none.
   const journal::Holder &holder() const { return Seen_; }
 
-  /// Sets the gauges of the term, if there is one.
+  /// Sets the gauges of the term. All are zero when there is none, or when the
+  /// store has not confirmed it for so long that nothing is ordered any more: a
+  /// holder that is cut off may never hear of its successor.
   void fillGauges(framework::metrics::Registry &Into) const {
-    if (Term_)
-      Term_->fillGauges(Into);
+    const bool Acts = Term_ && Term_->mayOrder();
+    (Acts ? Term_->gauges() : TermGauges()).publish(Into);
   }
 
   /// Serves a call if this entry leads; \p Reply may run later, once.
@@ -345,7 +347,12 @@
       takeBack();
   }
 
+  /// A leadership has one term. Its head may become known twice: by the watch,
+  /// and by the answer to the write. A second term beside the first would take
+  /// the runs that the other starts for unknown ones and stop them.
   void beginTerm() {
+    if (Term_ && Term_->Token_ == Lead_.token())
+      return;
     Offered_ = false;
     Term_ =
         std::make_shared<Term<Store>>(Store_, Keys_, Lead_, Metrics_, Bounds_);
@@ -390,6 +397,7 @@
         .field("jobs_open", static_cast<std::uint64_t>(T->Table_.open().size()))
         .field("jobs_known",
                static_cast<std::uint64_t>(T->Table_.jobs().size()))
+        .field("runs_unwanted", unwantedRuns(*T))
         .field("load_ms", (now() - Begun).count() / 1000);
     SessionsPtr Talks = Sessions_;
     if (!Talks)
@@ -397,7 +405,6 @@
     framework::fibers::spawn(
         [List = std::make_shared<Directory<Store, Client, Service>>(
              Store_, Directory_, T, Talks, Machines_)] { List->follow(); });
-    stopLeftovers(*T, *Talks);
     Machines_->setWaves(Waves_);
     Machines_->start();
     T->Commits_.run([this, T, Talks] { schedule(*T, *Talks); });
@@ -433,11 +440,14 @@
     return false;
   }
 
-  /// Runs of jobs that ended under an earlier holder.
-  void stopLeftovers(Term<Store> &T, Sessions<Store, Client> &Talks) {
+  /// Live runs of jobs that have ended: an earlier holder did not stop them, or
+  /// did not hear of their ends.
+  static std::uint64_t unwantedRuns(const Term<Store> &T) {
+    std::uint64_t Count = 0;
     for (const auto &[Id, Job] : T.Table_.jobs())
-      if (Job.ended() && Job.LiveRuns_ > 0)
-        Talks.stopJob(Id);
+      if (Job.ended())
+        Count += Job.LiveRuns_;
+    return Count;
   }
 
   /// Queues that have been removed stay known to the term, so that jobs taken
--- a/src/cell/internal/runtracker.cpp
+++ b/src/cell/internal/runtracker.cpp
@@ -56,34 +56,43 @@
 }
 
 void RunTracker::stopAnswered(const RunName &Run, TimePoint Now) {
-  noteFirst(Starts_[Run].SettledAt_, Now);
+  Start &Known = Starts_[Run];
+  noteFirst(Known.SettledAt_, Now);
+  Known.StoppedAt_ = Now;
 }
 
 void RunTracker::stopAnsweredLater(const RunName &Run, TimePoint Now) {
   noteFirst(Starts_[Run].StoppedLaterAt_, Now);
 }
 
-bool RunTracker::haunted(const WorkerLife &Worker) const {
-  const auto &All = Table_.workers();
-  const auto First = All.lower_bound(WorkerLife{Worker.Id_, 0});
-  return First != All.end() && First->first.Id_ == Worker.Id_ &&
-         First->first.BornMs_ < Worker.BornMs_;
-}
-
-std::vector<RunName> RunTracker::unwanted(const WorkerLife &Worker) const {
+std::vector<RunName> RunTracker::unwanted(const WorkerLife &Worker,
+                                          TimePoint AsOf) const {
   std::vector<RunName> Result;
   const jobs::WorkerUse *Use = Table_.useOf(Worker);
   if (!Use)
     return Result;
-  for (const RunName &Run : Use->Runs_) {
-    const jobs::JobRow *Job = Table_.find(Run.Task_.Job_);
-    const LiveRun *Live = Table_.find(Run);
-    if ((Job && Job->ended()) || (Live && Live->Stopping_))
+  for (const RunName &Run : Use->Runs_)
+    if (Table_.unwantedSince(Run) && !mayBeStopping(Run, AsOf))
       Result.push_back(Run);
-  }
   return Result;
 }
 
+bool RunTracker::mayBeStopping(const RunName &Run, TimePoint AsOf) const {
+  return stopped(Run) && AsOf < *Starts_.at(Run).StoppedAt_ + StopTime;
+}
+
+bool RunTracker::stopped(const RunName &Run) const {
+  const auto Known = Starts_.find(Run);
+  return Known != Starts_.end() && Known->second.StoppedAt_.has_value();
+}
+
+bool RunTracker::haunted(const WorkerLife &Worker) const {
+  const auto &All = Table_.workers();
+  const auto First = All.lower_bound(WorkerLife{Worker.Id_, 0});
+  return First != All.end() && First->first.Id_ == Worker.Id_ &&
+         First->first.BornMs_ < Worker.BornMs_;
+}
+
 void RunTracker::forget(const RunName &Run) {
   Starts_.erase(Run);
   Staged_.erase(Run);
--- a/src/cell/machines.h
+++ b/src/cell/machines.h
@@ -149,12 +149,16 @@
   }
 
   void takeList(const std::vector<MachineRecord> &List) {
+    const std::set<WorkerLife> Away = Table_.orderedAway(now() - ListLag);
     Table_.takeList(List, now());
     std::vector<WorkerRowPtr> Gone;
-    for (const auto &[Life, Row] : Term_->Workers_)
-      if (Row->Unanswered_ > 0 && !Row->Over_ &&
-          now() - Row->AnsweredAt_ > ListLag && Table_.saysGone(Row->Record_))
+    for (const auto &[Life, Row] : Term_->Workers_) {
+      const bool Silent =
+          Row->Unanswered_ > 0 && now() - Row->AnsweredAt_ > ListLag;
+      if (!Row->Over_ && (Silent || Away.contains(Life)) &&
+          Table_.saysGone(Row->Record_))
         Gone.push_back(Row);
+    }
     for (const WorkerRowPtr &Row : Gone)
       Sessions_->lifeOver(*Row, "its machine is down or gone by the list",
                           false);
@@ -349,13 +353,6 @@
     if (Result != MachineResult::Done)
       return Table_.refused(Machine);
     Table_.acknowledged(Machine, now());
-    const auto Life = Table_.lifeOn(Machine);
-    if (!Life)
-      return;
-    const auto Row = Term_->Workers_.find(*Life);
-    if (Row != Term_->Workers_.end())
-      Sessions_->lifeOver(*WorkerRowPtr(Row->second),
-                          "its machine was ordered away", false);
   }
 
   void report(WaveNumber Number, capacity::WaveRow &Wave, bool Done) {
@@ -378,7 +375,9 @@
       Txn.Compares_ = {{Keys_.head(), fleet::Revision(Term_->Token_.value())}};
       const auto Written =
           Store_.commit(Txn, framework::clock::wallDeadline(ReportTime));
-      if (Written.ok()) {
+      // The head may be written anew at this moment: then nothing was written,
+      // and the next try goes by the new token.
+      if (Written.ok() && Written->Succeeded_) {
         framework::log::info("wave.reported")
             .field("wave", Number.value())
             .field("state", Done ? "done" : "running");
--- a/src/cell/runtracker.h
+++ b/src/cell/runtracker.h
@@ -45,6 +45,10 @@
     std::vector<jobs::RunName> Haunting_;
   };
 
+  /// A run that was told to stop is gone after this: the platform's word is a
+  /// fifth of a second, and the worker's clock may be slow.
+  static constexpr Duration StopTime = std::chrono::milliseconds(300);
+
   explicit RunTracker(jobs::CellTable &Table) : Table_(Table) {}
 
   /// The intent of a run was staged by this holder.
@@ -64,6 +68,16 @@
   void stopAnswered(const jobs::RunName &Run, TimePoint Now);
   /// The same by a later life of the worker that the run was meant for.
   void stopAnsweredLater(const jobs::RunName &Run, TimePoint Now);
+  /// Live runs on \p Worker that are to be gone: their job has ended, or a stop
+  /// was ordered. Told from the tables alone, so that a stop may be lost, or
+  /// its need be left to a later holder, at any moment: whoever asks after each
+  /// report of the worker misses none. Without those whose stop was answered
+  /// less than StopTime before \p AsOf, when the report was asked for: they
+  /// may still be listed.
+  std::vector<jobs::RunName> unwanted(const WorkerLife &Worker,
+                                      TimePoint AsOf) const;
+  /// Whether a stop of the run has been answered.
+  bool stopped(const jobs::RunName &Run) const;
   /// Whether a run of a life before \p Worker may still begin.
   bool haunted(const WorkerLife &Worker) const;
 
@@ -72,13 +86,6 @@
   Report report(const WorkerLife &Worker, const HoldReply &Reply,
                 TimePoint SentAt, std::uint64_t EndsStaged);
 
-  /// Live runs on the worker that are to be stopped: their job has ended, or a
-  /// stop was ordered. Told from the tables alone, so that a stop may be
-  /// ordered, lost or handed on to a later holder at any moment: whoever asks
-  /// after each report of the worker misses none, and what is asked for once
-  /// more does no harm there.
-  std::vector<jobs::RunName> unwanted(const WorkerLife &Worker) const;
-
   /// The run is over and staged as such.
   void forget(const jobs::RunName &Run);
 
@@ -90,6 +97,8 @@
     bool Finished_ = false;
     /// Attempts that have not been answered.
     std::uint32_t Unanswered_ = 0;
+    /// When its stop was last answered.
+    std::optional<TimePoint> StoppedAt_;
     /// When a life after the one that it was meant for had first stopped it,
     /// since the last attempt left.
     std::optional<TimePoint> StoppedLaterAt_;
@@ -98,6 +107,7 @@
   void reportFormerLives(const WorkerLife &Worker,
                          const std::set<jobs::RunName> &Listed,
                          TimePoint SentAt, Report &Into) const;
+  bool mayBeStopping(const jobs::RunName &Run, TimePoint AsOf) const;
   bool cannotBeginAnew(const jobs::RunName &Run, TimePoint SentAt) const;
   bool cannotBegin(const jobs::RunName &Run, std::int64_t ClockMs,
                    TimePoint SentAt) const;
--- a/src/cell/sessions.h
+++ b/src/cell/sessions.h
@@ -31,6 +31,8 @@
   /// As many as fit into the window.
   static constexpr int StartAttempts = 6;
   static constexpr double DistrustOfFailure = 1;
+  /// Past this, a run that is to be stopped and still listed is told of.
+  static constexpr Duration StopExpected = std::chrono::milliseconds(1000);
   /// In the log, of a worker that has not answered this holder yet.
   static constexpr std::int64_t NeverAnswered = -1;
 
@@ -50,14 +52,12 @@
         [Self = this->shared_from_this(), Item] { Self->startRun(Item); });
   }
 
-  /// Stops a run and makes sure that it cannot begin any more.
+  /// Stops a run and makes sure that it cannot begin any more. The stop leaves
+  /// at once if it can; if not, or if it is not carried out, the worker's
+  /// reports call for it.
   void stop(const jobs::RunName &Run) {
-    jobs::LiveRun *Live = Term_->Table_.findLive(Run);
-    if (!Live || Live->Stopping_)
-      return;
-    Live->Stopping_ = true;
-    framework::fibers::spawn(
-        [Self = this->shared_from_this(), Run] { Self->stopRun(Run); });
+    if (!Tracker_.stopped(Run))
+      sendStops(Run);
   }
 
   /// The worker's life is over, and with it all that ran on it. With \p
@@ -121,7 +121,8 @@
   }
 
   bool needsHold(const WorkerRow &Row) const {
-    return !Row.Synced_ || Row.Haunted_ || Row.EndsStored_ > Row.EndsTold_ ||
+    return !Row.Synced_ || Row.Haunted_ || Row.Strays_ ||
+           Row.EndsStored_ > Row.EndsTold_ ||
            Term_->Table_.useOf(Row.Record_.Life_) != nullptr;
   }
 
@@ -132,9 +133,7 @@
   }
 
   void holdOnce(WorkerRow &Row) {
-    const HoldOrder Order =
-        Row.nextHold(now(), Term_->Token_, Term_->Bounds_.LongestHold_,
-                     runsFinite(Row) ? BusyHoldWait : HoldWait);
+    const HoldOrder Order = nextOrder(Row);
     const TimePoint SentAt = now();
     const HoldReply Reply =
         Client_.hold(Row.Record_, Order, Order.Wait_ + Row.Answers_.wait());
@@ -154,6 +153,16 @@
       framework::fibers::sleepFor(RetryPause);
   }
 
+  /// Where only strays are at work the lease is left to run out.
+  HoldOrder nextOrder(WorkerRow &Row) const {
+    const bool Known = Term_->Table_.useOf(Row.Record_.Life_) != nullptr;
+    if (Row.Strays_ && !Known)
+      return Row.nextLook(Term_->Token_, BusyHoldWait);
+    const bool Soon = Row.Strays_ || runsFinite(Row);
+    return Row.nextHold(now(), Term_->Token_, Term_->Bounds_.LongestHold_,
+                        Soon ? BusyHoldWait : HoldWait);
+  }
+
   bool runsFinite(const WorkerRow &Row) const {
     const jobs::WorkerUse *Use = Term_->Table_.useOf(Row.Record_.Life_);
     return Use && std::any_of(Use->Runs_.begin(), Use->Runs_.end(),
@@ -183,8 +192,10 @@
                                            ? NeverAnswered
                                            : sinceMs(Row.AnsweredAt_));
     Term_->Table_.forgetProgress(Row.Record_.Life_);
-    if (Row.surelyLapsed(now(), Term_->inheritedLeaseEnds()))
-      loseRuns(Row.Record_.Life_, "lease ran out unseen");
+    if (!Row.surelyLapsed(now(), Term_->inheritedLeaseEnds()))
+      return;
+    Row.Strays_ = false;
+    loseRuns(Row.Record_.Life_, "lease ran out unseen");
   }
 
   static std::int64_t sinceMs(TimePoint When) {
@@ -209,11 +220,21 @@
         Tracker_.report(Row.Record_.Life_, Reply, SentAt, Row.EndsStaged_);
     for (const RunTracker::Ended &Item : Report.Ended_)
       endRun(Item);
+    for (const RunningRow &Item : Reply.Running_)
+      noteRunsOn(Row, Item.Run_);
+    // What is to be gone follows from the tables at each report. An order to
+    // stop that was lost, or that could not leave when it was first called for
+    // (after a takeover, no worker is listed yet), would otherwise be missing
+    // for good, and the run would be kept alive by the very holds that list it.
+    for (const jobs::RunName &Run :
+         Tracker_.unwanted(Row.Record_.Life_, SentAt))
+      sendStops(Run);
     for (const jobs::RunName &Run : Report.Unknown_)
       stopUnknown(Row, Run);
     for (const jobs::RunName &Run : Report.Haunting_)
       layToRest(Row, Run);
     Row.Haunted_ = Tracker_.haunted(Row.Record_.Life_);
+    Row.Strays_ = !Report.Unknown_.empty();
     Fillers_.take(Row, Reply);
     if (!Row.Synced_) {
       Row.noteSynced(now(), Term_->Bounds_.LongestHold_);
@@ -259,17 +280,49 @@
                          now() - Live->StartedAt_);
   }
 
+  /// Says once that a run is listed as at work long after it was to be gone.
+  void noteRunsOn(const WorkerRow &Row, const jobs::RunName &Run) {
+    const auto Since = Term_->Table_.unwantedSince(Run);
+    jobs::LiveRun *Live = Term_->Table_.findLive(Run);
+    if (!Since || now() - *Since < StopExpected ||
+        std::exchange(Live->ToldRunsOn_, true))
+      return;
+    framework::log::warning("run.runs_on")
+        .field("task", Run.Task_.str())
+        .field("run", Run.Run_.value())
+        .field("worker", Row.Record_.Life_.Id_.str())
+        .field("unwanted_for_ms", sinceMs(*Since))
+        .field("job", jobs::nameOf(Term_->Table_.find(Run.Task_.Job_)->State_))
+        .field("being_stopped", Live->Stopping_ ? "yes" : "no");
+    Term_->Metrics_.counter("runs_on_total").add();
+  }
+
   /// A run that the journal does not know of as live there: an order of an
   /// earlier time that was carried out late.
   void stopUnknown(const WorkerRow &Row, const jobs::RunName &Run) {
+    if (!StopsOnWay_.insert(Run).second)
+      return;
     framework::log::warning("run.unknown")
         .field("task", Run.Task_.str())
         .field("run", Run.Run_.value())
         .field("worker", Row.Record_.Life_.Id_.str());
-    framework::fibers::spawn(
-        [Self = this->shared_from_this(), Record = Row.Record_, Run] {
+    framework::fibers::spawn([Self = this->shared_from_this(),
+                              Record = Row.Record_, Run] {
+      const OrderReply Reply =
           Self->Client_.stop(Record, Run, Self->Term_->Token_, MostAnswerTime);
-        });
+      logStop(Record, Run, "the journal does not know it there", Reply);
+      Self->StopsOnWay_.erase(Run);
+    });
+  }
+
+  static void logStop(const WorkerRecord &Record, const jobs::RunName &Run,
+                      std::string_view Reason, const OrderReply &Reply) {
+    framework::log::info("run.stop")
+        .field("task", Run.Task_.str())
+        .field("run", Run.Run_.value())
+        .field("worker", Record.Life_.Id_.str())
+        .field("reason", Reason)
+        .field("result", nameOf(Reply.Result_));
   }
 
   /// Stops a run of a former life on the one that may have taken its start.
@@ -278,12 +331,7 @@
                               Record = Row.Record_, Run] {
       const OrderReply Reply =
           Self->Client_.stop(Record, Run, Self->Term_->Token_, MostAnswerTime);
-      framework::log::info("run.stop")
-          .field("task", Run.Task_.str())
-          .field("run", Run.Run_.value())
-          .field("worker", Record.Life_.Id_.str())
-          .field("reason", "meant for its former life")
-          .field("result", nameOf(Reply.Result_));
+      logStop(Record, Run, "meant for its former life", Reply);
       if (Reply.Result_ == OrderResult::Done)
         Self->Tracker_.stopAnsweredLater(Run, now());
     });
@@ -364,7 +412,10 @@
   }
 
   /// Notes that the intent of a run has been staged by this holder.
-  void staged(const jobs::RunName &Run) { Tracker_.staged(Run); }
+  void staged(const jobs::RunName &Run) {
+    Tracker_.staged(Run);
+    Fillers_.started(Run);
+  }
 
 private:
   void startRun(const jobs::RunIntended &Item) {
@@ -439,9 +490,6 @@
       Row.Distrust_ += DistrustOfFailure;
     if (Ended)
       endRun(*Ended);
-    const jobs::LiveRun *Live = Term_->Table_.find(Run);
-    if (Live && Live->Stopping_ && Reply.Result_ == OrderResult::Done)
-      stopRunAgain(Run);
     return Reply.Result_ != OrderResult::Unknown;
   }
 
@@ -455,31 +503,51 @@
         .field("result", nameOf(Reply.Result_));
   }
 
-  void stopRunAgain(const jobs::RunName &Run) {
-    framework::fibers::spawn(
-        [Self = this->shared_from_this(), Run] { Self->stopRun(Run); });
+  /// Sends stops of a live run, unless some are on their way.
+  void sendStops(const jobs::RunName &Run) {
+    jobs::LiveRun *Live = Term_->Table_.findLive(Run);
+    if (!Live)
+      return;
+    if (!std::exchange(Live->Stopping_, true))
+      Live->StoppingSince_ = now();
+    if (!StopsOnWay_.insert(Run).second)
+      return;
+    framework::fibers::spawn([Self = this->shared_from_this(), Run] {
+      Self->stopRun(Run);
+      Self->StopsOnWay_.erase(Run);
+    });
   }
 
-  /// Sends the stop until it is answered or the run is over. The worker of a
-  /// run that an earlier holder started may not be listed yet: then the stop
-  /// waits for it.
+  /// Sends the stop until it is answered or the run is over. Gives up when it
+  /// cannot leave: the worker's next report asks for it again.
   void stopRun(const jobs::RunName &Run) {
     while (!Term_->over()) {
       const jobs::LiveRun *Live = Term_->Table_.find(Run);
       if (!Live)
         return;
       const auto Worker = Term_->Workers_.find(Live->On_);
-      const bool Reachable =
-          Worker != Term_->Workers_.end() && Term_->mayOrder();
-      if (Reachable && stopOnce(Worker->second, Run))
+      const bool Listed = Worker != Term_->Workers_.end();
+      if (!Listed || !Term_->mayOrder())
+        return logStopWaits(Run, Listed);
+      if (stopOnce(Worker->second, Run))
         return;
       framework::fibers::sleepFor(RetryPause);
     }
   }
 
+  void logStopWaits(const jobs::RunName &Run, bool Listed) const {
+    framework::log::info("run.stop_waits")
+        .field("task", Run.Task_.str())
+        .field("run", Run.Run_.value())
+        .field("worker", Term_->Table_.find(Run)->On_.Id_.str())
+        .field("reason", Listed ? "the store does not confirm the leadership"
+                                : "its worker is not listed");
+  }
+
   /// True when no other attempt is needed.
   bool stopOnce(WorkerRowPtr Row, const jobs::RunName &Run) {
     const TimePoint SentAt = now();
+    const auto Since = Term_->Table_.unwantedSince(Run);
     const OrderReply Reply =
         Client_.stop(Row->Record_, Run, Term_->Token_, Row->Answers_.wait());
     noteAnswer(*Row, Reply.Result_, SentAt);
@@ -487,6 +555,7 @@
         .field("task", Run.Task_.str())
         .field("run", Run.Run_.value())
         .field("worker", Row->Record_.Life_.Id_.str())
+        .field("unwanted_for_ms", Since ? sinceMs(*Since) : 0)
         .field("result", nameOf(Reply.Result_));
     if (Reply.Result_ == OrderResult::Done)
       Tracker_.stopAnswered(Run, now());
@@ -500,6 +569,8 @@
   Client &Client_;
   RunTracker Tracker_;
   FillerPace<Store, Client> Fillers_;
+  /// Runs for which a fiber sends stops at present.
+  std::set<jobs::RunName> StopsOnWay_;
 };
 
 } // namespace laburnumspread::cell
--- a/src/cell/tests/runmodeltest.cpp
+++ b/src/cell/tests/runmodeltest.cpp
@@ -695,7 +695,8 @@
       sendStop(From, Item.Row_, Run, Message::Kind::StopUnknown);
     for (const RunName &Run : Report.Haunting_)
       sendStop(From, Item.Row_, Run, Message::Kind::StopLater);
-    for (const RunName &Run : Holder.Tracker_.unwanted(Row.Record_.Life_))
+    for (const RunName &Run :
+         Holder.Tracker_.unwanted(Row.Record_.Life_, Item.SentAt_))
       sendStopOnce(From, Item.Row_, Run);
     Row.Haunted_ = Holder.Tracker_.haunted(Row.Record_.Life_);
     for (const EndRow &End : Reply.Ends_)
--- a/src/cell/tests/runtrackertest.cpp
+++ b/src/cell/tests/runtrackertest.cpp
@@ -41,8 +41,11 @@
     Table_.apply(jobs::JobCancelled{JobId(Job)}, Now);
   }
 
-  std::vector<RunName> unwanted(const WorkerLife &Worker) const {
-    return Tracker_.unwanted(Worker);
+  /// By a report that answers a hold sent at \p SentAt.
+  std::vector<RunName> unwanted(const WorkerLife &Worker,
+                                TimePoint SentAt = Now +
+                                                   RunTracker::StopTime) const {
+    return Tracker_.unwanted(Worker, SentAt);
   }
 
   /// Whether the run is over after some holds that do not list it. Each leaves
@@ -105,6 +108,20 @@
   BOOST_TEST(unwanted(Here).empty());
 }
 
+// A run that was told to stop is listed for a moment more. Stops without end
+// for such runs kept the holder of a large job's cancel busy.
+BOOST_AUTO_TEST_CASE(AReportWithinTheTimeOfAStopAsksForNoOther) {
+  const RunName Run = begin("gone", 0, Here);
+  cancel("gone");
+  BOOST_TEST((unwanted(Here, Now) == std::vector{Run}));
+  Tracker_.stopAnswered(Run, Now);
+  BOOST_TEST(unwanted(Here, Now).empty());
+  BOOST_TEST(
+      unwanted(Here, Now + RunTracker::StopTime - std::chrono::milliseconds(1))
+          .empty());
+  BOOST_TEST((unwanted(Here, Now + RunTracker::StopTime) == std::vector{Run}));
+}
+
 // A worker's process started again with a start on its way, and the worker went
 // out of use for good, its task nowhere at work: a stop of the former life's
 // run left after each report and was answered after the next hold had left. The
--- a/src/jobs/celltable.h
+++ b/src/jobs/celltable.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <unordered_map>
 
@@ -17,8 +18,11 @@
   WorkerLife On_;
   /// Whether the worker has confirmed the start, or listed the run.
   bool Confirmed_ = false;
-  /// Whether the worker has been told to stop it.
+  /// Whether it is to be stopped, and since when by this process's clock.
   bool Stopping_ = false;
+  TimePoint StoppingSince_{};
+  /// Whether the log tells that it is at work though it is to be stopped.
+  bool ToldRunsOn_ = false;
   /// Share of full speed at which the worker says it works, in percent.
   int Percent_ = 0;
   TimePoint StartedAt_{};
@@ -114,6 +118,9 @@
   const std::map<JobId, JobRow> &jobs() const { return Jobs_; }
   const std::map<WorkerLife, WorkerUse> &workers() const { return Workers_; }
   const WorkerUse *useOf(const WorkerLife &Worker) const;
+  /// Since when a live run is to be gone: its job has ended, or it is being
+  /// stopped for another reason. Empty when it is wanted, or not live.
+  std::optional<TimePoint> unwantedSince(const RunName &Run) const;
   Resources usedBy(const WorkspaceName &Workspace) const;
 
   /// Jobs of the queue for which no task has ever been started.
