Let scheduling and capacity stand below the cell

Both included cell/celltypes.h, so the lower modules looked up into the one that runs them, and a library celltypes was cut out of src/cell to keep CMake free of a cycle. What they need moves down by what it is: workers, machines and waves to the new module src/workers, the configuration of queues, pools and workspaces to src/jobs, whose jobs it is about. Orders to workers, their answers and the bounds stay in src/cell, which names the moved types by using declarations.

One module for all was ruled out: configuration is no part of a worker.

--- a/src/capacity/capacitytypes.h
+++ b/src/capacity/capacitytypes.h
@@ -1,21 +1,21 @@
 #pragma once
 
-#include "cell/celltypes.h"
 #include "jobs/celltable.h"
+#include "workers/workertypes.h"
 
 /// Decides over machines: which are given to which pool, and when each has its
 /// upkeep. Pure: tables in, orders out.
 namespace laburnumspread::capacity {
 
-using cell::MachineId;
-using cell::MachineRecord;
-using cell::MachineState;
-using cell::PoolName;
-using cell::Resources;
-using cell::WaveNumber;
-using cell::WaveRecord;
 using framework::clock::Duration;
 using framework::clock::TimePoint;
+using workers::MachineId;
+using workers::MachineRecord;
+using workers::MachineState;
+using workers::PoolName;
+using workers::Resources;
+using workers::WaveNumber;
+using workers::WaveRecord;
 
 /// A machine and what runs on it.
 struct MachineView {
--- a/src/cell/celltypes.h
+++ b/src/cell/celltypes.h
@@ -1,7 +1,8 @@
 #pragma once
 
 #include "framework/http/httptypes.h"
-#include "jobs/jobtypes.h"
+#include "jobs/cellconfig.h"
+#include "workers/workertypes.h"
 
 #include <map>
 #include <set>
@@ -17,86 +18,24 @@
 using framework::clock::Duration;
 using framework::clock::TimePoint;
 using framework::http::Address;
+using jobs::AdviceTerms;
+using jobs::CellConfig;
+using jobs::ConfigVersion;
 using jobs::Label;
 using jobs::MachineId;
+using jobs::PoolConfig;
+using jobs::QueueConfig;
 using jobs::QueueName;
 using jobs::Resources;
 using jobs::WaveNumber;
 using jobs::WorkerId;
 using jobs::WorkerLife;
+using jobs::WorkspaceConfig;
 using jobs::WorkspaceName;
-
-using ConfigVersion = framework::ids::StrongNumber<struct ConfigVersionTag>;
-
-/// What the advisor of a queue costs, and how long its word holds.
-struct AdviceTerms {
-  Duration Decide_{};
-  Duration EachWorker_{};
-  Duration Valid_{};
-};
-
-struct QueueConfig {
-  QueueName Name_;
-  std::string Host_;
-  std::string PathPrefix_;
-  PoolName Pool_;
-  /// 0 comes first.
-  std::int64_t Priority_ = 0;
-  std::uint32_t MaxAttempts_ = 3;
-  /// A job is in time within this many times its longest chain of work and
-  /// AimLatency_ more.
-  double Stretch_ = 1;
-  Duration AimLatency_{};
-  bool Public_ = false;
-  std::optional<AdviceTerms> Advice_;
-};
-
-struct PoolConfig {
-  PoolName Name_;
-  /// The pool's machines are off and cost nothing.
-  bool Standby_ = false;
-  /// Its workers refuse what they have no room for.
-  bool AdmissionCheck_ = false;
-};
-
-struct WorkspaceConfig {
-  WorkspaceName Name_;
-  std::vector<std::string> Keys_;
-  double Weight_ = 1;
-  /// Bound on what runs over all workers; 0 for none.
-  Resources MaxAllowed_;
-};
-
-/// The operator's configuration, as far as jobs need it.
-struct CellConfig {
-  ConfigVersion Version_;
-  std::vector<QueueConfig> Queues_;
-  std::map<PoolName, PoolConfig> Pools_;
-  std::map<WorkspaceName, WorkspaceConfig> Workspaces_;
-  std::map<std::string, WorkspaceName, std::less<>> KeyOwners_;
-  std::uint64_t MaxBodyBytes_ = 1024 * 1024;
-  std::size_t MaxHeaderBytes_ = 16 * 1024;
-
-  const QueueConfig *find(const QueueName &Name) const;
-  /// The queue of a host with the longest prefix that the path begins with.
-  const QueueConfig *route(std::string_view Host, std::string_view Path) const;
-};
-
-/// A worker as it reports itself in the platform's store.
-struct WorkerRecord {
-  WorkerLife Life_;
-  PoolName Pool_;
-  Address Address_;
-  ZoneName Zone_;
-  bool Draining_ = false;
-  Resources Room_;
-  std::vector<Label> Labels_;
-  MachineId Machine_;
-  /// While it drains: least time that is left.
-  Duration Remaining_{};
-
-  bool hasLabel(const Label &Wanted) const;
-};
+using workers::MachineRecord;
+using workers::MachineState;
+using workers::WaveRecord;
+using workers::WorkerRecord;
 
 /// Bounds that the platform promises or asks for.
 struct CellBounds {
@@ -184,27 +123,6 @@
   std::vector<EndRow> Ends_;
 };
 
-// Machines, as the platform lists them.
-
-enum class MachineState { Up, Moving, Upkeep, Down };
-
-struct MachineRecord {
-  MachineId Id_;
-  PoolName Pool_;
-  MachineState State_ = MachineState::Down;
-  ZoneName Zone_;
-  std::vector<Label> Labels_;
-  Resources Room_;
-  WorkerId Worker_;
-};
-
-struct WaveRecord {
-  WaveNumber Number_;
-  std::vector<MachineId> Machines_;
-  Duration Duration_{};
-  std::uint32_t MaxAllowed_ = 1;
-};
-
 /// Orders to a worker. Every answer carries what is known for certain.
 template <typename T>
 concept WorkerClient = requires(T &C, const WorkerRecord &To,
--- a/src/cell/machinetable.h
+++ b/src/cell/machinetable.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "capacity/capacitytypes.h"
+#include "cell/celltypes.h"
 
 #include <map>
 
--- a/src/scheduling/advicetable.h
+++ b/src/scheduling/advicetable.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "cell/celltypes.h"
+#include "jobs/jobtypes.h"
 
 #include <map>
 #include <optional>
--- a/src/scheduling/internal/scheduler.cpp
+++ b/src/scheduling/internal/scheduler.cpp
@@ -6,8 +6,8 @@
 
 namespace laburnumspread::scheduling {
 
-using cell::QueueConfig;
 using jobs::JobRow;
+using jobs::QueueConfig;
 using jobs::Resources;
 using jobs::RunNumber;
 using jobs::StepRow;
@@ -255,7 +255,7 @@
   const AdviceTable &Advised_;
   std::vector<Candidate> Workers_;
   TimePoint Now_;
-  std::map<cell::PoolName, std::vector<std::size_t>> ByPool_;
+  std::map<jobs::PoolName, std::vector<std::size_t>> ByPool_;
   std::map<jobs::WorkspaceName, Resources> Planned_;
   std::map<StepOnWorker, std::uint32_t> PerStep_;
 };
--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -1,9 +1,10 @@
 #pragma once
 
-#include "cell/celltypes.h"
+#include "jobs/cellconfig.h"
 #include "jobs/celltable.h"
 #include "scheduling/advicetable.h"
 #include "scheduling/estimates.h"
+#include "workers/workertypes.h"
 
 #include <vector>
 
@@ -11,11 +12,11 @@
 /// out.
 namespace laburnumspread::scheduling {
 
-using cell::CellConfig;
-using cell::WorkerRecord;
 using framework::clock::Duration;
 using framework::clock::TimePoint;
+using jobs::CellConfig;
 using jobs::CellTable;
+using workers::WorkerRecord;
 
 /// A worker that may be given tasks now.
 struct Candidate {
@@ -43,7 +44,7 @@
 
 /// When a job stops being in time: its stretched chain of work and the queue's
 /// aim after it was taken.
-TimePoint dueAt(const jobs::JobRow &Job, const cell::QueueConfig &Queue,
+TimePoint dueAt(const jobs::JobRow &Job, const jobs::QueueConfig &Queue,
                 const Estimates &Learned);
 
 class Scheduler {
--- a/src/scheduling/tests/schedulertest.cpp
+++ b/src/scheduling/tests/schedulertest.cpp
@@ -14,7 +14,7 @@
 using jobs::StepSpec;
 
 const TimePoint Start(std::chrono::hours(1));
-const cell::PoolName Pool("pool");
+const jobs::PoolName Pool("pool");
 const jobs::QueueName Queue("q");
 
 StepSpec step(std::uint32_t Count, std::int64_t Cpu) {
@@ -27,7 +27,7 @@
 
 struct Fixture {
   Fixture() {
-    cell::QueueConfig Item;
+    jobs::QueueConfig Item;
     Item.Name_ = Queue;
     Item.Pool_ = Pool;
     Item.Stretch_ = 1.6;
@@ -48,7 +48,7 @@
   void worker(const std::string &Id, std::int64_t Cpu,
               std::vector<jobs::Label> Labels = {}) {
     Records_.emplace_back();
-    cell::WorkerRecord &Record = Records_.back();
+    workers::WorkerRecord &Record = Records_.back();
     Record.Life_ = {jobs::WorkerId(Id), 1};
     Record.Pool_ = Pool;
     Record.Room_ = {Cpu, 100000, 8};
@@ -57,7 +57,7 @@
 
   std::vector<jobs::RunIntended> plan(TimePoint Now = Start) {
     std::vector<Candidate> Workers;
-    for (const cell::WorkerRecord &Record : Records_)
+    for (const workers::WorkerRecord &Record : Records_)
       Workers.push_back({&Record, Record.Room_, 0});
     return Scheduler(Table_, Config_, Learned_, Advised_)
         .plan(std::move(Workers), {Now, 1'000'000})
@@ -76,7 +76,7 @@
   CellConfig Config_;
   Estimates Learned_;
   AdviceTable Advised_;
-  std::deque<cell::WorkerRecord> Records_;
+  std::deque<workers::WorkerRecord> Records_;
 };
 
 } // namespace
@@ -175,7 +175,7 @@
 BOOST_AUTO_TEST_CASE(AdvisedQueueStartsOnlyWithATicket) {
   worker("w", 10000);
   worker("v", 10000);
-  Config_.Queues_[0].Advice_ = cell::AdviceTerms{};
+  Config_.Queues_[0].Advice_ = jobs::AdviceTerms{};
   job("a", {step(2, 100)});
   BOOST_TEST(plan().empty());
   const StepName Step{JobId("a"), 0, 0};
