Part who leads a cell from what its leader does

CellService did both. The first is HeadKeeper now: candidacy, campaign, head watch, renewals, offers and taking back. It tells four things by callbacks: leadership has begun, goes on under a higher token, is over with a reason, and it asks whether the leader answers yet, without which nothing is offered.

The term's pointer told HeadKeeper's parts which leadership they were in; the token that was told to have begun and a count of beginnings say the same. Log lines are unchanged. Ruled out: voiding an offer by its token alone, since a leftover offer then ends sooner than it does now.

--- a/src/cell/cellservice.h
+++ b/src/cell/cellservice.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "cell/candidacy.h"
 #include "cell/directory.h"
+#include "cell/headkeeper.h"
 #include "cell/jobcalls.h"
 #include "scheduling/scheduler.h"
 
@@ -11,8 +11,8 @@
 using AskAdvisor = std::function<absl::StatusOr<scheduling::AdviceReply>(
     const scheduling::StepName &, const std::vector<WorkerId> &)>;
 
-/// Leads the cell when no other entry does, and while it leads takes jobs,
-/// schedules them and keeps them running.
+/// What the holder of a cell does: takes jobs, schedules them and keeps them
+/// running. Whether this entry is the holder, HeadKeeper says.
 template <store::KeyValueStore Store, WorkerClient Client,
           MachineService Service>
 class CellService {
@@ -20,80 +20,44 @@
   using TermPtr = std::shared_ptr<Term<Store>>;
   using SessionsPtr = std::shared_ptr<Sessions<Store, Client>>;
   using MachinesPtr = std::shared_ptr<Machines<Store, Client, Service>>;
+  using OfferFn = typename HeadKeeper<Store>::OfferFn;
 
-  /// The lease of a second is renewed this often, so that several renewals may
-  /// get lost.
-  static constexpr Duration RenewEvery = std::chrono::milliseconds(200);
-  /// At the first start of all entries; they start within some tenths of a
-  /// second of each other.
-  static constexpr Duration FirstStart = std::chrono::milliseconds(500);
-  static constexpr Duration CampaignPause = std::chrono::milliseconds(100);
   static constexpr Duration TickEvery = std::chrono::milliseconds(100);
+  /// Between two attempts to read the journal.
+  static constexpr Duration LoadPause = std::chrono::milliseconds(100);
   /// An order may be carried out this long after it was sent (the platform's
   /// word is "seconds later").
   static constexpr Duration LatestOrder = std::chrono::seconds(12);
-  static constexpr Duration ListTime = std::chrono::milliseconds(1500);
-  /// The same for the head: a call that hangs in an outage holds up the
-  /// campaign after it. Twice what a store takes that is sixty times as slow.
-  static constexpr Duration HeadTime = std::chrono::milliseconds(600);
-  /// A holder that hears nothing of the store for this long, at two looks in a
-  /// row, offers the leadership to its peers: renewals leave every 200 ms and
-  /// commits between them, so several in a row have failed, and the process has
-  /// had its turn to read what came. The lease would take a second.
-  static constexpr Duration OfferAfter = std::chrono::milliseconds(400);
-  static constexpr std::uint32_t SilentLooks = 2;
-  /// So many renewals in a row that the store refuses say the same sooner.
-  static constexpr std::uint32_t OfferAfterRefusals = 2;
-  /// A peer whose own calls have failed this lately takes up no offer: the
-  /// store is away for all, and the holder had better go on after it.
-  static constexpr Duration OwnTrouble = std::chrono::milliseconds(2000);
-  /// Time of a peer for its look at the head; past it the offer is old.
-  static constexpr Duration OfferTime = std::chrono::milliseconds(300);
-
-  using OfferFn = std::function<void(const peers::HeadOffer &)>;
 
   CellService(Store &S, Client &C, Service &Api, WorkerDirectory Directory,
               WaveReports Reports, AskAdvisor Ask, Candidacy Mine,
               const journal::CellKeys &Keys, journal::Holder Self,
               CellBounds Bounds, framework::metrics::Registry &Metrics)
       : Store_(S), Client_(C), Api_(Api), Directory_(std::move(Directory)),
-        Reports_(std::move(Reports)), Ask_(std::move(Ask)),
-        Mine_(std::move(Mine)), Keys_(Keys), Bounds_(Bounds), Metrics_(Metrics),
-        Lead_(S, Keys, std::move(Self)) {}
+        Reports_(std::move(Reports)), Ask_(std::move(Ask)), Keys_(Keys),
+        Bounds_(Bounds), Metrics_(Metrics),
+        Head_(S, Keys, std::move(Self), std::move(Mine), headEvents()) {}
 
   void start(std::string PeerAddress) {
-    Lead_.setPeerAddress(std::move(PeerAddress));
-    framework::fibers::spawn([this] { headLoop(); });
-    framework::fibers::spawn([this] { renewLoop(); });
+    Head_.start(std::move(PeerAddress));
     framework::fibers::spawn([this] { tickLoop(); });
   }
 
   /// Hands the cell over: what is on its way is committed, then the head is
   /// given up.
   void leave() {
-    Leaving_ = true;
+    Head_.prepareToLeave();
     const TimePoint Until = now() + std::chrono::seconds(1);
     while (Term_ && !Term_->Commits_.idle() && now() < Until)
       framework::fibers::sleepFor(std::chrono::milliseconds(10));
-    if (Term_)
-      endTerm("leaving");
-    Lead_.resign();
+    Head_.resign();
   }
 
   /// How an offer of the leadership reaches the peers.
-  void setOffer(OfferFn Offer) { Offer_ = std::move(Offer); }
+  void setOffer(OfferFn Offer) { Head_.setOffer(std::move(Offer)); }
 
   /// The holder with this token cannot reach the store and lets others lead.
-  void takeOffer(const peers::HeadOffer &Offer) {
-    if (Leaving_ || Lead_.held() || Campaigning_ ||
-        now() - StoreFailedAt_ < OwnTrouble)
-      return;
-    Campaigning_ = true;
-    framework::fibers::spawn([this, Offer] {
-      takeOver(jobs::FencingToken(Offer.Token_));
-      Campaigning_ = false;
-    });
-  }
+  void takeOffer(const peers::HeadOffer &Offer) { Head_.takeOffer(Offer); }
 
   /// Bounds of the terms that begin from now on: what runs under the present
   /// one has been given its leases by the old ones.
@@ -113,12 +77,11 @@
 
   /// Whether this entry may answer calls: it leads, and surely nobody else.
   bool leads() const {
-    return Term_ && !Term_->over() && Term_->Loaded_ && !Offered_ &&
-           Lead_.surelyHeld(now());
+    return serves() && !Term_->over() && Head_.surelyLeads();
   }
   const TermPtr &term() const { return Term_; }
   /// The last holder that was seen; its token is 0 when there is none.
-  const journal::Holder &holder() const { return Seen_; }
+  const journal::Holder &holder() const { return Head_.holder(); }
 
   /// Sets the gauges of the term. All are zero when there is none, or when the
   /// store has not confirmed it for so long that nothing is ordered any more: a
@@ -132,230 +95,29 @@
   void handle(const peers::JobCall &Call, const JobReplyFn &Reply) {
     if (!leads())
       return Reply({Call.Sequence_, peers::JobVerdict::NotHolder, "", 0, 0});
-    Calls_->handle(Call, Leaving_, Reply);
+    Calls_->handle(Call, Head_.leaving(), Reply);
   }
 
 private:
   static TimePoint now() { return framework::clock::SteadyClock().now(); }
 
-  // Leadership.
-
-  /// Tells the other entries this one's weight, and hears theirs. At the very
-  /// first start the others need a moment to do the same.
-  void declareCandidacy() {
-    store::Transaction Txn;
-    Txn.Puts_ = {{Keys_.candidates() + Lead_.self().Entry_.str(),
-                  std::to_string(Mine_.weight()), 0}};
-    const auto Written =
-        Store_.commit(Txn, framework::clock::wallDeadline(ListTime));
-    if (!Written.ok())
-      framework::log::warning("candidacy.not_written")
-          .field("reason", std::string(Written.status().message()));
-    if (readCandidates() <= 1) {
-      framework::fibers::sleepFor(FirstStart);
-      readCandidates();
-    }
-  }
-
-  std::size_t readCandidates() {
-    const auto Read = Store_.range(Keys_.candidates(), fleet::Revision(0),
-                                   framework::clock::wallDeadline(ListTime));
-    if (!Read.ok())
-      return 0;
-    for (const store::KeyValue &Item : Read->Items_)
-      Mine_.note(Item.Key_, std::strtod(Item.Value_.c_str(), nullptr));
-    return Read->Items_.size();
-  }
-
-  /// Follows the head key, and campaigns while there is none.
-  void headLoop() {
-    declareCandidacy();
-    while (true) {
-      const auto Read = Store_.range(Keys_.head(), fleet::Revision(0),
-                                     framework::clock::wallDeadline(HeadTime));
-      if (!Read.ok()) {
-        StoreFailedAt_ = now();
-        framework::fibers::sleepFor(CampaignPause);
-        continue;
-      }
-      Seen_ = journal::Holder();
-      for (const store::KeyValue &Item : Read->Items_)
-        noteHead(Item);
-      if (!Leaving_ && !Lead_.held() && !Campaigning_) {
-        Campaigning_ = true;
-        campaign();
-        Campaigning_ = false;
-      }
-      if (Seen_.Token_.value() != 0 || Lead_.held())
-        watchHead(Read->StoreRevision_);
-      else
-        framework::fibers::sleepFor(CampaignPause);
-    }
-  }
-
-  void noteHead(const store::KeyValue &Item) {
-    if (Item.Key_ != Keys_.head())
-      return;
-    if (const auto Read =
-            journal::decodeHolder(Item.Value_, Item.ModRevision_)) {
-      Seen_ = *Read;
-      Waited_ = false;
-      // A head of this process that is not the known one is its own rewrite,
-      // seen before the answer to it.
-      const bool Others = !Read->sameProcess(Lead_.self());
-      if (Others && Lead_.held() && Lead_.token() != Seen_.Token_)
-        endTerm("another holder was seen");
-      else if (!Lead_.held() && Lead_.adoptIfOwn(*Read).value_or(false))
-        beginTerm();
-    }
+  HeadEvents headEvents() {
+    HeadEvents Result;
+    Result.Begun_ = [this] { beginTerm(); };
+    Result.Retaken_ = [this] { Term_->Token_ = Head_.leadership().token(); };
+    Result.Over_ = [this](std::string_view Reason) { dropTerm(Reason); };
+    Result.Serves_ = [this] { return serves(); };
+    return Result;
   }
 
-  /// Watches until the head is gone or the watch has to be renewed.
-  void watchHead(fleet::Revision After) {
-    bool Gone = false;
-    const absl::Status Ended = Store_.watch(
-        Keys_.head(), After.next(), [&](const store::WatchBatch &Batch) {
-          for (const store::KeyValue &Item : Batch.Puts_)
-            noteHead(Item);
-          for (const std::string &Key : Batch.Deletes_)
-            Gone = Gone || Key == Keys_.head();
-          return !Gone;
-        });
-    if (Gone && Lead_.held())
-      endTerm("the head key is gone");
-    if (Ended.ok() || Gone)
-      return;
-    StoreFailedAt_ = now();
-    framework::fibers::sleepFor(CampaignPause);
-  }
+  /// Whether there is a term that has read the journal.
+  bool serves() const { return Term_ && Term_->Loaded_; }
 
-  /// Campaigns when there is no holder, or when it was an earlier process of
-  /// this entry.
-  void campaign() {
-    const bool Free = Seen_.Token_.value() == 0;
-    const journal::Holder &Self = Lead_.self();
-    const bool Former =
-        Seen_.Entry_ == Self.Entry_ && Seen_.Incarnation_ < Self.Incarnation_;
-    if (!Free && !Former)
-      return;
-    if (Free && !waitedItsTurn())
-      return;
-    finishCampaign(Free ? Lead_.campaign() : Lead_.replace(Seen_),
-                   Free ? "free" : "former process");
-  }
+  // The term.
 
-  void finishCampaign(const absl::StatusOr<bool> &Won, std::string_view Cause) {
-    framework::log::info("leadership.campaign")
-        .field("cause", Cause)
-        .field("result", !Won.ok() ? "no answer"
-                         : *Won    ? "won"
-                                   : "lost")
-        .field("token", Lead_.token().value());
-    if (!Won.ok() || !*Won)
-      return;
-    Seen_ = Lead_.self();
-    beginTerm();
-  }
-
-  void renewLoop() {
-    while (true) {
-      framework::fibers::sleepFor(RenewEvery);
-      if (!Lead_.held())
-        continue;
-      framework::fibers::spawn([this] { renewOnce(); });
-      offerIfCutOff();
-    }
-  }
-
-  /// The failure: the store turns away this entry alone. Nothing can be stored
-  /// and callers wait until the lease has run out, a second or more. From the
-  /// offer on this entry answers no call, since a peer may lead at any moment;
-  /// what runs keeps its leases, as without an offer.
-  void offerIfCutOff() {
-    const bool Silent = now() - Lead_.heardAt() > OfferAfter;
-    SilentLooks_ = Silent ? SilentLooks_ + 1 : 0;
-    const bool CutOff =
-        SilentLooks_ >= SilentLooks || Lead_.refusals() >= OfferAfterRefusals;
-    if (!CutOff || !Term_ || !Term_->Loaded_ || Leaving_ || !Offer_)
-      return;
-    if (!std::exchange(Offered_, true))
-      framework::log::warning("leadership.offered")
-          .field("token", Lead_.token().value())
-          .field("confirmed_ms_ago",
-                 (now() - Lead_.confirmedAt()).count() / 1000);
-    Offer_({Lead_.token().value()});
-  }
-
-  /// Takes over from the holder with \p Token if the store still shows it.
-  void takeOver(jobs::FencingToken Token) {
-    framework::fibers::sleepFor(Mine_.wait());
-    const auto Read = Store_.range(Keys_.head(), fleet::Revision(0),
-                                   framework::clock::wallDeadline(OfferTime));
-    if (!Read.ok())
-      StoreFailedAt_ = now();
-    if (!Read.ok() || Lead_.held() || Leaving_)
-      return;
-    for (const store::KeyValue &Item : Read->Items_) {
-      const auto Former = journal::decodeHolder(Item.Value_, Item.ModRevision_);
-      if (Item.Key_ == Keys_.head() && Former && Former->Token_ == Token)
-        finishCampaign(Lead_.replace(*Former), "offered");
-    }
-  }
-
-  /// The store answers again before any peer has taken the offer up. An answer
-  /// to a peer's late write must not be possible any more.
-  void takeBack() {
-    if (std::exchange(TakingBack_, true))
-      return;
-    const TermPtr T = Term_;
-    const auto Written = Lead_.rewrite();
-    TakingBack_ = false;
-    if (!T || Term_ != T || !Written.ok())
-      return;
-    if (!*Written)
-      return endTerm("a peer has taken the offer up");
-    Term_->Token_ = Lead_.token();
-    Seen_ = Lead_.self();
-    Offered_ = false;
-    framework::log::info("leadership.taken_back")
-        .field("token", Lead_.token().value());
-  }
-
-  /// Whether the wait before a campaign is over. A weaker entry waits once for
-  /// each time that the cell is without a holder, and looks again.
-  bool waitedItsTurn() {
-    if (std::exchange(Waited_, false))
-      return true;
-    const Duration Wait = Mine_.wait();
-    if (Wait == Duration::zero())
-      return true;
-    framework::fibers::sleepFor(Wait);
-    Waited_ = true;
-    return false;
-  }
-
-  /// Not waited for: the next renewal must not be late because the answer to
-  /// this one is lost.
-  void renewOnce() {
-    const jobs::FencingToken Token = Lead_.token();
-    const auto Alive = Lead_.renew();
-    if (!Alive.ok() || Lead_.token() != Token)
-      return;
-    if (!*Alive)
-      endTerm("the lease has ended");
-    else if (Offered_)
-      takeBack();
-  }
-
-  /// A leadership has one term. Its head may become known twice: by the watch,
-  /// and by the answer to the write. A second term beside the first would take
-  /// the runs that the other starts for unknown ones and stop them.
   void beginTerm() {
-    if (Term_ && Term_->Token_ == Lead_.token())
-      return;
-    Offered_ = false;
-    Term_ =
-        std::make_shared<Term<Store>>(Store_, Keys_, Lead_, Metrics_, Bounds_);
+    Term_ = std::make_shared<Term<Store>>(Store_, Keys_, Head_.leadership(),
+                                          Metrics_, Bounds_);
     Sessions_ = std::make_shared<Sessions<Store, Client>>(Term_, Client_);
     Machines_ = std::make_shared<Machines<Store, Client, Service>>(
         Term_, Sessions_, Store_, Api_, Reports_);
@@ -365,9 +127,7 @@
     framework::fibers::spawn([this, T = Term_] { runTerm(T); });
   }
 
-  void endTerm(std::string_view Reason) {
-    if (!Term_)
-      return;
+  void dropTerm(std::string_view Reason) {
     framework::log::warning("leadership.ended")
         .field("token", Term_->Token_.value())
         .field("reason", Reason);
@@ -375,8 +135,6 @@
     Term_->Commits_.stop();
     for (const auto &[Life, Row] : Term_->Workers_)
       Row->wake();
-    if (!Leaving_)
-      Lead_.forget();
     Term_ = nullptr;
     Sessions_ = nullptr;
     Machines_ = nullptr;
@@ -409,7 +167,7 @@
     Machines_->start();
     T->Commits_.run([this, T, Talks] { schedule(*T, *Talks); });
     if (Term_ == T)
-      endTerm("the journal cannot be written");
+      Head_.end("the journal cannot be written");
   }
 
   /// An empty table that knows how many attempts each queue allows.
@@ -435,7 +193,7 @@
       }
       framework::log::error("journal.load_failed")
           .field("reason", std::string(Read.message()));
-      framework::fibers::sleepFor(CampaignPause);
+      framework::fibers::sleepFor(LoadPause);
     }
     return false;
   }
@@ -472,7 +230,7 @@
       if (!T || T->over() || !T->Loaded_)
         continue;
       if (T->Superseded_) {
-        endTerm("a worker has seen a later holder");
+        Head_.end("a worker has seen a later holder");
         continue;
       }
       for (const auto &[Life, Row] : T->Workers_)
@@ -589,28 +347,17 @@
   WorkerDirectory Directory_;
   WaveReports Reports_;
   AskAdvisor Ask_;
-  Candidacy Mine_;
   journal::CellKeys Keys_;
   CellBounds Bounds_;
   framework::metrics::Registry &Metrics_;
-  journal::Leadership<Store> Lead_;
-  journal::Holder Seen_;
+  HeadKeeper<Store> Head_;
   CellConfig Config_;
   TermPtr Term_;
   SessionsPtr Sessions_;
   MachinesPtr Machines_;
   std::shared_ptr<JobCalls<Store, Client>> Calls_;
   std::map<WaveNumber, WaveRecord> Waves_;
-  OfferFn Offer_;
-  /// Peers have been told that they may lead.
-  bool Offered_ = false;
-  bool TakingBack_ = false;
-  std::uint32_t SilentLooks_ = 0;
-  TimePoint StoreFailedAt_{};
-  bool Campaigning_ = false;
-  bool Leaving_ = false;
   bool AskingAdvisor_ = false;
-  bool Waited_ = false;
 };
 
 } // namespace laburnumspread::cell
