--- a/src/journal/tests/fakestore.h
+++ b/src/journal/tests/fakestore.h
@@ -27,13 +27,17 @@
     const bool Pass = PassFirst_ > 0;
     PassFirst_ -= Pass;
     const Fault Now = Pass ? Fault::None : std::exchange(Next_, Fault::None);
+    const store::TransactionResult Result =
+        Now == Fault::Lost || Now == Fault::Late ? store::TransactionResult()
+                                                 : apply(Txn);
+    if (Now == Fault::Late)
+      Delayed_.push_back(Txn);
+    if (const auto Meanwhile = std::exchange(BeforeAnswer_, nullptr))
+      Meanwhile();
     if (Now == Fault::Lost)
       return absl::UnavailableError("lost");
-    if (Now == Fault::Late) {
-      Delayed_.push_back(Txn);
+    if (Now == Fault::Late)
       return absl::DeadlineExceededError("no answer");
-    }
-    const store::TransactionResult Result = apply(Txn);
     if (Now == Fault::AnswerLost)
       return absl::DeadlineExceededError("no answer");
     return Result;
@@ -72,6 +76,8 @@
   Fault Next_ = Fault::None;
   std::uint32_t PassFirst_ = 0;
   std::int64_t Leases_ = 0;
+  /// Happens between the next write and its answer.
+  std::function<void()> BeforeAnswer_;
 
 private:
   store::TransactionResult apply(const store::Transaction &Txn) {
--- a/src/journal/tests/journaltest.cpp
+++ b/src/journal/tests/journaltest.cpp
@@ -32,17 +32,26 @@
 /// One entry with its leadership and journal.
 struct Entry {
   Entry(FakeStore &Store, const char *Name, std::uint64_t Incarnation = 1)
-      : Lead_(Store, Keys, holder(Name, Incarnation)),
-        Log_(Store, Keys, Lead_) {}
+      : Store_(Store), Lead_(Store, Keys, holder(Name, Incarnation)) {
+    Log_.emplace(Store_, Keys, Lead_);
+  }
+
+  /// Campaigns; each leadership has a journal of its own.
+  absl::StatusOr<bool> campaign() {
+    const auto Won = Lead_.campaign();
+    Log_.emplace(Store_, Keys, Lead_);
+    return Won;
+  }
 
+  FakeStore &Store_;
   Leadership<FakeStore> Lead_;
-  Journal<FakeStore> Log_;
+  std::optional<Journal<FakeStore>> Log_;
 };
 
 struct Fixture {
   CellTable loadBy(Entry &Reader) {
     CellTable Table;
-    BOOST_REQUIRE(Reader.Log_.load(Table, TimePoint()).ok());
+    BOOST_REQUIRE(Reader.Log_->load(Table, TimePoint()).ok());
     return Table;
   }
 
@@ -56,37 +65,37 @@
 BOOST_FIXTURE_TEST_SUITE(JournalTest, Fixture)
 
 BOOST_AUTO_TEST_CASE(OneEntryLeadsAtATime) {
-  BOOST_TEST(*First_.Lead_.campaign());
-  BOOST_TEST(!*Second_.Lead_.campaign());
+  BOOST_TEST(*First_.campaign());
+  BOOST_TEST(!*Second_.campaign());
   First_.Lead_.resign();
-  BOOST_TEST(*Second_.Lead_.campaign());
+  BOOST_TEST(*Second_.campaign());
 }
 
 BOOST_AUTO_TEST_CASE(TokensRiseFromHolderToHolder) {
-  BOOST_REQUIRE(*First_.Lead_.campaign());
+  BOOST_REQUIRE(*First_.campaign());
   const auto Before = First_.Lead_.token();
   First_.Lead_.resign();
-  BOOST_REQUIRE(*Second_.Lead_.campaign());
+  BOOST_REQUIRE(*Second_.campaign());
   BOOST_TEST((Second_.Lead_.token() > Before));
 }
 
 BOOST_AUTO_TEST_CASE(CampaignWhoseAnswerWasLostIsFoundOut) {
   Store_.Next_ = FakeStore::Fault::AnswerLost;
-  BOOST_TEST(*First_.Lead_.campaign());
+  BOOST_TEST(*First_.campaign());
   BOOST_TEST(First_.Lead_.held());
 }
 
 BOOST_AUTO_TEST_CASE(RestartedEntryReplacesItsFormerProcess) {
-  BOOST_REQUIRE(*First_.Lead_.campaign());
+  BOOST_REQUIRE(*First_.campaign());
   Entry Again(Store_, "first", 2);
   BOOST_TEST(*Again.Lead_.replace(First_.Lead_.self()));
-  BOOST_TEST(!First_.Log_.append({accepted("a")}).ok());
+  BOOST_TEST(!First_.Log_->append({accepted("a")}).ok());
 }
 
 // A caller asks a cut-off holder for a job that its successor has taken, and
 // is told that there is no such job.
 BOOST_AUTO_TEST_CASE(HolderWithoutTheStoreStopsAnsweringBeforeItsLeaseEnds) {
-  BOOST_REQUIRE(*First_.Lead_.campaign());
+  BOOST_REQUIRE(*First_.campaign());
   const TimePoint Renewed = First_.Lead_.confirmedAt();
   BOOST_TEST(First_.Lead_.surelyHeld(Renewed + 800ms));
   BOOST_TEST(!First_.Lead_.surelyHeld(Renewed + 1s));
@@ -94,21 +103,21 @@
 }
 
 BOOST_AUTO_TEST_CASE(SuccessorReadsWhatWasAcknowledged) {
-  BOOST_REQUIRE(*First_.Lead_.campaign());
-  BOOST_REQUIRE(First_.Log_.append({accepted("a")}).ok());
-  BOOST_REQUIRE(First_.Log_.append({accepted("b")}).ok());
+  BOOST_REQUIRE(*First_.campaign());
+  BOOST_REQUIRE(First_.Log_->append({accepted("a")}).ok());
+  BOOST_REQUIRE(First_.Log_->append({accepted("b")}).ok());
   First_.Lead_.resign();
-  BOOST_REQUIRE(*Second_.Lead_.campaign());
+  BOOST_REQUIRE(*Second_.campaign());
   const CellTable Table = loadBy(Second_);
   BOOST_TEST(Table.find(JobId("a")));
   BOOST_TEST(Table.find(JobId("b")));
 }
 
 BOOST_AUTO_TEST_CASE(EntryWhoseAnswerWasLostIsWrittenOnce) {
-  BOOST_REQUIRE(*First_.Lead_.campaign());
+  BOOST_REQUIRE(*First_.campaign());
   Store_.Next_ = FakeStore::Fault::AnswerLost;
-  BOOST_TEST(First_.Log_.append({accepted("a")}).ok());
-  BOOST_TEST(First_.Log_.append({accepted("b")}).ok());
+  BOOST_TEST(First_.Log_->append({accepted("a")}).ok());
+  BOOST_TEST(First_.Log_->append({accepted("b")}).ok());
   BOOST_TEST(Store_.has(Keys.log(1)));
   BOOST_TEST(Store_.has(Keys.log(2)));
   BOOST_TEST(!Store_.has(Keys.log(3)));
@@ -118,7 +127,7 @@
 // after a successor has said that there is none: the write of the former
 // holder reaches the store only after the takeover.
 BOOST_AUTO_TEST_CASE(LateWriteOfAFormerHolderDoesNothing) {
-  BOOST_REQUIRE(*First_.Lead_.campaign());
+  BOOST_REQUIRE(*First_.campaign());
   store::Transaction Late;
   Late.Compares_ = {
       {Keys.head(), fleet::Revision(First_.Lead_.token().value())},
@@ -127,62 +136,85 @@
   Store_.Next_ = FakeStore::Fault::Late;
   BOOST_TEST(!Store_.commit(Late, {}).ok());
   Store_.endLease(1);
-  BOOST_REQUIRE(*Second_.Lead_.campaign());
+  BOOST_REQUIRE(*Second_.campaign());
   BOOST_TEST(!loadBy(Second_).find(JobId("a")));
   Store_.carryOutDelayed();
   BOOST_TEST(!Store_.has(Keys.log(1)));
 }
 
+// A caller is told that its job is stored, and the cell does not know the job.
+// The process loses its leadership while an entry is on its way, and wins the
+// next one. The former term sent its entry again under the new token: it was
+// stored behind the back of the new term, whose own first entry then failed.
+// Proof: the entry is in the store, and the new term's table lacks its job.
+BOOST_AUTO_TEST_CASE(EntryOfAFormerTermIsNotSentUnderTheNextOne) {
+  BOOST_REQUIRE(*First_.campaign());
+  std::optional<Journal<FakeStore>> Next;
+  CellTable Table;
+  Store_.Next_ = FakeStore::Fault::Lost;
+  Store_.BeforeAnswer_ = [&] {
+    Store_.endLease(1);
+    First_.Lead_.forget();
+    BOOST_TEST(*First_.Lead_.campaign());
+    Next.emplace(Store_, Keys, First_.Lead_);
+    BOOST_TEST(Next->load(Table, TimePoint()).ok());
+  };
+  BOOST_TEST(absl::IsAborted(First_.Log_->append({accepted("a")})));
+  BOOST_REQUIRE(Next);
+  BOOST_TEST(!Store_.has(Keys.log(1)));
+  BOOST_TEST(Next->append({accepted("b")}).ok());
+}
+
 // The holder was frozen while its lease ended. On waking it must not tell a
 // caller that the job is stored.
 BOOST_AUTO_TEST_CASE(FormerHolderLearnsThatItMayNotWrite) {
-  BOOST_REQUIRE(*First_.Lead_.campaign());
+  BOOST_REQUIRE(*First_.campaign());
   Store_.endLease(1);
-  BOOST_REQUIRE(*Second_.Lead_.campaign());
-  BOOST_TEST(absl::IsAborted(First_.Log_.append({accepted("a")})));
+  BOOST_REQUIRE(*Second_.campaign());
+  BOOST_TEST(absl::IsAborted(First_.Log_->append({accepted("a")})));
 }
 
 // Two entries answer callers for one cell: a peer means to take up an offer of
 // the leadership, its write is late, and meanwhile the holder goes on.
 BOOST_AUTO_TEST_CASE(HeadThatWasWrittenAnewIsNotTakenOver) {
-  BOOST_REQUIRE(*First_.Lead_.campaign());
+  BOOST_REQUIRE(*First_.campaign());
   const Holder Offered = First_.Lead_.self();
-  BOOST_REQUIRE(First_.Log_.append({accepted("a")}).ok());
+  BOOST_REQUIRE(First_.Log_->append({accepted("a")}).ok());
   BOOST_TEST(*First_.Lead_.rewrite());
   BOOST_TEST((First_.Lead_.token() > Offered.Token_));
   BOOST_TEST(!*Second_.Lead_.replace(Offered));
-  BOOST_TEST(First_.Log_.append({accepted("b")}).ok());
+  BOOST_TEST(First_.Log_->append({accepted("b")}).ok());
 }
 
 // Callers wait for seconds: the store is slow, a holder that has written its
 // head anew hears no answer, takes its own write for a peer's and steps down,
 // though nobody else leads.
 BOOST_AUTO_TEST_CASE(RewriteWhoseAnswerWasLostIsFoundOut) {
-  BOOST_REQUIRE(*First_.Lead_.campaign());
+  BOOST_REQUIRE(*First_.campaign());
   Store_.Next_ = FakeStore::Fault::AnswerLost;
   BOOST_TEST(!First_.Lead_.rewrite().ok());
   BOOST_TEST(*First_.Lead_.rewrite());
-  BOOST_TEST(First_.Log_.append({accepted("a")}).ok());
+  BOOST_TEST(First_.Log_->append({accepted("a")}).ok());
 }
 
 // The answer to a rewrite of the head is lost, and the next entry's condition
 // fails before the holder has found out: it must not step down for that, or
 // callers wait for a lease to run out that nobody else wants.
 BOOST_AUTO_TEST_CASE(EntryWaitsForARewriteWithoutAnswer) {
-  BOOST_REQUIRE(*First_.Lead_.campaign());
+  BOOST_REQUIRE(*First_.campaign());
   Store_.Next_ = FakeStore::Fault::AnswerLost;
   BOOST_REQUIRE(!First_.Lead_.rewrite().ok());
   boost::fibers::fiber Later([&] { BOOST_TEST(*First_.Lead_.rewrite()); });
-  BOOST_TEST(First_.Log_.append({accepted("a")}).ok());
+  BOOST_TEST(First_.Log_->append({accepted("a")}).ok());
   Later.join();
   BOOST_TEST(Store_.has(Keys.log(1)));
 }
 
 BOOST_AUTO_TEST_CASE(HolderThatWasReplacedCannotGoOn) {
-  BOOST_REQUIRE(*First_.Lead_.campaign());
+  BOOST_REQUIRE(*First_.campaign());
   BOOST_TEST(*Second_.Lead_.replace(First_.Lead_.self()));
   BOOST_TEST(!*First_.Lead_.rewrite());
-  BOOST_TEST(absl::IsAborted(First_.Log_.append({accepted("a")})));
+  BOOST_TEST(absl::IsAborted(First_.Log_->append({accepted("a")})));
 }
 
 BOOST_AUTO_TEST_CASE(AgeCountsEachHoldersOwnTime) {
@@ -200,7 +232,7 @@
 // later one knows only from the journal how long ago the order left. It leaves
 // after its entry is stored, so time counts from the entry after it.
 BOOST_AUTO_TEST_CASE(JournalTellsHowLongAgoAMachineWasOrdered) {
-  BOOST_REQUIRE(*First_.Lead_.campaign());
+  BOOST_REQUIRE(*First_.campaign());
   const jobs::MachineId Early("m1"), Last("m2");
   const auto Put = [&](std::uint64_t Index, std::vector<Event> Events,
                        Duration Since) {
@@ -213,7 +245,7 @@
   Put(2, {accepted("a")}, 4s);
   Put(3, {jobs::MachineOrdered{Last, fleet::PoolName("on")}}, 6s);
   Store_.endLease(1);
-  BOOST_REQUIRE(*Second_.Lead_.campaign());
+  BOOST_REQUIRE(*Second_.campaign());
   const CellTable Loaded = loadBy(Second_);
   BOOST_REQUIRE(Loaded.machineOrders().size() == 2u);
   BOOST_TEST((Loaded.machineOrders().at(Early).Quiet_ == 2s));
@@ -222,15 +254,15 @@
 }
 
 BOOST_AUTO_TEST_CASE(SnapshotKeepsOrdersOfMachines) {
-  BOOST_REQUIRE(*First_.Lead_.campaign());
+  BOOST_REQUIRE(*First_.campaign());
   CellTable Table;
   const Event Item =
       jobs::MachineOrdered{jobs::MachineId("m1"), fleet::PoolName("off")};
   Table.apply(Item, TimePoint());
-  BOOST_REQUIRE(First_.Log_.append({Item}).ok());
-  BOOST_REQUIRE(First_.Log_.writeSnapshot(Table).ok());
+  BOOST_REQUIRE(First_.Log_->append({Item}).ok());
+  BOOST_REQUIRE(First_.Log_->writeSnapshot(Table).ok());
   First_.Lead_.resign();
-  BOOST_REQUIRE(*Second_.Lead_.campaign());
+  BOOST_REQUIRE(*Second_.campaign());
   const CellTable Loaded = loadBy(Second_);
   BOOST_REQUIRE(Loaded.machineOrders().size() == 1u);
   BOOST_TEST(Loaded.machineOrders().begin()->second.Home_ ==
@@ -238,19 +270,19 @@
 }
 
 BOOST_AUTO_TEST_CASE(SnapshotTakesThePlaceOfTheEntries) {
-  BOOST_REQUIRE(*First_.Lead_.campaign());
+  BOOST_REQUIRE(*First_.campaign());
   CellTable Table;
   for (int I = 0; I < 40; ++I) {
     const Event Item = accepted("job" + std::to_string(I));
     Table.apply(Item, TimePoint());
-    BOOST_REQUIRE(First_.Log_.append({Item}).ok());
+    BOOST_REQUIRE(First_.Log_->append({Item}).ok());
   }
-  BOOST_REQUIRE(First_.Log_.writeSnapshot(Table).ok());
+  BOOST_REQUIRE(First_.Log_->writeSnapshot(Table).ok());
   BOOST_TEST(!Store_.has(Keys.log(1)));
   BOOST_TEST(!Store_.has(Keys.log(40)));
-  BOOST_REQUIRE(First_.Log_.append({accepted("after")}).ok());
+  BOOST_REQUIRE(First_.Log_->append({accepted("after")}).ok());
   First_.Lead_.resign();
-  BOOST_REQUIRE(*Second_.Lead_.campaign());
+  BOOST_REQUIRE(*Second_.campaign());
   const CellTable Loaded = loadBy(Second_);
   BOOST_TEST(Loaded.jobs().size() == 41u);
   BOOST_TEST(Loaded.find(JobId("after")));
@@ -260,24 +292,24 @@
 // lost is written again by the store seconds later, over a newer one, and the
 // entries that it counts on have been removed.
 BOOST_AUTO_TEST_CASE(LateBaseDoesNotTakeThePlaceOfANewerOne) {
-  BOOST_REQUIRE(*First_.Lead_.campaign());
+  BOOST_REQUIRE(*First_.campaign());
   CellTable Table;
   const auto Append = [&](const std::string &Id) {
     Table.apply(accepted(Id), TimePoint());
-    BOOST_REQUIRE(First_.Log_.append({accepted(Id)}).ok());
+    BOOST_REQUIRE(First_.Log_->append({accepted(Id)}).ok());
   };
   Append("a");
-  BOOST_REQUIRE(First_.Log_.writeSnapshot(Table).ok());
+  BOOST_REQUIRE(First_.Log_->writeSnapshot(Table).ok());
   Append("b");
   // The part is written, the base is kept back and written by a second try.
   Store_.Next_ = FakeStore::Fault::Late;
   Store_.PassFirst_ = 1;
-  BOOST_REQUIRE(First_.Log_.writeSnapshot(Table).ok());
+  BOOST_REQUIRE(First_.Log_->writeSnapshot(Table).ok());
   Append("c");
-  BOOST_REQUIRE(First_.Log_.writeSnapshot(Table).ok());
+  BOOST_REQUIRE(First_.Log_->writeSnapshot(Table).ok());
   Store_.carryOutDelayed();
   First_.Lead_.resign();
-  BOOST_REQUIRE(*Second_.Lead_.campaign());
+  BOOST_REQUIRE(*Second_.campaign());
   BOOST_TEST(loadBy(Second_).jobs().size() == 3u);
 }
 
