--- a/src/cell/cellservice.h
+++ b/src/cell/cellservice.h
@@ -351,7 +351,7 @@
   /// and by the answer to the write. A second term beside the first would take
   /// the runs that the other starts for unknown ones and stop them.
   void beginTerm() {
-    if (Term_ && Term_->Token_ == Lead_.token())
+    if (Term_ && !Term_->over())
       return;
     Offered_ = false;
     Term_ =
--- a/src/cell/term.h
+++ b/src/cell/term.h
@@ -16,13 +16,13 @@
   Term(Store &S, const journal::CellKeys &Keys,
        journal::Leadership<Store> &Lead, framework::metrics::Registry &Metrics,
        CellBounds Bounds)
-      : Lead_(Lead), Token_(Lead.token()), Log_(S, Keys, Lead),
-        Commits_(Table_, Log_, Metrics), Metrics_(Metrics), Bounds_(Bounds),
-        BegunAt_(now()) {}
+      : Lead_(Lead), Reign_(Lead.reign()), Token_(Lead.token()),
+        Log_(S, Keys, Lead), Commits_(Table_, Log_, Metrics), Metrics_(Metrics),
+        Bounds_(Bounds), BegunAt_(now()) {}
 
   static TimePoint now() { return framework::clock::SteadyClock().now(); }
 
-  bool over() const { return Over_ || Lead_.token() != Token_; }
+  bool over() const { return Over_ || !Lead_.holds(Reign_); }
 
   /// Whether orders to workers may leave.
   bool mayOrder() const {
@@ -60,6 +60,7 @@
   }
 
   journal::Leadership<Store> &Lead_;
+  journal::Reign Reign_;
   /// Rises when the head is written anew under this leadership.
   jobs::FencingToken Token_;
   jobs::CellTable Table_;
--- a/src/journal/journal.h
+++ b/src/journal/journal.h
@@ -37,7 +37,9 @@
 /// that is created only while the head key is the holder's, so that a write of
 /// a former holder, or one that was delayed, can never take effect. A write
 /// without an answer is sent again as it was: either of the two creates the
-/// key, and the content is the same.
+/// key, and the content is the same. It is sent only under the leadership that
+/// was held when the journal was made: the tables of the next one of this
+/// process were read without it.
 template <store::KeyValueStore Store> class Journal {
 public:
   static constexpr std::size_t SnapshotPartBytes = 256 * 1024;
@@ -55,7 +57,7 @@
   static constexpr Duration RetryPause = std::chrono::milliseconds(50);
 
   Journal(Store &S, CellKeys Keys, Leadership<Store> &Lead)
-      : Store_(S), Keys_(std::move(Keys)), Lead_(Lead) {}
+      : Store_(S), Keys_(std::move(Keys)), Lead_(Lead), Reign_(Lead.reign()) {}
 
   /// Reads the whole state into \p Into. Called once after a takeover, when
   /// nobody else can write any more.
@@ -213,7 +215,7 @@
   commitUntilKnown(const store::Transaction &Txn, const std::string &Key,
                    const std::string &Value) {
     store::Transaction Guarded = Txn;
-    while (Lead_.held()) {
+    while (Lead_.holds(Reign_)) {
       // The head may have been written anew since the last try.
       const jobs::FencingToken Token = Lead_.token();
       Guarded.Compares_.front() = headIs(Token);
@@ -267,6 +269,8 @@
       store::Transaction Txn = guarded();
       const std::size_t End = std::min(At + KeysPerTransaction, Keys.size());
       Txn.Deletes_.assign(Keys.begin() + At, Keys.begin() + End);
+      if (!Lead_.holds(Reign_))
+        return absl::AbortedError("leadership was lost before the removal");
       // A removal without an answer only leaves keys that a replay passes over.
       const auto Removed = Store_.commit(Txn, wallDeadline(LongestAnswerTime));
       if (!Removed.ok())
@@ -279,6 +283,7 @@
   Store &Store_;
   CellKeys Keys_;
   Leadership<Store> &Lead_;
+  Reign Reign_;
   std::uint64_t Next_ = 1;
   Base Base_;
   fleet::Revision BaseRevision_;
--- a/src/journal/leadership.h
+++ b/src/journal/leadership.h
@@ -14,6 +14,11 @@
 using framework::clock::TimePoint;
 using framework::clock::wallDeadline;
 
+/// Tells the leaderships of one process apart. A head that is written anew
+/// stays in its reign, though its token rises; a head that is found again after
+/// the leadership was given up begins another.
+using Reign = framework::ids::StrongNumber<struct ReignTag>;
+
 /// Leadership of one cell: a key that dies with a store lease. The revision at
 /// which it was written is the fencing token, so tokens rise from holder to
 /// holder.
@@ -163,6 +168,10 @@
   }
 
   bool held() const { return Self_.Token_.value() != 0; }
+  /// The present reign, or the last one when nothing is held.
+  Reign reign() const { return Reign_; }
+  /// Whether \p Which is the reign that is held.
+  bool holds(Reign Which) const { return held() && Reign_ == Which; }
   jobs::FencingToken token() const { return Self_.Token_; }
   TimePoint confirmedAt() const { return ConfirmedAt_; }
   /// When this leadership was found to be won.
@@ -207,6 +216,8 @@
   }
 
   void begin(jobs::FencingToken Token) {
+    if (!held())
+      Reign_ = Reign(Reign_.value() + 1);
     Self_.Token_ = Token;
     RewritePending_ = false;
     BegunAt_ = SteadyClock().now();
@@ -238,6 +249,7 @@
   TimePoint HeardAt_{};
   std::uint32_t Refusals_ = 0;
   bool RewritePending_ = false;
+  Reign Reign_;
   TimePoint BegunAt_{};
 };
 
