Store with a run's end by how many attempts it counts

What callers saw: a job that was told as done is failed after a takeover, or one that had failed runs again, when the queue's limit of attempts has been changed since, or when its configuration was not read yet at the replay. Cause: taskFailed() asked for the limit of the time at which it is called, also in a replay. Change: an event is completed with the limit in force before it is applied and stored (attempt_limit of RunEnded, 0 in older entries, which count as before).

--- a/src/cell/commitqueue.h
+++ b/src/cell/commitqueue.h
@@ -38,6 +38,7 @@
 
   /// Applies and stages one event; \p Done runs when its fate is known.
   void stage(jobs::Event Item, Callback Done = nullptr) {
+    Table_.complete(Item);
     Table_.apply(Item, framework::clock::SteadyClock().now());
     Events_.push_back(std::move(Item));
     if (Done)
--- a/src/cell/sessions.h
+++ b/src/cell/sessions.h
@@ -365,7 +365,7 @@
         .add();
     const jobs::JobRow *Job = Term_->Table_.find(Run.Task_.Job_);
     const bool Open = Job && !Job->ended();
-    Term_->Commits_.stage(jobs::RunEnded{Run, Item.Kind_, Item.Saved_});
+    Term_->Commits_.stage(jobs::RunEnded{Run, Item.Kind_, Item.Saved_, 0});
     if (Open && Job->ended())
       jobEnded(*Job, Run.Task_);
     stopEnded(Run.Task_.Job_);
--- a/src/jobs/celltable.h
+++ b/src/jobs/celltable.h
@@ -106,6 +106,12 @@
 
   void setAttemptLimit(AttemptLimit Limit) { AttemptLimit_ = std::move(Limit); }
 
+  /// Completes an event that is to be applied and stored. The failure: a replay
+  /// that counts a failed run by the limit of its own time tells another state
+  /// of the job than callers have heard. The limit in the event is enough, as
+  /// nothing else that an event does depends on the configuration.
+  void complete(Event &Item) const;
+
   const JobRow *find(const JobId &Job) const;
   const TaskRow *find(const TaskName &Task) const;
   const LiveRun *find(const RunName &Run) const;
@@ -162,7 +168,9 @@
   void gangDone(JobRow &Job, const RunName &Run, TimePoint Now);
   void restoreTask(JobRow &Job, const TaskName &Task, TaskRow &&From,
                    TimePoint Now);
-  void taskFailed(JobRow &Job, TaskRow &Task, TimePoint Now);
+  void taskFailed(JobRow &Job, TaskRow &Task, std::uint32_t Most,
+                  TimePoint Now);
+  std::uint32_t attemptLimit(const QueueName &Queue) const;
   void close(JobRow &Job, JobState State, TimePoint Now);
   JobRow *row(const JobId &Job);
 
--- a/src/jobs/events.h
+++ b/src/jobs/events.h
@@ -23,6 +23,9 @@
   RunName Run_;
   EndKind Kind_ = EndKind::Lost;
   Checkpoint Saved_;
+  /// Attempts that the queue allowed when it ended, by which a failure counts
+  /// at every replay; 0 when the entry does not tell.
+  std::uint32_t AttemptLimit_ = 0;
 };
 
 struct JobCancelled {
--- a/src/jobs/internal/celltable.cpp
+++ b/src/jobs/internal/celltable.cpp
@@ -25,6 +25,17 @@
   std::visit([&](const auto &Body) { take(Body, Now); }, Item);
 }
 
+void CellTable::complete(Event &Item) const {
+  auto *End = std::get_if<RunEnded>(&Item);
+  const JobRow *Job = End ? find(End->Run_.Task_.Job_) : nullptr;
+  if (Job)
+    End->AttemptLimit_ = attemptLimit(Job->Spec_.Queue_);
+}
+
+std::uint32_t CellTable::attemptLimit(const QueueName &Queue) const {
+  return AttemptLimit_ ? AttemptLimit_(Queue) : DefaultAttempts;
+}
+
 JobRow *CellTable::row(const JobId &Job) {
   const auto Found = Jobs_.find(Job);
   return Found == Jobs_.end() ? nullptr : &Found->second;
@@ -173,7 +184,10 @@
   else if (Item.Kind_ == EndKind::Done && !Spec.LongRunning_)
     taskDone(*Job, Name, Now);
   else if (Item.Kind_ == EndKind::Failed && !Spec.LongRunning_)
-    taskFailed(*Job, *Task, Now);
+    taskFailed(*Job, *Task,
+               Item.AttemptLimit_ > 0 ? Item.AttemptLimit_
+                                      : attemptLimit(Job->Spec_.Queue_),
+               Now);
 }
 
 /// One member's good end stands for all members of that run.
@@ -200,10 +214,9 @@
     close(Job, JobState::Done, Now);
 }
 
-void CellTable::taskFailed(JobRow &Job, TaskRow &Task, TimePoint Now) {
+void CellTable::taskFailed(JobRow &Job, TaskRow &Task, std::uint32_t Most,
+                           TimePoint Now) {
   ++Task.Failures_;
-  const std::uint32_t Most =
-      AttemptLimit_ ? AttemptLimit_(Job.Spec_.Queue_) : DefaultAttempts;
   if (Task.Failures_ >= Most && !Task.Done_ && !Job.ended())
     close(Job, JobState::Failed, Now);
 }
--- a/src/jobs/internal/eventcodec.cpp
+++ b/src/jobs/internal/eventcodec.cpp
@@ -114,6 +114,7 @@
   Into.set_run(From.Run_.Run_.value());
   Into.set_kind(static_cast<std::uint32_t>(From.Kind_));
   Into.set_checkpoint(From.Saved_.str());
+  Into.set_attempt_limit(From.AttemptLimit_);
 }
 
 void write(const JobCancelled &From, wire::Event &To) {
@@ -159,7 +160,8 @@
     const wire::RunEnded &Item = From.ended();
     return RunEnded{{read(Item.task()), RunNumber(Item.run())},
                     readEnd(Item.kind()),
-                    Checkpoint(Item.checkpoint())};
+                    Checkpoint(Item.checkpoint()),
+                    Item.attempt_limit()};
   }
   case wire::Event::kCancelled:
     return JobCancelled{JobId(From.cancelled())};
