--- a/src/jobs/tests/celltabletest.cpp
+++ b/src/jobs/tests/celltabletest.cpp
@@ -149,6 +149,30 @@
   BOOST_TEST(Again.useOf(Worker)->Runs_.size() == 1u);
 }
 
+// A caller hears that its job is cancelled, and after a takeover that it is
+// done. A member of a gang came to its end beside the cancel, which stands for
+// all members, while another one was still live; the snapshot's tasks were put
+// back before the job's state, and the last of them closed it as done.
+BOOST_AUTO_TEST_CASE(CancelledGangWithAllTasksDoneStaysCancelled) {
+  JobSpec Spec = twoSteps();
+  Spec.Id_ = JobId("fedcba9876543210");
+  Spec.Steps_.resize(1);
+  Spec.Steps_[0].Gang_ = true;
+  Table_.apply(JobAccepted{Spec}, Start);
+  const TaskName One{Spec.Id_, 0, 0, 0};
+  const TaskName Two{Spec.Id_, 0, 0, 1};
+  start({One, RunNumber(1)});
+  start({Two, RunNumber(1)});
+  Table_.apply(JobCancelled{Spec.Id_}, Start);
+  end({One, RunNumber(1)}, EndKind::Done);
+  CellTable Again;
+  for (const std::string &Part : encodeSnapshot(Table_, 1 << 20))
+    BOOST_REQUIRE(decodeSnapshot(Part, Start, Again).ok());
+  BOOST_TEST((Table_.find(Spec.Id_)->State_ == JobState::Cancelled));
+  BOOST_TEST((Again.find(Spec.Id_)->State_ == JobState::Cancelled));
+  BOOST_TEST(Again.find(Spec.Id_)->LiveRuns_ == 1u);
+}
+
 BOOST_AUTO_TEST_CASE(GangIsDoneByOneEnd) {
   JobSpec Spec = twoSteps();
   Spec.Id_ = JobId("fedcba9876543210");
