Put a job's state back before its tasks

What callers saw: a job that they had cancelled is told as done after a takeover. Cause: restore() put the tasks back first, and the last one that was done closed the job as done, so its own state was passed over. It takes a live run beside tasks that are all done: a gang, or a speculative copy. Change: the state of an ended job is put back first. Red: jobs CellTableTest/CancelledGangWithAllTasksDoneStaysCancelled at the commit before.

--- a/src/jobs/internal/celltable.cpp
+++ b/src/jobs/internal/celltable.cpp
@@ -294,6 +294,10 @@
     return;
   take(JobAccepted{Row.Spec_}, Now);
   JobRow &Put = Jobs_.at(Id);
+  // First of all: a job that failed or was cancelled beside its last tasks'
+  // ends is not to be closed as done by putting these back.
+  if (Row.ended())
+    close(Put, Row.State_, Now);
   for (std::uint32_t K = 0; K < Row.Occurrences_.size(); ++K)
     for (std::uint32_t S = 0; S < Row.Occurrences_[K].Steps_.size(); ++S) {
       auto &Tasks = Row.Occurrences_[K].Steps_[S].Tasks_;
@@ -302,8 +306,6 @@
     }
   if (Row.State_ == JobState::Pending || Put.ended())
     return;
-  if (Row.State_ != JobState::Running)
-    return close(Put, Row.State_, Now);
   Put.State_ = JobState::Running;
   --Waiting_[Put.Spec_.Queue_];
 }
