Begin a term only when it is not over after its load

What callers saw: nothing that tells itself; operators read that two terms have begun, and a new holder could order a machine that its predecessor had ordered a moment ago. Change: load() says whether the term still is, and runTerm() is given what was made for its term.

--- a/src/cell/cellservice.h
+++ b/src/cell/cellservice.h
@@ -362,7 +362,10 @@
     Machines_->setKeys(Keys_);
     Calls_ = std::make_shared<JobCalls<Store, Client>>(Term_, Sessions_);
     Metrics_.counter("takeovers_total").add();
-    framework::fibers::spawn([this, T = Term_] { runTerm(T); });
+    framework::fibers::spawn(
+        [this, T = Term_, Talks = Sessions_, Orders = Machines_] {
+          runTerm(T, Talks, Orders);
+        });
   }
 
   void endTerm(std::string_view Reason) {
@@ -383,8 +386,10 @@
     Calls_ = nullptr;
   }
 
-  /// Works for a term from takeover to end.
-  void runTerm(TermPtr T) {
+  /// Works for a term from takeover to end, with what was made for it: the
+  /// service may hold the next term's by now.
+  void runTerm(const TermPtr &T, const SessionsPtr &Talks,
+               const MachinesPtr &Orders) {
     const TimePoint Begun = now();
     if (!load(*T))
       return;
@@ -399,14 +404,11 @@
                static_cast<std::uint64_t>(T->Table_.jobs().size()))
         .field("runs_unwanted", unwantedRuns(*T))
         .field("load_ms", (now() - Begun).count() / 1000);
-    SessionsPtr Talks = Sessions_;
-    if (!Talks)
-      return;
     framework::fibers::spawn(
         [List = std::make_shared<Directory<Store, Client, Service>>(
-             Store_, Directory_, T, Talks, Machines_)] { List->follow(); });
-    Machines_->setWaves(Waves_);
-    Machines_->start();
+             Store_, Directory_, T, Talks, Orders)] { List->follow(); });
+    Orders->setWaves(Waves_);
+    Orders->start();
     T->Commits_.run([this, T, Talks] { schedule(*T, *Talks); });
     if (Term_ == T)
       endTerm("the journal cannot be written");
@@ -431,7 +433,8 @@
         T.Table_.setAges(
             framework::clock::toMillis(framework::clock::SystemClock().now()),
             now());
-        return true;
+        // It may have ended while the answer was on its way.
+        return !T.over();
       }
       framework::log::error("journal.load_failed")
           .field("reason", std::string(Read.message()));
