Show by a red test that an old list ends a new worker

The question whether a list may say that a worker is gone moves into its row; what it asks is unchanged, and when the row was first listed is noted.

--- a/src/cell/directory.h
+++ b/src/cell/directory.h
@@ -106,6 +106,7 @@
     auto Row = std::make_shared<WorkerRow>();
     Row->Record_ = Record;
     Row->ClockAt_ = now();
+    Row->ListedAt_ = now();
     T.Workers_[Record.Life_] = Row;
     framework::log::info("worker.listed")
         .field("worker", Record.Life_.Id_.str())
--- a/src/cell/machines.h
+++ b/src/cell/machines.h
@@ -153,8 +153,7 @@
     Table_.takeList(List, now());
     std::vector<WorkerRowPtr> Gone;
     for (const auto &[Life, Row] : Term_->Workers_) {
-      const bool Silent =
-          Row->Unanswered_ > 0 && now() - Row->AnsweredAt_ > ListLag;
+      const bool Silent = Row->silentSince(now() - ListLag);
       if (!Row->Over_ && (Silent || Away.contains(Life)) &&
           Table_.saysGone(Row->Record_))
         Gone.push_back(Row);
--- a/src/cell/tests/workertabletest.cpp
+++ b/src/cell/tests/workertabletest.cpp
@@ -74,6 +74,22 @@
   BOOST_TEST(Row.clockMs(Start + 50ms) == 1050);
 }
 
+// Tasks start a second time while they work, and their worker gets no more for
+// the rest of the term. The first answer of a worker that has just come up is
+// lost, and a list of machines from before it came up calls it gone: a row
+// without any answer counted as silent for as long as there is time.
+BOOST_AUTO_TEST_CASE(ListFromBeforeAWorkerCameUpSaysNothingOfIt) {
+  WorkerRow Row;
+  Row.ListedAt_ = Start;
+  Row.Unanswered_ = 1;
+  BOOST_TEST(!Row.silentSince(Start - 1ms));
+  BOOST_TEST(Row.silentSince(Start + 1ms));
+  Row.AnsweredAt_ = Start + 2ms;
+  BOOST_TEST(!Row.silentSince(Start + 1ms));
+  Row.Unanswered_ = 0;
+  BOOST_TEST(!Row.silentSince(Start + 3ms));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace laburnumspread::cell
--- a/src/cell/workertable.h
+++ b/src/cell/workertable.h
@@ -69,6 +69,8 @@
   /// without a further order.
   TimePoint LeaseEnds_{};
   TimePoint AnsweredAt_{};
+  /// When this holder saw its entry first.
+  TimePoint ListedAt_{};
   /// Orders without an answer since the last one with.
   std::uint32_t Unanswered_ = 0;
   /// Ends up to here are stored, or are staged.
@@ -152,6 +154,12 @@
     LeaseEnds_ = std::max(LeaseEnds_, Now + Span);
   }
 
+  /// Whether a list that tells of the time \p ListOf may say that the worker is
+  /// gone: it does not answer, and has not since then.
+  bool silentSince(TimePoint ListOf) const {
+    return Unanswered_ > 0 && AnsweredAt_ < ListOf;
+  }
+
   bool usable() const {
     return Listed_ && Synced_ && !Over_ && !Haunted_ && !Record_.Draining_ &&
            Unanswered_ <= UnansweredInUse;
