Count a worker's silence from when it was listed, too

What callers saw: tasks started a second time while they worked, and a new worker got none for the rest of the term. Cause: a row without any answer had answered at time zero, so the list's age did not protect it: one lost answer and a list that was read before the worker came up ended it. Change: it counts as silent only when it has neither answered nor come up since the time that the list tells of. A worker that is dead at a takeover is found by the list a second later than before. That the directory notes the time is not covered by a test: the stand-in shows no old lists.

--- a/src/cell/workertable.h
+++ b/src/cell/workertable.h
@@ -155,9 +155,9 @@
   }
 
   /// Whether a list that tells of the time \p ListOf may say that the worker is
-  /// gone: it does not answer, and has not since then.
+  /// gone: it does not answer, and has neither answered nor come up since then.
   bool silentSince(TimePoint ListOf) const {
-    return Unanswered_ > 0 && AnsweredAt_ < ListOf;
+    return Unanswered_ > 0 && std::max(AnsweredAt_, ListedAt_) < ListOf;
   }
 
   bool usable() const {
