--- a/src/journal/tests/fakestore.h
+++ b/src/journal/tests/fakestore.h
@@ -52,6 +52,9 @@
     return ++Leases_;
   }
   absl::StatusOr<bool> keepLease(std::int64_t Lease, store::TimePoint) {
+    if (const auto Renewal = std::exchange(Renewal_, nullptr))
+      if (absl::Status Failed = Renewal(); !Failed.ok())
+        return Failed;
     return !Ended_.contains(Lease);
   }
 
@@ -78,6 +81,8 @@
   std::int64_t Leases_ = 0;
   /// Happens between the next write and its answer.
   std::function<void()> BeforeAnswer_;
+  /// What befalls the next renewal of a lease, and its answer if it has none.
+  std::function<absl::Status()> Renewal_;
 
 private:
   store::TransactionResult apply(const store::Transaction &Txn) {
--- a/src/journal/tests/journaltest.cpp
+++ b/src/journal/tests/journaltest.cpp
@@ -2,6 +2,7 @@
 #include "journal/tests/fakestore.h"
 
 #include <boost/fiber/fiber.hpp>
+#include <boost/fiber/operations.hpp>
 #include <boost/test/unit_test.hpp>
 
 namespace laburnumspread::journal {
@@ -55,6 +56,14 @@
     return Table;
   }
 
+  /// The head as a watch shows it.
+  Holder head() {
+    const auto Read = Store_.range(Keys.head(), fleet::Revision(0), {});
+    BOOST_REQUIRE(Read->Items_.size() == 1u);
+    const store::KeyValue &Item = Read->Items_.front();
+    return *decodeHolder(Item.Value_, Item.ModRevision_);
+  }
+
   FakeStore Store_;
   Entry First_{Store_, "first"};
   Entry Second_{Store_, "second"};
@@ -210,6 +219,31 @@
   BOOST_TEST(Store_.has(Keys.log(1)));
 }
 
+// Callers wait for a lease to run out though an entry has won the cell. The
+// watch shows it its own new head before the answer to its write, and it renews
+// the lease to take the head up; the answer comes and a term begins. The
+// renewal stays without answer, and gave up the leadership that was not its
+// own.
+BOOST_AUTO_TEST_CASE(RenewalWithoutAnswerLeavesAWonLeadership) {
+  bool Answered = false;
+  boost::fibers::fiber Watch;
+  Store_.Renewal_ = [&] {
+    while (!Answered)
+      boost::this_fiber::yield();
+    return absl::DeadlineExceededError("no answer");
+  };
+  Store_.BeforeAnswer_ = [&] {
+    Watch = boost::fibers::fiber(boost::fibers::launch::dispatch, [&] {
+      BOOST_TEST(!First_.Lead_.adoptIfOwn(head()).ok());
+    });
+  };
+  BOOST_TEST(*First_.campaign());
+  Answered = true;
+  Watch.join();
+  BOOST_TEST(First_.Lead_.held());
+  BOOST_TEST(First_.Log_->append({accepted("a")}).ok());
+}
+
 BOOST_AUTO_TEST_CASE(HolderThatWasReplacedCannotGoOn) {
   BOOST_REQUIRE(*First_.campaign());
   BOOST_TEST(*Second_.Lead_.replace(First_.Lead_.self()));
