Take a seen head up only when its lease has been renewed

What callers saw: the cell stands still until a lease runs out, though its new holder is well. Cause: adoptIfOwn() began the leadership before the renewal and took it back when this had no answer, also when the answer to the write itself had begun it meanwhile; the term that ran was over from then on. Change: the renewal comes first, and begins only what nobody has begun.

--- a/src/journal/leadership.h
+++ b/src/journal/leadership.h
@@ -79,11 +79,14 @@
       release();
       return false;
     }
-    begin(Seen.Token_);
     const auto Alive = renew();
     if (!Alive.ok() || !*Alive)
-      Self_.Token_ = jobs::FencingToken();
-    return Alive;
+      return Alive;
+    // Meanwhile the answer to the write may have come, or a later attempt may
+    // have begun; what either has made of the leadership stays.
+    if (!held() && Seen.Attempt_ == Self_.Attempt_)
+      begin(Seen.Token_);
+    return held();
   }
 
   /// Writes the head anew under the lease that holds it. The token rises, and a
