--- a/src/journal/tests/journaltest.cpp
+++ b/src/journal/tests/journaltest.cpp
@@ -244,6 +244,26 @@
   BOOST_TEST(First_.Log_->append({accepted("a")}).ok());
 }
 
+// Callers wait for the lease of an entry that is gone. It hands the cell over
+// when it leaves, but its delete is lost; the watch shows it its own head,
+// which it took up again, renewed, and left behind when its process ended.
+BOOST_AUTO_TEST_CASE(LeavingEntryDoesNotTakeItsHeadUpAgain) {
+  BOOST_REQUIRE(*First_.campaign());
+  Store_.Next_ = FakeStore::Fault::Lost;
+  First_.Lead_.resign();
+  BOOST_TEST(!*First_.Lead_.adoptIfOwn(head()));
+  BOOST_TEST(!First_.Lead_.held());
+  BOOST_TEST(!Store_.has(Keys.head()));
+}
+
+// The same when it leaves while its write of the head is on its way.
+BOOST_AUTO_TEST_CASE(LeavingEntryGivesBackAHeadThatItWinsMeanwhile) {
+  Store_.BeforeAnswer_ = [&] { First_.Lead_.resign(); };
+  BOOST_TEST(!*First_.campaign());
+  BOOST_TEST(!First_.Lead_.held());
+  BOOST_TEST(!Store_.has(Keys.head()));
+}
+
 BOOST_AUTO_TEST_CASE(HolderThatWasReplacedCannotGoOn) {
   BOOST_REQUIRE(*First_.campaign());
   BOOST_TEST(*Second_.Lead_.replace(First_.Lead_.self()));
