Give back an own head once the process has resigned

What callers saw: they wait for the lease of an entry that is gone. Cause: no place asked whether the process leaves: a head whose delete was lost, or a write that was on its way, made it lead once more, and it renewed the lease that nobody needs. Change: resign() is for good; a head of this process that is seen after it, or won after it, is deleted.

--- a/src/journal/leadership.h
+++ b/src/journal/leadership.h
@@ -57,7 +57,7 @@
     Txn.Compares_ = {{Keys_.head(), Before}};
     Txn.Puts_ = {{Keys_.head(), encodeHolder(Self_), Lease_}};
     const auto Written = Store_.commit(Txn, wallDeadline(CallTime));
-    if (Written.ok() && Written->Succeeded_)
+    if (Written.ok() && Written->Succeeded_ && !Resigned_)
       return adopt(jobs::FencingToken(Written->StoreRevision_.value()), Asked);
     return readBack();
   }
@@ -71,11 +71,12 @@
 
   /// Takes up a head that names this process: the answer to an earlier attempt
   /// was lost, and the write came through after all. An attempt before the last
-  /// one is given back.
+  /// one is given back, and so is any head once this process has resigned: its
+  /// lease would run on, and nobody else could lead.
   absl::StatusOr<bool> adoptIfOwn(const Holder &Seen) {
     if (!Seen.sameProcess(Self_) || held())
       return false;
-    if (Seen.Attempt_ != Self_.Attempt_) {
+    if (!wants(Seen)) {
       release();
       return false;
     }
@@ -83,8 +84,9 @@
     if (!Alive.ok() || !*Alive)
       return Alive;
     // Meanwhile the answer to the write may have come, or a later attempt may
-    // have begun; what either has made of the leadership stays.
-    if (!held() && Seen.Attempt_ == Self_.Attempt_)
+    // have begun, or this process has resigned; what that has made of the
+    // leadership stays.
+    if (!held() && wants(Seen))
       begin(Seen.Token_);
     return held();
   }
@@ -143,8 +145,10 @@
   /// often as before.
   TimePoint heardAt() const { return HeardAt_; }
 
-  /// Gives up leadership, so that a successor need not wait for the lease.
+  /// Gives up leadership for good, so that a successor need not wait for the
+  /// lease.
   void resign() {
+    Resigned_ = true;
     if (!held())
       return;
     const jobs::FencingToken Token = Self_.Token_;
@@ -182,6 +186,11 @@
   const Holder &self() const { return Self_; }
 
 private:
+  /// Whether an own head may be taken up.
+  bool wants(const Holder &Own) const {
+    return !Resigned_ && Own.Attempt_ == Self_.Attempt_;
+  }
+
   absl::StatusOr<bool> readBack() {
     const auto Read =
         Store_.range(Keys_.head(), fleet::Revision(0), wallDeadline(CallTime));
@@ -235,12 +244,13 @@
       return;
     const store::KeyValue &Item = Read->Items_.front();
     const auto Seen = decodeHolder(Item.Value_, Item.ModRevision_);
-    if (!Seen || !Seen->sameProcess(Self_) || Seen->Attempt_ == Self_.Attempt_)
+    if (!Seen || !Seen->sameProcess(Self_) || wants(*Seen))
       return;
     Txn.Compares_ = {{Keys_.head(), Item.ModRevision_}};
     const auto Written = Store_.commit(Txn, wallDeadline(CallTime));
     framework::log::info("leadership.stale_attempt_removed")
         .field("attempt", Seen->Attempt_)
+        .field("resigned", Resigned_ ? "yes" : "no")
         .field("store", Written.ok() ? "acknowledged" : "no answer");
   }
 
@@ -252,6 +262,7 @@
   TimePoint HeardAt_{};
   std::uint32_t Refusals_ = 0;
   bool RewritePending_ = false;
+  bool Resigned_ = false;
   Reign Reign_;
   TimePoint BegunAt_{};
 };
