--- a/src/journal/tests/fakestore.h
+++ b/src/journal/tests/fakestore.h
@@ -14,6 +14,8 @@
 
   absl::StatusOr<store::RangeResult>
   range(const std::string &Prefix, fleet::Revision Since, store::TimePoint) {
+    if (const auto Meanwhile = std::exchange(BeforeList_, nullptr))
+      Meanwhile();
     store::RangeResult Result;
     Result.StoreRevision_ = fleet::Revision(Revision_);
     for (const auto &[Key, Item] : Items_)
@@ -81,6 +83,8 @@
   std::int64_t Leases_ = 0;
   /// Happens between the next write and its answer.
   std::function<void()> BeforeAnswer_;
+  /// The same for the next list.
+  std::function<void()> BeforeList_;
   /// What befalls the next renewal of a lease, and its answer if it has none.
   std::function<absl::Status()> Renewal_;
 
--- a/src/journal/tests/journaltest.cpp
+++ b/src/journal/tests/journaltest.cpp
@@ -244,6 +244,19 @@
   BOOST_TEST(First_.Log_->append({accepted("a")}).ok());
 }
 
+// A cell has a holder that does nothing: it renews its lease and schedules no
+// job until its process ends. The answer to a rewrite of the head was lost, and
+// while the holder looked for it its term ended. What it found made it lead
+// again, without a term: its own head is passed over while it leads.
+BOOST_AUTO_TEST_CASE(RewriteThatIsFoundOutTooLateBeginsNothing) {
+  BOOST_REQUIRE(*First_.campaign());
+  Store_.Next_ = FakeStore::Fault::AnswerLost;
+  BOOST_REQUIRE(!First_.Lead_.rewrite().ok());
+  Store_.BeforeList_ = [&] { First_.Lead_.forget(); };
+  BOOST_TEST(!First_.Lead_.rewrite().ok());
+  BOOST_TEST(!First_.Lead_.held());
+}
+
 // Callers wait for the lease of an entry that is gone. It hands the cell over
 // when it leaves, but its delete is lost; the watch shows it its own head,
 // which it took up again, renewed, and left behind when its process ended.
