Begin nothing by a rewrite whose term has ended

What callers saw: a cell with a holder that does nothing until its process or its lease ends. Cause: a rewrite whose answer was lost reads the head to find out, and took it up without a look at whether the leadership had been given up meanwhile; takeBack() then leaves since its term is over, and a head of this process is passed over while it leads, so no term ever began. Change: after the read as after the write, a token that has changed meanwhile ends the rewrite. That a rewrite is pending is taken back only by one that is known, so that a cancelled one says nothing of a later reign.

--- a/src/journal/leadership.h
+++ b/src/journal/leadership.h
@@ -109,8 +109,9 @@
     const auto Held =
         Written->Succeeded_
             ? adopt(jobs::FencingToken(Written->StoreRevision_.value()), Asked)
-            : adoptRewritten();
-    RewritePending_ = !Held.ok();
+            : adoptRewritten(Before);
+    if (Held.ok())
+      RewritePending_ = false;
     return Held;
   }
 
@@ -206,12 +207,16 @@
 
   /// The head is not as it was: an earlier rewrite of this process came through
   /// without an answer, or it is another's.
-  absl::StatusOr<bool> adoptRewritten() {
+  absl::StatusOr<bool> adoptRewritten(jobs::FencingToken Before) {
     const TimePoint Asked = SteadyClock().now();
     const auto Read =
         Store_.range(Keys_.head(), fleet::Revision(0), wallDeadline(CallTime));
     if (!Read.ok())
       return Read.status();
+    // The term may have ended meanwhile. A leadership that begins here has
+    // none, and would go on without one.
+    if (Self_.Token_ != Before)
+      return absl::CancelledError("the token has changed meanwhile");
     for (const store::KeyValue &Item : Read->Items_) {
       const auto Seen = decodeHolder(Item.Value_, Item.ModRevision_);
       if (Item.Key_ == Keys_.head() && Seen && Seen->sameProcess(Self_) &&
