Count a list's age from its question

What callers saw: as with a worker's first answer; a list of machines may take one and a half seconds, longer than the age that it is allowed, so a worker that came up meanwhile was over by it, and runs as well. Cause: the age was counted from the answer. Change: it is counted from when the list was asked for, for silent workers, ordered machines and unlisted runs alike. What the list ends is ended later by the time that it took.

--- a/src/cell/machines.h
+++ b/src/cell/machines.h
@@ -32,8 +32,8 @@
   /// longer interval: each reading is paid for.
   static constexpr Duration ListBusy = std::chrono::milliseconds(1000);
   static constexpr Duration ListCalm = std::chrono::milliseconds(10000);
-  /// The list may be this old: what it says of a worker that answered later is
-  /// passed over.
+  /// The list may be this old when it is asked for: what it says of a worker
+  /// that answered later is passed over.
   static constexpr Duration ListLag = std::chrono::milliseconds(1000);
   static constexpr Duration RetryPause = std::chrono::milliseconds(400);
   /// Jobs that were taken within this time tell how fast work comes in. About
@@ -109,11 +109,12 @@
 
   void listLoop() {
     while (!Term_->over()) {
+      const TimePoint Asked = now();
       const auto Read = Api_.list();
       if (Term_->over())
         return;
       if (Read.ok())
-        takeList(*Read);
+        takeList(*Read, Asked);
       else
         framework::log::warning("machines.list_failed")
             .field("reason", std::string(Read.status().message()));
@@ -148,12 +149,13 @@
     return false;
   }
 
-  void takeList(const std::vector<MachineRecord> &List) {
-    const std::set<WorkerLife> Away = Table_.orderedAway(now() - ListLag);
-    Table_.takeList(List, now());
+  void takeList(const std::vector<MachineRecord> &List, TimePoint Asked) {
+    const TimePoint ListOf = Asked - ListLag;
+    const std::set<WorkerLife> Away = Table_.orderedAway(ListOf);
+    Table_.takeList(List, Asked);
     std::vector<WorkerRowPtr> Gone;
     for (const auto &[Life, Row] : Term_->Workers_) {
-      const bool Silent = Row->silentSince(now() - ListLag);
+      const bool Silent = Row->silentSince(ListOf);
       if (!Row->Over_ && (Silent || Away.contains(Life)) &&
           Table_.saysGone(Row->Record_))
         Gone.push_back(Row);
@@ -161,17 +163,17 @@
     for (const WorkerRowPtr &Row : Gone)
       Sessions_->lifeOver(*Row, "its machine is down or gone by the list",
                           false);
-    loseUnlisted();
+    loseUnlisted(ListOf);
   }
 
   /// Runs on workers that nobody talks to any more and that no machine runs.
-  void loseUnlisted() {
+  void loseUnlisted(TimePoint ListOf) {
     std::vector<WorkerLife> Lost;
     for (const auto &[Life, Use] : Term_->Table_.workers()) {
       const auto Ended = Term_->EndedLives_.find(Life);
       const TimePoint Since =
           Ended == Term_->EndedLives_.end() ? Term_->BegunAt_ : Ended->second;
-      if (!Term_->Workers_.contains(Life) && now() - Since > ListLag &&
+      if (!Term_->Workers_.contains(Life) && Since < ListOf &&
           !Table_.listsWorker(Life.Id_))
         Lost.push_back(Life);
     }
