--- a/src/cell/tests/machinestest.cpp
+++ b/src/cell/tests/machinestest.cpp
@@ -44,13 +44,21 @@
     return MachineResult::Done;
   }
   MachineResult upkeep(const MachineId &, WaveNumber, jobs::FencingToken) {
-    return MachineResult::Done;
+    ++Upkeeps_;
+    const auto Meanwhile = std::exchange(BeforeUpkeep_, nullptr);
+    if (!Meanwhile)
+      return MachineResult::Done;
+    Meanwhile();
+    return MachineResult::Unknown;
   }
 
   std::vector<MachineRecord> Machines_;
   /// Happens between the next list and its answer.
   std::function<void()> BeforeList_;
+  /// Happens between the next upkeep and its answer, which is lost.
+  std::function<void()> BeforeUpkeep_;
   std::uint32_t Lists_ = 0;
+  std::uint32_t Upkeeps_ = 0;
 };
 
 using TestedMachines = Machines<FakeStore, SilentClient, FakeMachines>;
@@ -60,20 +68,35 @@
   Fixture() {
     BOOST_REQUIRE(*Lead_.campaign());
     Term_ = std::make_shared<Term<FakeStore>>(Store_, Keys, Lead_, Metrics_,
-                                              CellBounds());
+                                              bounds());
     Talks_ =
         std::make_shared<Sessions<FakeStore, SilentClient>>(Term_, Client_);
     Tested_ = std::make_shared<TestedMachines>(Term_, Talks_, Store_, Api_,
-                                               WaveReports());
+                                               reports());
     MachineRecord Down;
     Down.Id_ = Machine;
     Api_.Machines_ = {Down};
   }
 
+  static WaveReports reports() {
+    return {[](WaveNumber) { return std::string("wave"); },
+            [](bool) { return std::string("told"); }};
+  }
+
+  /// Nobody has ordered the machine before.
+  static CellBounds bounds() {
+    CellBounds Result;
+    Result.MachineLease_ = Duration::zero();
+    return Result;
+  }
+
   ~Fixture() {
     Term_->Over_ = true;
+    Term_->Commits_.stop();
+    if (Commits_.joinable())
+      Commits_.join();
     // Its loops use what goes with this fixture.
-    while (Tested_.use_count() > 1)
+    while (Tested_.use_count() > 1 || Talks_.use_count() > 2)
       framework::fibers::sleepFor(TestedMachines::PlanEvery);
   }
 
@@ -84,6 +107,36 @@
     Row_->ListedAt_ = Term<FakeStore>::now();
     Row_->Unanswered_ = 1;
     Term_->Workers_[Row_->Record_.Life_] = Row_;
+    Tested_->noteWorker(Row_->Record_);
+  }
+
+  /// A task starts on the worker.
+  void startTask() {
+    jobs::JobAccepted Job;
+    Job.Spec_.Id_ = jobs::JobId("0123456789abcdef");
+    Job.Spec_.Steps_.resize(1);
+    Term_->Commits_.stage(Job);
+    jobs::RunIntended Start;
+    Start.Run_ = {{Job.Spec_.Id_, 0, 0, 0}, jobs::RunNumber(1)};
+    Start.On_ = Row_->Record_.Life_;
+    Term_->Commits_.stage(Start);
+  }
+
+  /// A wave asks for the machine's upkeep, and orders may leave.
+  void beginUpkeep() {
+    Api_.Machines_.front().State_ = MachineState::Up;
+    Term_->Loaded_ = true;
+    Commits_ = boost::fibers::fiber([this] { Term_->Commits_.run([] {}); });
+    WaveRecord Wave;
+    Wave.Number_ = WaveNumber(7);
+    Wave.Machines_ = {Machine};
+    Tested_->setWaves({{Wave.Number_, Wave}});
+    Tested_->start();
+  }
+
+  std::uint64_t orders(const std::string &Result) {
+    return Metrics_.counter("machine_orders_total{result=\"" + Result + "\"}")
+        .value();
   }
 
   FakeStore Store_;
@@ -95,6 +148,7 @@
   std::shared_ptr<Sessions<FakeStore, SilentClient>> Talks_;
   std::shared_ptr<TestedMachines> Tested_;
   WorkerRowPtr Row_ = std::make_shared<WorkerRow>();
+  boost::fibers::fiber Commits_;
 };
 
 } // namespace
@@ -117,6 +171,21 @@
   BOOST_TEST(!Row_->Over_);
 }
 
+// Tasks are lost with their machine while nothing is wrong with them. An order
+// has no answer and was not carried out; the machine's worker starts again by
+// itself, which settles the order, and is given tasks. The order was said again
+// without a look at them.
+BOOST_AUTO_TEST_CASE(OrderIsNotRepeatedOverTasksThatHaveStartedSince) {
+  Api_.BeforeUpkeep_ = [&] {
+    comeUp();
+    startTask();
+  };
+  beginUpkeep();
+  while (Api_.Upkeeps_ < 2 && orders("given_up") == 0)
+    framework::fibers::sleepFor(TestedMachines::PlanEvery);
+  BOOST_TEST(Api_.Upkeeps_ == 1u);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace laburnumspread::cell
