Give an order up when the machine is not as it was ordered

What callers saw: tasks are lost with their machine while nothing is wrong with them. Cause: an order without an answer was said again without a look at the machine. A worker that starts again by itself settles the order and is given tasks; if the first order was not carried out, the repetition ends them. Change: before each time that an order leaves, the machine's life must be the one that it was given over, and idle; else it is given up (machine.order_given_up, machine_orders_total{result="given_up"}), and the machine is planned anew if it still needs one. The answer after a new life, which it was for, is asked by MachinesTest/AnswerThatComesAfterTheNewWorkerSparesIt.

--- a/src/cell/machines.h
+++ b/src/cell/machines.h
@@ -301,18 +301,22 @@
     });
   }
 
-  /// Sends an order until it is answered: it may have been carried out, and
-  /// saying it again changes nothing then.
+  /// Sends an order until it is answered, as long as the machine is as it was
+  /// ordered: if it has been carried out, saying it again changes nothing.
   template <typename Call>
   MachineResult repeat(const MachineId &Machine, const Call &Send) {
+    const std::optional<WorkerLife> Life = Table_.lifeOn(Machine);
     while (true) {
       if (!noteInJournal(Machine))
         return MachineResult::Unknown;
+      if (!asOrdered(Machine, Life)) {
+        countOrder("given_up");
+        framework::log::info("machine.order_given_up")
+            .field("machine", Machine.str());
+        return MachineResult::Unknown;
+      }
       const MachineResult Result = Send();
-      Term_->Metrics_
-          .counter("machine_orders_total{result=\"" +
-                   std::string(nameOf(Result)) + "\"}")
-          .add();
+      countOrder(nameOf(Result));
       const bool Open =
           Result == MachineResult::Unknown || Result == MachineResult::Refused;
       if (!Open || Term_->over())
@@ -321,6 +325,23 @@
     }
   }
 
+  /// Whether an order may leave that was given over \p Life. The failure: a
+  /// newer life settles the order and is given tasks, and an order that was not
+  /// carried out before kills them when it is said again. Nothing starts on the
+  /// life itself while the order is open, and a machine that still needs it is
+  /// planned anew, so to give it up is enough.
+  bool asOrdered(const MachineId &Machine,
+                 const std::optional<WorkerLife> &Life) const {
+    return Table_.lifeOn(Machine) == Life &&
+           !(Life && Term_->Table_.useOf(*Life));
+  }
+
+  void countOrder(std::string_view Result) {
+    Term_->Metrics_
+        .counter("machine_orders_total{result=\"" + std::string(Result) + "\"}")
+        .add();
+  }
+
   /// Waits until the store has the note that an order leaves now. False when
   /// the leadership ended first: then nothing may leave.
   bool noteInJournal(const MachineId &Machine) {
--- a/src/cell/tests/machinestest.cpp
+++ b/src/cell/tests/machinestest.cpp
@@ -49,14 +49,15 @@
     if (!Meanwhile)
       return MachineResult::Done;
     Meanwhile();
-    return MachineResult::Unknown;
+    return LostUpkeep_ ? MachineResult::Unknown : MachineResult::Done;
   }
 
   std::vector<MachineRecord> Machines_;
   /// Happens between the next list and its answer.
   std::function<void()> BeforeList_;
-  /// Happens between the next upkeep and its answer, which is lost.
+  /// Happens between the next upkeep and its answer, which may be lost.
   std::function<void()> BeforeUpkeep_;
+  bool LostUpkeep_ = true;
   std::uint32_t Lists_ = 0;
   std::uint32_t Upkeeps_ = 0;
 };
@@ -186,6 +187,25 @@
   BOOST_TEST(Api_.Upkeeps_ == 1u);
 }
 
+// A worker after an upkeep gets no work: the answer comes when the machine is
+// back and its new worker has been given a task, and was taken for word of
+// whatever life is on the machine then. Lists are read until one would tell.
+BOOST_AUTO_TEST_CASE(AnswerThatComesAfterTheNewWorkerSparesIt) {
+  Api_.LostUpkeep_ = false;
+  Api_.BeforeUpkeep_ = [&] {
+    comeUp();
+    startTask();
+  };
+  beginUpkeep();
+  while (orders("done") == 0)
+    framework::fibers::sleepFor(TestedMachines::PlanEvery);
+  const std::uint32_t Before = Api_.Lists_;
+  while (Api_.Lists_ < Before + 3)
+    framework::fibers::sleepFor(TestedMachines::PlanEvery);
+  BOOST_TEST(!Row_->Over_);
+  BOOST_TEST(Term_->Table_.useOf(Row_->Record_.Life_));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace laburnumspread::cell
