--- a/src/cell/headkeeper.h
+++ b/src/cell/headkeeper.h
@@ -287,14 +287,13 @@
   void takeBack() {
     if (std::exchange(TakingBack_, true))
       return;
-    const std::uint64_t Before = Beginnings_;
+    const auto Before = Begun_;
     const auto Written = Lead_.rewrite();
     TakingBack_ = false;
-    if (!Begun_ || Beginnings_ != Before || !Written.ok())
+    if (!Begun_ || Begun_ != Before || !Written.ok())
       return;
     if (!*Written)
       return end("a peer has taken the offer up");
-    Begun_ = Lead_.token();
     Events_.Retaken_();
     Seen_ = Lead_.self();
     Offered_ = false;
@@ -332,10 +331,11 @@
   /// and by the answer to the write. A second term beside the first would take
   /// the runs that the other starts for unknown ones and stop them.
   void begin() {
-    if (Begun_ == Lead_.token())
+    if (Begun_ && Lead_.holds(*Begun_))
       return;
-    Begun_ = Lead_.token();
-    ++Beginnings_;
+    if (Begun_)
+      Events_.Over_("it was lost, and another has begun");
+    Begun_ = Lead_.reign();
     Offered_ = false;
     Events_.Begun_();
   }
@@ -346,10 +346,8 @@
   HeadEvents Events_;
   journal::Leadership<Store> Lead_;
   journal::Holder Seen_;
-  /// Token of the leadership that was told to have begun and not to be over.
-  std::optional<jobs::FencingToken> Begun_;
-  /// Leaderships that were told to have begun.
-  std::uint64_t Beginnings_ = 0;
+  /// The leadership that was told to have begun and not to be over.
+  std::optional<journal::Reign> Begun_;
   OfferFn Offer_;
   /// Peers have been told that they may lead.
   bool Offered_ = false;
