--- /dev/null
+++ b/bench/micro/recoverybench.cpp
@@ -0,0 +1,103 @@
+#include "journal/journal.h"
+#include "journal/tests/fakestore.h"
+
+#include <benchmark/benchmark.h>
+
+// What a new holder has to do before it answers: read the stored jobs, without
+// the time of the store and its links.
+
+namespace {
+
+using namespace laburnumspread;
+
+const journal::CellKeys Keys("cell/");
+constexpr std::uint32_t TasksPerJob = 8;
+/// The platform's bound on what a caller hands in is eight times as much.
+constexpr std::size_t PayloadBytes = 500;
+/// A page of the store's lists holds about this much.
+constexpr double PageBytes = 1'000'000;
+
+jobs::Event jobOf(int Number) {
+  jobs::JobAccepted Item;
+  Item.Spec_.Id_ = jobs::JobId("job-" + std::to_string(Number));
+  Item.Spec_.Queue_ = jobs::QueueName("queue-" + std::to_string(Number % 54));
+  Item.Spec_.Workspace_ =
+      jobs::WorkspaceName("team-" + std::to_string(Number % 430));
+  Item.Spec_.Payload_ = std::string(PayloadBytes, 'x');
+  Item.Spec_.Steps_.resize(1);
+  Item.Spec_.Steps_[0].Count_ = TasksPerJob;
+  Item.Spec_.Steps_[0].Each_ = {1000, 256, 0};
+  return Item;
+}
+
+jobs::Event runOf(int Number, std::uint32_t Task) {
+  jobs::RunIntended Item;
+  Item.Run_ = {{jobs::JobId("job-" + std::to_string(Number)), 0, 0, Task},
+               jobs::RunNumber(1)};
+  Item.On_ = {jobs::WorkerId("i-" + std::to_string(Number % 11'000)), 1};
+  return Item;
+}
+
+/// A table of open jobs with all their tasks at work.
+jobs::CellTable tableOf(int Jobs) {
+  jobs::CellTable Table;
+  for (int Number = 0; Number < Jobs; ++Number) {
+    Table.apply(jobOf(Number), {});
+    for (std::uint32_t Task = 0; Task < TasksPerJob; ++Task)
+      Table.apply(runOf(Number, Task), {});
+  }
+  return Table;
+}
+
+/// A snapshot of range(0) open jobs is read after a takeover.
+void recoverJobs(benchmark::State &State) {
+  const jobs::CellTable Table = tableOf(static_cast<int>(State.range(0)));
+  const auto Parts = jobs::encodeSnapshot(
+      Table, journal::Journal<journal::FakeStore>::SnapshotPartBytes);
+  std::size_t Bytes = 0;
+  for (const std::string &Part : Parts)
+    Bytes += Part.size();
+  for (auto _ : State) {
+    jobs::CellTable Into;
+    for (const std::string &Part : Parts)
+      if (!jobs::decodeSnapshot(Part, {}, Into).ok())
+        State.SkipWithError("the snapshot cannot be read");
+    benchmark::DoNotOptimize(Into);
+  }
+  State.counters["bytes"] = static_cast<double>(Bytes);
+  State.counters["pages"] = std::ceil(static_cast<double>(Bytes) / PageBytes);
+}
+BENCHMARK(recoverJobs)
+    ->Arg(100)
+    ->Arg(1'000)
+    ->Arg(10'000)
+    ->Arg(100'000)
+    ->Unit(benchmark::kMillisecond);
+
+/// The same jobs from journal entries of one job each, as after a burst.
+void recoverEntries(benchmark::State &State) {
+  std::vector<std::string> Entries;
+  std::size_t Bytes = 0;
+  for (int Number = 0; Number < State.range(0); ++Number) {
+    std::vector<jobs::Event> Group{jobOf(Number)};
+    for (std::uint32_t Task = 0; Task < TasksPerJob; ++Task)
+      Group.push_back(runOf(Number, Task));
+    Entries.push_back(jobs::encodeGroup(Group, {}));
+    Bytes += Entries.back().size();
+  }
+  for (auto _ : State) {
+    jobs::CellTable Into;
+    for (const std::string &Entry : Entries) {
+      const auto Group = jobs::decodeGroup(Entry);
+      if (!Group.ok())
+        State.SkipWithError("the entry cannot be read");
+      for (const jobs::Event &Event : Group->Events_)
+        Into.apply(Event, {});
+    }
+    benchmark::DoNotOptimize(Into);
+  }
+  State.counters["bytes"] = static_cast<double>(Bytes);
+}
+BENCHMARK(recoverEntries)->Arg(300)->Unit(benchmark::kMillisecond);
+
+} // namespace
