Soak of the daemons under seeded faults, first cut

The stand-in gains what it lacked for it: doors that are slow, reset or mute, starts answered never or carried out late, a worker that crashes and another comes, and a ledger of what is broken for certain: a task in two places, or again after a good end that a holder has taken note of.

--- /dev/null
+++ b/soak/entries.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "framework/http/httptypes.h"
+#include "soak/judge.h"
+
+#include <csignal>
+#include <map>
+
+#include <absl/status/status.h>
+
+namespace laburnumspread::soak {
+
+/// The entries' processes, which tools/soak starts and starts again. It and the
+/// driver tell each other by files in one folder:
+///   entry-N.json  settings, written here
+///   entry-N.pid   id of the process, there while it lives
+///   entry-N.ends  a line for each process that has ended: id and exit code
+class Entries {
+public:
+  Entries(std::string Folder, std::size_t Count);
+
+  /// Finds a free port for the callers of each entry.
+  absl::Status choosePorts(std::uint64_t Seed);
+  /// \p Doors: the port by which each entry reaches the platform.
+  absl::Status writeAll(const std::vector<std::uint16_t> &Doors);
+  /// Writes an entry's file with other values of what it takes up at run time.
+  absl::Status change(std::size_t Index, std::uint64_t Draw);
+
+  std::size_t count() const { return Count_; }
+  framework::http::Address callers(std::size_t Index) const {
+    return {"127.0.0.1", Ports_[Index]};
+  }
+  /// 0 while no process lives.
+  pid_t process(std::size_t Index) const;
+  /// Sends \p Number to \p Process if it is still this entry's.
+  bool signal(std::size_t Index, pid_t Process, int Number);
+
+  /// Processes that ended without being told to, or otherwise than told.
+  std::vector<std::string> wrongEnds() const;
+  /// Processes that were told to end and have not.
+  std::vector<std::string> missingEnds() const;
+
+private:
+  std::string file(std::size_t Index, const std::string &Suffix) const;
+  std::map<pid_t, int> ends(std::size_t Index) const;
+  absl::Status write(std::size_t Index, bool Debug, double MoveSeconds) const;
+
+  std::string Folder_;
+  std::size_t Count_;
+  std::vector<std::uint16_t> Ports_;
+  std::vector<std::uint16_t> Doors_;
+  std::string PublicKey_;
+  std::string SecretKey_;
+  /// Signals to end that each process was sent.
+  std::vector<std::map<pid_t, std::set<int>>> Told_;
+};
+
+} // namespace laburnumspread::soak
--- /dev/null
+++ b/soak/faults.cpp
@@ -0,0 +1,240 @@
+#include "soak/faults.h"
+
+#include "framework/clock/steadyclock.h"
+#include "framework/fibers/spawn.h"
+#include "framework/fibers/waiter.h"
+#include "framework/log/log.h"
+
+#include <boost/json/serialize.hpp>
+
+namespace laburnumspread::soak {
+
+namespace json = boost::json;
+using framework::fibers::sleepFor;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr auto ShortestFault = 100ms;
+constexpr auto LongestFault = 4000ms;
+constexpr auto LongestPause = 1200ms;
+/// One fault in so many brings others at once.
+constexpr std::uint64_t BurstEvery = 6;
+constexpr int BurstSize = 3;
+constexpr auto LookEvery = 20ms;
+
+void nothing() {}
+
+} // namespace
+
+const std::vector<Faults::Kind> Faults::Kinds = {
+    {"kill", &Faults::kill},
+    {"kill-all", &Faults::killAll},
+    {"stop", &Faults::stop},
+    {"freeze", &Faults::freeze},
+    {"change-settings", &Faults::change},
+    {"shut-door", &Faults::shut},
+    {"shut-all-doors", &Faults::shutAll},
+    {"slow-door", &Faults::slow},
+    {"reset-door", &Faults::reset},
+    {"mute-door", &Faults::mute},
+    {"lose-answers", &Faults::loseAnswers},
+    {"late-answers", &Faults::lateAnswers},
+    {"pause-leases", &Faults::pauseLeases},
+    {"hide-workers", &Faults::hideWorkers},
+    {"crash-worker", &Faults::crashWorker},
+    {"lose-stops", &Faults::loseStops},
+    {"lose-start-answers", &Faults::loseStartAnswers},
+    {"late-starts", &Faults::lateStarts},
+    {"wave", &Faults::wave},
+};
+
+Faults::Faults(CellPlatform &Platform, Entries &Served,
+               std::vector<std::uint16_t> Doors, std::size_t Machines,
+               std::uint64_t Seed)
+    : Platform_(Platform), Served_(Served), Doors_(std::move(Doors)),
+      Machines_(Machines), Draws_(Seed) {}
+
+void Faults::storm(milliseconds Time) {
+  const auto Until = framework::clock::SteadyClock().now() + Time;
+  while (framework::clock::SteadyClock().now() < Until) {
+    const int Together = Draws_.onceIn(BurstEvery) ? BurstSize : 1;
+    for (int I = 0; I < Together; ++I)
+      beginOne();
+    sleepFor(Draws_.between(0ms, LongestPause));
+  }
+  while (Active_ > 0)
+    sleepFor(LookEvery);
+}
+
+void Faults::beginOne() {
+  const Kind &Drawn = Kinds[Draws_.below(Kinds.size())];
+  const auto Lasts = Draws_.between(ShortestFault, LongestFault);
+  framework::log::info("soak.fault")
+      .field("kind", Drawn.Name_)
+      .field("lasts_ms", static_cast<std::int64_t>(Lasts.count()));
+  const End Ends = (this->*Drawn.Begin_)();
+  ++Count_;
+  ++Active_;
+  framework::fibers::spawn([this, Ends, Lasts, Name = Drawn.Name_] {
+    sleepFor(Lasts);
+    Ends();
+    --Active_;
+    framework::log::info("soak.fault_ended").field("kind", Name);
+  });
+}
+
+Faults::End Faults::hold(const std::string &What,
+                         const std::function<void(bool)> &Set) {
+  if (++Holds_[What] == 1)
+    Set(true);
+  return [this, What, Set] {
+    if (--Holds_[What] == 0)
+      Set(false);
+  };
+}
+
+Faults::End
+Faults::atDoor(const std::string &What,
+               const std::function<void(std::uint16_t, bool)> &Set) {
+  const std::size_t Entry = anyEntry();
+  framework::log::info("soak.door")
+      .field("entry", static_cast<std::uint64_t>(Entry));
+  return hold(What + std::to_string(Entry),
+              [Set, Port = Doors_[Entry]](bool On) { Set(Port, On); });
+}
+
+Faults::End Faults::kill() {
+  const std::size_t Entry = anyEntry();
+  Served_.signal(Entry, Served_.process(Entry), SIGKILL);
+  return nothing;
+}
+
+Faults::End Faults::killAll() {
+  for (std::size_t I = 0; I < Served_.count(); ++I)
+    Served_.signal(I, Served_.process(I), SIGKILL);
+  return nothing;
+}
+
+Faults::End Faults::stop() {
+  const std::size_t Entry = anyEntry();
+  Served_.signal(Entry, Served_.process(Entry), SIGTERM);
+  return nothing;
+}
+
+Faults::End Faults::freeze() {
+  const std::size_t Entry = anyEntry();
+  const pid_t Process = Served_.process(Entry);
+  return hold("freeze" + std::to_string(Process),
+              [this, Entry, Process](bool On) {
+                Served_.signal(Entry, Process, On ? SIGSTOP : SIGCONT);
+              });
+}
+
+Faults::End Faults::change() {
+  const std::size_t Entry = anyEntry();
+  if (absl::Status Written = Served_.change(Entry, Draws_.split());
+      !Written.ok())
+    framework::log::error("soak.settings_not_written")
+        .field("reason", std::string(Written.message()));
+  if (Draws_.onceIn(2))
+    Served_.signal(Entry, Served_.process(Entry), SIGHUP);
+  return nothing;
+}
+
+Faults::End Faults::shut() {
+  return atDoor("shut", [this](std::uint16_t Port, bool On) {
+    On ? Platform_.shutDoor(Port) : Platform_.reopenDoor(Port);
+  });
+}
+
+Faults::End Faults::shutAll() {
+  return hold("shut-all", [this](bool On) { Platform_.faults().Busy_ = On; });
+}
+
+Faults::End Faults::slow() {
+  const auto Delay = Draws_.between(20ms, 800ms);
+  return atDoor("slow", [this, Delay](std::uint16_t Port, bool On) {
+    Platform_.doorFaults(Port).Delay_ = On ? Delay : 0ms;
+  });
+}
+
+Faults::End Faults::reset() {
+  return atDoor("reset", [this](std::uint16_t Port, bool On) {
+    Platform_.doorFaults(Port).Reset_ = On;
+  });
+}
+
+Faults::End Faults::mute() {
+  return atDoor("mute", [this](std::uint16_t Port, bool On) {
+    Platform_.doorFaults(Port).Mute_ = On;
+  });
+}
+
+Faults::End Faults::loseAnswers() {
+  const auto Number = static_cast<std::uint32_t>(1 + Draws_.below(5));
+  return hold("lose-answers", [this, Number](bool On) {
+    Platform_.faults().LoseAnswers_ = On ? Number : 0;
+  });
+}
+
+Faults::End Faults::lateAnswers() {
+  const auto Delay = Draws_.between(20ms, 1000ms);
+  return hold("late-answers", [this, Delay](bool On) {
+    Platform_.faults().AnswerDelay_ = On ? Delay : 0ms;
+  });
+}
+
+Faults::End Faults::pauseLeases() {
+  return hold("pause-leases",
+              [this](bool On) { Platform_.faults().LeasesPause_ = On; });
+}
+
+Faults::End Faults::hideWorkers() {
+  return hold("hide-workers",
+              [this](bool On) { Platform_.faults().HideWorkers_ = On; });
+}
+
+Faults::End Faults::crashWorker() {
+  const std::string Machine = "m" + std::to_string(Draws_.below(Machines_));
+  const bool Up = Platform_.crashMachine(Machine, Draws_.between(50ms, 2000ms));
+  framework::log::info("soak.worker_crashed")
+      .field("machine", Machine)
+      .field("was_up", Up ? "yes" : "no");
+  return nothing;
+}
+
+Faults::End Faults::loseStops() {
+  return hold("lose-stops",
+              [this](bool On) { Platform_.workerFaults().LoseStops_ = On; });
+}
+
+Faults::End Faults::loseStartAnswers() {
+  const auto Number = static_cast<std::uint32_t>(1 + Draws_.below(5));
+  return hold("lose-start-answers", [this, Number](bool On) {
+    Platform_.workerFaults().LoseStartAnswers_ = On ? Number : 0;
+  });
+}
+
+Faults::End Faults::lateStarts() {
+  const auto Delay = Draws_.between(20ms, 3000ms);
+  return hold("late-starts", [this, Delay](bool On) {
+    Platform_.workerFaults().StartDelay_ = On ? Delay : 0ms;
+  });
+}
+
+Faults::End Faults::wave() {
+  json::array Machines;
+  for (std::size_t I = 0; I < Machines_; ++I)
+    if (Draws_.onceIn(2))
+      Machines.push_back(json::string("m" + std::to_string(I)));
+  const std::uint64_t Number = NextWave_++;
+  Platform_.write("op/wave/" + std::to_string(Number),
+                  json::serialize(json::object{{"wave", Number},
+                                               {"machines", Machines},
+                                               {"duration_s", 40},
+                                               {"max_allowed", 1}}));
+  return nothing;
+}
+
+} // namespace laburnumspread::soak
--- /dev/null
+++ b/soak/faults.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "platform/standin/cellplatform.h"
+#include "soak/entries.h"
+#include "soak/random.h"
+
+namespace laburnumspread::soak {
+
+/// What goes wrong, drawn from a seed: each fault begins, lasts for a while and
+/// ends; several may overlap.
+class Faults {
+public:
+  using CellPlatform = platform::standin::CellPlatform;
+
+  Faults(CellPlatform &Platform, Entries &Served,
+         std::vector<std::uint16_t> Doors, std::size_t Machines,
+         std::uint64_t Seed);
+
+  /// Begins faults for \p Time and returns when all have ended.
+  void storm(milliseconds Time);
+  std::size_t count() const { return Count_; }
+
+private:
+  using End = std::function<void()>;
+  struct Kind {
+    std::string_view Name_;
+    End (Faults::*Begin_)();
+  };
+  static const std::vector<Kind> Kinds;
+
+  void beginOne();
+  /// Sets something until the last of those who asked for it has ended.
+  End hold(const std::string &What, const std::function<void(bool)> &Set);
+  std::size_t anyEntry() { return Draws_.below(Served_.count()); }
+  End atDoor(const std::string &What,
+             const std::function<void(std::uint16_t, bool)> &Set);
+
+  // Entries.
+  End kill();
+  End killAll();
+  End stop();
+  End freeze();
+  End change();
+  // The way to the platform.
+  End shut();
+  End shutAll();
+  End slow();
+  End reset();
+  End mute();
+  // The store.
+  End loseAnswers();
+  End lateAnswers();
+  End pauseLeases();
+  End hideWorkers();
+  // Workers and machines.
+  End crashWorker();
+  End loseStops();
+  End loseStartAnswers();
+  End lateStarts();
+  End wave();
+
+  CellPlatform &Platform_;
+  Entries &Served_;
+  std::vector<std::uint16_t> Doors_;
+  std::size_t Machines_;
+  Random Draws_;
+  std::map<std::string, int> Holds_;
+  std::size_t Active_ = 0;
+  std::size_t Count_ = 0;
+  std::uint64_t NextWave_ = 1;
+};
+
+} // namespace laburnumspread::soak
--- /dev/null
+++ b/soak/judge.cpp
@@ -0,0 +1,90 @@
+#include "soak/judge.h"
+
+#include "framework/log/log.h"
+
+namespace laburnumspread::soak {
+
+namespace {
+
+const JobRecord *recordOf(const JobBook &Book, const jobs::JobId &Id) {
+  for (const JobRecord &Job : Book)
+    if (Job.Id_ == Id)
+      return &Job;
+  return nullptr;
+}
+
+std::uint32_t running(const TaskLedger &Ledger, const jobs::TaskName &Task) {
+  const auto Found = Ledger.Running_.find(Task);
+  return Found == Ledger.Running_.end() ? 0 : Found->second;
+}
+
+void addIdleTasks(const JobRecord &Job, const TaskLedger &Ledger,
+                  std::vector<std::string> &Into) {
+  for (std::uint32_t Step = 0; Step < Job.Tasks_.size(); ++Step)
+    for (std::uint32_t Index = 0; Index < Job.Tasks_[Step]; ++Index) {
+      const jobs::TaskName Task{Job.Id_, 0, Step, Index};
+      if (running(Ledger, Task) == 0)
+        Into.push_back("standing task not at work: " + Task.str());
+    }
+}
+
+} // namespace
+
+void Verdict::find(const std::string &What) {
+  if (Findings_.insert(What).second)
+    framework::log::error("soak.finding").field("what", What);
+}
+
+void Verdict::find(const std::vector<std::string> &All) {
+  for (const std::string &What : All)
+    find(What);
+}
+
+std::vector<std::string> neverAllowed(const JobBook &Book,
+                                      const TaskLedger &Ledger) {
+  std::vector<std::string> Result;
+  for (const jobs::TaskName &Task : Ledger.Broken_)
+    Result.push_back("task in two places or again after a good end: " +
+                     Task.str());
+  for (const JobRecord &Job : Book) {
+    if (!Job.Refused_)
+      continue;
+    const auto Started = Ledger.Starts_.lower_bound({Job.Id_, 0, 0, 0});
+    if (Started != Ledger.Starts_.end() && Started->first.Job_ == Job.Id_)
+      Result.push_back("refused job ran: " + Job.Id_.str());
+  }
+  return Result;
+}
+
+std::vector<std::string> cancelledAtWork(const JobBook &Book,
+                                         const TaskLedger &Ledger) {
+  std::vector<std::string> Result;
+  for (const auto &[Task, Running] : Ledger.Running_) {
+    if (Running == 0)
+      continue;
+    const JobRecord *Job = recordOf(Book, Task.Job_);
+    if (Job && Job->CancelHeard_)
+      Result.push_back("task of a cancelled job at work: " + Task.str());
+  }
+  return Result;
+}
+
+std::vector<std::string> outstanding(const JobBook &Book,
+                                     const TaskLedger &Ledger) {
+  std::vector<std::string> Result;
+  for (const JobRecord &Job : Book) {
+    if (!Job.Accepted_ && !Job.Refused_)
+      Result.push_back("submit without a last word: " + Job.Id_.str());
+    else if (Job.CancelAsked_ && !Job.CancelHeard_)
+      Result.push_back("cancel not acknowledged: " + Job.Id_.str());
+    else if (!Job.Accepted_ || Job.CancelHeard_)
+      continue;
+    else if (Job.Standing_)
+      addIdleTasks(Job, Ledger, Result);
+    else if (!Job.DoneHeard_)
+      Result.push_back("job not done: " + Job.Id_.str());
+  }
+  return Result;
+}
+
+} // namespace laburnumspread::soak
--- /dev/null
+++ b/soak/tests/judgetest.cpp
@@ -0,0 +1,78 @@
+#include "soak/judge.h"
+
+#include <boost/test/unit_test.hpp>
+
+// A soak is worth something only if a broken promise turns it red.
+
+namespace laburnumspread::soak {
+
+namespace {
+
+struct Fixture {
+  Fixture() {
+    JobRecord Job;
+    Job.Id_ = jobs::JobId("0000000000000001");
+    Job.Tasks_ = {2};
+    Job.Accepted_ = true;
+    Book_.push_back(Job);
+  }
+
+  JobRecord &job() { return Book_.front(); }
+  jobs::TaskName task(std::uint32_t Index) { return {job().Id_, 0, 0, Index}; }
+
+  JobBook Book_;
+  TaskLedger Ledger_;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(JudgeTest, Fixture)
+
+BOOST_AUTO_TEST_CASE(TaskInTwoPlacesIsFound) {
+  BOOST_TEST(neverAllowed(Book_, Ledger_).empty());
+  Ledger_.Broken_.insert(task(0));
+  BOOST_TEST(neverAllowed(Book_, Ledger_).size() == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(RefusedJobThatRanIsFound) {
+  Ledger_.Starts_[task(1)] = 1;
+  BOOST_TEST(neverAllowed(Book_, Ledger_).empty());
+  job().Accepted_ = false;
+  job().Refused_ = true;
+  BOOST_TEST(neverAllowed(Book_, Ledger_).size() == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(CancelledJobAtWorkIsFound) {
+  Ledger_.Running_[task(0)] = 1;
+  Ledger_.Running_[task(1)] = 0;
+  job().CancelAsked_ = true;
+  BOOST_TEST(cancelledAtWork(Book_, Ledger_).empty());
+  job().CancelHeard_ = true;
+  BOOST_TEST(cancelledAtWork(Book_, Ledger_).size() == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(WhatIsNotDoneIsOutstanding) {
+  BOOST_TEST(outstanding(Book_, Ledger_).size() == 1u);
+  job().DoneHeard_ = true;
+  BOOST_TEST(outstanding(Book_, Ledger_).empty());
+}
+
+BOOST_AUTO_TEST_CASE(StandingTaskNotAtWorkIsOutstanding) {
+  job().Standing_ = true;
+  Ledger_.Running_[task(1)] = 1;
+  BOOST_TEST(outstanding(Book_, Ledger_).size() == 1u);
+  Ledger_.Running_[task(0)] = 1;
+  BOOST_TEST(outstanding(Book_, Ledger_).empty());
+}
+
+BOOST_AUTO_TEST_CASE(CancelWithoutALastWordIsOutstanding) {
+  job().DoneHeard_ = true;
+  job().CancelAsked_ = true;
+  BOOST_TEST(outstanding(Book_, Ledger_).size() == 1u);
+  job().CancelHeard_ = true;
+  BOOST_TEST(outstanding(Book_, Ledger_).empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace laburnumspread::soak
