--- a/soak/soak.cpp
+++ b/soak/soak.cpp
@@ -61,8 +61,11 @@
   /// Waits until \p Wrong has nothing to tell; what it tells at the end of all
   /// patience is found.
   template <typename Check> void settle(const char *What, const Check &Wrong);
+  platform::standin::TaskLedger &ledger() { return Platform_.ledger(); }
   void watch();
   void calm();
+  /// No cancelled job of \p Book may come to work again while it is calm.
+  void staysStopped(const JobBook &Book);
   void end();
 
   Options Given_;
@@ -118,7 +121,7 @@
   framework::fibers::spawn([this] {
     while (true) {
       sleepFor(LookEvery);
-      Found_.find(neverAllowed(Book_, Platform_.ledger()));
+      Found_.find(neverAllowed(Book_, ledger()));
       framework::log::flush();
     }
   });
@@ -129,28 +132,33 @@
     return Callers_.served() ? Findings() : Findings{"an entry does not serve"};
   });
   // Jobs that are cancelled during the calm have their own time to end.
-  settle("cancelled",
-         [this] { return cancelledAtWork(Book_, Platform_.ledger()); });
+  const JobBook Before = Book_;
+  settle("cancelled", [&] { return cancelledAtWork(Before, ledger()); });
+  staysStopped(Before);
+}
+
+void Soak::staysStopped(const JobBook &Book) {
+  const auto Until = framework::clock::SteadyClock().now() + CalmHolds;
+  while (framework::clock::SteadyClock().now() < Until) {
+    sleepFor(LookEvery);
+    Found_.find(cancelledAtWork(Book, ledger()));
+  }
 }
 
 void Soak::end() {
   Callers_.finish();
   const auto Wrong = [this] {
-    Findings Result = outstanding(Book_, Platform_.ledger());
-    const Findings AtWork = cancelledAtWork(Book_, Platform_.ledger());
+    Findings Result = outstanding(Book_, ledger());
+    const Findings AtWork = cancelledAtWork(Book_, ledger());
     Result.insert(Result.end(), AtWork.begin(), AtWork.end());
     return Result;
   };
   settle("all", Wrong);
-  const auto Until = framework::clock::SteadyClock().now() + CalmHolds;
-  while (framework::clock::SteadyClock().now() < Until) {
-    sleepFor(LookEvery);
-    Found_.find(cancelledAtWork(Book_, Platform_.ledger()));
-  }
+  staysStopped(Book_);
   settle("states", [this] { return Callers_.readAll(); });
   settle("ends", [this] { return Entries_.missingEnds(); });
   Found_.find(Entries_.wrongEnds());
-  Found_.find(neverAllowed(Book_, Platform_.ledger()));
+  Found_.find(neverAllowed(Book_, ledger()));
 }
 
 void Soak::run() {
