Soak: runs at the same time no longer choose the same ports

Two runs of seed 1 at once drew the same ports; the entries of one could not bind and its callers asked the other's.

--- a/soak/callers.cpp
+++ b/soak/callers.cpp
@@ -73,7 +73,7 @@
 } // namespace
 
 Callers::CallerPtr Callers::make(std::uint64_t Seed) const {
-  const auto Result = std::make_shared<Caller>(Random(Seed));
+  const auto Result = std::make_shared<Caller>(Seed);
   for (std::size_t I = 0; I < Served_.count(); ++I)
     Result->Clients_.push_back(
         std::make_unique<framework::http::Client>(Io_, Served_.callers(I)));
--- a/soak/callers.h
+++ b/soak/callers.h
@@ -27,6 +27,8 @@
 private:
   /// One caller: its draws and its connections.
   struct Caller {
+    explicit Caller(std::uint64_t Seed) : Draws_(Seed) {}
+
     Random Draws_;
     std::vector<std::unique_ptr<framework::http::Client>> Clients_;
   };
--- a/soak/entries.cpp
+++ b/soak/entries.cpp
@@ -57,8 +57,8 @@
   SecretKey_ = Keys.Secret_;
 }
 
-absl::Status Entries::choosePorts(std::uint64_t Seed) {
-  Random Draws(Seed);
+absl::Status Entries::choosePorts() {
+  Random Draws(std::random_device{}());
   for (int Try = 0; Try < PortTries && Ports_.size() < Count_; ++Try) {
     const auto Port =
         static_cast<std::uint16_t>(FirstPort + Draws.below(PortRange));
--- a/soak/entries.h
+++ b/soak/entries.h
@@ -19,8 +19,9 @@
 public:
   Entries(std::string Folder, std::size_t Count);
 
-  /// Finds a free port for the callers of each entry.
-  absl::Status choosePorts(std::uint64_t Seed);
+  /// Finds a free port for the callers of each entry. Not from the run's seed:
+  /// two runs of one seed at a time would choose the same ports.
+  absl::Status choosePorts();
   /// \p Doors: the port by which each entry reaches the platform.
   absl::Status writeAll(const std::vector<std::uint16_t> &Doors);
   /// Writes an entry's file with other values of what it takes up at run time.
--- a/soak/soak.cpp
+++ b/soak/soak.cpp
@@ -35,6 +35,8 @@
 /// must stay so.
 constexpr auto CalmHolds = 2s;
 constexpr auto LookEvery = 20ms;
+/// Findings that are printed; the log has all.
+constexpr std::size_t MostTold = 10;
 
 struct Options {
   std::string Folder_;
@@ -94,7 +96,7 @@
     Doors_.push_back(*Door);
   }
   Platform_.write("op/config", OperatorConfig);
-  if (absl::Status Chosen = Entries_.choosePorts(Draws_.split()); !Chosen.ok())
+  if (absl::Status Chosen = Entries_.choosePorts(); !Chosen.ok())
     return Chosen;
   return Entries_.writeAll(Doors_);
 }
@@ -183,8 +185,12 @@
   Out << "seed " << Given_.Seed_ << " jobs " << Book_.size() << " cancels "
       << Callers_.cancels() << " faults " << FaultCount_ << " "
       << (Found_.red() ? "RED" : "green") << '\n';
+  std::size_t Told = 0;
   for (const std::string &What : Found_.findings())
-    Out << "  " << What << '\n';
+    if (Told++ < MostTold)
+      Out << "  " << What << '\n';
+  if (Told > MostTold)
+    Out << "  and " << Told - MostTold << " more in driver.log\n";
   return Found_.red() ? 1 : 0;
 }
 
