--- a/soak/callers.cpp
+++ b/soak/callers.cpp
@@ -33,8 +33,9 @@
 constexpr int NotSent = 0;
 constexpr int NoAnswer = -1;
 constexpr auto Patience = 3000ms;
-/// After so many refusals, and nothing but refusals, a caller gives up.
-constexpr int Attempts = 6;
+/// After so many refusals at the most, and nothing but refusals, a caller gives
+/// up.
+constexpr std::uint64_t MostAttempts = 6;
 constexpr std::uint64_t MostTasks = 4;
 /// Standing jobs at once, so that the workers have room for all.
 constexpr int MostStanding = 12;
@@ -144,8 +145,9 @@
 void Callers::submit(Caller &Self, JobRecord &Job) {
   const std::string Body = bodyOf(Job, Self.Draws_.between(20ms, 1500ms));
   std::string Answer;
+  const std::uint64_t Attempts = 1 + Self.Draws_.below(MostAttempts);
   bool OnlyRefused = true;
-  for (int Try = 1; !Job.Accepted_; ++Try) {
+  for (std::uint64_t Try = 1; !Job.Accepted_; ++Try) {
     const int Status = call(Self, "POST", Job.Id_.str(), Body, Answer);
     Job.Accepted_ = Status == 200;
     if (Status >= 400 && Status < 500 && Status != 429)
