--- a/src/cell/sessions.h
+++ b/src/cell/sessions.h
@@ -53,19 +53,11 @@
   }
 
   /// Stops a run and makes sure that it cannot begin any more. The stop leaves
-  /// at once if it can; if not, it follows from the worker's next report.
+  /// at once if it can; if not, or if it is not carried out, the worker's
+  /// reports call for it.
   void stop(const jobs::RunName &Run) {
-    jobs::LiveRun *Live = Term_->Table_.findLive(Run);
-    if (!Live)
-      return;
-    if (!std::exchange(Live->Stopping_, true))
-      Live->StoppingSince_ = now();
-    if (!StopsOnWay_.insert(Run).second)
-      return;
-    framework::fibers::spawn([Self = this->shared_from_this(), Run] {
-      Self->stopRun(Run);
-      Self->StopsOnWay_.erase(Run);
-    });
+    if (!Tracker_.stopped(Run))
+      sendStops(Run);
   }
 
   /// The worker's life is over, and with it all that ran on it. With \p
@@ -129,9 +121,19 @@
   }
 
   bool needsHold(const WorkerRow &Row) const {
-    return !Row.Synced_ || Row.Haunted_ || Row.Strays_ ||
-           Row.EndsStored_ > Row.EndsTold_ ||
-           Term_->Table_.useOf(Row.Record_.Life_) != nullptr;
+    return !Row.Synced_ || Row.Haunted_ || Row.Strays_ || fellSilent(Row) ||
+           Row.EndsStored_ > Row.EndsTold_ || inUse(Row);
+  }
+
+  /// A worker that fell silent is given nothing until it answers, so it is
+  /// asked again also when nothing can run there any more: it would stand empty
+  /// for good.
+  static bool fellSilent(const WorkerRow &Row) {
+    return Row.Listed_ && Row.Unanswered_ > 0;
+  }
+
+  bool inUse(const WorkerRow &Row) const {
+    return Term_->Table_.useOf(Row.Record_.Life_) != nullptr;
   }
 
   void waitForWake(WorkerRow &Row) {
@@ -158,13 +160,12 @@
     noAnswer(Row, Reply.Result_);
     // The first look follows at once: what ended meanwhile waits for it.
     if (Row.Unanswered_ > 1)
-      framework::fibers::sleepFor(RetryPause);
+      framework::fibers::sleepFor(inUse(Row) ? RetryPause : IdleCheck);
   }
 
   /// Where only strays are at work the lease is left to run out.
   HoldOrder nextOrder(WorkerRow &Row) const {
-    const bool Known = Term_->Table_.useOf(Row.Record_.Life_) != nullptr;
-    if (Row.Strays_ && !Known)
+    if (Row.Strays_ && !inUse(Row))
       return Row.nextLook(Term_->Token_, BusyHoldWait);
     const bool Soon = Row.Strays_ || runsFinite(Row);
     return Row.nextHold(now(), Term_->Token_, Term_->Bounds_.LongestHold_,
@@ -236,7 +237,7 @@
     // for good, and the run would be kept alive by the very holds that list it.
     for (const jobs::RunName &Run :
          Tracker_.unwanted(Row.Record_.Life_, SentAt))
-      stop(Run);
+      sendStops(Run);
     for (const jobs::RunName &Run : Report.Unknown_)
       stopUnknown(Row, Run);
     for (const jobs::RunName &Run : Report.Haunting_)
@@ -365,7 +366,7 @@
         .add();
     const jobs::JobRow *Job = Term_->Table_.find(Run.Task_.Job_);
     const bool Open = Job && !Job->ended();
-    Term_->Commits_.stage(jobs::RunEnded{Run, Item.Kind_, Item.Saved_});
+    Term_->Commits_.stage(jobs::RunEnded{Run, Item.Kind_, Item.Saved_, 0});
     if (Open && Job->ended())
       jobEnded(*Job, Run.Task_);
     stopEnded(Run.Task_.Job_);
@@ -511,6 +512,21 @@
         .field("result", nameOf(Reply.Result_));
   }
 
+  /// Sends stops of a live run, unless some are on their way.
+  void sendStops(const jobs::RunName &Run) {
+    jobs::LiveRun *Live = Term_->Table_.findLive(Run);
+    if (!Live)
+      return;
+    if (!std::exchange(Live->Stopping_, true))
+      Live->StoppingSince_ = now();
+    if (!StopsOnWay_.insert(Run).second)
+      return;
+    framework::fibers::spawn([Self = this->shared_from_this(), Run] {
+      Self->stopRun(Run);
+      Self->StopsOnWay_.erase(Run);
+    });
+  }
+
   /// Sends the stop until it is answered or the run is over. Gives up when it
   /// cannot leave: the worker's next report asks for it again.
   void stopRun(const jobs::RunName &Run) {
--- a/src/journal/leadership.h
+++ b/src/journal/leadership.h
@@ -14,6 +14,11 @@
 using framework::clock::TimePoint;
 using framework::clock::wallDeadline;
 
+/// Tells the leaderships of one process apart. A head that is written anew
+/// stays in its reign, though its token rises; a head that is found again after
+/// the leadership was given up begins another.
+using Reign = framework::ids::StrongNumber<struct ReignTag>;
+
 /// Leadership of one cell: a key that dies with a store lease. The revision at
 /// which it was written is the fencing token, so tokens rise from holder to
 /// holder.
@@ -52,7 +57,7 @@
     Txn.Compares_ = {{Keys_.head(), Before}};
     Txn.Puts_ = {{Keys_.head(), encodeHolder(Self_), Lease_}};
     const auto Written = Store_.commit(Txn, wallDeadline(CallTime));
-    if (Written.ok() && Written->Succeeded_)
+    if (Written.ok() && Written->Succeeded_ && !Resigned_)
       return adopt(jobs::FencingToken(Written->StoreRevision_.value()), Asked);
     return readBack();
   }
@@ -66,19 +71,24 @@
 
   /// Takes up a head that names this process: the answer to an earlier attempt
   /// was lost, and the write came through after all. An attempt before the last
-  /// one is given back.
+  /// one is given back, and so is any head once this process has resigned: its
+  /// lease would run on, and nobody else could lead.
   absl::StatusOr<bool> adoptIfOwn(const Holder &Seen) {
     if (!Seen.sameProcess(Self_) || held())
       return false;
-    if (Seen.Attempt_ != Self_.Attempt_) {
+    if (!wants(Seen)) {
       release();
       return false;
     }
-    begin(Seen.Token_);
     const auto Alive = renew();
     if (!Alive.ok() || !*Alive)
-      Self_.Token_ = jobs::FencingToken();
-    return Alive;
+      return Alive;
+    // Meanwhile the answer to the write may have come, or a later attempt may
+    // have begun, or this process has resigned; what that has made of the
+    // leadership stays.
+    if (!held() && wants(Seen))
+      begin(Seen.Token_);
+    return held();
   }
 
   /// Writes the head anew under the lease that holds it. The token rises, and a
@@ -99,8 +109,9 @@
     const auto Held =
         Written->Succeeded_
             ? adopt(jobs::FencingToken(Written->StoreRevision_.value()), Asked)
-            : adoptRewritten();
-    RewritePending_ = !Held.ok();
+            : adoptRewritten(Before);
+    if (Held.ok())
+      RewritePending_ = false;
     return Held;
   }
 
@@ -135,8 +146,10 @@
   /// often as before.
   TimePoint heardAt() const { return HeardAt_; }
 
-  /// Gives up leadership, so that a successor need not wait for the lease.
+  /// Gives up leadership for good, so that a successor need not wait for the
+  /// lease.
   void resign() {
+    Resigned_ = true;
     if (!held())
       return;
     const jobs::FencingToken Token = Self_.Token_;
@@ -163,6 +176,10 @@
   }
 
   bool held() const { return Self_.Token_.value() != 0; }
+  /// The present reign, or the last one when nothing is held.
+  Reign reign() const { return Reign_; }
+  /// Whether \p Which is the reign that is held.
+  bool holds(Reign Which) const { return held() && Reign_ == Which; }
   jobs::FencingToken token() const { return Self_.Token_; }
   TimePoint confirmedAt() const { return ConfirmedAt_; }
   /// When this leadership was found to be won.
@@ -170,6 +187,11 @@
   const Holder &self() const { return Self_; }
 
 private:
+  /// Whether an own head may be taken up.
+  bool wants(const Holder &Own) const {
+    return !Resigned_ && Own.Attempt_ == Self_.Attempt_;
+  }
+
   absl::StatusOr<bool> readBack() {
     const auto Read =
         Store_.range(Keys_.head(), fleet::Revision(0), wallDeadline(CallTime));
@@ -185,12 +207,16 @@
 
   /// The head is not as it was: an earlier rewrite of this process came through
   /// without an answer, or it is another's.
-  absl::StatusOr<bool> adoptRewritten() {
+  absl::StatusOr<bool> adoptRewritten(jobs::FencingToken Before) {
     const TimePoint Asked = SteadyClock().now();
     const auto Read =
         Store_.range(Keys_.head(), fleet::Revision(0), wallDeadline(CallTime));
     if (!Read.ok())
       return Read.status();
+    // The term may have ended meanwhile. A leadership that begins here has
+    // none, and would go on without one.
+    if (Self_.Token_ != Before)
+      return absl::CancelledError("the token has changed meanwhile");
     for (const store::KeyValue &Item : Read->Items_) {
       const auto Seen = decodeHolder(Item.Value_, Item.ModRevision_);
       if (Item.Key_ == Keys_.head() && Seen && Seen->sameProcess(Self_) &&
@@ -207,6 +233,8 @@
   }
 
   void begin(jobs::FencingToken Token) {
+    if (!held())
+      Reign_ = Reign(Reign_.value() + 1);
     Self_.Token_ = Token;
     RewritePending_ = false;
     BegunAt_ = SteadyClock().now();
@@ -221,12 +249,13 @@
       return;
     const store::KeyValue &Item = Read->Items_.front();
     const auto Seen = decodeHolder(Item.Value_, Item.ModRevision_);
-    if (!Seen || !Seen->sameProcess(Self_) || Seen->Attempt_ == Self_.Attempt_)
+    if (!Seen || !Seen->sameProcess(Self_) || wants(*Seen))
       return;
     Txn.Compares_ = {{Keys_.head(), Item.ModRevision_}};
     const auto Written = Store_.commit(Txn, wallDeadline(CallTime));
     framework::log::info("leadership.stale_attempt_removed")
         .field("attempt", Seen->Attempt_)
+        .field("resigned", Resigned_ ? "yes" : "no")
         .field("store", Written.ok() ? "acknowledged" : "no answer");
   }
 
@@ -238,6 +267,8 @@
   TimePoint HeardAt_{};
   std::uint32_t Refusals_ = 0;
   bool RewritePending_ = false;
+  bool Resigned_ = false;
+  Reign Reign_;
   TimePoint BegunAt_{};
 };
 
--- a/src/journal/tests/fakestore.h
+++ b/src/journal/tests/fakestore.h
@@ -14,6 +14,8 @@
 
   absl::StatusOr<store::RangeResult>
   range(const std::string &Prefix, fleet::Revision Since, store::TimePoint) {
+    if (const auto Meanwhile = std::exchange(BeforeList_, nullptr))
+      Meanwhile();
     store::RangeResult Result;
     Result.StoreRevision_ = fleet::Revision(Revision_);
     for (const auto &[Key, Item] : Items_)
@@ -27,13 +29,17 @@
     const bool Pass = PassFirst_ > 0;
     PassFirst_ -= Pass;
     const Fault Now = Pass ? Fault::None : std::exchange(Next_, Fault::None);
+    const store::TransactionResult Result =
+        Now == Fault::Lost || Now == Fault::Late ? store::TransactionResult()
+                                                 : apply(Txn);
+    if (Now == Fault::Late)
+      Delayed_.push_back(Txn);
+    if (const auto Meanwhile = std::exchange(BeforeAnswer_, nullptr))
+      Meanwhile();
     if (Now == Fault::Lost)
       return absl::UnavailableError("lost");
-    if (Now == Fault::Late) {
-      Delayed_.push_back(Txn);
+    if (Now == Fault::Late)
       return absl::DeadlineExceededError("no answer");
-    }
-    const store::TransactionResult Result = apply(Txn);
     if (Now == Fault::AnswerLost)
       return absl::DeadlineExceededError("no answer");
     return Result;
@@ -48,6 +54,9 @@
     return ++Leases_;
   }
   absl::StatusOr<bool> keepLease(std::int64_t Lease, store::TimePoint) {
+    if (const auto Renewal = std::exchange(Renewal_, nullptr))
+      if (absl::Status Failed = Renewal(); !Failed.ok())
+        return Failed;
     return !Ended_.contains(Lease);
   }
 
@@ -72,6 +81,12 @@
   Fault Next_ = Fault::None;
   std::uint32_t PassFirst_ = 0;
   std::int64_t Leases_ = 0;
+  /// Happens between the next write and its answer.
+  std::function<void()> BeforeAnswer_;
+  /// The same for the next list.
+  std::function<void()> BeforeList_;
+  /// What befalls the next renewal of a lease, and its answer if it has none.
+  std::function<absl::Status()> Renewal_;
 
 private:
   store::TransactionResult apply(const store::Transaction &Txn) {
