Forget what a late answer tells of a run that is over

The answer to a stop may come after the run was listed as ended, and left a row behind for the rest of the term, one for each such run. Test: AnAnswerAfterTheEndLeavesNothing, red before.

--- a/src/cell/internal/runtracker.cpp
+++ b/src/cell/internal/runtracker.cpp
@@ -56,12 +56,17 @@
 }
 
 void RunTracker::stopAnswered(const RunName &Run, TimePoint Now) {
+  // Nothing forgets what is noted of a run that is over.
+  if (!Table_.findLive(Run))
+    return;
   Start &Known = Starts_[Run];
   noteFirst(Known.SettledAt_, Now);
   Known.StoppedAt_ = Now;
 }
 
 void RunTracker::stopAnsweredLater(const RunName &Run, TimePoint Now) {
+  if (!Table_.findLive(Run))
+    return;
   noteFirst(Starts_[Run].StoppedLaterAt_, Now);
 }
 
--- a/src/cell/sessions.h
+++ b/src/cell/sessions.h
@@ -393,8 +393,7 @@
                static_cast<std::uint64_t>(Task ? Task->Failures_ : 0));
   }
 
-  /// A job that has failed for good has no use for its other tasks; a task
-  /// that is done has none for its copies.
+  /// A job that has ended has no use for what is still live of it.
   void stopEnded(const jobs::JobId &Id) {
     const jobs::JobRow *Job = Term_->Table_.find(Id);
     if (!Job || Job->LiveRuns_ == 0 || !Job->ended())
--- a/src/cell/tests/runtrackertest.cpp
+++ b/src/cell/tests/runtrackertest.cpp
@@ -108,6 +108,18 @@
   BOOST_TEST(unwanted(Here).empty());
 }
 
+// The answer to a stop may come after the run was listed as ended. What it left
+// behind was kept for the rest of the term, a row for each cancelled run.
+BOOST_AUTO_TEST_CASE(AnAnswerAfterTheEndLeavesNothing) {
+  const RunName Run = begin("gone", 0, Here);
+  jobs::RunEnded End;
+  End.Run_ = Run;
+  Table_.apply(End, Now);
+  Tracker_.forget(Run);
+  Tracker_.stopAnswered(Run, Now);
+  BOOST_TEST(!Tracker_.stopped(Run));
+}
+
 // A run that was told to stop is listed for a moment more. Stops without end
 // for such runs kept the holder of a large job's cancel busy.
 BOOST_AUTO_TEST_CASE(AReportWithinTheTimeOfAStopAsksForNoOther) {
