--- a/src/cell/internal/machinetable.cpp
+++ b/src/cell/internal/machinetable.cpp
@@ -63,6 +63,12 @@
   Known.Acknowledged_ = true;
 }
 
+std::optional<WorkerLife>
+MachineTable::lifeOrdered(const MachineId &Machine) const {
+  const auto Found = Orders_.find(Machine);
+  return Found == Orders_.end() ? std::nullopt : Found->second.Life_;
+}
+
 std::set<WorkerLife> MachineTable::orderedAway(TimePoint Before) const {
   std::set<WorkerLife> Lives;
   for (const auto &[Machine, Item] : Orders_)
--- a/src/cell/machines.h
+++ b/src/cell/machines.h
@@ -375,6 +375,19 @@
     if (Result != MachineResult::Done)
       return Table_.refused(Machine);
     Table_.acknowledged(Machine, now());
+    doubtWorker(Machine);
+  }
+
+  /// The worker that was ordered away may be gone long before any list shows
+  /// it, and tasks that it is given meanwhile are lost with it. If the order
+  /// had been carried out before, it is alive, answers and is used again.
+  void doubtWorker(const MachineId &Machine) {
+    const auto Life = Table_.lifeOrdered(Machine);
+    if (!Life)
+      return;
+    const auto Row = Term_->Workers_.find(*Life);
+    if (Row != Term_->Workers_.end())
+      Row->second->doubt();
   }
 
   void report(WaveNumber Number, capacity::WaveRow &Wave, bool Done) {
--- a/src/cell/machinetable.h
+++ b/src/cell/machinetable.h
@@ -31,6 +31,8 @@
   /// The platform has carried out the order, now or earlier: one that was done
   /// before is acknowledged too, and ends nothing.
   void acknowledged(const MachineId &Machine, TimePoint Now);
+  /// The life on the machine when the open order left, if one had been seen.
+  std::optional<WorkerLife> lifeOrdered(const MachineId &Machine) const;
   /// Lives for which orders were given that were acknowledged before \p Before.
   /// Each is over if a list that is newer says that it is gone.
   std::set<WorkerLife> orderedAway(TimePoint Before) const;
--- a/src/cell/tests/machinetabletest.cpp
+++ b/src/cell/tests/machinetabletest.cpp
@@ -115,6 +115,7 @@
   Table.noteWorker(worker(1), Start);
   Table.ordered(Machine, Start);
   BOOST_TEST(Table.orderedAway(Start + 2s).empty());
+  BOOST_TEST((Table.lifeOrdered(Machine) == worker(1).Life_));
   Table.acknowledged(Machine, Start + 1s);
   BOOST_TEST(Table.orderedAway(Start + 1s).empty());
   BOOST_TEST((Table.orderedAway(Start + 2s) == std::set{worker(1).Life_}));
--- a/src/cell/tests/workertabletest.cpp
+++ b/src/cell/tests/workertabletest.cpp
@@ -90,6 +90,19 @@
   BOOST_TEST(!Row.silentSince(Start + 3ms));
 }
 
+// Tasks were given to a worker whose machine had been ordered away, and were
+// lost with it: no list showed yet that it was gone. A worker that lives on,
+// as the order had been carried out before, answers and is used again.
+BOOST_AUTO_TEST_CASE(DoubtedWorkerIsGivenNothingUntilItAnswers) {
+  WorkerRow Row;
+  Row.Synced_ = true;
+  BOOST_TEST(Row.usable());
+  Row.doubt();
+  BOOST_TEST(!Row.usable());
+  Row.Unanswered_ = 0;
+  BOOST_TEST(Row.usable());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace laburnumspread::cell
--- a/src/cell/workertable.h
+++ b/src/cell/workertable.h
@@ -160,6 +160,12 @@
     return Unanswered_ > 0 && std::max(AnsweredAt_, ListedAt_) < ListOf;
   }
 
+  /// It may be gone: it is given nothing until it answers.
+  void doubt() {
+    Unanswered_ = std::max(Unanswered_, UnansweredInUse + 1);
+    wake();
+  }
+
   bool usable() const {
     return Listed_ && Synced_ && !Over_ && !Haunted_ && !Record_.Draining_ &&
            Unanswered_ <= UnansweredInUse;
