Keep the platform's names of the soak beside its stand-in

Cause: the soak's callers and waves spelled the platform's configuration, job bodies and headers themselves, so that a second place outside platform/ knew them. Change: platform/standin/operator.h says them, the soak asks for them. Ruled out: sharing the text of cellapptest's configuration, which tests change.

--- a/soak/callers.cpp
+++ b/soak/callers.cpp
@@ -4,30 +4,18 @@
 #include "framework/fibers/spawn.h"
 #include "framework/fibers/waiter.h"
 #include "framework/log/log.h"
-#include "platform/json.h"
+#include "platform/standin/operator.h"
 
 #include <cstdio>
 
-#include <boost/json/serialize.hpp>
-
 namespace laburnumspread::soak {
 
-namespace json = boost::json;
 using framework::fibers::sleepFor;
+using platform::standin::jobBody;
+using platform::standin::jobCall;
+using platform::standin::stateIn;
 using namespace std::chrono_literals;
 
-// Runs end for many reasons in a soak; none may use up a job's attempts.
-const char *const OperatorConfig = R"({"version": 1,
-  "routes": [{"name": "q", "hostname": "jobs.example", "path_prefix": "/q/",
-    "target_latency_ms": 600, "priority": 0, "backend": "kitchen",
-    "max_attempts": 100000, "stretch": 1.6, "public": false}],
-  "services": [{"name": "kitchen", "standby": false,
-                "admission_check": false}],
-  "limits": {"max_header_bytes": 16384, "max_body_bytes": 262144},
-  "tenants": [{"name": "caterers", "api_keys": ["soak-key"], "weight": 1,
-               "max_allowed": {"cpu": 0, "mem_mb": 0, "gpu": 0}}]})";
-const char *const PoolOfWorkers = "kitchen";
-
 namespace {
 
 constexpr int NotSent = 0;
@@ -44,33 +32,6 @@
   return Status == 429 || Status == 503 || Status == NotSent;
 }
 
-json::object step(std::uint32_t Count, bool Standing) {
-  json::object Result{
-      {"count", Count}, {"cpu", 500}, {"mem_mb", 64}, {"estimate_ms", 500}};
-  if (Standing) {
-    Result["long_running"] = true;
-    Result["may_miss"] = 1;
-  }
-  return Result;
-}
-
-std::string bodyOf(const JobRecord &Job, milliseconds Time) {
-  json::array Steps;
-  for (std::uint32_t Count : Job.Tasks_) {
-    json::object Step = step(Count, Job.Standing_);
-    if (!Steps.empty())
-      Step["after"] = json::array{Steps.size() - 1};
-    Steps.push_back(Step);
-  }
-  return json::serialize(
-      json::object{{"spec", Job.Standing_ ? "0" : std::to_string(Time.count())},
-                   {"steps", Steps}});
-}
-
-std::string stateIn(const std::string &Answer) {
-  return platform::textOr(platform::parseDocument(Answer), "state", "");
-}
-
 } // namespace
 
 Callers::CallerPtr Callers::make(std::uint64_t Seed) const {
@@ -119,15 +80,9 @@
 int Callers::call(Caller &Self, const std::string &Method,
                   const std::string &Id, const std::string &Body,
                   std::string &Answer) {
-  framework::http::Request Message;
-  Message.Method_ = Method;
-  Message.Target_ = "/q/" + Id;
-  Message.Headers_.add("Host", "jobs.example");
-  Message.Headers_.add("X-Credential", "soak-key");
-  Message.Body_ = Body;
   const std::size_t Entry = Self.Draws_.below(Served_.count());
   const auto Heard = Self.Clients_[Entry]->exchange(
-      Message, framework::clock::wallDeadline(Patience));
+      jobCall(Method, Id, Body), framework::clock::wallDeadline(Patience));
   const bool Sent = Heard.ok() || Heard.status().message().find("not sent") ==
                                       absl::string_view::npos;
   const int Status = Heard.ok() ? Heard->Status_ : Sent ? NoAnswer : NotSent;
@@ -143,7 +98,8 @@
 }
 
 void Callers::submit(Caller &Self, JobRecord &Job) {
-  const std::string Body = bodyOf(Job, Self.Draws_.between(20ms, 1500ms));
+  const std::string Body =
+      jobBody(Job.Tasks_, Job.Standing_, Self.Draws_.between(20ms, 1500ms));
   std::string Answer;
   const std::uint64_t Attempts = 1 + Self.Draws_.below(MostAttempts);
   bool OnlyRefused = true;
@@ -208,13 +164,8 @@
 bool Callers::served() {
   const CallerPtr Self = make(0);
   for (const auto &Client : Self->Clients_) {
-    framework::http::Request Message;
-    Message.Method_ = "GET";
-    Message.Target_ = "/q/";
-    Message.Headers_.add("Host", "jobs.example");
-    Message.Headers_.add("X-Credential", "soak-key");
-    const auto Heard =
-        Client->exchange(Message, framework::clock::wallDeadline(Patience));
+    const auto Heard = Client->exchange(
+        jobCall("GET", ""), framework::clock::wallDeadline(Patience));
     if (!Heard.ok() || Heard->Status_ != 200)
       return false;
   }
--- a/soak/callers.h
+++ b/soak/callers.h
@@ -55,8 +55,4 @@
   std::size_t Cancels_ = 0;
 };
 
-/// The operator's configuration that the callers count on.
-extern const char *const OperatorConfig;
-extern const char *const PoolOfWorkers;
-
 } // namespace laburnumspread::soak
--- a/soak/faults.cpp
+++ b/soak/faults.cpp
@@ -4,12 +4,10 @@
 #include "framework/fibers/spawn.h"
 #include "framework/fibers/waiter.h"
 #include "framework/log/log.h"
-
-#include <boost/json/serialize.hpp>
+#include "platform/standin/operator.h"
 
 namespace laburnumspread::soak {
 
-namespace json = boost::json;
 using framework::fibers::sleepFor;
 using namespace std::chrono_literals;
 
@@ -224,16 +222,12 @@
 }
 
 Faults::End Faults::wave() {
-  json::array Machines;
+  std::vector<std::string> Machines;
   for (std::size_t I = 0; I < Machines_; ++I)
     if (Draws_.onceIn(2))
-      Machines.push_back(json::string("m" + std::to_string(I)));
-  const std::uint64_t Number = NextWave_++;
-  Platform_.write("op/wave/" + std::to_string(Number),
-                  json::serialize(json::object{{"wave", Number},
-                                               {"machines", Machines},
-                                               {"duration_s", 40},
-                                               {"max_allowed", 1}}));
+      Machines.push_back("m" + std::to_string(I));
+  platform::standin::writeWave(Platform_, jobs::WaveNumber(NextWave_++),
+                               Machines);
   return nothing;
 }
 
--- a/soak/soak.cpp
+++ b/soak/soak.cpp
@@ -3,6 +3,7 @@
 #include "framework/fibers/spawn.h"
 #include "framework/fibers/waiter.h"
 #include "framework/log/log.h"
+#include "platform/standin/operator.h"
 #include "soak/callers.h"
 #include "soak/faults.h"
 
@@ -85,8 +86,8 @@
   if (absl::Status Bound = Platform_.start({"127.0.0.1", 0}); !Bound.ok())
     return Bound;
   for (std::size_t I = 0; I < MachineCount; ++I)
-    if (absl::Status Added =
-            Platform_.addWorker("m" + std::to_string(I), PoolOfWorkers);
+    if (absl::Status Added = Platform_.addWorker("m" + std::to_string(I),
+                                                 platform::standin::OnlyPool);
         !Added.ok())
       return Added;
   for (std::size_t I = 0; I < Entries_.count(); ++I) {
@@ -95,7 +96,7 @@
       return Door.status();
     Doors_.push_back(*Door);
   }
-  Platform_.write("op/config", OperatorConfig);
+  platform::standin::writeConfig(Platform_);
   if (absl::Status Chosen = Entries_.choosePorts(); !Chosen.ok())
     return Chosen;
   return Entries_.writeAll(Doors_);
