Part the tests of whole entries by what they are about, and the run model

Cause: one file of 736 lines held all tests of whole entries, and one of 883 the run model with its workers. Change: their fixture, and files for jobs, stops, leadership and machines; a model worker, the model, and its property. No test and no check is changed: the names of the 27 cases are the same before and after (diff of the two lists is empty). Suites are now CellAppTest, CellStopsTest, CellLeadershipTest, CellMachinesTest.

Left: the model is 735 lines in one header.

--- /dev/null
+++ b/src/cell/tests/modelworker.h
@@ -0,0 +1,121 @@
+#pragma once
+
+#include "cell/runtracker.h"
+
+#include <algorithm>
+
+namespace laburnumspread::cell::model {
+
+using namespace std::chrono_literals;
+using jobs::EndKind;
+using jobs::FencingToken;
+using jobs::RunName;
+using jobs::RunNumber;
+using jobs::TaskName;
+
+constexpr auto Lease = 6000ms;
+
+/// A worker as the platform describes it.
+struct ModelWorker {
+  WorkerId Id_;
+  std::int64_t BornMs_ = 1;
+  TimePoint BornAt_{};
+  double Rate_ = 1;
+  FencingToken Token_;
+  std::int64_t LeaseEndMs_ = 0;
+  std::set<RunName> Running_;
+  std::vector<EndRow> Ends_;
+  std::uint64_t NextEnd_ = 1;
+  /// Runs up to here of a task can not start any more.
+  std::map<TaskName, RunNumber> Blocked_;
+
+  std::int64_t clockMs(TimePoint Now) const {
+    return 1000 +
+           static_cast<std::int64_t>(
+               Rate_ * static_cast<double>((Now - BornAt_).count()) / 1000.0);
+  }
+
+  /// By value: the caller's run may be the one in the set.
+  void end(RunName Run, EndKind Kind) {
+    Running_.erase(Run);
+    Ends_.push_back({NextEnd_++, Run, Kind, jobs::Checkpoint()});
+    block(Run);
+  }
+  void block(const RunName &Run) {
+    RunNumber &Last = Blocked_[Run.Task_];
+    Last = std::max(Last, Run.Run_);
+  }
+  void lapse(TimePoint Now) {
+    if (clockMs(Now) < LeaseEndMs_)
+      return;
+    const auto All = Running_;
+    for (const RunName &Run : All)
+      end(Run, EndKind::Lapsed);
+  }
+  void extend(std::int64_t DeadlineMs, TimePoint Now) {
+    const std::int64_t Most = clockMs(Now) + Lease.count();
+    LeaseEndMs_ = std::max(LeaseEndMs_, std::min(DeadlineMs, Most));
+  }
+
+  OrderReply start(const StartOrder &Order, TimePoint Now) {
+    lapse(Now);
+    const std::int64_t Clock = clockMs(Now);
+    if (Order.Token_ < Token_)
+      return {OrderResult::Fenced, Clock};
+    Token_ = Order.Token_;
+    if (Order.DeadlineMs_ < Clock)
+      return {OrderResult::TooLate, Clock};
+    extend(Order.DeadlineMs_, Now);
+    if (Running_.contains(Order.Run_))
+      return {OrderResult::Done, Clock};
+    const auto Last = Blocked_.find(Order.Run_.Task_);
+    if (Last != Blocked_.end() && Order.Run_.Run_ <= Last->second)
+      return {OrderResult::OldRun, Clock};
+    Running_.insert(Order.Run_);
+    return {OrderResult::Done, Clock};
+  }
+
+  OrderReply stop(const RunName &Run, FencingToken Token, TimePoint Now) {
+    lapse(Now);
+    if (Token < Token_)
+      return {OrderResult::Fenced, clockMs(Now)};
+    Token_ = Token;
+    if (Running_.contains(Run))
+      end(Run, EndKind::Stopped);
+    block(Run);
+    return {OrderResult::Done, clockMs(Now)};
+  }
+
+  HoldReply hold(const HoldOrder &Order, std::int64_t Born, TimePoint Now) {
+    lapse(Now);
+    HoldReply Reply;
+    Reply.ClockMs_ = clockMs(Now);
+    if (Order.Token_ < Token_) {
+      Reply.Result_ = OrderResult::Fenced;
+      return Reply;
+    }
+    Token_ = Order.Token_;
+    if (Order.DeadlineMs_ > 0)
+      extend(Order.DeadlineMs_, Now);
+    Reply.Result_ =
+        Born == BornMs_ ? OrderResult::Done : OrderResult::OtherLife;
+    std::erase_if(Ends_, [&](const EndRow &Row) {
+      return Row.Number_ <= Order.LastSeen_;
+    });
+    for (const RunName &Run : Running_)
+      Reply.Running_.push_back({Run, jobs::Checkpoint(), 100, 0});
+    Reply.Ends_ = Ends_;
+    return Reply;
+  }
+
+  void restart(TimePoint Now) {
+    ModelWorker Fresh;
+    Fresh.Id_ = Id_;
+    Fresh.BornMs_ = BornMs_ + 1;
+    Fresh.BornAt_ = Now;
+    Fresh.Rate_ = Rate_;
+    *this = Fresh;
+  }
+};
+
+} // namespace laburnumspread::cell::model
