Part the stops from the sessions with workers

Cause: sessions.h had grown to 584 lines and did two jobs: the leases and starts of what runs, and the stops of what is to be gone. Change: RunStops gives the stops that an event or a report calls for; a worker row learns from its answers itself, and a term notes the end of a life. Ruled out: fibers that keep the sessions alive for a stop, as tracker and term are all that a stop needs, and both are shared. No behaviour changes: same calls, lines, order.

Measured: sessions.h 428 lines, runstops.h 181; cell_test (RunModelTest at 2000) and cellapp_test green before and after, lists of cases equal.

--- /dev/null
+++ b/src/cell/runstops.h
@@ -0,0 +1,181 @@
+#pragma once
+
+#include "cell/runtracker.h"
+#include "cell/term.h"
+#include "framework/fibers/spawn.h"
+
+#include <set>
+#include <utility>
+
+namespace laburnumspread::cell {
+
+/// Stops what is to be gone from the workers of one term.
+///
+/// What has to be stopped follows from the tables at each report of a worker.
+/// An order to stop that was lost, or that could not leave when it was first
+/// called for (after a takeover, no worker is listed yet), would otherwise be
+/// missing for good, and the run would be kept alive by the very holds that
+/// list it.
+template <store::KeyValueStore Store, WorkerClient Client>
+class RunStops : public std::enable_shared_from_this<RunStops<Store, Client>> {
+public:
+  using TermPtr = std::shared_ptr<Term<Store>>;
+
+  /// Past this, a run that is to be stopped and still listed is told of.
+  static constexpr Duration StopExpected = std::chrono::milliseconds(1000);
+
+  RunStops(TermPtr T, Client &C, std::shared_ptr<RunTracker> Tracker)
+      : Term_(std::move(T)), Client_(C), Tracker_(std::move(Tracker)) {}
+
+  /// Sends the stop of a run at once, if it can leave and none was answered.
+  void order(const jobs::RunName &Run) {
+    if (!Tracker_->stopped(Run))
+      send(Run);
+  }
+
+  /// Gives the stops that a report, asked for at \p SentAt, calls for.
+  void follow(const WorkerRow &Row, const HoldReply &Reply,
+              const RunTracker::Report &Report, TimePoint SentAt) {
+    for (const RunningRow &Item : Reply.Running_)
+      noteRunsOn(Row, Item.Run_);
+    for (const jobs::RunName &Run :
+         Tracker_->unwanted(Row.Record_.Life_, SentAt))
+      send(Run);
+    for (const jobs::RunName &Run : Report.Unknown_)
+      stopUnknown(Row, Run);
+    for (const jobs::RunName &Run : Report.Haunting_)
+      layToRest(Row, Run);
+  }
+
+private:
+  static TimePoint now() { return Term<Store>::now(); }
+
+  /// Sends stops of a live run, unless some are on their way.
+  void send(const jobs::RunName &Run) {
+    jobs::LiveRun *Live = Term_->Table_.findLive(Run);
+    if (!Live)
+      return;
+    if (!std::exchange(Live->Stopping_, true))
+      Live->StoppingSince_ = now();
+    if (!OnWay_.insert(Run).second)
+      return;
+    framework::fibers::spawn([Self = this->shared_from_this(), Run] {
+      Self->stopRun(Run);
+      Self->OnWay_.erase(Run);
+    });
+  }
+
+  /// Sends the stop until it is answered or the run is over. Gives up when it
+  /// cannot leave: the worker's next report asks for it again.
+  void stopRun(const jobs::RunName &Run) {
+    while (!Term_->over()) {
+      const jobs::LiveRun *Live = Term_->Table_.find(Run);
+      if (!Live)
+        return;
+      const auto Worker = Term_->Workers_.find(Live->On_);
+      const bool Listed = Worker != Term_->Workers_.end();
+      if (!Listed || !Term_->mayOrder())
+        return logStopWaits(Run, Listed);
+      if (stopOnce(Worker->second, Run))
+        return;
+      framework::fibers::sleepFor(OrderRetryPause);
+    }
+  }
+
+  void logStopWaits(const jobs::RunName &Run, bool Listed) const {
+    framework::log::info("run.stop_waits")
+        .field("task", Run.Task_.str())
+        .field("run", Run.Run_.value())
+        .field("worker", Term_->Table_.find(Run)->On_.Id_.str())
+        .field("reason", Listed ? "the store does not confirm the leadership"
+                                : "its worker is not listed");
+  }
+
+  /// True when no other attempt is needed.
+  bool stopOnce(WorkerRowPtr Row, const jobs::RunName &Run) {
+    const TimePoint SentAt = now();
+    const auto Since = Term_->Table_.unwantedSince(Run);
+    const OrderReply Reply =
+        Client_.stop(Row->Record_, Run, Term_->Token_, Row->Answers_.wait());
+    Row->noteAnswer(Reply.Result_, SentAt, now());
+    framework::log::info("run.stop")
+        .field("task", Run.Task_.str())
+        .field("run", Run.Run_.value())
+        .field("worker", Row->Record_.Life_.Id_.str())
+        .field("unwanted_for_ms", Since ? Term_->sinceMs(*Since) : 0)
+        .field("result", nameOf(Reply.Result_));
+    if (Reply.Result_ == OrderResult::Done)
+      Tracker_->stopAnswered(Run, now());
+    // What is on its way to the former life may begin on the new one, whose
+    // reports settle it.
+    if (Reply.Result_ == OrderResult::OtherLife)
+      Term_->endLife(*Row, "another life answers");
+    return Reply.Result_ == OrderResult::Done ||
+           Reply.Result_ == OrderResult::OtherLife;
+  }
+
+  /// Says once that a run is listed as at work long after it was to be gone.
+  void noteRunsOn(const WorkerRow &Row, const jobs::RunName &Run) {
+    const auto Since = Term_->Table_.unwantedSince(Run);
+    jobs::LiveRun *Live = Term_->Table_.findLive(Run);
+    if (!Since || now() - *Since < StopExpected ||
+        std::exchange(Live->ToldRunsOn_, true))
+      return;
+    framework::log::warning("run.runs_on")
+        .field("task", Run.Task_.str())
+        .field("run", Run.Run_.value())
+        .field("worker", Row.Record_.Life_.Id_.str())
+        .field("unwanted_for_ms", Term_->sinceMs(*Since))
+        .field("job", jobs::nameOf(Term_->Table_.find(Run.Task_.Job_)->State_))
+        .field("being_stopped", Live->Stopping_ ? "yes" : "no");
+    Term_->Metrics_.counter("runs_on_total").add();
+  }
+
+  /// A run that the journal does not know of as live there: an order of an
+  /// earlier time that was carried out late.
+  void stopUnknown(const WorkerRow &Row, const jobs::RunName &Run) {
+    if (!OnWay_.insert(Run).second)
+      return;
+    framework::log::warning("run.unknown")
+        .field("task", Run.Task_.str())
+        .field("run", Run.Run_.value())
+        .field("worker", Row.Record_.Life_.Id_.str());
+    framework::fibers::spawn(
+        [Self = this->shared_from_this(), Record = Row.Record_, Run] {
+          Self->stopThere(Record, Run, "the journal does not know it there");
+          Self->OnWay_.erase(Run);
+        });
+  }
+
+  /// Stops a run of a former life on the one that may have taken its start.
+  void layToRest(const WorkerRow &Row, const jobs::RunName &Run) {
+    framework::fibers::spawn(
+        [Self = this->shared_from_this(), Record = Row.Record_, Run] {
+          if (Self->stopThere(Record, Run, "meant for its former life"))
+            Self->Tracker_->stopAnsweredLater(Run, now());
+        });
+  }
+
+  /// One stop of a run that the tables do not show on this life. True when it
+  /// was carried out.
+  bool stopThere(const WorkerRecord &Record, const jobs::RunName &Run,
+                 std::string_view Reason) {
+    const OrderReply Reply =
+        Client_.stop(Record, Run, Term_->Token_, MostAnswerTime);
+    framework::log::info("run.stop")
+        .field("task", Run.Task_.str())
+        .field("run", Run.Run_.value())
+        .field("worker", Record.Life_.Id_.str())
+        .field("reason", Reason)
+        .field("result", nameOf(Reply.Result_));
+    return Reply.Result_ == OrderResult::Done;
+  }
+
+  TermPtr Term_;
+  Client &Client_;
+  std::shared_ptr<RunTracker> Tracker_;
+  /// Runs for which a fiber sends stops at present.
+  std::set<jobs::RunName> OnWay_;
+};
+
+} // namespace laburnumspread::cell
--- a/src/cell/sessions.h
+++ b/src/cell/sessions.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "cell/fillerpace.h"
-#include "cell/runtracker.h"
+#include "cell/runstops.h"
 #include "cell/term.h"
 #include "scheduling/scheduler.h"
 
@@ -24,20 +24,20 @@
   /// long, and the next ones cannot start. Each hold is paid for, but there
   /// most are answered by an end before this anyway.
   static constexpr Duration BusyHoldWait = std::chrono::milliseconds(250);
-  static constexpr Duration RetryPause = std::chrono::milliseconds(150);
+  static constexpr Duration RetryPause = OrderRetryPause;
   /// A start that arrives later than this after it was sent does nothing.
   static constexpr Duration StartWindow = std::chrono::milliseconds(1500);
   static constexpr Duration IdleCheck = std::chrono::milliseconds(500);
   /// As many as fit into the window.
   static constexpr int StartAttempts = 6;
   static constexpr double DistrustOfFailure = 1;
-  /// Past this, a run that is to be stopped and still listed is told of.
-  static constexpr Duration StopExpected = std::chrono::milliseconds(1000);
   /// In the log, of a worker that has not answered this holder yet.
   static constexpr std::int64_t NeverAnswered = -1;
 
   Sessions(TermPtr T, Client &C)
-      : Term_(std::move(T)), Client_(C), Tracker_(Term_->Table_),
+      : Term_(std::move(T)), Client_(C),
+        Tracker_(std::make_shared<RunTracker>(Term_->Table_)),
+        Stops_(std::make_shared<RunStops<Store, Client>>(Term_, C, Tracker_)),
         Fillers_(Term_, Client_) {}
 
   /// Starts the session of a worker that has just come up.
@@ -55,10 +55,7 @@
   /// Stops a run and makes sure that it cannot begin any more. The stop leaves
   /// at once if it can; if not, or if it is not carried out, the worker's
   /// reports call for it.
-  void stop(const jobs::RunName &Run) {
-    if (!Tracker_.stopped(Run))
-      sendStops(Run);
-  }
+  void stop(const jobs::RunName &Run) { Stops_->order(Run); }
 
   /// The worker's life is over, and with it all that ran on it. With \p
   /// SameId its process has started again under its id: what is on its way to
@@ -66,15 +63,9 @@
   void lifeOver(WorkerRow &Row, std::string_view Reason, bool SameId) {
     if (Row.Over_)
       return;
-    Row.Over_ = true;
-    Term_->EndedLives_.emplace(Row.Record_.Life_, now());
-    framework::log::info("worker.over")
-        .field("worker", Row.Record_.Life_.Id_.str())
-        .field("born_ms", Row.Record_.Life_.BornMs_)
-        .field("reason", Reason);
+    Term_->endLife(Row, Reason);
     if (!SameId)
       idOver(Row.Record_.Life_.Id_, Reason);
-    Row.wake();
   }
 
   /// No process answers to the id any more: the runs of all its lives are over.
@@ -147,7 +138,7 @@
     const TimePoint SentAt = now();
     const HoldReply Reply =
         Client_.hold(Row.Record_, Order, Order.Wait_ + Row.Answers_.wait());
-    noteAnswer(Row, Reply.Result_, SentAt + Order.Wait_);
+    Row.noteAnswer(Reply.Result_, SentAt + Order.Wait_, now());
     Term_->Metrics_.counter("holds_total").add();
     if (Term_->over())
       return;
@@ -182,16 +173,6 @@
                               });
   }
 
-  /// Learns from one call how long this worker's answers take. An answer
-  /// before \p Expected was given for an end and tells nothing.
-  static void noteAnswer(WorkerRow &Row, OrderResult Result,
-                         TimePoint Expected) {
-    if (Result == OrderResult::Unknown)
-      Row.Answers_.missed();
-    else if (now() >= Expected)
-      Row.Answers_.answered(now() - Expected);
-  }
-
   void noAnswer(WorkerRow &Row, OrderResult Result) {
     if (++Row.Unanswered_ == 1)
       framework::log::warning("worker.unanswered")
@@ -199,7 +180,7 @@
           .field("result", nameOf(Result))
           .field("last_answer_ms_ago", Row.AnsweredAt_ == TimePoint()
                                            ? NeverAnswered
-                                           : sinceMs(Row.AnsweredAt_));
+                                           : Term_->sinceMs(Row.AnsweredAt_));
     Term_->Table_.forgetProgress(Row.Record_.Life_);
     if (!Row.surelyLapsed(now(), Term_->inheritedLeaseEnds()))
       return;
@@ -207,11 +188,6 @@
     loseRuns(Row.Record_.Life_, "lease ran out unseen");
   }
 
-  static std::int64_t sinceMs(TimePoint When) {
-    return std::chrono::duration_cast<std::chrono::milliseconds>(now() - When)
-        .count();
-  }
-
   void takeReport(WorkerRow &Row, const HoldReply &Reply,
                   const HoldOrder &Order, TimePoint SentAt) {
     Row.heardClock(Reply.ClockMs_, now());
@@ -226,23 +202,11 @@
       if (Item.Number_ > Row.EndsStaged_)
         learn(Row, Item);
     const RunTracker::Report Report =
-        Tracker_.report(Row.Record_.Life_, Reply, SentAt, Row.EndsStaged_);
+        Tracker_->report(Row.Record_.Life_, Reply, SentAt, Row.EndsStaged_);
     for (const RunTracker::Ended &Item : Report.Ended_)
       endRun(Item);
-    for (const RunningRow &Item : Reply.Running_)
-      noteRunsOn(Row, Item.Run_);
-    // What is to be gone follows from the tables at each report. An order to
-    // stop that was lost, or that could not leave when it was first called for
-    // (after a takeover, no worker is listed yet), would otherwise be missing
-    // for good, and the run would be kept alive by the very holds that list it.
-    for (const jobs::RunName &Run :
-         Tracker_.unwanted(Row.Record_.Life_, SentAt))
-      sendStops(Run);
-    for (const jobs::RunName &Run : Report.Unknown_)
-      stopUnknown(Row, Run);
-    for (const jobs::RunName &Run : Report.Haunting_)
-      layToRest(Row, Run);
-    Row.Haunted_ = Tracker_.haunted(Row.Record_.Life_);
+    Stops_->follow(Row, Reply, Report, SentAt);
+    Row.Haunted_ = Tracker_->haunted(Row.Record_.Life_);
     Row.Strays_ = !Report.Unknown_.empty();
     Fillers_.take(Row, Reply);
     if (!Row.Synced_) {
@@ -289,63 +253,6 @@
                          now() - Live->StartedAt_);
   }
 
-  /// Says once that a run is listed as at work long after it was to be gone.
-  void noteRunsOn(const WorkerRow &Row, const jobs::RunName &Run) {
-    const auto Since = Term_->Table_.unwantedSince(Run);
-    jobs::LiveRun *Live = Term_->Table_.findLive(Run);
-    if (!Since || now() - *Since < StopExpected ||
-        std::exchange(Live->ToldRunsOn_, true))
-      return;
-    framework::log::warning("run.runs_on")
-        .field("task", Run.Task_.str())
-        .field("run", Run.Run_.value())
-        .field("worker", Row.Record_.Life_.Id_.str())
-        .field("unwanted_for_ms", sinceMs(*Since))
-        .field("job", jobs::nameOf(Term_->Table_.find(Run.Task_.Job_)->State_))
-        .field("being_stopped", Live->Stopping_ ? "yes" : "no");
-    Term_->Metrics_.counter("runs_on_total").add();
-  }
-
-  /// A run that the journal does not know of as live there: an order of an
-  /// earlier time that was carried out late.
-  void stopUnknown(const WorkerRow &Row, const jobs::RunName &Run) {
-    if (!StopsOnWay_.insert(Run).second)
-      return;
-    framework::log::warning("run.unknown")
-        .field("task", Run.Task_.str())
-        .field("run", Run.Run_.value())
-        .field("worker", Row.Record_.Life_.Id_.str());
-    framework::fibers::spawn([Self = this->shared_from_this(),
-                              Record = Row.Record_, Run] {
-      const OrderReply Reply =
-          Self->Client_.stop(Record, Run, Self->Term_->Token_, MostAnswerTime);
-      logStop(Record, Run, "the journal does not know it there", Reply);
-      Self->StopsOnWay_.erase(Run);
-    });
-  }
-
-  static void logStop(const WorkerRecord &Record, const jobs::RunName &Run,
-                      std::string_view Reason, const OrderReply &Reply) {
-    framework::log::info("run.stop")
-        .field("task", Run.Task_.str())
-        .field("run", Run.Run_.value())
-        .field("worker", Record.Life_.Id_.str())
-        .field("reason", Reason)
-        .field("result", nameOf(Reply.Result_));
-  }
-
-  /// Stops a run of a former life on the one that may have taken its start.
-  void layToRest(const WorkerRow &Row, const jobs::RunName &Run) {
-    framework::fibers::spawn([Self = this->shared_from_this(),
-                              Record = Row.Record_, Run] {
-      const OrderReply Reply =
-          Self->Client_.stop(Record, Run, Self->Term_->Token_, MostAnswerTime);
-      logStop(Record, Run, "meant for its former life", Reply);
-      if (Reply.Result_ == OrderResult::Done)
-        Self->Tracker_.stopAnsweredLater(Run, now());
-    });
-  }
-
   void endRun(const RunTracker::Ended &Item) {
     const jobs::RunName &Run = Item.Run_;
     const jobs::LiveRun *Live = Term_->Table_.find(Run);
@@ -356,9 +263,9 @@
         .field("run", Run.Run_.value())
         .field("worker", Live->On_.Id_.str())
         .field("how", jobs::nameOf(Item.Kind_))
-        .field("after_ms", sinceMs(Live->StartedAt_))
+        .field("after_ms", Term_->sinceMs(Live->StartedAt_))
         .field("by", Item.Reason_);
-    Tracker_.forget(Run);
+    Tracker_->forget(Run);
     Fillers_.forget(Run);
     Term_->Metrics_
         .counter("runs_ended_total{how=\"" +
@@ -386,7 +293,7 @@
         .field("job", Job.Spec_.Id_.str())
         .field("queue", Job.Spec_.Queue_.str())
         .field("state", jobs::nameOf(Job.State_))
-        .field("after_ms", sinceMs(Job.AcceptedAt_))
+        .field("after_ms", Term_->sinceMs(Job.AcceptedAt_))
         .field("late", Late ? "yes" : "no")
         .field("last_task", Last.str())
         .field("failures",
@@ -421,7 +328,7 @@
 
   /// Notes that the intent of a run has been staged by this holder.
   void staged(const jobs::RunName &Run) {
-    Tracker_.staged(Run);
+    Tracker_->staged(Run);
     Fillers_.started(Run);
   }
 
@@ -464,16 +371,16 @@
     for (int Attempt = 0; Attempt < StartAttempts; ++Attempt)
       if (!Term_->Table_.find(Run) || tryStart(*Row, Order, Attempt))
         break;
-    Tracker_.startFinished(Run);
+    Tracker_->startFinished(Run);
   }
 
   /// One attempt. True when no other is needed.
   bool tryStart(WorkerRow &Row, const StartOrder &Order, int Attempt) {
-    Tracker_.startSent(Order.Run_, Order.DeadlineMs_);
+    Tracker_->startSent(Order.Run_, Order.DeadlineMs_);
     const TimePoint SentAt = now();
     const OrderReply Reply =
         Client_.start(Row.Record_, Order, Row.Answers_.wait());
-    noteAnswer(Row, Reply.Result_, SentAt);
+    Row.noteAnswer(Reply.Result_, SentAt, now());
     Term_->Metrics_
         .counter("starts_total{result=\"" + std::string(nameOf(Reply.Result_)) +
                  "\"}")
@@ -487,7 +394,7 @@
       Row.heardClock(Reply.ClockMs_, now());
     logStart(Row, Order, Reply, Attempt);
     const auto Ended =
-        Tracker_.startAnswered(Run, Reply.Result_, Attempt, now());
+        Tracker_->startAnswered(Run, Reply.Result_, Attempt, now());
     if (Reply.Result_ == OrderResult::OtherLife)
       lifeOver(Row, "another life answers", true);
     const scheduling::StepName Step{Run.Task_.Job_, Run.Task_.Occurrence_,
@@ -511,74 +418,11 @@
         .field("result", nameOf(Reply.Result_));
   }
 
-  /// Sends stops of a live run, unless some are on their way.
-  void sendStops(const jobs::RunName &Run) {
-    jobs::LiveRun *Live = Term_->Table_.findLive(Run);
-    if (!Live)
-      return;
-    if (!std::exchange(Live->Stopping_, true))
-      Live->StoppingSince_ = now();
-    if (!StopsOnWay_.insert(Run).second)
-      return;
-    framework::fibers::spawn([Self = this->shared_from_this(), Run] {
-      Self->stopRun(Run);
-      Self->StopsOnWay_.erase(Run);
-    });
-  }
-
-  /// Sends the stop until it is answered or the run is over. Gives up when it
-  /// cannot leave: the worker's next report asks for it again.
-  void stopRun(const jobs::RunName &Run) {
-    while (!Term_->over()) {
-      const jobs::LiveRun *Live = Term_->Table_.find(Run);
-      if (!Live)
-        return;
-      const auto Worker = Term_->Workers_.find(Live->On_);
-      const bool Listed = Worker != Term_->Workers_.end();
-      if (!Listed || !Term_->mayOrder())
-        return logStopWaits(Run, Listed);
-      if (stopOnce(Worker->second, Run))
-        return;
-      framework::fibers::sleepFor(RetryPause);
-    }
-  }
-
-  void logStopWaits(const jobs::RunName &Run, bool Listed) const {
-    framework::log::info("run.stop_waits")
-        .field("task", Run.Task_.str())
-        .field("run", Run.Run_.value())
-        .field("worker", Term_->Table_.find(Run)->On_.Id_.str())
-        .field("reason", Listed ? "the store does not confirm the leadership"
-                                : "its worker is not listed");
-  }
-
-  /// True when no other attempt is needed.
-  bool stopOnce(WorkerRowPtr Row, const jobs::RunName &Run) {
-    const TimePoint SentAt = now();
-    const auto Since = Term_->Table_.unwantedSince(Run);
-    const OrderReply Reply =
-        Client_.stop(Row->Record_, Run, Term_->Token_, Row->Answers_.wait());
-    noteAnswer(*Row, Reply.Result_, SentAt);
-    framework::log::info("run.stop")
-        .field("task", Run.Task_.str())
-        .field("run", Run.Run_.value())
-        .field("worker", Row->Record_.Life_.Id_.str())
-        .field("unwanted_for_ms", Since ? sinceMs(*Since) : 0)
-        .field("result", nameOf(Reply.Result_));
-    if (Reply.Result_ == OrderResult::Done)
-      Tracker_.stopAnswered(Run, now());
-    if (Reply.Result_ == OrderResult::OtherLife)
-      lifeOver(*Row, "another life answers", true);
-    return Reply.Result_ == OrderResult::Done ||
-           Reply.Result_ == OrderResult::OtherLife;
-  }
-
   TermPtr Term_;
   Client &Client_;
-  RunTracker Tracker_;
+  std::shared_ptr<RunTracker> Tracker_;
+  std::shared_ptr<RunStops<Store, Client>> Stops_;
   FillerPace<Store, Client> Fillers_;
-  /// Runs for which a fiber sends stops at present.
-  std::set<jobs::RunName> StopsOnWay_;
 };
 
 } // namespace laburnumspread::cell
--- a/src/cell/term.h
+++ b/src/cell/term.h
@@ -22,6 +22,24 @@
 
   static TimePoint now() { return framework::clock::SteadyClock().now(); }
 
+  static std::int64_t sinceMs(TimePoint When) {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(now() - When)
+        .count();
+  }
+
+  /// The worker's process is gone or has started again. What it ran is for the
+  /// caller to settle.
+  void endLife(WorkerRow &Row, std::string_view Reason) {
+    if (std::exchange(Row.Over_, true))
+      return;
+    EndedLives_.emplace(Row.Record_.Life_, now());
+    framework::log::info("worker.over")
+        .field("worker", Row.Record_.Life_.Id_.str())
+        .field("born_ms", Row.Record_.Life_.BornMs_)
+        .field("reason", Reason);
+    Row.wake();
+  }
+
   bool over() const { return Over_ || !Lead_.holds(Reign_); }
 
   /// Whether orders to workers may leave.
--- a/src/cell/workertable.h
+++ b/src/cell/workertable.h
@@ -47,6 +47,9 @@
 constexpr Duration LeastAnswerTime = std::chrono::milliseconds(120);
 constexpr Duration MostAnswerTime = std::chrono::milliseconds(300);
 
+/// Before an order without an answer is sent again.
+constexpr Duration OrderRetryPause = std::chrono::milliseconds(150);
+
 /// What the holder knows of one life of a worker.
 struct WorkerRow {
   WorkerRecord Record_;
@@ -91,6 +94,15 @@
                .count();
   }
 
+  /// Learns from one call how long this worker's answers take. An answer
+  /// before \p Expected was given for an end and tells nothing.
+  void noteAnswer(OrderResult Result, TimePoint Expected, TimePoint Now) {
+    if (Result == OrderResult::Unknown)
+      Answers_.missed();
+    else if (Now >= Expected)
+      Answers_.answered(Now - Expected);
+  }
+
   void heardClock(std::int64_t Told, TimePoint Now) {
     // Answers on different connections may overtake each other.
     if (Told < ClockMs_)
