Work out the pools' demand in a module of its own, with its test

Cause: what open jobs ask of each pool was worked out inside of the machines' loops and could be tested by whole entries only.

Measured: PoolDemandTest, four cases, and all of cell_test green.

--- a/src/cell/machines.h
+++ b/src/cell/machines.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "capacity/poolplanner.h"
 #include "capacity/upkeepplanner.h"
 #include "cell/machinetable.h"
+#include "cell/pooldemand.h"
 #include "cell/sessions.h"
 #include "scheduling/scheduler.h"
 
@@ -36,10 +36,6 @@
   /// that answered later is passed over.
   static constexpr Duration ListLag = std::chrono::milliseconds(1000);
   static constexpr Duration RetryPause = std::chrono::milliseconds(400);
-  /// Jobs that were taken within this time tell how fast work comes in. About
-  /// as long as a move: a shorter one takes chance for demand, a longer one
-  /// sees a peak only when its queue has grown.
-  static constexpr Duration InflowWindow = std::chrono::milliseconds(1000);
   static constexpr Duration ReportTime = std::chrono::milliseconds(900);
   /// Orders need a leadership that the store has confirmed lately: a successor
   /// waits for the platform's lease time before its first one.
@@ -429,47 +425,13 @@
 private:
   // Moves.
 
-  std::map<PoolName, capacity::PoolDemand> demand() const {
-    std::map<PoolName, capacity::PoolDemand> Result;
-    for (const auto &[Order, Id] : Term_->Table_.open()) {
-      const jobs::JobRow &Job = *Term_->Table_.find(Id);
-      const QueueConfig *Queue = Term_->Config_.find(Job.Spec_.Queue_);
-      if (Queue)
-        addDemand(Job, *Queue, Result[Queue->Pool_]);
-    }
-    return Result;
-  }
-
-  void addDemand(const jobs::JobRow &Job, const QueueConfig &Queue,
-                 capacity::PoolDemand &Into) const {
-    if (now() - Job.AcceptedAt_ < InflowWindow)
-      Into.Coming_.add(scheduling::workOf(Job.Spec_, Term_->Learned_) /
-                       static_cast<double>(InflowWindow.count()));
-    const bool Late = now() > scheduling::dueAt(Job, Queue, Term_->Learned_);
-    for (const jobs::OccurrenceRow &Occurrence : Job.Occurrences_)
-      for (std::size_t S = 0; S < Occurrence.Steps_.size(); ++S) {
-        const jobs::StepSpec &Spec = Job.Spec_.Steps_[S];
-        const jobs::StepRow &Row = Occurrence.Steps_[S];
-        const bool Ready = std::all_of(
-            Spec.After_.begin(), Spec.After_.end(), [&](std::uint32_t Before) {
-              return Occurrence.Steps_[Before].done();
-            });
-        if (!Ready || Spec.Filler_)
-          continue;
-        const std::int64_t Cores =
-            static_cast<std::int64_t>(Row.Tasks_.size() - Row.DoneCount_) *
-            Spec.Each_.MilliCpus_;
-        (Spec.LongRunning_ ? Into.Standing_
-         : Late            ? Into.Late_
-                           : Into.Timely_) += Cores;
-      }
-  }
-
   void planMoves() {
     if (!mayOrder())
       return;
     const auto Orders = capacity::PoolPlanner().plan(
-        Table_.views(), demand(), Table_.homes(), standbyPools(), now());
+        Table_.views(),
+        demandOf(Term_->Table_, Term_->Config_, Term_->Learned_, now()),
+        Table_.homes(), standbyPools(), now());
     for (const capacity::MoveOrder &Order : Orders)
       orderMove(Order);
   }
--- /dev/null
+++ b/src/cell/tests/pooldemandtest.cpp
@@ -0,0 +1,94 @@
+#include "cell/pooldemand.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace laburnumspread::cell {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+const TimePoint Start(std::chrono::hours(1));
+const PoolName Kitchen("kitchen");
+constexpr std::int64_t Each = 500;
+
+/// A cell with one queue, whose jobs are late an hour after they have come.
+struct Fixture {
+  Fixture() {
+    QueueConfig Queue;
+    Queue.Name_ = QueueName("orders");
+    Queue.Pool_ = Kitchen;
+    Queue.AimLatency_ = std::chrono::hours(1);
+    Config_.Queues_ = {Queue};
+  }
+
+  static jobs::StepSpec step(std::uint32_t Count) {
+    jobs::StepSpec Result;
+    Result.Count_ = Count;
+    Result.Each_.MilliCpus_ = Each;
+    return Result;
+  }
+
+  void accept(const std::string &Id, const std::vector<jobs::StepSpec> &Steps,
+              const std::string &Queue = "orders") {
+    jobs::JobAccepted Item;
+    Item.Spec_.Id_ = jobs::JobId(Id);
+    Item.Spec_.Queue_ = QueueName(Queue);
+    Item.Spec_.Steps_ = Steps;
+    Table_.apply(Item, Start);
+  }
+
+  capacity::PoolDemand demand(Duration After) {
+    return demandOf(Table_, Config_, Learned_, Start + After)[Kitchen];
+  }
+
+  jobs::CellTable Table_;
+  CellConfig Config_;
+  scheduling::Estimates Learned_;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(PoolDemandTest, Fixture)
+
+BOOST_AUTO_TEST_CASE(StandingTimelyAndLateWorkAreToldApart) {
+  jobs::StepSpec Standing = step(3);
+  Standing.LongRunning_ = true;
+  accept("a", {Standing});
+  accept("b", {step(2)});
+  BOOST_TEST(demand(10min).Standing_ == 3 * Each);
+  BOOST_TEST(demand(10min).Timely_ == 2 * Each);
+  BOOST_TEST(demand(10min).Late_ == 0);
+  BOOST_TEST(demand(24h).Timely_ == 0);
+  BOOST_TEST(demand(24h).Late_ == 2 * Each);
+}
+
+BOOST_AUTO_TEST_CASE(FillersAndStepsThatWaitAskForNothing) {
+  jobs::StepSpec Filler = step(7);
+  Filler.Filler_ = true;
+  jobs::StepSpec Second = step(5);
+  Second.After_ = {0};
+  accept("a", {step(1), Second, Filler});
+  BOOST_TEST(demand(10min).Timely_ == Each);
+}
+
+BOOST_AUTO_TEST_CASE(JobsOfARemovedQueueAskForNothing) {
+  accept("a", {step(4)}, "removed");
+  BOOST_TEST(demandOf(Table_, Config_, Learned_, Start).empty());
+}
+
+// One large job foretells nothing; only many small ones count as inflow, and
+// only while they are new.
+BOOST_AUTO_TEST_CASE(InflowIsOfTheJobsThatHaveJustCome) {
+  for (int I = 0; I < 50; ++I) {
+    jobs::StepSpec Small = step(1);
+    Small.Estimate_ = 1s;
+    accept("j" + std::to_string(I), {Small});
+  }
+  BOOST_TEST(demand(0s).Coming_.likely() > 0);
+  BOOST_TEST(demand(InflowWindow).Coming_.likely() == 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace laburnumspread::cell
