Count memory in what a pool asks for, and bring a machine where a standing task fits nowhere

The pool planner counted processor time alone. After an evacuation the pool had two machines, 1.6 of them in use by processor time and both full by memory, and gave the rest to a peak elsewhere. Ruled out: limits, affinity and the worker's state; the task started when a third machine came. Change: demand in all resources; a waiting standing task that no machine of the pool has room for in one piece asks for one machine more, unless one is coming or none would hold it. The planner is cut into the steps of one pass. Late demand was asked for and never used: gone. Tests: PoolKeepsTheMemoryThatItNeeds (red with memory left out), TaskThatLastsAndFitsNowhereBringsAMachine (red before its rule).

--- a/src/capacity/capacitytypes.h
+++ b/src/capacity/capacitytypes.h
@@ -28,6 +28,8 @@
   bool Busy_ = false;
   /// An earlier holder may have ordered it lately: no order before this.
   TimePoint NoOrderBefore_{};
+  /// What its worker has been given, of its room.
+  Resources Used_;
   /// Tasks that end by themselves, and tasks that last.
   std::size_t FiniteRuns_ = 0;
   std::vector<jobs::RunName> StandingRuns_;
@@ -35,6 +37,7 @@
   TimePoint IdleSince_{};
 
   bool idle() const { return FiniteRuns_ == 0 && StandingRuns_.empty(); }
+  Resources free() const { return Record_.Room_ - Used_; }
 };
 
 } // namespace laburnumspread::capacity
--- a/src/capacity/internal/poolplanner.cpp
+++ b/src/capacity/internal/poolplanner.cpp
@@ -11,7 +11,7 @@
 struct PoolRow {
   std::size_t Have_ = 0;
   std::size_t Need_ = 0;
-  std::int64_t RoomEach_ = 0;
+  Resources RoomEach_;
   std::vector<const MachineView *> Idle_;
 
   std::size_t deficit() const { return Need_ > Have_ ? Need_ - Have_ : 0; }
@@ -20,116 +20,196 @@
   }
 };
 
-std::size_t machinesFor(const PoolDemand &Demand, std::int64_t RoomEach) {
-  if (RoomEach <= 0)
+/// How many machines hold \p Wanted when each holds \p Each.
+std::size_t machinesToHold(std::int64_t Wanted, std::int64_t Each) {
+  if (Each <= 0)
     return 0;
-  const std::int64_t Finite = std::max(Demand.Timely_, Demand.Coming_.likely());
-  const double Cores = static_cast<double>(Demand.Standing_ + Finite);
   return static_cast<std::size_t>(
-      std::ceil(Cores / (PoolPlanner::Fill * static_cast<double>(RoomEach))));
+      std::ceil(static_cast<double>(Wanted) /
+                (PoolPlanner::Fill * static_cast<double>(Each))));
 }
 
-} // namespace
+std::size_t machinesFor(const PoolDemand &Demand, const Resources &Each) {
+  Resources Wanted = Demand.Standing_ + Demand.Timely_;
+  Wanted.MilliCpus_ = std::max(Wanted.MilliCpus_, Demand.Standing_.MilliCpus_ +
+                                                      Demand.Coming_.likely());
+  return std::max({machinesToHold(Wanted.MilliCpus_, Each.MilliCpus_),
+                   machinesToHold(Wanted.MemoryMb_, Each.MemoryMb_),
+                   machinesToHold(Wanted.Accelerators_, Each.Accelerators_)});
+}
 
-std::vector<MoveOrder>
-PoolPlanner::plan(const std::map<MachineId, MachineView> &Machines,
-                  const std::map<PoolName, PoolDemand> &Demand,
-                  const std::map<MachineId, PoolName> &Homes,
-                  const std::set<PoolName> &Standby, TimePoint Now) const {
-  std::map<PoolName, PoolRow> Pools;
-  std::vector<const MachineView *> Off;
-  std::int64_t AnyRoom = 0;
-  for (const auto &[Id, Machine] : Machines) {
+/// One pass: the pools as they are, and the orders that follow.
+class Pass {
+public:
+  Pass(const std::map<MachineId, MachineView> &Machines,
+       const std::map<MachineId, PoolName> &Homes,
+       const std::set<PoolName> &Standby, TimePoint Now)
+      : Machines_(Machines), Homes_(Homes), Standby_(Standby), Now_(Now) {
+    for (const auto &[Id, Machine] : Machines)
+      add(Machine);
+  }
+
+  void ask(const PoolName &Pool, const PoolDemand &Wanted) {
+    if (Standby_.contains(Pool))
+      return;
+    PoolRow &Row = Pools_[Pool];
+    if (Row.RoomEach_ == Resources())
+      Row.RoomEach_ = AnyRoom_;
+    Row.Need_ = machinesFor(Wanted, Row.RoomEach_);
+    if (waitsInVain(Pool, Row, Wanted.WaitingStanding_))
+      Row.Need_ = std::max(Row.Need_, Row.Have_ + 1);
+  }
+
+  /// The pools with the largest lack come first.
+  void fillLacks() {
+    std::vector<std::pair<std::size_t, PoolName>> Lacking;
+    for (const auto &[Pool, Row] : Pools_)
+      if (Row.deficit() > 0)
+        Lacking.emplace_back(Row.deficit(), Pool);
+    std::sort(Lacking.rbegin(), Lacking.rend());
+    for (const auto &[Lack, To] : Lacking)
+      fill(To, Lack);
+  }
+
+  /// What was switched on for a peak is switched off again after it.
+  void switchOff() {
+    for (const auto &[Pool, Row] : Pools_) {
+      std::size_t Extra = Row.surplus(PoolPlanner::Spare);
+      for (const MachineView *Machine : Row.Idle_) {
+        if (Extra == 0)
+          break;
+        if (Taken_.contains(Machine->Record_.Id_) ||
+            !Standby_.contains(homeOf(*Machine)) ||
+            Now_ - Machine->IdleSince_ < PoolPlanner::ReturnAfter)
+          continue;
+        give(*Machine, homeOf(*Machine));
+        --Extra;
+      }
+    }
+  }
+
+  std::vector<MoveOrder> orders() && { return std::move(Orders_); }
+
+private:
+  /// A machine that may be given to another pool; the lowest goes first.
+  struct Donor {
+    /// Away from home, then off, then at home.
+    int Class_ = 0;
+    std::int64_t Rank_ = 0;
+    const MachineView *Machine_ = nullptr;
+  };
+
+  void add(const MachineView &Machine) {
     const PoolName &Pool = Machine.Record_.Pool_;
-    if (Standby.contains(Pool)) {
-      if (!Machine.Busy_ && !Machine.HeldBack_ &&
-          Now >= Machine.NoOrderBefore_ &&
-          Machine.Record_.State_ == MachineState::Up)
-        Off.push_back(&Machine);
-      continue;
+    const bool Free =
+        !Machine.Busy_ && !Machine.HeldBack_ && Now_ >= Machine.NoOrderBefore_;
+    if (Standby_.contains(Pool)) {
+      if (Free && Machine.Record_.State_ == MachineState::Up)
+        Off_.push_back(&Machine);
+      return;
     }
-    PoolRow &Row = Pools[Pool];
-    Row.RoomEach_ = std::max(Row.RoomEach_, Machine.Record_.Room_.MilliCpus_);
-    AnyRoom = std::max(AnyRoom, Row.RoomEach_);
+    PoolRow &Row = Pools_[Pool];
+    Row.RoomEach_ = std::max(Row.RoomEach_, Machine.Record_.Room_);
+    AnyRoom_ = std::max(AnyRoom_, Row.RoomEach_);
     if (Machine.HeldBack_)
-      continue;
+      return;
     ++Row.Have_;
-    if (Machine.Usable_ && !Machine.Busy_ && Machine.idle() &&
-        Now >= Machine.NoOrderBefore_ && Now - Machine.IdleSince_ >= SettleTime)
+    if (Free && Machine.Usable_ && Machine.idle() &&
+        Now_ - Machine.IdleSince_ >= PoolPlanner::SettleTime)
       Row.Idle_.push_back(&Machine);
   }
-  for (const auto &[Pool, Wanted] : Demand) {
-    if (Standby.contains(Pool))
-      continue;
-    PoolRow &Row = Pools[Pool];
-    Row.Need_ =
-        machinesFor(Wanted, Row.RoomEach_ > 0 ? Row.RoomEach_ : AnyRoom);
+
+  /// Whether a task that lasts waits though the pool has all that it asks for:
+  /// no machine has room for it in one piece, and none is coming.
+  bool waitsInVain(const PoolName &Pool, const PoolRow &Row,
+                   const Resources &Waiting) const {
+    if (Waiting == Resources() || !Waiting.fitsInto(Row.RoomEach_))
+      return false;
+    return std::none_of(
+        Machines_.begin(), Machines_.end(), [&](const auto &Item) {
+          const MachineView &Machine = Item.second;
+          if (Machine.Record_.Pool_ != Pool || Machine.HeldBack_)
+            return false;
+          const bool Coming = Machine.Busy_ || Now_ - Machine.IdleSince_ <
+                                                   PoolPlanner::SettleTime;
+          return (Coming && Machine.idle()) ||
+                 (Machine.Usable_ && Waiting.fitsInto(Machine.free()));
+        });
   }
-  const auto Home = [&](const MachineView &Machine) {
-    const auto Found = Homes.find(Machine.Record_.Id_);
-    return Found == Homes.end() ? Machine.Record_.Pool_ : Found->second;
-  };
-  std::vector<MoveOrder> Orders;
-  std::set<MachineId> Taken;
-  const auto Give = [&](const MachineView &Machine, const PoolName &To) {
-    Orders.push_back({Machine.Record_.Id_, To});
-    Taken.insert(Machine.Record_.Id_);
-  };
-  // The pools with the largest lack come first.
-  std::vector<std::pair<std::size_t, PoolName>> Lacking;
-  for (const auto &[Pool, Row] : Pools)
-    if (Row.deficit() > 0)
-      Lacking.emplace_back(Row.deficit(), Pool);
-  std::sort(Lacking.rbegin(), Lacking.rend());
-  for (const auto &[Lack, To] : Lacking) {
-    std::vector<std::tuple<int, std::int64_t, const MachineView *>> Donors;
-    for (const auto &[Pool, Row] : Pools) {
-      if (Pool == To || Row.deficit() > 0)
-        continue;
-      for (const MachineView *Machine : Row.Idle_)
-        if (!Taken.contains(Machine->Record_.Id_))
-          Donors.emplace_back(Home(*Machine) == Pool ? 2 : 0,
-                              -static_cast<std::int64_t>(Row.surplus(Spare)),
-                              Machine);
-    }
-    for (const MachineView *Machine : Off)
-      if (!Taken.contains(Machine->Record_.Id_))
-        Donors.emplace_back(1, 0, Machine);
-    // Stable: equal donors stay in the order of their names, so that the same
-    // tables give the same orders.
-    std::stable_sort(Donors.begin(), Donors.end(),
-                     [](const auto &A, const auto &B) {
-                       return std::tie(std::get<0>(A), std::get<1>(A)) <
-                              std::tie(std::get<0>(B), std::get<1>(B));
-                     });
-    std::size_t Left = Lack;
-    for (const auto &[Class, Rank, Machine] : Donors) {
-      if (Left == 0)
-        break;
-      const auto From = Pools.find(Machine->Record_.Pool_);
-      if (From != Pools.end()) {
-        if (From->second.surplus(Spare) == 0)
+
+  void fill(const PoolName &To, std::size_t Lack) {
+    for (const Donor &Item : donorsFor(To)) {
+      if (Lack == 0)
+        return;
+      const auto From = Pools_.find(Item.Machine_->Record_.Pool_);
+      if (From != Pools_.end()) {
+        if (From->second.surplus(PoolPlanner::Spare) == 0)
           continue;
         --From->second.Have_;
       }
-      Give(*Machine, To);
-      --Left;
+      give(*Item.Machine_, To);
+      --Lack;
     }
   }
-  // What was switched on for a peak is switched off again after it.
-  for (const auto &[Pool, Row] : Pools) {
-    std::size_t Extra = Row.surplus(Spare);
-    for (const MachineView *Machine : Row.Idle_) {
-      if (Extra == 0 || Taken.contains(Machine->Record_.Id_))
-        continue;
-      const PoolName From = Home(*Machine);
-      if (!Standby.contains(From) || Now - Machine->IdleSince_ < ReturnAfter)
+
+  std::vector<Donor> donorsFor(const PoolName &To) const {
+    std::vector<Donor> Donors;
+    for (const auto &[Pool, Row] : Pools_) {
+      if (Pool == To || Row.deficit() > 0)
         continue;
-      Give(*Machine, From);
-      --Extra;
+      for (const MachineView *Machine : Row.Idle_)
+        if (!Taken_.contains(Machine->Record_.Id_))
+          Donors.push_back(
+              {homeOf(*Machine) == Pool ? 2 : 0,
+               -static_cast<std::int64_t>(Row.surplus(PoolPlanner::Spare)),
+               Machine});
     }
+    for (const MachineView *Machine : Off_)
+      if (!Taken_.contains(Machine->Record_.Id_))
+        Donors.push_back({1, 0, Machine});
+    // Stable: equal donors stay in the order of their names, so that the same
+    // tables give the same orders.
+    std::stable_sort(
+        Donors.begin(), Donors.end(), [](const Donor &A, const Donor &B) {
+          return std::tie(A.Class_, A.Rank_) < std::tie(B.Class_, B.Rank_);
+        });
+    return Donors;
+  }
+
+  void give(const MachineView &Machine, const PoolName &To) {
+    Orders_.push_back({Machine.Record_.Id_, To});
+    Taken_.insert(Machine.Record_.Id_);
   }
-  return Orders;
+
+  PoolName homeOf(const MachineView &Machine) const {
+    const auto Found = Homes_.find(Machine.Record_.Id_);
+    return Found == Homes_.end() ? Machine.Record_.Pool_ : Found->second;
+  }
+
+  const std::map<MachineId, MachineView> &Machines_;
+  const std::map<MachineId, PoolName> &Homes_;
+  const std::set<PoolName> &Standby_;
+  TimePoint Now_;
+  std::map<PoolName, PoolRow> Pools_;
+  std::vector<const MachineView *> Off_;
+  Resources AnyRoom_;
+  std::vector<MoveOrder> Orders_;
+  std::set<MachineId> Taken_;
+};
+
+} // namespace
+
+std::vector<MoveOrder>
+PoolPlanner::plan(const std::map<MachineId, MachineView> &Machines,
+                  const std::map<PoolName, PoolDemand> &Demand,
+                  const std::map<MachineId, PoolName> &Homes,
+                  const std::set<PoolName> &Standby, TimePoint Now) const {
+  Pass Planned(Machines, Homes, Standby, Now);
+  for (const auto &[Pool, Wanted] : Demand)
+    Planned.ask(Pool, Wanted);
+  Planned.fillLacks();
+  Planned.switchOff();
+  return std::move(Planned).orders();
 }
 
 } // namespace laburnumspread::capacity
--- a/src/capacity/poolplanner.h
+++ b/src/capacity/poolplanner.h
@@ -29,14 +29,15 @@
   double Squares_ = 0;
 };
 
-/// What a pool's queues ask for now, in thousandths of a core.
+/// What a pool's queues ask for now.
 struct PoolDemand {
   /// Tasks that last, running or waiting.
-  std::int64_t Standing_ = 0;
+  Resources Standing_;
   /// Finite tasks that run, or could run and wait, of jobs that can be in time.
-  std::int64_t Timely_ = 0;
-  /// The same of jobs that are late already.
-  std::int64_t Late_ = 0;
+  Resources Timely_;
+  /// A worker with this room could take any of the tasks that last and wait;
+  /// empty when none waits.
+  Resources WaitingStanding_;
   /// Finite tasks of jobs that have come lately, waiting or not.
   Inflow Coming_;
 };
--- a/src/capacity/tests/poolplannertest.cpp
+++ b/src/capacity/tests/poolplannertest.cpp
@@ -49,7 +49,7 @@
   add("a", Hot);
   for (const char *Name : {"b", "c", "d"})
     add(Name, Cold);
-  Demand_[Hot].Timely_ = 2 * 14000;
+  Demand_[Hot].Timely_.MilliCpus_ = 2 * 14000;
   const auto Orders = plan();
   BOOST_REQUIRE(Orders.size() == 1u);
   BOOST_TEST(Orders[0].To_ == Hot);
@@ -61,7 +61,7 @@
   for (const char *Name : {"b", "c", "d"})
     add(Name, Cold);
   add("o", Off);
-  Demand_[Hot].Timely_ = 5 * 14000;
+  Demand_[Hot].Timely_.MilliCpus_ = 5 * 14000;
   for (const char *Name : {"b", "o"})
     Machines_[MachineId(Name)].NoOrderBefore_ = Start + 1ms;
   const auto Orders = plan();
@@ -87,7 +87,7 @@
   add("a", Hot);
   for (const char *Name : {"b", "c", "d", "e"})
     add(Name, Cold);
-  Demand_[Hot].Timely_ = 4000;
+  Demand_[Hot].Timely_.MilliCpus_ = 4000;
   for (int I = 0; I < 100; ++I)
     Demand_[Hot].Coming_.add(600);
   BOOST_TEST(plan().size() == 3u);
@@ -99,7 +99,7 @@
     add(Name, Cold);
     Machines_[MachineId(Name)].FiniteRuns_ = 1;
   }
-  Demand_[Hot].Timely_ = 4 * 14000;
+  Demand_[Hot].Timely_.MilliCpus_ = 4 * 14000;
   BOOST_TEST(plan().empty());
 }
 
@@ -107,11 +107,52 @@
   add("a", Hot);
   for (const char *Name : {"b", "c", "d"})
     add(Name, Cold);
-  Demand_[Hot].Timely_ = 9 * 14000;
-  Demand_[Cold].Standing_ = 14000;
+  Demand_[Hot].Timely_.MilliCpus_ = 9 * 14000;
+  Demand_[Cold].Standing_.MilliCpus_ = 14000;
   BOOST_TEST(plan().size() == 1u);
 }
 
+// Tasks that last wait in a pool whose machines went to a peak elsewhere: their
+// processor time fitted into the rest, their memory did not.
+BOOST_AUTO_TEST_CASE(PoolKeepsTheMemoryThatItNeeds) {
+  add("a", Hot);
+  for (const char *Name : {"b", "c", "d", "e"})
+    add(Name, Cold);
+  Demand_[Hot].Timely_.MilliCpus_ = 9 * 14000;
+  Demand_[Cold].Standing_ = {14000, 3 * 30000, 0};
+  BOOST_TEST(plan().empty());
+}
+
+// A task that lasts stays away while all of its pool's machines have some room,
+// none enough for it, and together more than the pool asks for.
+BOOST_AUTO_TEST_CASE(TaskThatLastsAndFitsNowhereBringsAMachine) {
+  for (const char *Name : {"a", "b"}) {
+    add(Name, Hot);
+    Machines_[MachineId(Name)].FiniteRuns_ = 1;
+    Machines_[MachineId(Name)].Used_ = {9000, 1000, 0};
+  }
+  for (const char *Name : {"c", "d", "e"})
+    add(Name, Cold);
+  Demand_[Hot].Standing_.MilliCpus_ = 8000;
+  Demand_[Hot].WaitingStanding_ = {8000, 1000, 0};
+  BOOST_REQUIRE(plan().size() == 1u);
+  BOOST_TEST(plan()[0].To_ == Hot);
+  Machines_[MachineId("c")].Record_.Pool_ = Hot;
+  Machines_[MachineId("c")].Usable_ = false;
+  Machines_[MachineId("c")].Busy_ = true;
+  BOOST_TEST(plan().empty());
+}
+
+// No machine would do: each pass would send one more.
+BOOST_AUTO_TEST_CASE(TaskThatNoMachineHoldsBringsNone) {
+  add("a", Hot);
+  Machines_[MachineId("a")].FiniteRuns_ = 1;
+  for (const char *Name : {"c", "d", "e"})
+    add(Name, Cold);
+  Demand_[Hot].WaitingStanding_ = {17000, 1000, 0};
+  BOOST_TEST(plan().empty());
+}
+
 // A machine that was on its way to the pool counts as there, or each pass
 // would send more until the first has arrived.
 BOOST_AUTO_TEST_CASE(MachinesOnTheirWayCount) {
@@ -121,7 +162,7 @@
   Machines_[MachineId("b")].Usable_ = false;
   add("c", Cold);
   add("d", Cold);
-  Demand_[Hot].Timely_ = 2 * 14000;
+  Demand_[Hot].Timely_.MilliCpus_ = 2 * 14000;
   BOOST_TEST(plan().empty());
 }
 
--- a/src/cell/internal/pooldemand.cpp
+++ b/src/cell/internal/pooldemand.cpp
@@ -14,20 +14,46 @@
       [&](std::uint32_t Before) { return Occurrence.Steps_[Before].done(); });
 }
 
-std::int64_t openCores(const jobs::StepRow &Row, const jobs::StepSpec &Spec) {
-  return static_cast<std::int64_t>(Row.Tasks_.size() - Row.DoneCount_) *
-         Spec.Each_.MilliCpus_;
+Resources openOf(const jobs::StepRow &Row, const jobs::StepSpec &Spec) {
+  const auto Tasks =
+      static_cast<std::int64_t>(Row.Tasks_.size() - Row.DoneCount_);
+  return {Tasks * Spec.Each_.MilliCpus_, Tasks * Spec.Each_.MemoryMb_,
+          Tasks * Spec.Each_.Accelerators_};
 }
 
-void addSteps(const jobs::JobRow &Job, bool Late, capacity::PoolDemand &Into) {
+bool waits(const jobs::StepRow &Row, TimePoint Now) {
+  return std::any_of(Row.Tasks_.begin(), Row.Tasks_.end(),
+                     [&](const jobs::TaskRow &Task) {
+                       return Task.idle() && Task.NotBefore_ <= Now;
+                     });
+}
+
+/// The least room into which both fit, each by itself.
+Resources larger(const Resources &A, const Resources &B) {
+  return {std::max(A.MilliCpus_, B.MilliCpus_),
+          std::max(A.MemoryMb_, B.MemoryMb_),
+          std::max(A.Accelerators_, B.Accelerators_)};
+}
+
+void addStanding(const jobs::StepRow &Row, const jobs::StepSpec &Spec,
+                 TimePoint Now, capacity::PoolDemand &Into) {
+  Into.Standing_ += openOf(Row, Spec);
+  if (waits(Row, Now))
+    Into.WaitingStanding_ = larger(Into.WaitingStanding_, Spec.Each_);
+}
+
+void addSteps(const jobs::JobRow &Job, bool Late, TimePoint Now,
+              capacity::PoolDemand &Into) {
   for (const jobs::OccurrenceRow &Occurrence : Job.Occurrences_)
     for (std::size_t S = 0; S < Occurrence.Steps_.size(); ++S) {
       const jobs::StepSpec &Spec = Job.Spec_.Steps_[S];
+      const jobs::StepRow &Row = Occurrence.Steps_[S];
       if (Spec.Filler_ || !ready(Occurrence, Spec))
         continue;
-      (Spec.LongRunning_ ? Into.Standing_
-       : Late            ? Into.Late_
-              : Into.Timely_) += openCores(Occurrence.Steps_[S], Spec);
+      if (Spec.LongRunning_)
+        addStanding(Row, Spec, Now, Into);
+      else if (!Late)
+        Into.Timely_ += openOf(Row, Spec);
     }
 }
 
@@ -46,7 +72,7 @@
     if (Now - Job.AcceptedAt_ < InflowWindow)
       Into.Coming_.add(scheduling::workOf(Job.Spec_, Learned) /
                        static_cast<double>(InflowWindow.count()));
-    addSteps(Job, Now > scheduling::dueAt(Job, *Queue, Learned), Into);
+    addSteps(Job, Now > scheduling::dueAt(Job, *Queue, Learned), Now, Into);
   }
   return Result;
 }
--- a/src/cell/machines.h
+++ b/src/cell/machines.h
@@ -218,6 +218,7 @@
     for (auto &[Id, View] : Table_.views()) {
       View.Usable_ = false;
       View.Busy_ = Table_.busy(Id);
+      View.Used_ = Resources();
       View.FiniteRuns_ = 0;
       View.StandingRuns_.clear();
     }
@@ -231,6 +232,7 @@
       if (!Use)
         continue;
       View.IdleSince_ = now();
+      View.Used_ += Use->Used_;
       for (const jobs::RunName &Run : Use->Runs_) {
         const jobs::StepSpec *Step = Term_->Table_.specOf(Run.Task_);
         if (Step && Step->LongRunning_)
--- a/src/cell/tests/pooldemandtest.cpp
+++ b/src/cell/tests/pooldemandtest.cpp
@@ -51,16 +51,41 @@
 
 BOOST_FIXTURE_TEST_SUITE(PoolDemandTest, Fixture)
 
-BOOST_AUTO_TEST_CASE(StandingTimelyAndLateWorkAreToldApart) {
+BOOST_AUTO_TEST_CASE(StandingAndTimelyWorkAreToldApart) {
   jobs::StepSpec Standing = step(3);
   Standing.LongRunning_ = true;
   accept("a", {Standing});
   accept("b", {step(2)});
-  BOOST_TEST(demand(10min).Standing_ == 3 * Each);
-  BOOST_TEST(demand(10min).Timely_ == 2 * Each);
-  BOOST_TEST(demand(10min).Late_ == 0);
-  BOOST_TEST(demand(24h).Timely_ == 0);
-  BOOST_TEST(demand(24h).Late_ == 2 * Each);
+  BOOST_TEST(demand(10min).Standing_.MilliCpus_ == 3 * Each);
+  BOOST_TEST(demand(10min).Timely_.MilliCpus_ == 2 * Each);
+  BOOST_TEST(demand(24h).Standing_.MilliCpus_ == 3 * Each);
+  BOOST_TEST(demand(24h).Timely_.MilliCpus_ == 0);
+}
+
+BOOST_AUTO_TEST_CASE(MemoryIsAskedForToo) {
+  jobs::StepSpec Standing = step(3);
+  Standing.LongRunning_ = true;
+  Standing.Each_.MemoryMb_ = 4000;
+  accept("a", {Standing});
+  BOOST_TEST(demand(0s).Standing_.MemoryMb_ == 12000);
+}
+
+BOOST_AUTO_TEST_CASE(RoomForEachTaskThatLastsAndWaits) {
+  jobs::StepSpec Wide = step(1), Deep = step(1), Finite = step(1);
+  Wide.LongRunning_ = Deep.LongRunning_ = true;
+  Wide.Each_ = {4000, 100, 0};
+  Deep.Each_ = {1000, 900, 0};
+  Finite.Each_ = {9000, 9000, 0};
+  accept("a", {Wide});
+  accept("b", {Deep});
+  accept("c", {Finite});
+  const jobs::Resources Both{4000, 900, 0};
+  BOOST_TEST((demand(0s).WaitingStanding_ == Both));
+  jobs::RunIntended Start1;
+  Start1.Run_ = {{jobs::JobId("a"), 0, 0, 0}, jobs::RunNumber(1)};
+  Start1.On_ = {jobs::WorkerId("w"), 1};
+  Table_.apply(Start1, Start);
+  BOOST_TEST((demand(0s).WaitingStanding_ == Deep.Each_));
 }
 
 BOOST_AUTO_TEST_CASE(FillersAndStepsThatWaitAskForNothing) {
@@ -69,7 +94,7 @@
   jobs::StepSpec Second = step(5);
   Second.After_ = {0};
   accept("a", {step(1), Second, Filler});
-  BOOST_TEST(demand(10min).Timely_ == Each);
+  BOOST_TEST(demand(10min).Timely_.MilliCpus_ == Each);
 }
 
 BOOST_AUTO_TEST_CASE(JobsOfARemovedQueueAskForNothing) {
