Send machines for what will be asked when they come

Ruled out: time from the order to the first task (1.50 s, the platform's own, mean of 25 moves). Change: the inflow of the last second less that of the second before, one standard deviation off, counts one and a half times on top of the demand. Jobs that are done already count in the inflow too. Tests: MachinesAreSentForWhatWillBeAskedWhenTheyCome (red with RiseAhead 0), RiseByChanceIsNone, InflowCountsJobsThatAreDone.

--- a/src/capacity/internal/poolplanner.cpp
+++ b/src/capacity/internal/poolplanner.cpp
@@ -29,10 +29,17 @@
                 (PoolPlanner::Fill * static_cast<double>(Each))));
 }
 
+std::int64_t riseUntilAMachineComes(const PoolDemand &Demand) {
+  return static_cast<std::int64_t>(
+      PoolPlanner::RiseAhead *
+      static_cast<double>(Demand.Coming_.riseSince(Demand.CameBefore_)));
+}
+
 std::size_t machinesFor(const PoolDemand &Demand, const Resources &Each) {
   Resources Wanted = Demand.Standing_ + Demand.Timely_;
   Wanted.MilliCpus_ = std::max(Wanted.MilliCpus_, Demand.Standing_.MilliCpus_ +
-                                                      Demand.Coming_.likely());
+                                                      Demand.Coming_.likely()) +
+                      riseUntilAMachineComes(Demand);
   return std::max({machinesToHold(Wanted.MilliCpus_, Each.MilliCpus_),
                    machinesToHold(Wanted.MemoryMb_, Each.MemoryMb_),
                    machinesToHold(Wanted.Accelerators_, Each.Accelerators_)});
--- a/src/capacity/poolplanner.h
+++ b/src/capacity/poolplanner.h
@@ -24,6 +24,14 @@
     return static_cast<std::int64_t>(std::max(0.0, Sum_ - std::sqrt(Squares_)));
   }
 
+  /// By how much it has surely grown since \p Before, a time of the same
+  /// length: one standard deviation below the difference.
+  std::int64_t riseSince(const Inflow &Before) const {
+    const double Chance = std::sqrt(Squares_ + Before.Squares_);
+    return static_cast<std::int64_t>(
+        std::max(0.0, Sum_ - Before.Sum_ - Chance));
+  }
+
 private:
   double Sum_ = 0;
   double Squares_ = 0;
@@ -38,8 +46,10 @@
   /// A worker with this room could take any of the tasks that last and wait;
   /// empty when none waits.
   Resources WaitingStanding_;
-  /// Finite tasks of jobs that have come lately, waiting or not.
+  /// Finite tasks of jobs that have come lately, waiting or not, and of those
+  /// that came as long a time before.
   Inflow Coming_;
+  Inflow CameBefore_;
 };
 
 struct MoveOrder {
@@ -61,6 +71,10 @@
   static constexpr std::size_t Spare = 1;
   /// Part of a worker's room that tasks of mixed sizes fill.
   static constexpr double Fill = 0.92;
+  /// A rise of the inflow counts this many times: a machine that is sent for
+  /// now comes after a time one and a half times as long as that over which the
+  /// inflow is measured, and the queue has grown with it by then.
+  static constexpr double RiseAhead = 1.5;
   /// An idle machine may leave its pool after this.
   static constexpr Duration SettleTime = std::chrono::milliseconds(300);
   /// A machine of the standby pool goes back there when it has been idle this
--- a/src/capacity/tests/poolplannertest.cpp
+++ b/src/capacity/tests/poolplannertest.cpp
@@ -93,6 +93,28 @@
   BOOST_TEST(plan().size() == 3u);
 }
 
+// Callers wait all through the rise of a peak: machines were sent for by what
+// was asked at that moment, and more was asked by the time they came.
+BOOST_AUTO_TEST_CASE(MachinesAreSentForWhatWillBeAskedWhenTheyCome) {
+  add("a", Hot);
+  for (const char *Name : {"b", "c", "d", "e", "f", "g", "h"})
+    add(Name, Cold);
+  Demand_[Hot].Timely_.MilliCpus_ = 14000;
+  for (int I = 0; I < 40; ++I)
+    Demand_[Hot].Coming_.add(700);
+  BOOST_TEST(plan().size() == 4u);
+  Demand_[Hot].CameBefore_ = Demand_[Hot].Coming_;
+  BOOST_TEST(plan().size() == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(RiseByChanceIsNone) {
+  Inflow Before, Now;
+  Before.add(1000);
+  Now.add(1000);
+  Now.add(1000);
+  BOOST_TEST(Now.riseSince(Before) == 0);
+}
+
 BOOST_AUTO_TEST_CASE(BusyMachinesStay) {
   add("a", Hot);
   for (const char *Name : {"b", "c", "d"}) {
--- a/src/cell/internal/pooldemand.cpp
+++ b/src/cell/internal/pooldemand.cpp
@@ -57,6 +57,18 @@
     }
 }
 
+/// Counts the job to what comes in now, or came in before, by its age. What
+/// was cancelled needs nothing.
+void addInflow(const jobs::JobRow &Job, const scheduling::Estimates &Learned,
+               TimePoint Now, capacity::PoolDemand &Into) {
+  const Duration Age = Now - Job.AcceptedAt_;
+  if (Age >= 2 * InflowWindow || Job.State_ == jobs::JobState::Cancelled)
+    return;
+  capacity::Inflow &Of = Age < InflowWindow ? Into.Coming_ : Into.CameBefore_;
+  Of.add(scheduling::workOf(Job.Spec_, Learned) /
+         static_cast<double>(InflowWindow.count()));
+}
+
 } // namespace
 
 std::map<PoolName, capacity::PoolDemand>
@@ -69,11 +81,14 @@
     if (!Queue)
       continue;
     capacity::PoolDemand &Into = Result[Queue->Pool_];
-    if (Now - Job.AcceptedAt_ < InflowWindow)
-      Into.Coming_.add(scheduling::workOf(Job.Spec_, Learned) /
-                       static_cast<double>(InflowWindow.count()));
+    addInflow(Job, Learned, Now, Into);
     addSteps(Job, Now > scheduling::dueAt(Job, *Queue, Learned), Now, Into);
   }
+  // Short jobs are done before their wave of arrivals has passed.
+  for (const jobs::JobId &Id : Table.endedSince(Now - 2 * InflowWindow))
+    if (const jobs::JobRow *Job = Table.find(Id))
+      if (const QueueConfig *Queue = Config.find(Job->Spec_.Queue_))
+        addInflow(*Job, Learned, Now, Result[Queue->Pool_]);
   return Result;
 }
 
--- a/src/cell/tests/pooldemandtest.cpp
+++ b/src/cell/tests/pooldemandtest.cpp
@@ -111,7 +111,34 @@
     accept("j" + std::to_string(I), {Small});
   }
   BOOST_TEST(demand(0s).Coming_.likely() > 0);
+  BOOST_TEST(demand(0s).CameBefore_.likely() == 0);
   BOOST_TEST(demand(InflowWindow).Coming_.likely() == 0);
+  BOOST_TEST(demand(InflowWindow).CameBefore_.likely() > 0);
+  BOOST_TEST(demand(2 * InflowWindow).CameBefore_.likely() == 0);
+}
+
+// Short jobs that are done before the next look still tell how fast work comes
+// in; cancelled ones do not.
+BOOST_AUTO_TEST_CASE(InflowCountsJobsThatAreDone) {
+  jobs::StepSpec Small = step(1);
+  Small.Estimate_ = 1s;
+  const auto End = [&](const std::string &Id, jobs::EndKind Kind) {
+    jobs::RunEnded Item;
+    Item.Run_ = {{jobs::JobId(Id), 0, 0, 0}, jobs::RunNumber(1)};
+    Item.Kind_ = Kind;
+    Table_.apply(jobs::RunIntended{Item.Run_, {jobs::WorkerId("w"), 1}}, Start);
+    Table_.apply(Item, Start);
+  };
+  for (int I = 0; I < 50; ++I) {
+    accept("j" + std::to_string(I), {Small});
+    End("j" + std::to_string(I), jobs::EndKind::Done);
+  }
+  BOOST_TEST(Table_.open().empty());
+  const std::int64_t Done = demand(0s).Coming_.likely();
+  BOOST_TEST(Done > 0);
+  accept("c", {Small});
+  Table_.apply(jobs::JobCancelled{jobs::JobId("c")}, Start);
+  BOOST_TEST(demand(0s).Coming_.likely() == Done);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/jobs/celltable.h
+++ b/src/jobs/celltable.h
@@ -121,6 +121,8 @@
 
   /// Jobs that have not ended, in the order in which they came.
   const std::map<std::uint64_t, JobId> &open() const { return Open_; }
+  /// Jobs that have ended at \p Since or later and are not forgotten.
+  std::vector<JobId> endedSince(TimePoint Since) const;
   const std::map<JobId, JobRow> &jobs() const { return Jobs_; }
   const std::map<WorkerLife, WorkerUse> &workers() const { return Workers_; }
   const WorkerUse *useOf(const WorkerLife &Worker) const;
--- a/src/jobs/internal/celltable.cpp
+++ b/src/jobs/internal/celltable.cpp
@@ -263,6 +263,14 @@
   Job.Spec_.Payload_.shrink_to_fit();
 }
 
+std::vector<JobId> CellTable::endedSince(TimePoint Since) const {
+  std::vector<JobId> Result;
+  for (auto Item = Ended_.rbegin();
+       Item != Ended_.rend() && Item->first >= Since; ++Item)
+    Result.push_back(Item->second);
+  return Result;
+}
+
 void CellTable::forgetEnded(TimePoint Before) {
   while (!Ended_.empty() && Ended_.front().first < Before) {
     const JobId Job = Ended_.front().second;
