Plan machines ten times a second

Hypothesis: half of the time between two looks is lost at each rise. Change: PlanEvery 200 ms to 100 ms.

--- a/src/cell/machines.h
+++ b/src/cell/machines.h
@@ -27,7 +27,7 @@
   using TermPtr = std::shared_ptr<Term<Store>>;
   using SessionsPtr = std::shared_ptr<Sessions<Store, Client>>;
 
-  static constexpr Duration PlanEvery = std::chrono::milliseconds(200);
+  static constexpr Duration PlanEvery = std::chrono::milliseconds(100);
   /// The list is read this often while something is in question, else at the
   /// longer interval: each reading is paid for.
   static constexpr Duration ListBusy = std::chrono::milliseconds(1000);
