Start first what can wait the least, not the smallest job

Hypothesis: at the begin of a peak jobs wait for machines that are on their way; the smallest first lets large ones run late, which are worth most, though small ones that have just come could wait. Change: timely work goes by the latest moment at which the rest of its job must begin; late work still smallest first. Tests: SmallWorkGoesFirstAmongWhatCanBeInTime asked for the old order and is replaced by JobThatCanWaitTheLeastGoesFirst, SlackCountsNotTheDueTime and SmallWorkGoesFirstAmongWhatIsLate (the first two red on the old order by its comparison, which looks at the work alone).

--- a/src/scheduling/internal/scheduler.cpp
+++ b/src/scheduling/internal/scheduler.cpp
@@ -25,14 +25,15 @@
   std::uint32_t Occurrence_ = 0;
   std::uint32_t Step_ = 0;
   bool Late_ = false;
-  TimePoint Due_{};
+  /// When the rest of its job must begin to be in time.
+  TimePoint LatestBegin_{};
   /// Processor time that the job still needs, in thousandths of a core and
   /// seconds.
   double WorkLeft_ = 0;
 };
 
 /// Tasks that serve come first: each second away costs their users. Then work
-/// that can still be in time, in the order in which it falls due; what is late
+/// that can still be in time, that first which can wait the least; what is late
 /// already is worth a fraction, so it takes what is left, the smallest first,
 /// which gets most of it done.
 bool before(const ReadyStep &A, const ReadyStep &B) {
@@ -44,7 +45,7 @@
     return Rank(A) < Rank(B);
   if (A.Late_)
     return A.WorkLeft_ < B.WorkLeft_;
-  return A.WorkLeft_ < B.WorkLeft_;
+  return A.LatestBegin_ < B.LatestBegin_;
 }
 
 bool stepReady(const jobs::OccurrenceRow &Occurrence, const StepSpec &Spec) {
@@ -304,9 +305,9 @@
           continue;
         if (!Prepared) {
           Prepared = true;
-          Base.Due_ = dueAt(Job, *Queue, Learned_);
-          Base.Late_ = !Spec.LongRunning_ &&
-                       At.Now_ + chainLeft(Job, K, Learned_) > Base.Due_;
+          Base.LatestBegin_ =
+              dueAt(Job, *Queue, Learned_) - chainLeft(Job, K, Learned_);
+          Base.Late_ = !Spec.LongRunning_ && At.Now_ > Base.LatestBegin_;
           Base.WorkLeft_ = workLeft(Job, Learned_);
         }
         ReadyStep Step = Base;
