Send machines home when a peak elsewhere is over

Change: a machine that is idle for 1.5 s in another pool than its own goes back, as those of the standby pool did after 2.5 s. A refused move pauses a second: it left again at each look. Tests: MachinesGoHomeAfterAPeakElsewhere (red before: its machine stayed), RefusedMachineIsLeftAloneForAWhile.

--- a/src/capacity/internal/poolplanner.cpp
+++ b/src/capacity/internal/poolplanner.cpp
@@ -78,16 +78,16 @@
       fill(To, Lack);
   }
 
-  /// What was switched on for a peak is switched off again after it.
-  void switchOff() {
+  /// What came for a peak goes home after it: to be switched off, or so that
+  /// its own pool is ready for its next one.
+  void sendHome() {
     for (const auto &[Pool, Row] : Pools_) {
       std::size_t Extra = Row.surplus(PoolPlanner::Spare);
       for (const MachineView *Machine : Row.Idle_) {
         if (Extra == 0)
           break;
-        if (Taken_.contains(Machine->Record_.Id_) ||
-            !Standby_.contains(homeOf(*Machine)) ||
-            Now_ - Machine->IdleSince_ < PoolPlanner::ReturnAfter)
+        if (Taken_.contains(Machine->Record_.Id_) || homeOf(*Machine) == Pool ||
+            Now_ - Machine->IdleSince_ < PoolPlanner::HomeAfter)
           continue;
         give(*Machine, homeOf(*Machine));
         --Extra;
@@ -215,7 +215,7 @@
   for (const auto &[Pool, Wanted] : Demand)
     Planned.ask(Pool, Wanted);
   Planned.fillLacks();
-  Planned.switchOff();
+  Planned.sendHome();
   return std::move(Planned).orders();
 }
 
--- a/src/capacity/poolplanner.h
+++ b/src/capacity/poolplanner.h
@@ -64,7 +64,9 @@
 /// takes little more than a second and costs about as much as a machine in a
 /// pool for a second; a machine that is needed earns that many times over.
 /// Machines that are away from their home pool go first, then those that are
-/// off, then those of the pool with most to spare.
+/// off, then those of the pool with most to spare. After the peak each goes
+/// home again: a pool's own machines carry the begin of its turn, until others
+/// come.
 class PoolPlanner {
 public:
   /// Machines beyond the demand of the moment that a pool keeps: a job of
@@ -78,9 +80,9 @@
   static constexpr double RiseAhead = 1.5;
   /// An idle machine may leave its pool after this.
   static constexpr Duration SettleTime = std::chrono::milliseconds(300);
-  /// A machine of the standby pool goes back there when it has been idle this
-  /// long: about what switching it off and on again costs.
-  static constexpr Duration ReturnAfter = std::chrono::milliseconds(2500);
+  /// A machine that is away from its home pool goes back when it has been idle
+  /// this long: about what the move costs, so that it is not sent to and fro.
+  static constexpr Duration HomeAfter = std::chrono::milliseconds(1500);
 
   std::vector<MoveOrder> plan(const std::map<MachineId, MachineView> &Machines,
                               const std::map<PoolName, PoolDemand> &Demand,
--- a/src/capacity/tests/poolplannertest.cpp
+++ b/src/capacity/tests/poolplannertest.cpp
@@ -190,6 +190,24 @@
   BOOST_TEST(plan().empty());
 }
 
+// A pool begins its turn with what a peak elsewhere has left of it: its
+// machines stood idle there until someone asked for them, and then took a
+// move's time.
+BOOST_AUTO_TEST_CASE(MachinesGoHomeAfterAPeakElsewhere) {
+  for (const char *Name : {"a", "b"})
+    add(Name, Hot);
+  add("c", Hot, 1s);
+  Homes_[MachineId("c")] = Cold;
+  add("d", Cold);
+  BOOST_TEST(plan().empty());
+  Machines_[MachineId("c")].IdleSince_ = Start - 2s;
+  BOOST_REQUIRE(plan().size() == 1u);
+  BOOST_TEST(plan()[0].Machine_ == MachineId("c"));
+  BOOST_TEST(plan()[0].To_ == Cold);
+  Demand_[Hot].Timely_.MilliCpus_ = 14000;
+  BOOST_TEST(plan().empty());
+}
+
 BOOST_AUTO_TEST_CASE(WhatWasSwitchedOnIsSwitchedOffAgain) {
   for (const char *Name : {"a", "c"})
     add(Name, Hot);
--- a/src/cell/internal/machinetable.cpp
+++ b/src/cell/internal/machinetable.cpp
@@ -63,6 +63,13 @@
   Known.Acknowledged_ = true;
 }
 
+void MachineTable::refused(const MachineId &Machine, TimePoint Now) {
+  Orders_.erase(Machine);
+  leaveAloneUntil(Machine, Now + PauseAfterRefusal);
+  if (const auto View = Views_.find(Machine); View != Views_.end())
+    noteLeftAlone(View->second);
+}
+
 std::optional<WorkerLife>
 MachineTable::lifeOrdered(const MachineId &Machine) const {
   const auto Found = Orders_.find(Machine);
--- a/src/cell/machines.h
+++ b/src/cell/machines.h
@@ -371,7 +371,7 @@
     if (Term_->over())
       return;
     if (Result != MachineResult::Done)
-      return Table_.refused(Machine);
+      return Table_.refused(Machine, now());
     Table_.acknowledged(Machine, now());
     doubtWorker(Machine);
   }
--- a/src/cell/machinetable.h
+++ b/src/cell/machinetable.h
@@ -13,6 +13,9 @@
 /// than it is seen.
 class MachineTable {
 public:
+  /// No move of a machine after a refusal for this time.
+  static constexpr Duration PauseAfterRefusal = std::chrono::milliseconds(1000);
+
   using Views = std::map<MachineId, capacity::MachineView>;
 
   /// \p Settle: least time from an order's acknowledgement to its end; a list
@@ -36,8 +39,10 @@
   /// Lives for which orders were given that were acknowledged before \p Before.
   /// Each is over if a list that is newer says that it is gone.
   std::set<WorkerLife> orderedAway(TimePoint Before) const;
-  /// The platform has refused the order: nothing was done.
-  void refused(const MachineId &Machine) { Orders_.erase(Machine); }
+  /// The platform has refused the order: nothing was done. The machine is not
+  /// moved for a while, since the next order would be refused as well, and each
+  /// is paid for.
+  void refused(const MachineId &Machine, TimePoint Now);
 
   bool busy(const MachineId &Machine) const {
     return Orders_.contains(Machine);
--- a/src/cell/tests/machinetabletest.cpp
+++ b/src/cell/tests/machinetabletest.cpp
@@ -68,6 +68,18 @@
 
 // Machines of the standby pool stay on for good: each new holder took the pool
 // in which it found a machine for its home.
+// The platform refuses a move (the worker leaves, the pool is of other
+// machines): the same order left again at each look, ten a second.
+BOOST_AUTO_TEST_CASE(RefusedMachineIsLeftAloneForAWhile) {
+  MachineTable Table(1500ms);
+  Table.noteWorker(worker(1), Start);
+  Table.ordered(Machine, Start);
+  Table.refused(Machine, Start + 10ms);
+  BOOST_TEST(!Table.busy(Machine));
+  BOOST_TEST((Table.views()[Machine].NoOrderBefore_ ==
+              Start + 10ms + MachineTable::PauseAfterRefusal));
+}
+
 BOOST_AUTO_TEST_CASE(HomeIsKeptOverTakeovers) {
   MachineTable Table(1500ms);
   Table.setHome(Machine, PoolName("standby"));
