Tell a life from before an order from the one after it

The store had dropped its history at 7 s, so the entry of the worker of 7.02 s was seen only at 8.32 s. It was newer than the last life known there, so it settled the upkeep, and another machine was ordered beside it. Change: no life settles an order that is seen before the least time which the order takes has passed; it is the one that the order ends. A repetition goes by that life. Test: LifeFromBeforeTheOrderDoesNotSettleIt, red without the comparison.

--- a/src/cell/internal/machinetable.cpp
+++ b/src/cell/internal/machinetable.cpp
@@ -42,7 +42,17 @@
   View.IdleSince_ = Now;
   noteLeftAlone(View);
   Homes_.try_emplace(Record.Machine_, Record.Pool_);
-  Orders_.erase(Record.Machine_);
+  noteLife(Record, Now);
+}
+
+void MachineTable::noteLife(const WorkerRecord &Record, TimePoint Now) {
+  const auto Found = Orders_.find(Record.Machine_);
+  if (Found == Orders_.end())
+    return;
+  if (Now < Found->second.NewLifeFrom_)
+    Found->second.Life_ = Record.Life_;
+  else
+    Orders_.erase(Found);
 }
 
 void MachineTable::noteLeftAlone(capacity::MachineView &View) const {
@@ -51,8 +61,9 @@
     View.NoOrderBefore_ = Found->second;
 }
 
-void MachineTable::ordered(const MachineId &Machine, TimePoint Now) {
-  Orders_[Machine] = {Now, false, lifeOn(Machine)};
+void MachineTable::ordered(const MachineId &Machine, Duration Takes,
+                           TimePoint Now) {
+  Orders_[Machine] = {Now, Now + Takes, false, lifeOn(Machine)};
 }
 
 void MachineTable::acknowledged(const MachineId &Machine, TimePoint Now) {
--- a/src/cell/machines.h
+++ b/src/cell/machines.h
@@ -282,7 +282,7 @@
   }
 
   void orderUpkeep(const capacity::UpkeepOrder &Order) {
-    Table_.ordered(Order.Machine_, now());
+    Table_.ordered(Order.Machine_, Term_->Bounds_.Upkeep_, now());
     framework::fibers::spawn([Self = this->shared_from_this(), Order] {
       const MachineResult Result = Self->repeat(Order.Machine_, [&] {
         return Self->Api_.upkeep(Order.Machine_, Order.Wave_,
@@ -303,11 +303,10 @@
   /// ordered: if it has been carried out, saying it again changes nothing.
   template <typename Call>
   MachineResult repeat(const MachineId &Machine, const Call &Send) {
-    const std::optional<WorkerLife> Life = Table_.lifeOn(Machine);
     while (true) {
       if (!noteInJournal(Machine))
         return MachineResult::Unknown;
-      if (!asOrdered(Machine, Life)) {
+      if (!asOrdered(Machine)) {
         countOrder("given_up");
         framework::log::info("machine.order_given_up")
             .field("machine", Machine.str());
@@ -323,14 +322,14 @@
     }
   }
 
-  /// Whether an order may leave that was given over \p Life. The failure: a
-  /// newer life settles the order and is given tasks, and an order that was not
-  /// carried out before kills them when it is said again. Nothing starts on the
-  /// life itself while the order is open, and a machine that still needs it is
-  /// planned anew, so to give it up is enough.
-  bool asOrdered(const MachineId &Machine,
-                 const std::optional<WorkerLife> &Life) const {
-    return Table_.lifeOn(Machine) == Life &&
+  /// Whether the machine's order may leave. The failure: a newer life settles
+  /// the order and is given tasks, and an order that was not carried out before
+  /// kills them when it is said again. Nothing starts on the life that it ends
+  /// while the order is open, and a machine that still needs it is planned
+  /// anew, so to give it up is enough.
+  bool asOrdered(const MachineId &Machine) const {
+    const std::optional<WorkerLife> Life = Table_.lifeOrdered(Machine);
+    return Table_.busy(Machine) && Table_.lifeOn(Machine) == Life &&
            !(Life && Term_->Table_.useOf(*Life));
   }
 
@@ -442,7 +441,7 @@
     const auto Life = Table_.lifeOn(Order.Machine_);
     if (Life && Term_->Table_.useOf(*Life))
       return;
-    Table_.ordered(Order.Machine_, now());
+    Table_.ordered(Order.Machine_, Term_->Bounds_.Move_, now());
     ++Moves_;
     framework::fibers::spawn([Self = this->shared_from_this(), Order] {
       const MachineResult Result = Self->repeat(Order.Machine_, [&] {
--- a/src/cell/machinetable.h
+++ b/src/cell/machinetable.h
@@ -29,12 +29,14 @@
   /// its machine changes nothing.
   void noteWorker(const WorkerRecord &Record, TimePoint Now);
 
-  /// An order for a machine leaves; until it is settled the machine is busy.
-  void ordered(const MachineId &Machine, TimePoint Now);
+  /// An order for a machine leaves that takes at least \p Takes; until it is
+  /// settled the machine is busy.
+  void ordered(const MachineId &Machine, Duration Takes, TimePoint Now);
   /// The platform has carried out the order, now or earlier: one that was done
   /// before is acknowledged too, and ends nothing.
   void acknowledged(const MachineId &Machine, TimePoint Now);
-  /// The life on the machine when the open order left, if one had been seen.
+  /// The life that the open order ends, if it has been seen: the one on the
+  /// machine when it left, or one from before that was seen only later.
   std::optional<WorkerLife> lifeOrdered(const MachineId &Machine) const;
   /// Lives for which orders were given that were acknowledged before \p Before.
   /// Each is over if a list that is newer says that it is gone.
@@ -77,12 +79,18 @@
 
 private:
   struct Order {
+    /// When it left first, or was acknowledged.
     TimePoint At_{};
+    /// No life that comes up after it can have come up before this.
+    TimePoint NewLifeFrom_{};
     bool Acknowledged_ = false;
-    /// The life on the machine when the order left, if one had been seen.
     std::optional<WorkerLife> Life_;
   };
 
+  /// A new life has been seen on the machine: it settles the order, or it is
+  /// the one that the order ends.
+  void noteLife(const WorkerRecord &Record, TimePoint Now);
+
   void noteLeftAlone(capacity::MachineView &View) const;
 
   Duration Settle_;
--- a/src/cell/tests/machinetabletest.cpp
+++ b/src/cell/tests/machinetabletest.cpp
@@ -34,7 +34,7 @@
 BOOST_AUTO_TEST_CASE(NewWorkerSettlesTheOrder) {
   MachineTable Table(1500ms);
   Table.noteWorker(worker(1), Start);
-  Table.ordered(Machine, Start);
+  Table.ordered(Machine, 1500ms, Start);
   Table.acknowledged(Machine, Start);
   Table.noteWorker(worker(2), Start + 2s);
   BOOST_TEST(!Table.busy(Machine));
@@ -46,13 +46,29 @@
 BOOST_AUTO_TEST_CASE(EntryOfTheFormerWorkerDoesNotSettleTheOrder) {
   MachineTable Table(1500ms);
   Table.noteWorker(worker(1), Start);
-  Table.ordered(Machine, Start);
+  Table.ordered(Machine, 1500ms, Start);
   Table.acknowledged(Machine, Start);
   Table.takeList({listed(MachineState::Upkeep)}, Start + 500ms);
   Table.noteWorker(worker(1), Start + 1s);
   BOOST_TEST(Table.busy(Machine));
 }
 
+// More machines of a wave are down than may be: while the store's watches hear
+// nothing, a machine is moved and then ordered down by what the platform's list
+// says. The entry of the worker that came up after the move is seen only then,
+// and was taken for that after the upkeep.
+BOOST_AUTO_TEST_CASE(LifeFromBeforeTheOrderDoesNotSettleIt) {
+  MachineTable Table(2000ms);
+  Table.noteWorker(worker(1), Start);
+  Table.ordered(Machine, 2000ms, Start);
+  Table.acknowledged(Machine, Start + 10ms);
+  Table.noteWorker(worker(2), Start + 300ms);
+  BOOST_TEST(Table.busy(Machine));
+  BOOST_TEST((Table.lifeOrdered(Machine) == worker(2).Life_));
+  Table.noteWorker(worker(3), Start + 2000ms);
+  BOOST_TEST(!Table.busy(Machine));
+}
+
 // A new holder must not order a machine that its predecessor ordered a moment
 // ago. It learns of the machine only later, by the list or by its worker.
 BOOST_AUTO_TEST_CASE(MachineIsLeftAloneHoweverItBecomesKnown) {
@@ -73,7 +89,7 @@
 BOOST_AUTO_TEST_CASE(RefusedMachineIsLeftAloneForAWhile) {
   MachineTable Table(1500ms);
   Table.noteWorker(worker(1), Start);
-  Table.ordered(Machine, Start);
+  Table.ordered(Machine, 1500ms, Start);
   Table.refused(Machine, Start + 10ms);
   BOOST_TEST(!Table.busy(Machine));
   BOOST_TEST((Table.views()[Machine].NoOrderBefore_ ==
@@ -91,7 +107,7 @@
 // machine has not even gone down yet.
 BOOST_AUTO_TEST_CASE(EarlyListDoesNotSettleTheOrder) {
   MachineTable Table(1500ms);
-  Table.ordered(Machine, Start);
+  Table.ordered(Machine, 1500ms, Start);
   Table.takeList({listed(MachineState::Up)}, Start + 10s);
   BOOST_TEST(Table.busy(Machine));
   Table.acknowledged(Machine, Start + 10s);
@@ -125,7 +141,7 @@
 BOOST_AUTO_TEST_CASE(OrderEndsOnlyTheLifeThatItWasGivenFor) {
   MachineTable Table(1500ms);
   Table.noteWorker(worker(1), Start);
-  Table.ordered(Machine, Start);
+  Table.ordered(Machine, 1500ms, Start);
   BOOST_TEST(Table.orderedAway(Start + 2s).empty());
   BOOST_TEST((Table.lifeOrdered(Machine) == worker(1).Life_));
   Table.acknowledged(Machine, Start + 1s);
