Part the orders for machines from their planning

machines.h had grown to 470 lines and held both: what is decided each look, and how an order is noted, sent, repeated and settled. No change of behaviour; a counter of moves that nothing read is gone. Tests as before.

--- /dev/null
+++ b/src/cell/machineorders.h
@@ -0,0 +1,168 @@
+#pragma once
+
+#include "capacity/poolplanner.h"
+#include "capacity/upkeepplanner.h"
+#include "cell/machinetable.h"
+#include "cell/term.h"
+
+namespace laburnumspread::cell {
+
+/// Sends the orders for machines of one term and settles them in the table.
+/// Each is noted in the journal before it leaves, so that a successor knows
+/// which machines were ordered lately.
+template <store::KeyValueStore Store, MachineService Service>
+class MachineOrders
+    : public std::enable_shared_from_this<MachineOrders<Store, Service>> {
+public:
+  static constexpr Duration RetryPause = std::chrono::milliseconds(400);
+  /// Orders need a leadership that the store has confirmed lately: a successor
+  /// waits for the platform's lease time before its first one.
+  static constexpr Duration OrdersWithoutStore =
+      std::chrono::milliseconds(1000);
+
+  MachineOrders(std::shared_ptr<Term<Store>> T, Service &Api,
+                std::shared_ptr<MachineTable> Table)
+      : Term_(std::move(T)), Api_(Api), Table_(std::move(Table)) {}
+
+  bool mayOrder() const {
+    return !Term_->over() &&
+           now() - Term_->Lead_.confirmedAt() < OrdersWithoutStore;
+  }
+
+  /// Begins a machine's upkeep, which the journal notes when it is done.
+  void upkeep(const capacity::UpkeepOrder &Order) {
+    Table_->ordered(Order.Machine_, Term_->Bounds_.Upkeep_, now());
+    framework::fibers::spawn([Self = this->shared_from_this(), Order] {
+      const MachineResult Result = Self->repeat(Order.Machine_, [&] {
+        return Self->Api_.upkeep(Order.Machine_, Order.Wave_,
+                                 Self->Term_->Token_);
+      });
+      framework::log::info("machine.upkeep")
+          .field("machine", Order.Machine_.str())
+          .field("wave", Order.Wave_.value())
+          .field("result", nameOf(Result));
+      Self->settleOrder(Order.Machine_, Result);
+      if (Result == MachineResult::Done && !Self->Term_->over())
+        Self->Term_->Commits_.stage(
+            jobs::UpkeepBegun{Order.Wave_, Order.Machine_});
+    });
+  }
+
+  /// Moves a machine to another pool, unless its worker has been given a task
+  /// since this was planned.
+  void move(const capacity::MoveOrder &Order) {
+    const auto Life = Table_->lifeOn(Order.Machine_);
+    if (Life && Term_->Table_.useOf(*Life))
+      return;
+    Table_->ordered(Order.Machine_, Term_->Bounds_.Move_, now());
+    framework::fibers::spawn([Self = this->shared_from_this(), Order] {
+      const MachineResult Result = Self->repeat(Order.Machine_, [&] {
+        return Self->Api_.move(Order.Machine_, Order.To_, Self->Term_->Token_);
+      });
+      framework::log::info("machine.move")
+          .field("machine", Order.Machine_.str())
+          .field("to", Order.To_.str())
+          .field("result", nameOf(Result));
+      if (Result == MachineResult::Done)
+        Self->Table_->views()[Order.Machine_].Record_.Pool_ = Order.To_;
+      Self->settleOrder(Order.Machine_, Result);
+    });
+  }
+
+private:
+  static TimePoint now() { return Term<Store>::now(); }
+
+  /// Sends an order until it is answered, as long as the machine is as it was
+  /// ordered: if it has been carried out, saying it again changes nothing.
+  template <typename Call>
+  MachineResult repeat(const MachineId &Machine, const Call &Send) {
+    while (true) {
+      if (!noteInJournal(Machine))
+        return MachineResult::Unknown;
+      if (!asOrdered(Machine)) {
+        countOrder("given_up");
+        framework::log::info("machine.order_given_up")
+            .field("machine", Machine.str());
+        return MachineResult::Unknown;
+      }
+      const MachineResult Result = Send();
+      countOrder(nameOf(Result));
+      const bool Open =
+          Result == MachineResult::Unknown || Result == MachineResult::Refused;
+      if (!Open || Term_->over())
+        return Result;
+      framework::fibers::sleepFor(RetryPause);
+    }
+  }
+
+  /// Whether the machine's order may leave. The failure: a newer life settles
+  /// the order and is given tasks, and an order that was not carried out before
+  /// kills them when it is said again. Nothing starts on the life that it ends
+  /// while the order is open, and a machine that still needs it is planned
+  /// anew, so to give it up is enough.
+  bool asOrdered(const MachineId &Machine) const {
+    const std::optional<WorkerLife> Life = Table_->lifeOrdered(Machine);
+    return Table_->busy(Machine) && Table_->lifeOn(Machine) == Life &&
+           !(Life && Term_->Table_.useOf(*Life));
+  }
+
+  void countOrder(std::string_view Result) {
+    Term_->Metrics_
+        .counter("machine_orders_total{result=\"" + std::string(Result) + "\"}")
+        .add();
+  }
+
+  /// Waits until the store has the note that an order leaves now. False when
+  /// the leadership ended first: then nothing may leave.
+  bool noteInJournal(const MachineId &Machine) {
+    const auto View = Table_->views().find(Machine);
+    jobs::MachineOrdered Note{Machine, PoolName()};
+    if (View != Table_->views().end())
+      Note.From_ = View->second.Record_.Pool_;
+    while (!Term_->over()) {
+      if (stored(Note) && mayOrder())
+        return true;
+      framework::fibers::sleepFor(RetryPause);
+    }
+    return false;
+  }
+
+  bool stored(const jobs::Event &Item) {
+    auto Ready = std::make_shared<framework::fibers::Waiter>();
+    auto Known = std::make_shared<std::optional<CommitOutcome>>();
+    Term_->Commits_.stage(Item, [Ready, Known](CommitOutcome Outcome) {
+      *Known = Outcome;
+      Ready->signal();
+    });
+    while (!Term_->over() && !*Known)
+      Ready->waitUntil(framework::clock::wallDeadline(RetryPause));
+    return *Known == CommitOutcome::Stored;
+  }
+
+  void settleOrder(const MachineId &Machine, MachineResult Result) {
+    if (Term_->over())
+      return;
+    if (Result != MachineResult::Done)
+      return Table_->refused(Machine, now());
+    Table_->acknowledged(Machine, now());
+    doubtWorker(Machine);
+  }
+
+  /// The worker that was ordered away may be gone long before any list shows
+  /// it, and tasks that it is given meanwhile are lost with it. If the order
+  /// had been carried out before, it is alive, answers and is used again.
+  void doubtWorker(const MachineId &Machine) {
+    const auto Life = Table_->lifeOrdered(Machine);
+    if (!Life)
+      return;
+    const auto Row = Term_->Workers_.find(*Life);
+    if (Row != Term_->Workers_.end())
+      Row->second->doubt();
+  }
+
+  std::shared_ptr<Term<Store>> Term_;
+  Service &Api_;
+  std::shared_ptr<MachineTable> Table_;
+};
+
+} // namespace laburnumspread::cell
--- a/src/cell/machines.h
+++ b/src/cell/machines.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "capacity/upkeepplanner.h"
-#include "cell/machinetable.h"
+#include "cell/machineorders.h"
 #include "cell/pooldemand.h"
 #include "cell/sessions.h"
 #include "scheduling/scheduler.h"
@@ -17,8 +17,8 @@
 /// Gives machines their upkeep and moves them between pools, for one term.
 ///
 /// Two holders must not take turns on one machine within the platform's lease
-/// time. So each order is noted in the journal before it leaves, and a new
-/// holder leaves the machines alone that the journal shows as ordered lately.
+/// time, so a new holder leaves the machines alone that the journal shows as
+/// ordered lately.
 template <store::KeyValueStore Store, WorkerClient Client,
           MachineService Service>
 class Machines
@@ -37,23 +37,22 @@
   static constexpr Duration ListLag = std::chrono::milliseconds(1000);
   static constexpr Duration RetryPause = std::chrono::milliseconds(400);
   static constexpr Duration ReportTime = std::chrono::milliseconds(900);
-  /// Orders need a leadership that the store has confirmed lately: a successor
-  /// waits for the platform's lease time before its first one.
-  static constexpr Duration OrdersWithoutStore =
-      std::chrono::milliseconds(1000);
 
   Machines(TermPtr T, SessionsPtr S, Store &Kv, Service &Api,
            WaveReports Reports)
       : Term_(std::move(T)), Sessions_(std::move(S)), Store_(Kv), Api_(Api),
         Reports_(std::move(Reports)),
-        Table_(std::max(Term_->Bounds_.Move_, Term_->Bounds_.Upkeep_)) {}
+        Table_(std::make_shared<MachineTable>(
+            std::max(Term_->Bounds_.Move_, Term_->Bounds_.Upkeep_))),
+        Orders_(std::make_shared<MachineOrders<Store, Service>>(Term_, Api,
+                                                                Table_)) {}
 
   void start() {
     for (const auto &[Machine, Order] : Term_->Table_.machineOrders()) {
-      Table_.setHome(Machine, Order.Home_);
-      Table_.leaveAloneUntil(Machine, Term_->BegunAt_ +
-                                          Term_->Bounds_.MachineLease_ -
-                                          Order.Quiet_);
+      Table_->setHome(Machine, Order.Home_);
+      Table_->leaveAloneUntil(Machine, Term_->BegunAt_ +
+                                           Term_->Bounds_.MachineLease_ -
+                                           Order.Quiet_);
     }
     framework::fibers::spawn(
         [Self = this->shared_from_this()] { Self->listLoop(); });
@@ -79,28 +78,22 @@
 
   /// A worker has come up: its machine is where the worker says.
   void noteWorker(const WorkerRecord &Record) {
-    Table_.noteWorker(Record, now());
+    Table_->noteWorker(Record, now());
   }
 
   /// Whether the worker is held back for an order on its machine.
   bool heldBack(const WorkerRecord &Record) const {
-    return Table_.heldBack(Record.Machine_);
+    return Table_->heldBack(Record.Machine_);
   }
 
-  std::size_t moves() const { return Moves_; }
-
 private:
   static TimePoint now() { return Term<Store>::now(); }
 
-  bool mayOrder() const {
-    return !Term_->over() &&
-           now() - Term_->Lead_.confirmedAt() < OrdersWithoutStore;
-  }
-
   /// An upkeep that an earlier holder ordered last may not show in any list
   /// yet, and would not be counted against the wave's bound.
   bool mayOrderUpkeep() const {
-    return mayOrder() && now() - Term_->BegunAt_ > Term_->Bounds_.MachineLease_;
+    return Orders_->mayOrder() &&
+           now() - Term_->BegunAt_ > Term_->Bounds_.MachineLease_;
   }
 
   void listLoop() {
@@ -130,7 +123,7 @@
 
   /// Whether the list could tell something that is waited for.
   bool inQuestion() const {
-    if (Table_.anyBusy())
+    if (Table_->anyBusy())
       return true;
     for (const auto &[Life, Use] : Term_->Table_.workers())
       if (!Term_->Workers_.contains(Life))
@@ -147,13 +140,13 @@
 
   void takeList(const std::vector<MachineRecord> &List, TimePoint Asked) {
     const TimePoint ListOf = Asked - ListLag;
-    const std::set<WorkerLife> Away = Table_.orderedAway(ListOf);
-    Table_.takeList(List, Asked);
+    const std::set<WorkerLife> Away = Table_->orderedAway(ListOf);
+    Table_->takeList(List, Asked);
     std::vector<WorkerRowPtr> Gone;
     for (const auto &[Life, Row] : Term_->Workers_) {
       const bool Silent = Row->silentSince(ListOf);
       if (!Row->Over_ && (Silent || Away.contains(Life)) &&
-          Table_.saysGone(Row->Record_))
+          Table_->saysGone(Row->Record_))
         Gone.push_back(Row);
     }
     for (const WorkerRowPtr &Row : Gone)
@@ -170,7 +163,7 @@
       const TimePoint Since =
           Ended == Term_->EndedLives_.end() ? Term_->BegunAt_ : Ended->second;
       if (!Term_->Workers_.contains(Life) && Since < ListOf &&
-          !Table_.listsWorker(Life.Id_))
+          !Table_->listsWorker(Life.Id_))
         Lost.push_back(Life);
     }
     for (const WorkerLife &Life : Lost)
@@ -203,7 +196,7 @@
   void planLoop() {
     while (!Term_->over()) {
       framework::fibers::sleepFor(PlanEvery);
-      if (!Table_.listSeen() || !Term_->Loaded_ || Term_->over())
+      if (!Table_->listSeen() || !Term_->Loaded_ || Term_->over())
         continue;
       refreshViews();
       if (Term_->mayOrder())
@@ -215,16 +208,16 @@
 
   /// Brings the views in line with what the workers run.
   void refreshViews() {
-    for (auto &[Id, View] : Table_.views()) {
+    for (auto &[Id, View] : Table_->views()) {
       View.Usable_ = false;
-      View.Busy_ = Table_.busy(Id);
+      View.Busy_ = Table_->busy(Id);
       View.Used_ = Resources();
       View.FiniteRuns_ = 0;
       View.StandingRuns_.clear();
     }
     for (const auto &[Life, Row] : Term_->Workers_) {
-      const auto Found = Table_.views().find(Row->Record_.Machine_);
-      if (Found == Table_.views().end() || Row->Over_)
+      const auto Found = Table_->views().find(Row->Record_.Machine_);
+      if (Found == Table_->views().end() || Row->Over_)
         continue;
       capacity::MachineView &View = Found->second;
       View.Usable_ = View.Usable_ || Row->usable();
@@ -261,8 +254,8 @@
     const capacity::UpkeepPlanner Planner(Term_->Table_,
                                           Term_->Bounds_.Upkeep_);
     const capacity::UpkeepPlan Plan =
-        Planner.plan(Table_.views(), Waves_, standbyPools(), now());
-    for (auto &[Id, View] : Table_.views())
+        Planner.plan(Table_->views(), Waves_, standbyPools(), now());
+    for (auto &[Id, View] : Table_->views())
       View.HeldBack_ = Plan.HoldBack_.contains(Id);
     for (auto &[Number, Wave] : Waves_)
       if (!Wave.ToldRunning_)
@@ -278,113 +271,7 @@
       Sessions_->stop(Run);
     }
     for (const capacity::UpkeepOrder &Order : Plan.Orders_)
-      orderUpkeep(Order);
-  }
-
-  void orderUpkeep(const capacity::UpkeepOrder &Order) {
-    Table_.ordered(Order.Machine_, Term_->Bounds_.Upkeep_, now());
-    framework::fibers::spawn([Self = this->shared_from_this(), Order] {
-      const MachineResult Result = Self->repeat(Order.Machine_, [&] {
-        return Self->Api_.upkeep(Order.Machine_, Order.Wave_,
-                                 Self->Term_->Token_);
-      });
-      framework::log::info("machine.upkeep")
-          .field("machine", Order.Machine_.str())
-          .field("wave", Order.Wave_.value())
-          .field("result", nameOf(Result));
-      Self->settleOrder(Order.Machine_, Result);
-      if (Result == MachineResult::Done && !Self->Term_->over())
-        Self->Term_->Commits_.stage(
-            jobs::UpkeepBegun{Order.Wave_, Order.Machine_});
-    });
-  }
-
-  /// Sends an order until it is answered, as long as the machine is as it was
-  /// ordered: if it has been carried out, saying it again changes nothing.
-  template <typename Call>
-  MachineResult repeat(const MachineId &Machine, const Call &Send) {
-    while (true) {
-      if (!noteInJournal(Machine))
-        return MachineResult::Unknown;
-      if (!asOrdered(Machine)) {
-        countOrder("given_up");
-        framework::log::info("machine.order_given_up")
-            .field("machine", Machine.str());
-        return MachineResult::Unknown;
-      }
-      const MachineResult Result = Send();
-      countOrder(nameOf(Result));
-      const bool Open =
-          Result == MachineResult::Unknown || Result == MachineResult::Refused;
-      if (!Open || Term_->over())
-        return Result;
-      framework::fibers::sleepFor(RetryPause);
-    }
-  }
-
-  /// Whether the machine's order may leave. The failure: a newer life settles
-  /// the order and is given tasks, and an order that was not carried out before
-  /// kills them when it is said again. Nothing starts on the life that it ends
-  /// while the order is open, and a machine that still needs it is planned
-  /// anew, so to give it up is enough.
-  bool asOrdered(const MachineId &Machine) const {
-    const std::optional<WorkerLife> Life = Table_.lifeOrdered(Machine);
-    return Table_.busy(Machine) && Table_.lifeOn(Machine) == Life &&
-           !(Life && Term_->Table_.useOf(*Life));
-  }
-
-  void countOrder(std::string_view Result) {
-    Term_->Metrics_
-        .counter("machine_orders_total{result=\"" + std::string(Result) + "\"}")
-        .add();
-  }
-
-  /// Waits until the store has the note that an order leaves now. False when
-  /// the leadership ended first: then nothing may leave.
-  bool noteInJournal(const MachineId &Machine) {
-    const auto View = Table_.views().find(Machine);
-    jobs::MachineOrdered Note{Machine, PoolName()};
-    if (View != Table_.views().end())
-      Note.From_ = View->second.Record_.Pool_;
-    while (!Term_->over()) {
-      if (stored(Note) && mayOrder())
-        return true;
-      framework::fibers::sleepFor(RetryPause);
-    }
-    return false;
-  }
-
-  bool stored(const jobs::Event &Item) {
-    auto Ready = std::make_shared<framework::fibers::Waiter>();
-    auto Known = std::make_shared<std::optional<CommitOutcome>>();
-    Term_->Commits_.stage(Item, [Ready, Known](CommitOutcome Outcome) {
-      *Known = Outcome;
-      Ready->signal();
-    });
-    while (!Term_->over() && !*Known)
-      Ready->waitUntil(framework::clock::wallDeadline(RetryPause));
-    return *Known == CommitOutcome::Stored;
-  }
-
-  void settleOrder(const MachineId &Machine, MachineResult Result) {
-    if (Term_->over())
-      return;
-    if (Result != MachineResult::Done)
-      return Table_.refused(Machine, now());
-    Table_.acknowledged(Machine, now());
-    doubtWorker(Machine);
-  }
-
-  /// The worker that was ordered away may be gone long before any list shows
-  /// it, and tasks that it is given meanwhile are lost with it. If the order
-  /// had been carried out before, it is alive, answers and is used again.
-  void doubtWorker(const MachineId &Machine) {
-    const auto Life = Table_.lifeOrdered(Machine);
-    if (!Life)
-      return;
-    const auto Row = Term_->Workers_.find(*Life);
-    if (Row != Term_->Workers_.end())
-      Row->second->doubt();
+      Orders_->upkeep(Order);
   }
 
   void report(WaveNumber Number, capacity::WaveRow &Wave, bool Done) {
@@ -427,34 +314,14 @@
   // Moves.
 
   void planMoves() {
-    if (!mayOrder())
+    if (!Orders_->mayOrder())
       return;
     const auto Orders = capacity::PoolPlanner().plan(
-        Table_.views(),
+        Table_->views(),
         demandOf(Term_->Table_, Term_->Config_, Term_->Learned_, now()),
-        Table_.homes(), standbyPools(), now());
+        Table_->homes(), standbyPools(), now());
     for (const capacity::MoveOrder &Order : Orders)
-      orderMove(Order);
-  }
-
-  void orderMove(const capacity::MoveOrder &Order) {
-    const auto Life = Table_.lifeOn(Order.Machine_);
-    if (Life && Term_->Table_.useOf(*Life))
-      return;
-    Table_.ordered(Order.Machine_, Term_->Bounds_.Move_, now());
-    ++Moves_;
-    framework::fibers::spawn([Self = this->shared_from_this(), Order] {
-      const MachineResult Result = Self->repeat(Order.Machine_, [&] {
-        return Self->Api_.move(Order.Machine_, Order.To_, Self->Term_->Token_);
-      });
-      framework::log::info("machine.move")
-          .field("machine", Order.Machine_.str())
-          .field("to", Order.To_.str())
-          .field("result", nameOf(Result));
-      if (Result == MachineResult::Done)
-        Self->Table_.views()[Order.Machine_].Record_.Pool_ = Order.To_;
-      Self->settleOrder(Order.Machine_, Result);
-    });
+      Orders_->move(Order);
   }
 
   TermPtr Term_;
@@ -463,9 +330,9 @@
   Service &Api_;
   WaveReports Reports_;
   journal::CellKeys Keys_{""};
-  MachineTable Table_;
+  std::shared_ptr<MachineTable> Table_;
+  std::shared_ptr<MachineOrders<Store, Service>> Orders_;
   std::map<WaveNumber, capacity::WaveRow> Waves_;
-  std::size_t Moves_ = 0;
 };
 
 } // namespace laburnumspread::cell
