Cut the soak's entries off from each other and from the platform, byte by byte

The soak had doors, which refuse, delay and mute whole calls, and no fault between entries. Now each entry's bytes to the platform, and its peers' to it, go by a wire that holds them back one way or both, resets its connections or silences them for good. An entry may tell its peers another address than it listens at (listen.peersAdvertised). A run in which no byte takes a wire is red.

--- a/soak/entries.cpp
+++ b/soak/entries.cpp
@@ -59,19 +59,21 @@
 
 absl::Status Entries::choosePorts() {
   Random Draws(std::random_device{}());
-  for (int Try = 0; Try < PortTries && Ports_.size() < Count_; ++Try) {
+  for (int Try = 0; Try < PortTries && Ports_.size() < 2 * Count_; ++Try) {
     const auto Port =
         static_cast<std::uint16_t>(FirstPort + Draws.below(PortRange));
     const bool Ours = std::ranges::find(Ports_, Port) != Ports_.end();
     if (!Ours && isFree(Port))
       Ports_.push_back(Port);
   }
-  return Ports_.size() == Count_ ? absl::OkStatus()
-                                 : absl::UnavailableError("no free ports");
+  return Ports_.size() == 2 * Count_ ? absl::OkStatus()
+                                     : absl::UnavailableError("no free ports");
 }
 
-absl::Status Entries::writeAll(const std::vector<std::uint16_t> &Doors) {
+absl::Status Entries::writeAll(const std::vector<std::uint16_t> &Doors,
+                               const std::vector<std::uint16_t> &PeerWires) {
   Doors_ = Doors;
+  PeerWires_ = PeerWires;
   for (std::size_t I = 0; I < Count_; ++I)
     if (absl::Status Written = write(I, false, 1.5); !Written.ok())
       return Written;
@@ -85,14 +87,18 @@
 absl::Status Entries::write(std::size_t Index, bool Debug,
                             double MoveSeconds) const {
   const std::string Free = "127.0.0.1:0";
-  const std::string Door = "127.0.0.1:" + std::to_string(Doors_[Index]);
+  const auto At = [](std::uint16_t Port) {
+    return "127.0.0.1:" + std::to_string(Port);
+  };
+  const std::string Door = At(Doors_[Index]);
   const json::object Settings{
       {"kind", "cell"},
       {"name", "entry-" + std::to_string(Index)},
       {"zone", "z" + std::to_string(Index)},
       {"listen", json::object{{"callers", callers(Index).str()},
                               {"readiness", Free},
-                              {"peers", Free},
+                              {"peers", At(peerPort(Index))},
+                              {"peersAdvertised", At(PeerWires_[Index])},
                               {"metrics", Free}}},
       {"store", json::object{{"address", Door}, {"prefix", "soak/"}}},
       {"services", json::object{{"machines", Door}}},
--- a/soak/entries.h
+++ b/soak/entries.h
@@ -19,11 +19,13 @@
 public:
   Entries(std::string Folder, std::size_t Count);
 
-  /// Finds a free port for the callers of each entry. Not from the run's seed:
-  /// two runs of one seed at a time would choose the same ports.
+  /// Finds free ports for the callers and the peers of each entry. Not from the
+  /// run's seed: two runs of one seed at a time would choose the same ports.
   absl::Status choosePorts();
-  /// \p Doors: the port by which each entry reaches the platform.
-  absl::Status writeAll(const std::vector<std::uint16_t> &Doors);
+  /// \p Doors: the port by which each entry reaches the platform; \p PeerWires:
+  /// that by which its peers reach it.
+  absl::Status writeAll(const std::vector<std::uint16_t> &Doors,
+                        const std::vector<std::uint16_t> &PeerWires);
   /// Writes an entry's file with other values of what it takes up at run time.
   absl::Status change(std::size_t Index, std::uint64_t Draw);
 
@@ -31,6 +33,10 @@
   framework::http::Address callers(std::size_t Index) const {
     return {"127.0.0.1", Ports_[Index]};
   }
+  /// Where an entry itself listens for its peers.
+  std::uint16_t peerPort(std::size_t Index) const {
+    return Ports_[Count_ + Index];
+  }
   /// 0 while no process lives.
   pid_t process(std::size_t Index) const;
   /// Sends \p Number to \p Process if it is still this entry's.
@@ -48,8 +54,10 @@
 
   std::string Folder_;
   std::size_t Count_;
+  /// For the callers of each entry, then for the peers of each.
   std::vector<std::uint16_t> Ports_;
   std::vector<std::uint16_t> Doors_;
+  std::vector<std::uint16_t> PeerWires_;
   std::string PublicKey_;
   std::string SecretKey_;
   /// Signals to end that each process was sent.
--- a/soak/faults.cpp
+++ b/soak/faults.cpp
@@ -36,6 +36,11 @@
     {"slow-door", &Faults::slow},
     {"reset-door", &Faults::reset},
     {"mute-door", &Faults::mute},
+    {"cut-platform", &Faults::cutPlatform},
+    {"cut-peers", &Faults::cutPeers},
+    {"cut-off", &Faults::cutOff},
+    {"reset-wires", &Faults::resetWires},
+    {"silence-wires", &Faults::silenceWires},
     {"lose-answers", &Faults::loseAnswers},
     {"late-answers", &Faults::lateAnswers},
     {"pause-leases", &Faults::pauseLeases},
@@ -48,10 +53,10 @@
 };
 
 Faults::Faults(CellPlatform &Platform, Entries &Served,
-               std::vector<std::uint16_t> Doors, std::size_t Machines,
-               std::uint64_t Seed)
-    : Platform_(Platform), Served_(Served), Doors_(std::move(Doors)),
-      Machines_(Machines), Draws_(Seed) {}
+               std::vector<std::uint16_t> Doors, Wires &Ways,
+               std::size_t Machines, std::uint64_t Seed)
+    : Platform_(Platform), Served_(Served), Ways_(Ways),
+      Doors_(std::move(Doors)), Machines_(Machines), Draws_(Seed) {}
 
 void Faults::storm(milliseconds Time) {
   const auto Until = framework::clock::SteadyClock().now() + Time;
@@ -169,6 +174,63 @@
   });
 }
 
+Faults::End Faults::cutForth(const std::string &What, Wire &Way) {
+  return hold(What + "-forth", [&Way](bool On) { Way.setForthCut(On); });
+}
+
+Faults::End Faults::cutBack(const std::string &What, Wire &Way) {
+  return hold(What + "-back", [&Way](bool On) { Way.setBackCut(On); });
+}
+
+Faults::End Faults::cut(const std::string &What, std::deque<Wire> &Ways) {
+  enum Shape : std::uint64_t { Forth, Back, Both, Shapes };
+  const std::size_t Entry = anyEntry();
+  const auto Drawn = static_cast<Shape>(Draws_.below(Shapes));
+  framework::log::info("soak.cut")
+      .field("what", What)
+      .field("entry", static_cast<std::uint64_t>(Entry))
+      .field("shape", static_cast<std::uint64_t>(Drawn));
+  const std::string Name = What + std::to_string(Entry);
+  const End Forward = Drawn == Back ? nothing : cutForth(Name, Ways[Entry]);
+  const End Backward = Drawn == Forth ? nothing : cutBack(Name, Ways[Entry]);
+  return [Forward, Backward] {
+    Forward();
+    Backward();
+  };
+}
+
+Faults::End Faults::cutOff() {
+  const std::size_t Entry = anyEntry();
+  framework::log::info("soak.cut_off")
+      .field("entry", static_cast<std::uint64_t>(Entry));
+  std::vector<End> Ends;
+  for (const auto &[What, Ways] : {std::pair("platform", &Ways_.ToPlatform_),
+                                   std::pair("peers", &Ways_.FromPeers_)}) {
+    const std::string Name = What + std::to_string(Entry);
+    Ends.push_back(cutForth(Name, (*Ways)[Entry]));
+    Ends.push_back(cutBack(Name, (*Ways)[Entry]));
+  }
+  return [Ends] {
+    for (const End &Each : Ends)
+      Each();
+  };
+}
+
+Wire &Faults::anyWire() {
+  auto &Ways = Draws_.onceIn(2) ? Ways_.ToPlatform_ : Ways_.FromPeers_;
+  return Ways[anyEntry()];
+}
+
+Faults::End Faults::resetWires() {
+  anyWire().resetAll();
+  return nothing;
+}
+
+Faults::End Faults::silenceWires() {
+  anyWire().silenceAll();
+  return nothing;
+}
+
 Faults::End Faults::loseAnswers() {
   const auto Number = static_cast<std::uint32_t>(1 + Draws_.below(5));
   return hold("lose-answers", [this, Number](bool On) {
--- a/soak/faults.h
+++ b/soak/faults.h
@@ -3,6 +3,9 @@
 #include "platform/standin/cellplatform.h"
 #include "soak/entries.h"
 #include "soak/random.h"
+#include "soak/wire.h"
+
+#include <deque>
 
 namespace laburnumspread::soak {
 
@@ -12,8 +15,14 @@
 public:
   using CellPlatform = platform::standin::CellPlatform;
 
+  /// The ways of each entry's bytes: to the platform, and from its peers.
+  struct Wires {
+    std::deque<Wire> ToPlatform_;
+    std::deque<Wire> FromPeers_;
+  };
+
   Faults(CellPlatform &Platform, Entries &Served,
-         std::vector<std::uint16_t> Doors, std::size_t Machines,
+         std::vector<std::uint16_t> Doors, Wires &Ways, std::size_t Machines,
          std::uint64_t Seed);
 
   /// Begins faults for \p Time and returns when all have ended.
@@ -47,6 +56,12 @@
   End slow();
   End reset();
   End mute();
+  // Bytes on the way to the platform, and between entries.
+  End cutPlatform() { return cut("platform", Ways_.ToPlatform_); }
+  End cutPeers() { return cut("peers", Ways_.FromPeers_); }
+  End cutOff();
+  End resetWires();
+  End silenceWires();
   // The store.
   End loseAnswers();
   End lateAnswers();
@@ -59,8 +74,15 @@
   End lateStarts();
   End wave();
 
+  /// Cuts one entry's way: there, back or both.
+  End cut(const std::string &What, std::deque<Wire> &Ways);
+  End cutForth(const std::string &What, Wire &Way);
+  End cutBack(const std::string &What, Wire &Way);
+  Wire &anyWire();
+
   CellPlatform &Platform_;
   Entries &Served_;
+  Wires &Ways_;
   std::vector<std::uint16_t> Doors_;
   std::size_t Machines_;
   Random Draws_;
--- a/soak/soak.cpp
+++ b/soak/soak.cpp
@@ -52,7 +52,7 @@
   Soak(boost::asio::io_context &Io, const Options &Given)
       : Given_(Given), Draws_(Given.Seed_), Platform_(Io),
         Entries_(Given.Folder_, Given.Entries_),
-        Callers_(Io, Entries_, Book_, Found_) {}
+        Callers_(Io, Entries_, Book_, Found_), Io_(Io) {}
 
   absl::Status prepare();
   void run();
@@ -65,6 +65,11 @@
   /// patience is found.
   template <typename Check> void settle(const char *What, const Check &Wrong);
   platform::standin::TaskLedger &ledger() { return Platform_.ledger(); }
+  /// Puts a wire before each of the ports; the wires' own ports.
+  absl::StatusOr<std::vector<std::uint16_t>>
+  startWires(const std::vector<std::uint16_t> &Targets, std::deque<Wire> &Into);
+  /// Ways by which no byte has come: then their cuts say nothing.
+  Findings unusedWires() const;
   void watch();
   void calm();
   /// No cancelled job of \p Book may come to work again while it is calm.
@@ -79,6 +84,8 @@
   Verdict Found_;
   Callers Callers_;
   std::vector<std::uint16_t> Doors_;
+  boost::asio::io_context &Io_;
+  Faults::Wires Ways_;
   std::size_t FaultCount_ = 0;
 };
 
@@ -99,7 +106,38 @@
   platform::standin::writeConfig(Platform_);
   if (absl::Status Chosen = Entries_.choosePorts(); !Chosen.ok())
     return Chosen;
-  return Entries_.writeAll(Doors_);
+  const auto Platform = startWires(Doors_, Ways_.ToPlatform_);
+  std::vector<std::uint16_t> Targets;
+  for (std::size_t I = 0; I < Entries_.count(); ++I)
+    Targets.push_back(Entries_.peerPort(I));
+  const auto Peers = startWires(Targets, Ways_.FromPeers_);
+  if (!Platform.ok() || !Peers.ok())
+    return Platform.ok() ? Peers.status() : Platform.status();
+  return Entries_.writeAll(*Platform, *Peers);
+}
+
+absl::StatusOr<std::vector<std::uint16_t>>
+Soak::startWires(const std::vector<std::uint16_t> &Targets,
+                 std::deque<Wire> &Into) {
+  std::vector<std::uint16_t> Ports;
+  for (const std::uint16_t Target : Targets) {
+    const auto Port = Into.emplace_back(Io_).start(Target);
+    if (!Port.ok())
+      return Port.status();
+    Ports.push_back(*Port);
+  }
+  return Ports;
+}
+
+Soak::Findings Soak::unusedWires() const {
+  Findings Result;
+  for (const Wire &Way : Ways_.ToPlatform_)
+    if (Way.passed() == 0)
+      Result.push_back("an entry does not reach the platform by its wire");
+  const auto Used = [](const Wire &Way) { return Way.passed() > 0; };
+  if (std::ranges::none_of(Ways_.FromPeers_, Used))
+    Result.push_back("entries do not reach each other by their wires");
+  return Result;
 }
 
 template <typename Check>
@@ -160,6 +198,7 @@
   staysStopped(Book_);
   settle("states", [this] { return Callers_.readAll(); });
   settle("ends", [this] { return Entries_.missingEnds(); });
+  Found_.find(unusedWires());
   Found_.find(Entries_.wrongEnds());
   Found_.find(neverAllowed(Book_, ledger()));
 }
@@ -169,7 +208,8 @@
   settle("start", [this]() -> Findings {
     return Callers_.served() ? Findings() : Findings{"an entry does not serve"};
   });
-  Faults Wrong(Platform_, Entries_, Doors_, MachineCount, Draws_.split());
+  Faults Wrong(Platform_, Entries_, Doors_, Ways_, MachineCount,
+               Draws_.split());
   Callers_.start(CallerCount, Draws_.split());
   for (milliseconds Left = Given_.Time_; Left > 0ms && !Found_.red();) {
     const milliseconds Now = std::min(Left, StormTime);
--- a/src/app/internal/cellapp.cpp
+++ b/src/app/internal/cellapp.cpp
@@ -234,7 +234,8 @@
 
 absl::Status CellApp::start() {
   Parts &P = *Parts_;
-  if (absl::Status Bound = P.Mesh_.bind(P.Settings_.Peers_, P.Settings_.Peers_);
+  if (absl::Status Bound =
+          P.Mesh_.bind(P.Settings_.Peers_, P.Settings_.PeersAdvertised_);
       !Bound.ok())
     return Bound;
   const std::array<std::pair<framework::http::Server *, cell::Address>, 3>
--- a/src/cell/cellsettings.h
+++ b/src/cell/cellsettings.h
@@ -18,6 +18,9 @@
   Address Readiness_;
   /// Where other entries connect.
   Address Peers_;
+  /// The address that they are told; where it differs, something between passes
+  /// connections on.
+  Address PeersAdvertised_;
   Address Metrics_;
   Address Store_;
   /// The platform's API for machines; no port when there is none.
--- a/src/cell/internal/cellsettings.cpp
+++ b/src/cell/internal/cellsettings.cpp
@@ -73,6 +73,9 @@
   Result.Callers_ = readAddress(Listen, "callers", true);
   Result.Readiness_ = readAddress(Listen, "readiness", true);
   Result.Peers_ = readAddress(Listen, "peers", true);
+  Result.PeersAdvertised_ = readAddress(Listen, "peersAdvertised", false);
+  if (Result.PeersAdvertised_ == Address())
+    Result.PeersAdvertised_ = Result.Peers_;
   Result.Metrics_ = readAddress(Listen, "metrics", true);
   Listen.finish();
   JsonReader Store = Reader.child("store", true);
@@ -126,7 +129,9 @@
   Note(InForce.Zone_ != Fresh.Zone_, "zone");
   Note(InForce.Callers_ != Fresh.Callers_ ||
            InForce.Readiness_ != Fresh.Readiness_ ||
-           InForce.Peers_ != Fresh.Peers_ || InForce.Metrics_ != Fresh.Metrics_,
+           InForce.Peers_ != Fresh.Peers_ ||
+           InForce.PeersAdvertised_ != Fresh.PeersAdvertised_ ||
+           InForce.Metrics_ != Fresh.Metrics_,
        "listen");
   Note(InForce.Store_ != Fresh.Store_ ||
            InForce.StorePrefix_ != Fresh.StorePrefix_,
--- a/src/cell/tests/cellsettingstest.cpp
+++ b/src/cell/tests/cellsettingstest.cpp
@@ -40,6 +40,19 @@
   BOOST_TEST((Read->Bounds_.Move_ == std::chrono::milliseconds(2500)));
 }
 
+BOOST_AUTO_TEST_CASE(PeersAreToldWhereToConnect) {
+  BOOST_TEST(readCellSettings(settings(), "file")->PeersAdvertised_.str() ==
+             "127.0.0.1:3");
+  std::string Text = settings();
+  const std::string Peers = R"("peers": "127.0.0.1:3")";
+  Text.replace(Text.find(Peers), Peers.size(),
+               Peers + R"(, "peersAdvertised": "127.0.0.1:9")");
+  const auto Read = readCellSettings(Text, "file");
+  BOOST_REQUIRE_MESSAGE(Read.ok(), Read.status().message());
+  BOOST_TEST(Read->PeersAdvertised_.str() == "127.0.0.1:9");
+  BOOST_TEST(Read->Peers_.str() == "127.0.0.1:3");
+}
+
 BOOST_AUTO_TEST_CASE(FaultsNameTheField) {
   BOOST_TEST(faultOf("{").find("file") != std::string::npos);
   BOOST_TEST(faultOf(R"({"kind": "cell"})").find("listen") !=
