--- a/src/capacity/internal/poolplanner.cpp
+++ b/src/capacity/internal/poolplanner.cpp
@@ -89,7 +89,7 @@
         if (Taken_.contains(Machine->Record_.Id_) || homeOf(*Machine) == Pool ||
             Now_ - Machine->IdleSince_ < PoolPlanner::HomeAfter)
           continue;
-        give(*Machine, homeOf(*Machine));
+        give(*Machine, homeOf(*Machine), MoveReason::Home);
         --Extra;
       }
     }
@@ -154,7 +154,7 @@
           continue;
         --From->second.Have_;
       }
-      give(*Item.Machine_, To);
+      give(*Item.Machine_, To, MoveReason::Lack);
       --Lack;
     }
   }
@@ -183,8 +183,8 @@
     return Donors;
   }
 
-  void give(const MachineView &Machine, const PoolName &To) {
-    Orders_.push_back({Machine.Record_.Id_, To});
+  void give(const MachineView &Machine, const PoolName &To, MoveReason Why) {
+    Orders_.push_back({Machine.Record_.Id_, To, Why});
     Taken_.insert(Machine.Record_.Id_);
   }
 
@@ -206,6 +206,10 @@
 
 } // namespace
 
+std::string_view nameOf(MoveReason Reason) {
+  return Reason == MoveReason::Lack ? "lack" : "home";
+}
+
 std::vector<MoveOrder>
 PoolPlanner::plan(const std::map<MachineId, MachineView> &Machines,
                   const std::map<PoolName, PoolDemand> &Demand,
--- a/src/capacity/poolplanner.h
+++ b/src/capacity/poolplanner.h
@@ -6,6 +6,7 @@
 #include <cmath>
 #include <map>
 #include <set>
+#include <string_view>
 
 namespace laburnumspread::capacity {
 
@@ -52,9 +53,18 @@
   Inflow CameBefore_;
 };
 
+enum class MoveReason {
+  /// The pool asks for more than it has.
+  Lack,
+  /// It is idle away from its home pool.
+  Home,
+};
+std::string_view nameOf(MoveReason Reason);
+
 struct MoveOrder {
   MachineId Machine_;
   PoolName To_;
+  MoveReason Reason_ = MoveReason::Lack;
 };
 
 /// Moves idle machines to pools whose queues ask for more than they hold.
--- a/src/capacity/tests/poolplannertest.cpp
+++ b/src/capacity/tests/poolplannertest.cpp
@@ -204,6 +204,7 @@
   BOOST_REQUIRE(plan().size() == 1u);
   BOOST_TEST(plan()[0].Machine_ == MachineId("c"));
   BOOST_TEST(plan()[0].To_ == Cold);
+  BOOST_TEST((plan()[0].Reason_ == MoveReason::Home));
   Demand_[Hot].Timely_.MilliCpus_ = 14000;
   BOOST_TEST(plan().empty());
 }
--- a/src/cell/machineorders.h
+++ b/src/cell/machineorders.h
@@ -62,6 +62,7 @@
       framework::log::info("machine.move")
           .field("machine", Order.Machine_.str())
           .field("to", Order.To_.str())
+          .field("reason", nameOf(Order.Reason_))
           .field("result", nameOf(Result));
       if (Result == MachineResult::Done)
         Self->Table_->views()[Order.Machine_].Record_.Pool_ = Order.To_;
