Tell peers the address that an entry listens at, unless the settings name another

Cause: settings that are made in code and not read from a file had an empty address for peers since listen.peersAdvertised; calls to an entry that does not lead were never passed on. Entries of a file were not touched. Change: the address is optional, and its default stands where it is used.

--- a/src/app/internal/cellapp.cpp
+++ b/src/app/internal/cellapp.cpp
@@ -234,8 +234,9 @@
 
 absl::Status CellApp::start() {
   Parts &P = *Parts_;
-  if (absl::Status Bound =
-          P.Mesh_.bind(P.Settings_.Peers_, P.Settings_.PeersAdvertised_);
+  if (absl::Status Bound = P.Mesh_.bind(
+          P.Settings_.Peers_,
+          P.Settings_.PeersAdvertised_.value_or(P.Settings_.Peers_));
       !Bound.ok())
     return Bound;
   const std::array<std::pair<framework::http::Server *, cell::Address>, 3>
--- a/src/cell/cellsettings.h
+++ b/src/cell/cellsettings.h
@@ -4,6 +4,8 @@
 #include "framework/log/log.h"
 #include "peers/peermesh.h"
 
+#include <optional>
+
 #include <absl/status/statusor.h>
 
 namespace laburnumspread::cell {
@@ -18,9 +20,9 @@
   Address Readiness_;
   /// Where other entries connect.
   Address Peers_;
-  /// The address that they are told; where it differs, something between passes
+  /// The address that they are told, if it is another: something between passes
   /// connections on.
-  Address PeersAdvertised_;
+  std::optional<Address> PeersAdvertised_;
   Address Metrics_;
   Address Store_;
   /// The platform's API for machines; no port when there is none.
--- a/src/cell/internal/cellsettings.cpp
+++ b/src/cell/internal/cellsettings.cpp
@@ -73,9 +73,9 @@
   Result.Callers_ = readAddress(Listen, "callers", true);
   Result.Readiness_ = readAddress(Listen, "readiness", true);
   Result.Peers_ = readAddress(Listen, "peers", true);
-  Result.PeersAdvertised_ = readAddress(Listen, "peersAdvertised", false);
-  if (Result.PeersAdvertised_ == Address())
-    Result.PeersAdvertised_ = Result.Peers_;
+  if (const Address Told = readAddress(Listen, "peersAdvertised", false);
+      Told != Address())
+    Result.PeersAdvertised_ = Told;
   Result.Metrics_ = readAddress(Listen, "metrics", true);
   Listen.finish();
   JsonReader Store = Reader.child("store", true);
