Give up on a try of a write before the next one again

A holder that is short of processor and link has up to three copies of each group on the way, and answers come later still. Read from the code, not traced. Another form has to send less, not more.

--- a/src/journal/journal.h
+++ b/src/journal/journal.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "framework/clock/answertime.h"
-#include "framework/fibers/hedgedcall.h"
+#include "framework/fibers/waiter.h"
 #include "jobs/eventcodec.h"
 #include "journal/leadership.h"
 
@@ -50,13 +50,9 @@
   /// Bounds of the wait for an answer. The store answers in a few
   /// milliseconds, and sixty times as slow when it is in trouble; an entry's
   /// own pauses last up to a tenth of a second. All entries behind a lost
-  /// answer wait for it, so another try leaves after the usual time of an
-  /// answer, and the earlier one is still listened to.
+  /// answer wait for it.
   static constexpr Duration LeastAnswerTime = std::chrono::milliseconds(120);
   static constexpr Duration LongestAnswerTime = std::chrono::milliseconds(1200);
-  /// A store that has become slow answers the first try while the next ones are
-  /// on their way.
-  static constexpr int MostTriesAtOnce = 3;
   /// After a refusal: nothing was done, and asking at once would be refused.
   static constexpr Duration RetryPause = std::chrono::milliseconds(50);
 
@@ -215,68 +211,40 @@
     return Outcome;
   }
 
-  /// What came back from one try of a write.
-  struct Try {
-    absl::StatusOr<store::TransactionResult> Written_;
-    jobs::FencingToken Token_;
-    TimePoint AskedAt_{};
-  };
-  using Tries = framework::fibers::HedgedCall<Try>;
-
   absl::StatusOr<fleet::Revision>
   commitUntilKnown(const store::Transaction &Txn, const std::string &Key,
                    const std::string &Value) {
-    Tries Sent;
+    store::Transaction Guarded = Txn;
     while (Lead_.holds(Reign_)) {
-      if (Sent.open() < MostTriesAtOnce)
-        send(Txn, Sent);
-      const std::optional<Try> Back = Sent.next(wallDeadline(Answers_.wait()));
-      if (const auto Outcome = outcomeOf(Back, Key, Value))
-        return *Outcome;
+      // The head may have been written anew since the last try.
+      const jobs::FencingToken Token = Lead_.token();
+      Guarded.Compares_.front() = headIs(Token);
+      const TimePoint Asked = SteadyClock().now();
+      const auto Written =
+          Store_.commit(Guarded, wallDeadline(Answers_.wait()));
+      if (Written.ok())
+        Answers_.answered(SteadyClock().now() - Asked);
+      if (Written.ok() && Written->Succeeded_) {
+        Lead_.confirmed(Asked);
+        return Written->StoreRevision_;
+      }
+      if (Written.ok()) {
+        const auto Settled = settle(Key, Value);
+        const bool Over = absl::IsAborted(Settled.status()) &&
+                          Lead_.token() == Token && !Lead_.rewritePending();
+        if (Settled.ok() || Over)
+          return Settled;
+      }
       ++Counters_.Retries_;
-      if (!Back)
+      Refused_ = absl::IsResourceExhausted(Written.status());
+      if (absl::IsDeadlineExceeded(Written.status()))
         Answers_.missed();
-      else if (!absl::IsDeadlineExceeded(Back->Written_.status()) &&
-               Sent.open() == 0)
+      else
         framework::fibers::sleepFor(RetryPause);
     }
     return absl::AbortedError("leadership was lost before the store answered");
   }
 
-  /// Sends the write under the head as it is now: it may have been written anew
-  /// since the last try.
-  void send(store::Transaction Txn, Tries &Into) {
-    const jobs::FencingToken Token = Lead_.token();
-    Txn.Compares_.front() = headIs(Token);
-    Into.send([&Kv = Store_, Txn = std::move(Txn), Token] {
-      const TimePoint Asked = SteadyClock().now();
-      return Try{Kv.commit(Txn, wallDeadline(LongestAnswerTime)), Token, Asked};
-    });
-  }
-
-  /// What the store's word on one try says of the write, if that is final.
-  std::optional<absl::StatusOr<fleet::Revision>>
-  outcomeOf(const std::optional<Try> &Back, const std::string &Key,
-            const std::string &Value) {
-    if (!Back)
-      return std::nullopt;
-    const auto &Written = Back->Written_;
-    Refused_ = absl::IsResourceExhausted(Written.status());
-    if (!Written.ok())
-      return std::nullopt;
-    Answers_.answered(SteadyClock().now() - Back->AskedAt_);
-    if (Written->Succeeded_) {
-      Lead_.confirmed(Back->AskedAt_);
-      return Written->StoreRevision_;
-    }
-    const auto Settled = settle(Key, Value);
-    const bool Over = absl::IsAborted(Settled.status()) &&
-                      Lead_.token() == Back->Token_ && !Lead_.rewritePending();
-    if (Settled.ok() || Over)
-      return Settled;
-    return std::nullopt;
-  }
-
   /// The condition did not hold: an earlier try has come through, or the head
   /// is another's.
   absl::StatusOr<fleet::Revision> settle(const std::string &Key,
