Log and count full configuration reads

When an entry lost the store, it logged only that its watch had ended. Whether the following read was attempted, how long it took and how it ended was not visible anywhere.

Log config.read for each full read with its outcome, duration and number of value bytes, and count reads by outcome in config_reads_total. When the body of an HTTP response stops arriving, include the number of bytes received in the error. Move the read and watch loop into its own class, ConfigFollower.

--- a/src/app/internal/cellapp.cpp
+++ b/src/app/internal/cellapp.cpp
@@ -1,6 +1,7 @@
 #include "app/cellapp.h"
 
 #include "cell/cellservice.h"
+#include "cell/configfollower.h"
 #include "cell/intake.h"
 #include "framework/fibers/spawn.h"
 #include "framework/http/httpserver.h"
@@ -27,8 +28,6 @@
 
 namespace {
 
-constexpr auto ReadTime = 900ms;
-constexpr auto RetryPause = 150ms;
 /// The platform needs two missed answers, a second apart, to send no more
 /// callers here.
 constexpr auto NoticeTime = 2200ms;
@@ -86,7 +85,12 @@
              [this](const journal::Holder &To, const peers::JobCall &Call) {
                Mesh_.send({To.Entry_, To.Incarnation_}, To.PeerAddress_, Call);
              }}),
-        Intake_(Router_, platform::readJob, Metrics_), Api_(Intake_),
+        Intake_(Router_, platform::readJob, Metrics_),
+        Follower_(Store_, std::string(platform::OperatorPrefix),
+                  {[this] { Intake_.confirmConfig(); },
+                   [this](const store::KeyValue &Item) { adopt(Item); }},
+                  Metrics_),
+        Api_(Intake_),
         Mesh_(Io, Self_, Settings_.PeerKeys_,
               [this](const peers::Sender &From, peers::Message &&Body) {
                 receive(From, Body);
@@ -122,11 +126,10 @@
   }
 
   void refreshGauges() {
-    const auto Age = SteadyClock().now() - ConfigSeenAt_;
     Metrics_.gauge("config_version")
         .set(static_cast<double>(Intake_.config().Version_.value()));
     Metrics_.gauge("config_confirmed_age_seconds")
-        .set(std::chrono::duration<double>(Age).count());
+        .set(std::chrono::duration<double>(Intake_.configAge()).count());
     Metrics_.gauge("ready").set(ready() ? 1 : 0);
     Metrics_.gauge("leads").set(Cell_.leads() ? 1 : 0);
     Metrics_.gauge("store_calls").set(static_cast<double>(Store_.calls()));
@@ -137,7 +140,7 @@
 
   bool ready() const {
     return !Leaving_ && Intake_.config().Version_.value() > 0 &&
-           SteadyClock().now() - ConfigSeenAt_ < ConfigStale;
+           Intake_.configAge() < ConfigStale;
   }
 
   void offerLeadership(const peers::HeadOffer &Offer) {
@@ -157,32 +160,6 @@
       Router_.take(*Reply);
   }
 
-  /// Follows what the operator asks for: configuration and waves.
-  void configLoop() {
-    const std::string Key(platform::OperatorPrefix);
-    while (true) {
-      const auto Read = Store_.range(Key, fleet::Revision(0),
-                                     framework::clock::wallDeadline(ReadTime));
-      if (!Read.ok()) {
-        sleepFor(RetryPause);
-        continue;
-      }
-      ConfigSeenAt_ = SteadyClock().now();
-      for (const store::KeyValue &Item : Read->Items_)
-        adopt(Item);
-      const absl::Status Ended =
-          Store_.watch(Key, Read->StoreRevision_.next(),
-                       [&](const store::WatchBatch &Batch) {
-                         ConfigSeenAt_ = SteadyClock().now();
-                         for (const store::KeyValue &Item : Batch.Puts_)
-                           adopt(Item);
-                         return true;
-                       });
-      framework::log::info("config.watch_ended")
-          .field("reason", std::string(Ended.message()));
-    }
-  }
-
   void adopt(const store::KeyValue &Item) {
     if (const auto Wave = platform::readWave(Item))
       Cell_.setWave(*Wave);
@@ -215,6 +192,7 @@
   Service Cell_;
   cell::CallRouter Router_;
   cell::Intake Intake_;
+  cell::ConfigFollower<platform::KvStore> Follower_;
   platform::CallerApi Api_;
   peers::PeerMesh Mesh_;
   framework::http::Server Callers_;
@@ -222,7 +200,6 @@
   framework::http::Server MetricsServer_;
   /// Entries that have sent anything, by name: the latest process of each.
   std::map<fleet::EntryName, peers::Sender> Heard_;
-  TimePoint ConfigSeenAt_{};
   std::size_t InFlight_ = 0;
   bool Leaving_ = false;
 };
@@ -249,7 +226,7 @@
   P.Cell_.setOffer(
       [&P](const peers::HeadOffer &Offer) { P.offerLeadership(Offer); });
   P.Cell_.start(P.Mesh_.advertised().str());
-  framework::fibers::spawn([&P] { P.configLoop(); });
+  framework::fibers::spawn([&P] { P.Follower_.follow(); });
   return absl::OkStatus();
 }
 
--- /dev/null
+++ b/src/cell/configfollower.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include "cell/celltypes.h"
+#include "framework/clock/steadyclock.h"
+#include "framework/fibers/spawn.h"
+#include "framework/log/log.h"
+#include "framework/metrics/metrics.h"
+#include "store/kvstore.h"
+
+#include <functional>
+
+namespace laburnumspread::cell {
+
+/// Reads the operator's keys from the store and watches them for changes.
+/// Repeats the full read whenever the watch ends.
+template <store::KeyValueStore Store> class ConfigFollower {
+public:
+  struct ConfigEvents {
+    /// Called for each successful read and each watch batch, before its items
+    /// are delivered. Earlier items that these do not replace remain current.
+    std::function<void()> Confirmed_;
+    /// Called for each key-value pair that was read or written.
+    std::function<void(const store::KeyValue &)> Received_;
+  };
+
+  ConfigFollower(Store &S, std::string Prefix, ConfigEvents Events,
+                 framework::metrics::Registry &Metrics)
+      : Store_(S), Prefix_(std::move(Prefix)), Events_(std::move(Events)),
+        Metrics_(Metrics) {}
+
+  /// Runs the read and watch loop. Never returns.
+  void follow() {
+    while (true) {
+      if (const auto Through = readAll())
+        watch(*Through);
+      else
+        framework::fibers::sleepFor(RetryPause);
+    }
+  }
+
+private:
+  static constexpr Duration ReadTime = std::chrono::milliseconds(900);
+  static constexpr Duration RetryPause = std::chrono::milliseconds(150);
+
+  /// Returns the store revision of the read, or nullopt if the read failed.
+  std::optional<fleet::Revision> readAll() {
+    const TimePoint Begun = framework::clock::SteadyClock().now();
+    const auto Read = Store_.range(Prefix_, fleet::Revision(0),
+                                   framework::clock::wallDeadline(ReadTime));
+    recordRead(Read, framework::clock::SteadyClock().now() - Begun);
+    if (!Read.ok())
+      return std::nullopt;
+    Events_.Confirmed_();
+    for (const store::KeyValue &Item : Read->Items_)
+      Events_.Received_(Item);
+    return Read->StoreRevision_;
+  }
+
+  void watch(fleet::Revision Through) {
+    const absl::Status Ended = Store_.watch(
+        Prefix_, Through.next(), [&](const store::WatchBatch &Batch) {
+          Events_.Confirmed_();
+          for (const store::KeyValue &Item : Batch.Puts_)
+            Events_.Received_(Item);
+          return true;
+        });
+    framework::log::info("config.watch_ended")
+        .field("reason", std::string(Ended.message()));
+  }
+
+  void recordRead(const absl::StatusOr<store::RangeResult> &Read,
+                  Duration Took) {
+    const std::string Result = Read.ok() ? "ok" : "failed";
+    Metrics_.counter("config_reads_total{result=\"" + Result + "\"}").add();
+    framework::log::info("config.read")
+        .field("result", Result)
+        .field("took_ms", Took.count() / 1000)
+        .field("value_bytes", Read.ok() ? valueBytes(*Read) : 0)
+        .field("reason", std::string(Read.status().message()));
+  }
+
+  static std::uint64_t valueBytes(const store::RangeResult &Read) {
+    std::uint64_t Sum = 0;
+    for (const store::KeyValue &Item : Read.Items_)
+      Sum += Item.Value_.size();
+    return Sum;
+  }
+
+  Store &Store_;
+  std::string Prefix_;
+  ConfigEvents Events_;
+  framework::metrics::Registry &Metrics_;
+};
+
+} // namespace laburnumspread::cell
--- a/src/cell/intake.h
+++ b/src/cell/intake.h
@@ -74,6 +74,13 @@
   void setConfig(const CellConfig &Config) { Config_ = Config; }
   const CellConfig &config() const { return Config_; }
 
+  /// Records that the store has just confirmed the configuration in force.
+  void confirmConfig() { ConfirmedAt_ = framework::clock::SteadyClock().now(); }
+  /// Time since the configuration in force was last confirmed.
+  Duration configAge() const {
+    return framework::clock::SteadyClock().now() - ConfirmedAt_;
+  }
+
   /// Answers a request, and counts the answer and the time that it took.
   CallerAnswer serve(const CallerRequest &Request);
 
@@ -89,6 +96,7 @@
   ReadJob ReadJob_;
   framework::metrics::Registry &Metrics_;
   CellConfig Config_;
+  TimePoint ConfirmedAt_{};
 };
 
 } // namespace laburnumspread::cell
--- a/src/framework/http/httpclient.cpp
+++ b/src/framework/http/httpclient.cpp
@@ -39,6 +39,13 @@
   return absl::UnavailableError(Text);
 }
 
+/// Adds the number of body bytes received to \p Error, to distinguish a body
+/// that stalled from one that never started.
+absl::Status bodyReadError(const absl::Status &Error, std::size_t Bytes) {
+  return {Error.code(), std::string(Error.message()) + " after " +
+                            std::to_string(Bytes) + " bytes"};
+}
+
 class TcpConnection final : public Connection {
 public:
   explicit TcpConnection(boost::asio::io_context &Io) : Stream_(Io) {}
@@ -247,7 +254,7 @@
     absl::StatusOr<bool> Next =
         Link->readSome(Answer->Body_, PartBytes, Deadline);
     if (!Next.ok())
-      return Next.status();
+      return bodyReadError(Next.status(), Answer->Body_.size());
     More = *Next;
   }
   if (Link->reusable())
