Read large store answers as long as data arrives

Entries with slow links kept serving a replaced configuration until they were restarted: they answered for removed routes, accepted withdrawn keys and refused new ones.

A full read of the operator's keys had a deadline of 900 ms for all pages together, and a watch one of 1.4 s including its wait. If the configuration took longer to transfer over an entry's link, the read was aborted in the middle of the body. Each retry started at the first byte, so none completed.

Apply these deadlines to the head of each page's answer only. Read the body while data arrives: abort it after 900 ms without data, or 10 s after the head deadline. A silent connection is detected as quickly as before. The etcd gateway adapter had the same limit and gets the same change. Refuse an answer whose declared length exceeds the caller's limit before reading its body.

--- a/src/framework/http/httpclient.cpp
+++ b/src/framework/http/httpclient.cpp
@@ -235,24 +235,35 @@
 absl::StatusOr<Response> Client::exchange(const Request &Message,
                                           clock::TimePoint Deadline,
                                           std::size_t MaxBody) {
+  return exchange(
+      Message, Deadline, [Deadline] { return Deadline; }, MaxBody);
+}
+
+absl::StatusOr<Response>
+Client::exchange(const Request &Message, clock::TimePoint HeadDeadline,
+                 const std::function<clock::TimePoint()> &PartDeadline,
+                 std::size_t MaxBody) {
   auto Link = takeIdle();
   if (!Link) {
     Link = Connection::make(Io_);
-    if (absl::Status Status = Link->connect(To_, Deadline); !Status.ok())
+    if (absl::Status Status = Link->connect(To_, HeadDeadline); !Status.ok())
       return absl::UnavailableError("not sent: " +
                                     std::string(Status.message()));
   }
-  if (absl::Status Status = Link->send(Message, Message.Body_.size(), Deadline);
+  if (absl::Status Status =
+          Link->send(Message, Message.Body_.size(), HeadDeadline);
       !Status.ok())
     return Status;
-  absl::StatusOr<Response> Answer = Link->readHead(Deadline);
+  absl::StatusOr<Response> Answer = Link->readHead(HeadDeadline);
   if (!Answer.ok())
     return Answer.status();
+  if (Link->answerLength().value_or(0) > MaxBody)
+    return absl::ResourceExhaustedError("answer is too large");
   for (bool More = true; More;) {
     if (Answer->Body_.size() > MaxBody)
       return absl::ResourceExhaustedError("answer is too large");
     absl::StatusOr<bool> Next =
-        Link->readSome(Answer->Body_, PartBytes, Deadline);
+        Link->readSome(Answer->Body_, PartBytes, PartDeadline());
     if (!Next.ok())
       return bodyReadError(Next.status(), Answer->Body_.size());
     More = *Next;
--- a/src/framework/http/httpclient.h
+++ b/src/framework/http/httpclient.h
@@ -61,12 +61,21 @@
   Client(boost::asio::io_context &Io, Address To);
   ~Client();
 
-  /// Sends \p Message and reads the whole answer, of at most \p MaxBody bytes.
+  /// Sends \p Message and reads the whole answer, of at most \p MaxBody bytes;
+  /// ResourceExhausted if it is larger.
   /// Unavailable with "not sent" in the message when no byte left.
   absl::StatusOr<Response> exchange(const Request &Message,
                                     clock::TimePoint Deadline,
                                     std::size_t MaxBody = 8 * 1024 * 1024);
 
+  /// As exchange(), with separate deadlines: \p HeadDeadline covers connecting,
+  /// sending and reading the head of the answer. \p PartDeadline is called
+  /// before each read of the body and returns the deadline of that read.
+  absl::StatusOr<Response>
+  exchange(const Request &Message, clock::TimePoint HeadDeadline,
+           const std::function<clock::TimePoint()> &PartDeadline,
+           std::size_t MaxBody);
+
   /// As exchange(), but hands out the body part by part until \p OnPart
   /// returns false or the answer ends.
   absl::Status stream(const Request &Message, clock::TimePoint ConnectBy,
--- a/src/store/etcdstore.h
+++ b/src/store/etcdstore.h
@@ -29,6 +29,15 @@
 private:
   absl::StatusOr<std::string> post(std::string_view Path, std::string Body,
                                    TimePoint Deadline);
+  /// As post(), for an answer that grows with the stored state; the body is
+  /// bounded by bodyDeadlines().
+  absl::StatusOr<std::string> postWithPartDeadlines(std::string_view Path,
+                                                    std::string Body,
+                                                    TimePoint HeadDeadline);
+  /// Returns the body of a 200 answer. Switches to the next endpoint if the
+  /// exchange failed.
+  absl::StatusOr<std::string>
+  bodyOf(absl::StatusOr<framework::http::Response> Answer);
   framework::http::Client &current() { return *Clients_[Current_]; }
   void tryNextEndpoint() { Current_ = (Current_ + 1) % Clients_.size(); }
 
--- a/src/store/internal/etcdstore.cpp
+++ b/src/store/internal/etcdstore.cpp
@@ -1,5 +1,6 @@
 #include "store/etcdstore.h"
 
+#include "store/bodydeadlines.h"
 #include "store/internal/gatewayjson.h"
 
 namespace laburnumspread::store {
@@ -34,8 +35,21 @@
 absl::StatusOr<std::string>
 EtcdStore::post(std::string_view Path, std::string Body, TimePoint Deadline) {
   ++Calls_;
-  absl::StatusOr<http::Response> Answer = current().exchange(
-      postOf(Path, std::move(Body)), Deadline, LongestWatchLine);
+  return bodyOf(current().exchange(postOf(Path, std::move(Body)), Deadline,
+                                   LongestWatchLine));
+}
+
+absl::StatusOr<std::string>
+EtcdStore::postWithPartDeadlines(std::string_view Path, std::string Body,
+                                 TimePoint HeadDeadline) {
+  ++Calls_;
+  return bodyOf(current().exchange(postOf(Path, std::move(Body)), HeadDeadline,
+                                   bodyDeadlines(HeadDeadline),
+                                   LongestWatchLine));
+}
+
+absl::StatusOr<std::string>
+EtcdStore::bodyOf(absl::StatusOr<http::Response> Answer) {
   if (!Answer.ok()) {
     tryNextEndpoint();
     return Answer.status();
@@ -50,7 +64,8 @@
 absl::StatusOr<RangeResult> EtcdStore::range(const std::string &Prefix,
                                              Revision Since,
                                              TimePoint Deadline) {
-  const auto Body = post("/v3/kv/range", rangeRequest(Prefix, Since), Deadline);
+  const auto Body = postWithPartDeadlines(
+      "/v3/kv/range", rangeRequest(Prefix, Since), Deadline);
   if (!Body.ok())
     return Body.status();
   return readRangeAnswer(*Body);
--- a/src/store/kvstore.h
+++ b/src/store/kvstore.h
@@ -68,7 +68,9 @@
     T &S, const std::string &Prefix, Revision Since, const Transaction &Txn,
     TimePoint Deadline, const std::function<bool(const WatchBatch &)> &OnBatch,
     std::int64_t Lease) {
-  /// Keys under a prefix whose last write is at or after \p Since.
+  /// Keys under a prefix whose last write is at or after \p Since. \p Deadline
+  /// applies to the head of the answer; the body grows with the stored state
+  /// and is read while data arrives, within the limits of bodyDeadlines().
   {
     S.range(Prefix, Since, Deadline)
     } -> std::same_as<absl::StatusOr<RangeResult>>;
