Recheck calls at the holder when its configuration is newer

An entry that had lost the store kept admitting callers by its last configuration, including on connections that stayed open. Withdrawn keys and removed queues were served until the entry reached the store again, and new ones were refused permanently (401, 404). An entry whose watch missed a change would have kept the old version without detecting it.

Each call to the holder already carried the configuration version under which its caller was admitted, but the holder did not read it. Calls now also carry the host, path and key. A holder with a newer version rechecks the call against its own configuration and replies that the queue or the key is not known, or refuses the call temporarily (503) if the path now routes to another queue. A resent submission whose job is already stored is not refused. Calls without an origin, which entries of earlier releases send, are not rechecked.

Replies carry the holder's version. An entry that knows of a newer version, or whose own has not been confirmed for 3 s, answers 503 instead of 401 and 404, because callers treat those as final. It rereads the configuration if its watch does not deliver the newer version.

The gauge config_newest_known_version reports the newest version known to an entry. The holder logs call.refused_by_newer_config.

--- a/src/app/internal/cellapp.cpp
+++ b/src/app/internal/cellapp.cpp
@@ -32,9 +32,6 @@
 /// callers here.
 constexpr auto NoticeTime = 2200ms;
 constexpr auto InFlightCheck = 20ms;
-/// An entry whose configuration has not been confirmed for this long does not
-/// take callers: it may have missed a withdrawn key.
-constexpr auto ConfigStale = 3s;
 
 membership::MemberId selfOf(const CellSettings &Settings) {
   return {Settings.Name_, fleet::Incarnation(framework::clock::toMicros(
@@ -88,7 +85,8 @@
         Intake_(Router_, platform::readJob, Metrics_),
         Follower_(Store_, std::string(platform::OperatorPrefix),
                   {[this] { Intake_.confirmConfig(); },
-                   [this](const store::KeyValue &Item) { adopt(Item); }},
+                   [this](const store::KeyValue &Item) { adopt(Item); },
+                   [this] { return Intake_.outdated(); }},
                   Metrics_),
         Api_(Intake_),
         Mesh_(Io, Self_, Settings_.PeerKeys_,
@@ -128,6 +126,8 @@
   void refreshGauges() {
     Metrics_.gauge("config_version")
         .set(static_cast<double>(Intake_.config().Version_.value()));
+    Metrics_.gauge("config_newest_known_version")
+        .set(static_cast<double>(Intake_.newestKnownVersion().value()));
     Metrics_.gauge("config_confirmed_age_seconds")
         .set(std::chrono::duration<double>(Intake_.configAge()).count());
     Metrics_.gauge("ready").set(ready() ? 1 : 0);
@@ -140,7 +140,7 @@
 
   bool ready() const {
     return !Leaving_ && Intake_.config().Version_.value() > 0 &&
-           Intake_.configAge() < ConfigStale;
+           Intake_.recentlyConfirmed();
   }
 
   void offerLeadership(const peers::HeadOffer &Offer) {
@@ -152,11 +152,12 @@
     Heard_[From.Id_.Name_] = From;
     if (const auto *Offer = std::get_if<peers::HeadOffer>(&Body))
       return Cell_.takeOffer(*Offer);
-    if (const auto *Call = std::get_if<peers::JobCall>(&Body))
+    if (const auto *Call = std::get_if<peers::JobCall>(&Body)) {
+      Intake_.recordPeerVersion(jobs::ConfigVersion(Call->ConfigVersion_));
       Cell_.handle(*Call, [this, From](const peers::JobReply &Reply) {
         Mesh_.send(From.Id_, From.Address_, Reply);
       });
-    else if (const auto *Reply = std::get_if<peers::JobReply>(&Body))
+    } else if (const auto *Reply = std::get_if<peers::JobReply>(&Body))
       Router_.take(*Reply);
   }
 
--- a/src/cell/cellservice.h
+++ b/src/cell/cellservice.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "cell/callcheck.h"
 #include "cell/directory.h"
 #include "cell/headkeeper.h"
 #include "cell/jobcalls.h"
@@ -95,7 +96,14 @@
   void handle(const peers::JobCall &Call, const JobReplyFn &Reply) {
     if (!leads())
       return Reply({Call.Sequence_, peers::JobVerdict::NotHolder, "", 0, 0});
-    Calls_->handle(Call, Head_.leaving(), Reply);
+    const auto ReplyWithVersion =
+        [Reply, Version = Config_.Version_.value()](peers::JobReply Answer) {
+          Answer.ConfigVersion_ = Version;
+          Reply(Answer);
+        };
+    if (const auto Refusal = refusalFor(Call))
+      return ReplyWithVersion({Call.Sequence_, *Refusal, "", 0, 0});
+    Calls_->handle(Call, Head_.leaving(), ReplyWithVersion);
   }
 
 private:
@@ -110,6 +118,21 @@
     return Result;
   }
 
+  /// Returns the verdict to refuse a call with under a newer configuration, or
+  /// nullopt. A resent submission whose job is already stored is not refused.
+  std::optional<peers::JobVerdict>
+  refusalFor(const peers::JobCall &Call) const {
+    const auto Refusal = refusalByNewerConfig(Config_, Call);
+    if (!Refusal || (Call.Kind_ == peers::JobCallKind::Submit &&
+                     Term_->Table_.find(jobs::JobId(Call.Job_))))
+      return std::nullopt;
+    framework::log::info("call.refused_by_newer_config")
+        .field("queue", Call.Queue_)
+        .field("config", Config_.Version_.value())
+        .field("entry_config", Call.ConfigVersion_);
+    return Refusal;
+  }
+
   /// Whether there is a term that has read the journal.
   bool serves() const { return Term_ && Term_->Loaded_; }
 
--- a/src/cell/configfollower.h
+++ b/src/cell/configfollower.h
@@ -8,6 +8,8 @@
 #include "store/kvstore.h"
 
 #include <functional>
+#include <optional>
+#include <string>
 
 namespace laburnumspread::cell {
 
@@ -21,6 +23,9 @@
     std::function<void()> Confirmed_;
     /// Called for each key-value pair that was read or written.
     std::function<void(const store::KeyValue &)> Received_;
+    /// Returns whether a peer has a newer configuration than the one received;
+    /// checked after each watch batch to trigger a full read.
+    std::function<bool()> Outdated_;
   };
 
   ConfigFollower(Store &S, std::string Prefix, ConfigEvents Events,
@@ -62,10 +67,11 @@
           Events_.Confirmed_();
           for (const store::KeyValue &Item : Batch.Puts_)
             Events_.Received_(Item);
-          return true;
+          return !Events_.Outdated_();
         });
     framework::log::info("config.watch_ended")
-        .field("reason", std::string(Ended.message()));
+        .field("reason", Ended.ok() ? "a peer has a newer configuration"
+                                    : std::string(Ended.message()));
   }
 
   void recordRead(const absl::StatusOr<store::RangeResult> &Read,
--- a/src/cell/intake.h
+++ b/src/cell/intake.h
@@ -66,6 +66,9 @@
   /// Kept back from the caller's patience for the way of the answer.
   static constexpr Duration AnswerMargin = std::chrono::milliseconds(100);
   static constexpr Duration RetryAfter = std::chrono::seconds(1);
+  /// A configuration that has not been confirmed for this long may be out of
+  /// date: keys may have been withdrawn or queues added since.
+  static constexpr Duration ConfigStale = std::chrono::seconds(3);
 
   Intake(CallRouter &Router, ReadJob Read,
          framework::metrics::Registry &Metrics)
@@ -76,6 +79,18 @@
 
   /// Records that the store has just confirmed the configuration in force.
   void confirmConfig() { ConfirmedAt_ = framework::clock::SteadyClock().now(); }
+  /// Records a configuration version reported by a peer; older ones are
+  /// ignored.
+  void recordPeerVersion(ConfigVersion Version) {
+    NewestPeerVersion_ = std::max(NewestPeerVersion_, Version);
+  }
+  ConfigVersion newestKnownVersion() const {
+    return std::max(NewestPeerVersion_, Config_.Version_);
+  }
+  /// Whether a peer has a newer configuration than this entry.
+  bool outdated() const { return newestKnownVersion() > Config_.Version_; }
+  /// Whether the store confirmed the configuration within ConfigStale.
+  bool recentlyConfirmed() const { return configAge() < ConfigStale; }
   /// Time since the configuration in force was last confirmed.
   Duration configAge() const {
     return framework::clock::SteadyClock().now() - ConfirmedAt_;
@@ -89,14 +104,17 @@
   CallerAnswer submit(const CallerRequest &Request, const QueueConfig &Queue,
                       const std::string &Job);
   CallerAnswer pass(const CallerRequest &Request, peers::JobCall Call);
-  std::optional<WorkspaceName> workspaceOf(const CallerRequest &Request,
-                                           const QueueConfig &Queue) const;
+  /// Answers with \p Status, or with NotNow if the configuration may be out of
+  /// date, since callers treat NoSuchQueue and UnknownKey as final.
+  CallerAnswer refuse(CallerStatus Status, std::string Detail) const;
 
   CallRouter &Router_;
   ReadJob ReadJob_;
   framework::metrics::Registry &Metrics_;
   CellConfig Config_;
   TimePoint ConfirmedAt_{};
+  /// Newest configuration version reported by a peer.
+  ConfigVersion NewestPeerVersion_;
 };
 
 } // namespace laburnumspread::cell
--- /dev/null
+++ b/src/cell/internal/callcheck.cpp
@@ -0,0 +1,22 @@
+#include "cell/callcheck.h"
+
+namespace laburnumspread::cell {
+
+std::optional<peers::JobVerdict>
+refusalByNewerConfig(const CellConfig &InForce, const peers::JobCall &Call) {
+  if (Call.ConfigVersion_ >= InForce.Version_.value())
+    return std::nullopt;
+  if (!Call.Origin_)
+    return std::nullopt;
+  const QueueConfig *Queue =
+      InForce.route(Call.Origin_->Host_, Call.Origin_->Path_);
+  if (!Queue)
+    return peers::JobVerdict::NoSuchQueue;
+  if (Queue->Name_.str() != Call.Queue_)
+    return peers::JobVerdict::Refused;
+  if (!InForce.workspaceOf(Call.Origin_->Key_, *Queue))
+    return peers::JobVerdict::UnknownKey;
+  return std::nullopt;
+}
+
+} // namespace laburnumspread::cell
--- a/src/cell/internal/intake.cpp
+++ b/src/cell/internal/intake.cpp
@@ -65,15 +65,10 @@
   return "unknown";
 }
 
-std::optional<WorkspaceName>
-Intake::workspaceOf(const CallerRequest &Request,
-                    const QueueConfig &Queue) const {
-  const auto Owner = Config_.KeyOwners_.find(Request.Key_);
-  if (Owner != Config_.KeyOwners_.end())
-    return Owner->second;
-  if (Queue.Public_)
-    return WorkspaceName();
-  return std::nullopt;
+CallerAnswer Intake::refuse(CallerStatus Status, std::string Detail) const {
+  if (outdated() || !recentlyConfirmed())
+    return notNow("the configuration of this entry is not current");
+  return answer(Status, std::move(Detail));
 }
 
 CallerAnswer Intake::serve(const CallerRequest &Request) {
@@ -94,9 +89,9 @@
     return notNow("no configuration yet");
   const QueueConfig *Queue = Config_.route(Request.Host_, Request.Path_);
   if (!Queue)
-    return answer(CallerStatus::NoSuchQueue, "no queue at this path");
-  if (!workspaceOf(Request, *Queue))
-    return answer(CallerStatus::UnknownKey, "key is not known");
+    return refuse(CallerStatus::NoSuchQueue, "no queue at this path");
+  if (!Config_.workspaceOf(Request.Key_, *Queue))
+    return refuse(CallerStatus::UnknownKey, "key is not known");
   const std::string Job = Request.Path_.substr(Queue->PathPrefix_.size());
   if (Job.empty() && Request.Verb_ == CallerRequest::Verb::Read) {
     peers::JobCall Call;
@@ -123,7 +118,7 @@
                   std::string(Spec.status().message()));
   Spec->Id_ = jobs::JobId(Job);
   Spec->Queue_ = Queue.Name_;
-  Spec->Workspace_ = *workspaceOf(Request, Queue);
+  Spec->Workspace_ = *Config_.workspaceOf(Request.Key_, Queue);
   Spec->AcceptedMs_ =
       framework::clock::toMillis(framework::clock::SystemClock().now());
   peers::JobCall Call;
@@ -136,12 +131,14 @@
 
 CallerAnswer Intake::pass(const CallerRequest &Request, peers::JobCall Call) {
   Call.ConfigVersion_ = Config_.Version_.value();
+  Call.Origin_ = {Request.Host_, Request.Path_, Request.Key_};
   const JobCallKind Kind = Call.Kind_;
   const TimePoint Now = SteadyClock().now();
   const Duration Patience =
       std::min(ReplyPatience, Request.Patience_ - AnswerMargin);
   const peers::JobReply Reply =
       Router_.call(std::move(Call), Now + HolderPatience, Now + Patience);
+  recordPeerVersion(ConfigVersion(Reply.ConfigVersion_));
   CallerAnswer Result;
   switch (Reply.Verdict_) {
   case JobVerdict::Ok:
@@ -151,6 +148,10 @@
     Result.State_ = Reply.State_;
     Result.Waiting_ = Reply.Waiting_;
     return Result;
+  case JobVerdict::NoSuchQueue:
+    return answer(CallerStatus::NoSuchQueue, "no queue at this path");
+  case JobVerdict::UnknownKey:
+    return answer(CallerStatus::UnknownKey, "key is not known");
   case JobVerdict::Missing:
     return answer(CallerStatus::NoSuchJob, "no such job");
   case JobVerdict::Refused:
--- a/src/jobs/cellconfig.h
+++ b/src/jobs/cellconfig.h
@@ -64,6 +64,10 @@
   const QueueConfig *find(const QueueName &Name) const;
   /// The queue of a host with the longest prefix that the path begins with.
   const QueueConfig *route(std::string_view Host, std::string_view Path) const;
+  /// Returns the workspace that owns the key, an empty name if the key is
+  /// unknown and the queue is public, or nullopt if access is denied.
+  std::optional<WorkspaceName> workspaceOf(std::string_view Key,
+                                           const QueueConfig &Queue) const;
 };
 
 } // namespace laburnumspread::jobs
--- a/src/jobs/internal/cellconfig.cpp
+++ b/src/jobs/internal/cellconfig.cpp
@@ -21,4 +21,14 @@
   return Best;
 }
 
+std::optional<WorkspaceName>
+CellConfig::workspaceOf(std::string_view Key, const QueueConfig &Queue) const {
+  const auto Owner = KeyOwners_.find(Key);
+  if (Owner != KeyOwners_.end())
+    return Owner->second;
+  if (Queue.Public_)
+    return WorkspaceName();
+  return std::nullopt;
+}
+
 } // namespace laburnumspread::jobs
--- a/src/peers/internal/messagecodec.cpp
+++ b/src/peers/internal/messagecodec.cpp
@@ -302,6 +302,18 @@
   To.set_queue(From.Queue_);
   To.set_spec(From.Spec_);
   To.set_config_version(From.ConfigVersion_);
+  if (!From.Origin_)
+    return;
+  To.mutable_origin()->set_host(From.Origin_->Host_);
+  To.mutable_origin()->set_path(From.Origin_->Path_);
+  To.mutable_origin()->set_key(From.Origin_->Key_);
+}
+
+std::optional<CallOrigin> readOrigin(const wire::JobCall &From) {
+  if (!From.has_origin())
+    return std::nullopt;
+  return CallOrigin{From.origin().host(), From.origin().path(),
+                    From.origin().key()};
 }
 
 JobCall read(const wire::JobCall &From) {
@@ -310,7 +322,8 @@
           From.job(),
           From.queue(),
           From.spec(),
-          From.config_version()};
+          From.config_version(),
+          readOrigin(From)};
 }
 
 void write(const JobReply &From, wire::Envelope &Out) {
@@ -320,12 +333,16 @@
   To.set_state(From.State_);
   To.set_waiting(From.Waiting_);
   To.set_retry_after_ms(From.RetryAfterMs_);
+  To.set_config_version(From.ConfigVersion_);
 }
 
 JobReply read(const wire::JobReply &From) {
   return {From.sequence(),
-          readEnum(From.verdict(), JobVerdict::NotHolder, JobVerdict::Unknown),
-          From.state(), From.waiting(), From.retry_after_ms()};
+          readEnum(From.verdict(), JobVerdict::UnknownKey, JobVerdict::Unknown),
+          From.state(),
+          From.waiting(),
+          From.retry_after_ms(),
+          From.config_version()};
 }
 
 absl::StatusOr<Message> readBody(const wire::Envelope &In,
--- a/src/peers/messages.h
+++ b/src/peers/messages.h
@@ -5,6 +5,7 @@
 #include "limits/limitstypes.h"
 #include "store/kvstore.h"
 
+#include <optional>
 #include <variant>
 #include <vector>
 
@@ -94,6 +95,13 @@
 
 enum class JobCallKind { Submit, State, Cancel, Waiting };
 
+/// The parts of a caller's request that determine its queue and access.
+struct CallOrigin {
+  std::string Host_;
+  std::string Path_;
+  std::string Key_;
+};
+
 /// A caller's request about a job, passed on to the holder of the cell.
 struct JobCall {
   /// Unique at the sender; the reply carries it.
@@ -105,6 +113,8 @@
   std::string Spec_;
   /// Version of the configuration by which the caller was let in.
   std::uint64_t ConfigVersion_ = 0;
+  /// Not set by entries of earlier releases.
+  std::optional<CallOrigin> Origin_;
 };
 
 enum class JobVerdict {
@@ -118,6 +128,12 @@
   Unknown,
   /// The recipient is not the holder; nothing was done.
   NotHolder,
+  /// The holder's configuration is newer than the entry's and has no queue for
+  /// the call; nothing was done.
+  NoSuchQueue,
+  /// The holder's configuration is newer than the entry's and does not accept
+  /// the key; nothing was done.
+  UnknownKey,
 };
 
 struct JobReply {
@@ -127,6 +143,8 @@
   std::string State_;
   std::uint64_t Waiting_ = 0;
   std::uint64_t RetryAfterMs_ = 0;
+  /// Version of the configuration in force at the holder.
+  std::uint64_t ConfigVersion_ = 0;
 };
 
 /// The holder of the cell cannot reach the store. Whoever can may take the
