--- a/bench/micro/plannerbench.cpp
+++ b/bench/micro/plannerbench.cpp
@@ -120,5 +120,3 @@
 BENCHMARK(heartbeat)->Arg(0)->Arg(6)->Arg(54)->Arg(DesignTeams);
 
 } // namespace
-
-BENCHMARK_MAIN();
--- a/src/cell/cellservice.h
+++ b/src/cell/cellservice.h
@@ -317,9 +317,22 @@
 
   // Scheduling.
 
+  /// Runs a scheduling pass, unless the last one was so long that another one
+  /// would take more than MaxPlanningShare of the time. tickLoop() requests
+  /// further passes.
   void schedule(Term<Store> &T, WorkerSessions<Store, Client> &Sessions) {
-    if (!T.maySendOrders())
+    const TimePoint StartedAt = now();
+    if (!T.maySendOrders() || StartedAt < NextPassAt_)
       return;
+    planStarts(T, Sessions);
+    const TimePoint EndedAt = now();
+    NextPassAt_ =
+        EndedAt + Duration(static_cast<std::int64_t>(
+                      static_cast<double>((EndedAt - StartedAt).count()) *
+                      (1 / MaxPlanningShare - 1)));
+  }
+
+  void planStarts(Term<Store> &T, WorkerSessions<Store, Client> &Sessions) {
     std::vector<scheduling::Candidate> Workers;
     for (const auto &[Incarnation, Row] : T.Workers_) {
       if (!Row->acceptsTasks() ||
@@ -388,6 +401,9 @@
   /// question.
   static constexpr std::size_t MaxWorkersPerQuestion = 30;
   static constexpr std::uint32_t DefaultMaxAttempts = 3;
+  /// A pass takes longer with more waiting tasks. Without a limit, the leader
+  /// of a long backlog would only plan, and neither start nor renew anything.
+  static constexpr double MaxPlanningShare = 0.25;
   /// Lower failure scores count as zero, so that workers whose failures are
   /// long past are equal again.
   static constexpr double MinFailureScore = 0.1;
@@ -412,6 +428,7 @@
   std::shared_ptr<JobCallHandler<Store, Client>> Calls_;
   std::map<WaveNumber, WaveRecord> Waves_;
   bool AskingAdvisor_ = false;
+  TimePoint NextPassAt_{};
 };
 
 } // namespace laburnumspread::cell
--- a/src/cell/internal/machinetable.cpp
+++ b/src/cell/internal/machinetable.cpp
@@ -1,13 +1,15 @@
 #include "cell/machinetable.h"
 
+#include <absl/container/flat_hash_set.h>
+
 namespace laburnumspread::cell {
 
 void MachineTable::updateFromList(const std::vector<MachineRecord> &List,
                                   TimePoint Now) {
-  std::set<MachineId> Listed;
+  absl::flat_hash_set<MachineId> Listed;
   for (const MachineRecord &Item : List) {
     Listed.insert(Item.Id_);
-    capacity::MachineView &View = Views_[Item.Id_];
+    capacity::MachineView &View = addView(Item.Id_);
     if (View.Record_.Id_.empty())
       View.IdleSince_ = Now;
     const Resources KnownCapacity = View.Record_.Capacity_;
@@ -22,8 +24,14 @@
         Now - Found->second.At_ > MinOrderDuration_)
       Orders_.erase(Found);
   }
-  std::erase_if(Views_,
-                [&](const auto &Row) { return !Listed.contains(Row.first); });
+  for (auto View = Views_.begin(); View != Views_.end();) {
+    if (Listed.contains(View->first)) {
+      ++View;
+      continue;
+    }
+    ViewIndex_.erase(View->first);
+    View = Views_.erase(View);
+  }
   ListSeen_ = true;
 }
 
@@ -35,7 +43,7 @@
       Known->second.StartedMs_ >= Record.Incarnation_.StartedMs_)
     return;
   CurrentIncarnations_[Record.Machine_] = Record.Incarnation_;
-  capacity::MachineView &View = Views_[Record.Machine_];
+  capacity::MachineView &View = addView(Record.Machine_);
   View.Record_.Id_ = Record.Machine_;
   View.Record_.Pool_ = Record.Pool_;
   View.Record_.State_ = MachineState::Up;
@@ -58,6 +66,13 @@
     Orders_.erase(Found);
 }
 
+capacity::MachineView &MachineTable::addView(const MachineId &Machine) {
+  capacity::MachineView *&Known = ViewIndex_[Machine];
+  if (!Known)
+    Known = &Views_[Machine];
+  return *Known;
+}
+
 void MachineTable::applyOrderBlock(capacity::MachineView &View) const {
   const auto Found = OrdersBlockedUntil_.find(View.Record_.Id_);
   if (Found != OrdersBlockedUntil_.end())
@@ -81,8 +96,8 @@
 void MachineTable::orderRefused(const MachineId &Machine, TimePoint Now) {
   Orders_.erase(Machine);
   blockOrdersUntil(Machine, Now + PauseAfterRefusal);
-  if (const auto View = Views_.find(Machine); View != Views_.end())
-    applyOrderBlock(View->second);
+  if (capacity::MachineView *View = findView(Machine))
+    applyOrderBlock(*View);
 }
 
 std::optional<WorkerIncarnation>
@@ -103,17 +118,17 @@
 bool MachineTable::isUnschedulable(const MachineId &Machine) const {
   if (busy(Machine))
     return true;
-  const auto Found = Views_.find(Machine);
-  return Found != Views_.end() && Found->second.Cordoned_;
+  const capacity::MachineView *View = findView(Machine);
+  return View && View->Cordoned_;
 }
 
 bool MachineTable::showsWorkerGone(const WorkerRecord &Worker) const {
   if (!ListSeen_ || Worker.Machine_.empty())
     return false;
-  const auto Found = Views_.find(Worker.Machine_);
-  if (Found == Views_.end())
+  const capacity::MachineView *View = findView(Worker.Machine_);
+  if (!View)
     return true;
-  const MachineRecord &Machine = Found->second.Record_;
+  const MachineRecord &Machine = View->Record_;
   return Machine.State_ != MachineState::Up ||
          (!Machine.Worker_.empty() &&
           Machine.Worker_ != Worker.Incarnation_.Id_);
--- a/src/cell/internal/runtracker.cpp
+++ b/src/cell/internal/runtracker.cpp
@@ -109,7 +109,8 @@
                                              TimePoint SentAt,
                                              std::uint64_t EndsStaged) {
   Report Result;
-  std::set<RunName> Listed;
+  RunSet Listed;
+  Listed.reserve(Reply.Ends_.size() + Reply.Running_.size());
   for (const EndReport &Item : Reply.Ends_) {
     Listed.insert(Item.Run_);
     const LiveRun *Live = Table_.find(Item.Run_);
@@ -141,7 +142,7 @@
 }
 
 void RunTracker::settleFormerIncarnations(const WorkerIncarnation &Worker,
-                                          const std::set<RunName> &Listed,
+                                          const RunSet &Listed,
                                           TimePoint SentAt,
                                           Report &Into) const {
   const auto &All = Table_.workers();
--- a/src/cell/machinemanager.h
+++ b/src/cell/machinemanager.h
@@ -218,18 +218,19 @@
 
   /// Updates the machine views from the runs on the workers.
   void refreshViews() {
-    for (auto &[Id, View] : Table_->views()) {
+    Table_->changeViews([&](const MachineId &Id, capacity::MachineView &View) {
       View.Usable_ = false;
       View.InTransition_ = Table_->busy(Id);
       View.Used_ = Resources();
       View.FiniteRuns_ = 0;
       View.LongRunningRuns_.clear();
-    }
+    });
     for (const auto &[Incarnation, Row] : Term_->Workers_) {
-      const auto Found = Table_->views().find(Row->Record_.Machine_);
-      if (Found == Table_->views().end() || Row->Ended_)
+      capacity::MachineView *const Found =
+          Table_->findView(Row->Record_.Machine_);
+      if (!Found || Row->Ended_)
         continue;
-      capacity::MachineView &View = Found->second;
+      capacity::MachineView &View = *Found;
       View.Usable_ = View.Usable_ || Row->acceptsTasks();
       const jobs::WorkerUsage *Use = Term_->Table_.usageOf(Incarnation);
       if (!Use)
@@ -265,8 +266,9 @@
                                           Term_->Bounds_.UpkeepDuration_);
     const capacity::UpkeepPlan Plan =
         Planner.plan(Table_->views(), Waves_, standbyPools(), now());
-    for (auto &[Id, View] : Table_->views())
+    Table_->changeViews([&](const MachineId &Id, capacity::MachineView &View) {
       View.Cordoned_ = Plan.Cordon_.contains(Id);
+    });
     for (auto &[Number, Wave] : Waves_)
       if (!Wave.RunningReported_)
         report(Number, Wave, false);
--- a/src/cell/machineorders.h
+++ b/src/cell/machineorders.h
@@ -68,7 +68,7 @@
           .field("reason", nameOf(Order.Reason_))
           .field("result", nameOf(Result));
       if (Result == MachineResult::Done)
-        Self->Table_->views()[Order.Machine_].Record_.Pool_ = Order.To_;
+        Self->Table_->setPool(Order.Machine_, Order.To_);
       Self->settleOrder(Order.Machine_, Result);
     });
   }
--- a/src/cell/machinetable.h
+++ b/src/cell/machinetable.h
@@ -5,6 +5,8 @@
 
 #include <map>
 
+#include <absl/container/flat_hash_map.h>
+
 namespace laburnumspread::cell {
 
 /// The leader's view of the machines: the platform's list, the worker on each
@@ -82,7 +84,21 @@
   std::optional<WorkerIncarnation>
   incarnationOn(const MachineId &Machine) const;
 
-  Views &views() { return Views_; }
+  const Views &views() const { return Views_; }
+  /// Records that the machine is being moved to a pool.
+  void setPool(const MachineId &Machine, const PoolName &Pool) {
+    addView(Machine).Record_.Pool_ = Pool;
+  }
+  /// Calls \p Change with each machine and its view.
+  template <typename Fn> void changeViews(Fn &&Change) {
+    for (auto &[Id, View] : Views_)
+      Change(Id, View);
+  }
+  /// Returns the view of the machine, or nullptr if it is not known.
+  capacity::MachineView *findView(const MachineId &Machine) const {
+    const auto Found = ViewIndex_.find(Machine);
+    return Found == ViewIndex_.end() ? nullptr : Found->second;
+  }
   const std::map<MachineId, PoolName> &homePools() const { return HomePools_; }
   bool listSeen() const { return ListSeen_; }
 
@@ -102,13 +118,16 @@
   void settleOrderByIncarnation(const WorkerRecord &Record, TimePoint Now);
 
   void applyOrderBlock(capacity::MachineView &View) const;
+  capacity::MachineView &addView(const MachineId &Machine);
 
   Duration MinOrderDuration_;
   Views Views_;
-  std::map<MachineId, WorkerIncarnation> CurrentIncarnations_;
+  /// Points into Views_.
+  absl::flat_hash_map<MachineId, capacity::MachineView *> ViewIndex_;
+  absl::flat_hash_map<MachineId, WorkerIncarnation> CurrentIncarnations_;
   std::map<MachineId, PoolName> HomePools_;
-  std::map<MachineId, Order> Orders_;
-  std::map<MachineId, TimePoint> OrdersBlockedUntil_;
+  absl::flat_hash_map<MachineId, Order> Orders_;
+  absl::flat_hash_map<MachineId, TimePoint> OrdersBlockedUntil_;
   bool ListSeen_ = false;
 };
 
--- a/src/cell/runstopper.h
+++ b/src/cell/runstopper.h
@@ -181,7 +181,7 @@
   Client &Client_;
   std::shared_ptr<RunTracker> Tracker_;
   /// Runs for which a fiber is currently sending stops.
-  std::set<jobs::RunName> InFlight_;
+  absl::flat_hash_set<jobs::RunName> InFlight_;
 };
 
 } // namespace laburnumspread::cell
--- a/src/cell/runtracker.h
+++ b/src/cell/runtracker.h
@@ -6,6 +6,9 @@
 #include <map>
 #include <set>
 
+#include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
+
 namespace laburnumspread::cell {
 
 /// Determines which runs have ended, from the orders sent to workers and their
@@ -112,9 +115,11 @@
     std::optional<TimePoint> StoppedByLaterIncarnationAt_;
   };
 
+  using RunSet = absl::flat_hash_set<jobs::RunName>;
+
   void settleFormerIncarnations(const WorkerIncarnation &Worker,
-                                const std::set<jobs::RunName> &Listed,
-                                TimePoint SentAt, Report &Into) const;
+                                const RunSet &Listed, TimePoint SentAt,
+                                Report &Into) const;
   bool stopMayBeInProgress(const jobs::RunName &Run, TimePoint AsOf) const;
   bool cannotStartOnLaterIncarnation(const jobs::RunName &Run,
                                      TimePoint SentAt) const;
@@ -122,8 +127,8 @@
                    TimePoint SentAt) const;
 
   jobs::CellTable &Table_;
-  std::map<jobs::RunName, StartState> Starts_;
-  std::set<jobs::RunName> Staged_;
+  absl::flat_hash_map<jobs::RunName, StartState> Starts_;
+  absl::flat_hash_set<jobs::RunName> Staged_;
 };
 
 } // namespace laburnumspread::cell
--- a/src/cell/term.h
+++ b/src/cell/term.h
@@ -95,7 +95,7 @@
   WorkerTable Workers_;
   /// Ended incarnations and when each ended. The platform's worker list may
   /// show them for some seconds more.
-  std::map<WorkerIncarnation, TimePoint> EndedIncarnations_;
+  absl::flat_hash_map<WorkerIncarnation, TimePoint> EndedIncarnations_;
   CellConfig Config_;
   scheduling::RunTimeEstimator Estimates_;
   scheduling::AdviceTable Advice_;
--- a/src/cell/tests/machinetabletest.cpp
+++ b/src/cell/tests/machinetabletest.cpp
@@ -76,11 +76,11 @@
   MachineTable Table(1500ms);
   Table.blockOrdersUntil(Machine, Start + 3s);
   Table.recordWorker(worker(1), Start);
-  BOOST_TEST((Table.views()[Machine].NoOrderBefore_ == Start + 3s));
+  BOOST_TEST((Table.views().at(Machine).NoOrderBefore_ == Start + 3s));
   MachineTable Other(1500ms);
   Other.blockOrdersUntil(Machine, Start + 3s);
   Other.updateFromList({listed(MachineState::Up)}, Start);
-  BOOST_TEST((Other.views()[Machine].NoOrderBefore_ == Start + 3s));
+  BOOST_TEST((Other.views().at(Machine).NoOrderBefore_ == Start + 3s));
 }
 
 // Guards against sending a move again at every planning step, ten times a
@@ -92,7 +92,7 @@
   Table.orderSent(Machine, 1500ms, Start);
   Table.orderRefused(Machine, Start + 10ms);
   BOOST_TEST(!Table.busy(Machine));
-  BOOST_TEST((Table.views()[Machine].NoOrderBefore_ ==
+  BOOST_TEST((Table.views().at(Machine).NoOrderBefore_ ==
               Start + 10ms + MachineTable::PauseAfterRefusal));
 }
 
--- a/src/fleet/fleettypes.h
+++ b/src/fleet/fleettypes.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "framework/clock/clock.h"
+#include "framework/ids/internedname.h"
 #include "framework/ids/strongid.h"
 
 #include <cstdint>
@@ -9,7 +10,7 @@
 
 namespace laburnumspread::fleet {
 
-using PoolName = framework::ids::StrongName<struct PoolNameTag>;
+using PoolName = framework::ids::InternedName<struct PoolNameTag>;
 using VmName = framework::ids::StrongName<struct VmNameTag>;
 using TeamName = framework::ids::StrongName<struct TeamNameTag>;
 using KeyName = framework::ids::StrongName<struct KeyNameTag>;
--- a/src/framework/http/httpclient.cpp
+++ b/src/framework/http/httpclient.cpp
@@ -120,16 +120,21 @@
     if (Parser_->is_done())
       return false;
     const std::size_t Before = Into.size();
-    Into.resize(Before + Max);
+    const std::size_t Part = static_cast<std::size_t>(std::min<std::uint64_t>(
+        Max, Parser_->content_length_remaining().value_or(Max)));
+    Into.resize(Before + Part);
     auto &Body = Parser_->get().body();
     Body.data = Into.data() + Before;
-    Body.size = Max;
+    Body.size = Part;
     Body.more = true;
-    Stream_.expires_at(toSteady(Deadline));
-    IoOutcome Outcome = await([&](auto Done) {
-      bhttp::async_read_some(Stream_, Buffer_, *Parser_, Done);
-    });
-    Into.resize(Before + Max - Body.size);
+    IoOutcome Outcome;
+    if (!parseBuffered(Outcome.Error_)) {
+      Stream_.expires_at(toSteady(Deadline));
+      Outcome = await([&](auto Done) {
+        bhttp::async_read_some(Stream_, Buffer_, *Parser_, Done);
+      });
+    }
+    Into.resize(Before + Part - Body.size);
     if (Outcome.Error_ && Outcome.Error_ != bhttp::error::need_buffer)
       return toStatus(Outcome.Error_, "read response body");
     noteReceived();
@@ -153,7 +158,6 @@
   bool stale() override {
     char Byte;
     beast::error_code Error;
-    Stream_.socket().non_blocking(true, Error);
     Stream_.socket().receive(boost::asio::buffer(&Byte, 1),
                              tcp::socket::message_peek, Error);
     // Unsolicited bytes would be read as the response to the next request.
@@ -182,18 +186,41 @@
     // Send head and body together: one system call, and the body does not wait
     // for the acknowledgement of the head.
     Bytes += Body;
+    // The socket nearly always takes a small request at once. Only what it does
+    // not take needs a timer and a change of fibers.
+    const std::size_t Taken =
+        Stream_.socket().write_some(boost::asio::buffer(Bytes), Error);
+    BytesSent_ = Taken > 0;
+    if (Error && Error != boost::asio::error::would_block)
+      return toStatus(Error, "send request");
+    if (Taken == Bytes.size())
+      return absl::OkStatus();
     Stream_.expires_at(toSteady(Deadline));
     const IoOutcome Outcome = await([&](auto Done) {
-      boost::asio::async_write(Stream_, boost::asio::buffer(Bytes), Done);
+      boost::asio::async_write(Stream_, boost::asio::buffer(Bytes) + Taken,
+                               Done);
     });
-    BytesSent_ = Outcome.Bytes_ > 0;
+    BytesSent_ = BytesSent_ || Outcome.Bytes_ > 0;
     if (Outcome.Error_)
       return toStatus(Outcome.Error_, "send request");
     return absl::OkStatus();
   }
 
+  /// Parses body bytes that arrived with earlier ones. Returns whether there
+  /// were any.
+  bool parseBuffered(beast::error_code &Error) {
+    if (Buffer_.size() == 0)
+      return false;
+    const std::size_t Parsed = Parser_->put(Buffer_.data(), Error);
+    Buffer_.consume(Parsed);
+    if (Error == bhttp::error::need_more)
+      Error = {};
+    return Parsed > 0 || Error;
+  }
+
   void setOptions() {
     beast::error_code Ignored;
+    Stream_.socket().non_blocking(true, Ignored);
     Stream_.socket().set_option(tcp::no_delay(true), Ignored);
     const boost::asio::detail::socket_option::integer<IPPROTO_TCP,
                                                       TCP_USER_TIMEOUT>
--- a/src/jobs/celltable.h
+++ b/src/jobs/celltable.h
@@ -8,7 +8,8 @@
 #include <memory>
 #include <optional>
 #include <set>
-#include <unordered_map>
+
+#include <absl/container/flat_hash_map.h>
 
 namespace laburnumspread::jobs {
 
@@ -106,6 +107,11 @@
   /// run has failed.
   using AttemptLimit = std::function<std::uint32_t(const QueueName &)>;
 
+  CellTable() = default;
+  // The indexes point into the maps, which keep their rows when moved.
+  CellTable(CellTable &&) = default;
+  CellTable &operator=(CellTable &&) = default;
+
   /// Applies one event. Events of unknown jobs or runs have no effect.
   void apply(const Event &Item, TimePoint Now);
 
@@ -192,14 +198,20 @@
   std::uint32_t attemptLimit(const QueueName &Queue) const;
   void endJob(JobRow &Job, JobState State, TimePoint Now);
   JobRow *mutableJob(const JobId &Job);
+  WorkerUsage &addUsage(const WorkerIncarnation &Worker);
+  void removeUsage(const WorkerIncarnation &Worker);
 
+  // The maps are sorted, so that what is iterated does not depend on addresses.
+  // The indexes serve look-ups, of which there are many for each run.
   std::map<JobId, JobRow> Jobs_;
-  std::map<JobId, std::uint64_t> Order_;
+  absl::flat_hash_map<JobId, JobRow *> JobIndex_;
+  absl::flat_hash_map<JobId, std::uint64_t> Order_;
   std::map<std::uint64_t, JobId> Open_;
   std::uint64_t NextOrder_ = 1;
   std::map<WorkerIncarnation, WorkerUsage> Workers_;
-  std::map<WorkspaceName, Resources> Workspaces_;
-  std::map<QueueName, std::uint64_t> Waiting_;
+  absl::flat_hash_map<WorkerIncarnation, WorkerUsage *> WorkerIndex_;
+  absl::flat_hash_map<WorkspaceName, Resources> Workspaces_;
+  absl::flat_hash_map<QueueName, std::uint64_t> Waiting_;
   std::deque<std::pair<TimePoint, JobId>> Ended_;
   std::map<WaveNumber, std::set<MachineId>> Upkeep_;
   std::map<MachineId, MachineOrderRow> MachineOrders_;
--- a/src/jobs/internal/celltable.cpp
+++ b/src/jobs/internal/celltable.cpp
@@ -37,13 +37,25 @@
 }
 
 JobRow *CellTable::mutableJob(const JobId &Job) {
-  const auto Found = Jobs_.find(Job);
-  return Found == Jobs_.end() ? nullptr : &Found->second;
+  const auto Found = JobIndex_.find(Job);
+  return Found == JobIndex_.end() ? nullptr : Found->second;
 }
 
 const JobRow *CellTable::find(const JobId &Job) const {
-  const auto Found = Jobs_.find(Job);
-  return Found == Jobs_.end() ? nullptr : &Found->second;
+  const auto Found = JobIndex_.find(Job);
+  return Found == JobIndex_.end() ? nullptr : Found->second;
+}
+
+WorkerUsage &CellTable::addUsage(const WorkerIncarnation &Worker) {
+  WorkerUsage *&Known = WorkerIndex_[Worker];
+  if (!Known)
+    Known = &Workers_[Worker];
+  return *Known;
+}
+
+void CellTable::removeUsage(const WorkerIncarnation &Worker) {
+  WorkerIndex_.erase(Worker);
+  Workers_.erase(Worker);
 }
 
 const TaskRow *CellTable::find(const TaskName &Task) const {
@@ -83,15 +95,15 @@
 }
 
 const WorkerUsage *CellTable::usageOf(const WorkerIncarnation &Worker) const {
-  const auto Found = Workers_.find(Worker);
-  return Found == Workers_.end() ? nullptr : &Found->second;
+  const auto Found = WorkerIndex_.find(Worker);
+  return Found == WorkerIndex_.end() ? nullptr : Found->second;
 }
 
 std::optional<TimePoint> CellTable::unwantedSince(const RunName &Run) const {
   const LiveRun *Live = find(Run);
   if (!Live)
     return std::nullopt;
-  const JobRow &Job = Jobs_.at(Run.Task_.Job_);
+  const JobRow &Job = *find(Run.Task_.Job_);
   if (Live->Stopping_ && Job.ended())
     return std::min(Live->StoppingSince_, Job.EndedAt_);
   if (Live->Stopping_)
@@ -110,7 +122,7 @@
 }
 
 void CellTable::applyEvent(const JobAccepted &Item, TimePoint Now) {
-  if (Jobs_.contains(Item.Spec_.Id_))
+  if (JobIndex_.contains(Item.Spec_.Id_))
     return;
   JobRow Row;
   Row.Spec_ = Item.Spec_;
@@ -121,7 +133,8 @@
   Open_[Order] = Item.Spec_.Id_;
   Order_[Item.Spec_.Id_] = Order;
   ++Waiting_[Item.Spec_.Queue_];
-  Jobs_.emplace(Item.Spec_.Id_, std::move(Row));
+  JobIndex_[Item.Spec_.Id_] =
+      &Jobs_.emplace(Item.Spec_.Id_, std::move(Row)).first->second;
 }
 
 void CellTable::addLive(JobRow &Job, const RunName &Run, const LiveRun &Live) {
@@ -133,7 +146,7 @@
   Task.Runs_.push_back(Live);
   ++Job.LiveRuns_;
   const Resources Demand = Job.Spec_.Steps_[Name.Step_].demand();
-  WorkerUsage &Use = Workers_[Live.Worker_];
+  WorkerUsage &Use = addUsage(Live.Worker_);
   Use.Used_ += Demand;
   Use.Runs_.insert(Run);
   Workspaces_[Job.Spec_.Workspace_] += Job.Spec_.Steps_[Name.Step_].PerTask_;
@@ -165,11 +178,11 @@
     return;
   const TaskName &Name = Item.Run_.Task_;
   const StepSpec &Spec = Job->Spec_.Steps_[Name.Step_];
-  WorkerUsage &Use = Workers_[Live->Worker_];
+  WorkerUsage &Use = addUsage(Live->Worker_);
   Use.Used_ -= Spec.demand();
   Use.Runs_.erase(Item.Run_);
   if (Use.Runs_.empty())
-    Workers_.erase(Live->Worker_);
+    removeUsage(Live->Worker_);
   Workspaces_[Job->Spec_.Workspace_] -= Spec.PerTask_;
   std::erase_if(Task->Runs_, [&](const LiveRun &Candidate) {
     return Candidate.Run_ == Item.Run_.Run_;
@@ -278,6 +291,7 @@
     if (Row && Row->LiveRuns_ > 0)
       return;
     Ended_.pop_front();
+    JobIndex_.erase(Job);
     Jobs_.erase(Job);
     Order_.erase(Job);
   }
@@ -298,10 +312,10 @@
 
 void CellTable::restore(JobRow Row, TimePoint Now) {
   const JobId Id = Row.Spec_.Id_;
-  if (Jobs_.contains(Id))
+  if (JobIndex_.contains(Id))
     return;
   applyEvent(JobAccepted{Row.Spec_}, Now);
-  JobRow &Restored = Jobs_.at(Id);
+  JobRow &Restored = *mutableJob(Id);
   // Must precede the tasks: otherwise a job that failed or was cancelled while
   // its last tasks ended would be closed as done when they are restored.
   if (Row.ended())
@@ -328,7 +342,7 @@
 
 void CellTable::restoreAcceptTimes(std::int64_t WallMs, TimePoint Now) {
   for (const auto &[Order, Id] : Open_) {
-    JobRow &Job = Jobs_.at(Id);
+    JobRow &Job = *mutableJob(Id);
     const std::int64_t AgeMs =
         std::clamp<std::int64_t>(WallMs - Job.Spec_.AcceptedMs_, 0, MaxAgeMs);
     Job.AcceptedAt_ = Now - std::chrono::milliseconds(AgeMs);
--- a/src/jobs/jobtypes.h
+++ b/src/jobs/jobtypes.h
@@ -2,6 +2,7 @@
 
 #include "fleet/fleettypes.h"
 #include "framework/clock/clock.h"
+#include "framework/ids/internedname.h"
 #include "framework/ids/strongid.h"
 
 #include <cstdint>
@@ -15,16 +16,16 @@
 using framework::clock::Duration;
 using framework::clock::TimePoint;
 
-using JobId = framework::ids::StrongName<struct JobIdTag>;
-using QueueName = framework::ids::StrongName<struct QueueNameTag>;
-using WorkspaceName = framework::ids::StrongName<struct WorkspaceNameTag>;
+using JobId = framework::ids::InternedName<struct JobIdTag>;
+using QueueName = framework::ids::InternedName<struct QueueNameTag>;
+using WorkspaceName = framework::ids::InternedName<struct WorkspaceNameTag>;
 using ImageName = framework::ids::StrongName<struct ImageNameTag>;
-using Label = framework::ids::StrongName<struct LabelTag>;
+using Label = framework::ids::InternedName<struct LabelTag>;
 using Checkpoint = framework::ids::StrongName<struct CheckpointTag>;
 /// Name of a worker process on a VM. A restarted process can have the same
 /// name.
-using WorkerId = framework::ids::StrongName<struct WorkerIdTag>;
-using MachineId = framework::ids::StrongName<struct MachineIdTag>;
+using WorkerId = framework::ids::InternedName<struct WorkerIdTag>;
+using MachineId = framework::ids::InternedName<struct MachineIdTag>;
 using WaveNumber = framework::ids::StrongNumber<struct WaveNumberTag>;
 /// Number of a start of a task, from 1.
 using RunNumber = framework::ids::StrongNumber<struct RunNumberTag>;
@@ -73,6 +74,11 @@
   std::int64_t StartedMs_ = 0;
 
   auto operator<=>(const WorkerIncarnation &) const = default;
+
+  template <typename Hash>
+  friend Hash AbslHashValue(Hash State, const WorkerIncarnation &Item) {
+    return Hash::combine(std::move(State), Item.Id_, Item.StartedMs_);
+  }
 };
 
 /// One step of a job: a number of identical tasks.
@@ -149,6 +155,12 @@
 
   auto operator<=>(const TaskName &) const = default;
   std::string str() const;
+
+  template <typename Hash>
+  friend Hash AbslHashValue(Hash State, const TaskName &Task) {
+    return Hash::combine(std::move(State), Task.Job_, Task.Occurrence_,
+                         Task.Step_, Task.Index_);
+  }
 };
 
 /// Parses "job.occurrence.step.index". Returns nullopt if the text is
@@ -161,6 +173,11 @@
   RunNumber Run_;
 
   auto operator<=>(const RunName &) const = default;
+
+  template <typename Hash>
+  friend Hash AbslHashValue(Hash State, const RunName &Name) {
+    return Hash::combine(std::move(State), Name.Task_, Name.Run_.value());
+  }
 };
 
 /// How a run has ended.
--- a/src/scheduling/internal/runtimeestimator.cpp
+++ b/src/scheduling/internal/runtimeestimator.cpp
@@ -2,7 +2,8 @@
 
 #include <algorithm>
 #include <cmath>
-#include <vector>
+
+#include <absl/container/inlined_vector.h>
 
 namespace laburnumspread::scheduling {
 
@@ -53,7 +54,7 @@
 
 jobs::Duration criticalPath(const jobs::JobSpec &Job,
                             const RunTimeEstimator &Estimator) {
-  std::vector<jobs::Duration> EndOf(Job.Steps_.size());
+  absl::InlinedVector<jobs::Duration, 8> EndOf(Job.Steps_.size());
   jobs::Duration Longest{};
   for (std::size_t I = 0; I < Job.Steps_.size(); ++I) {
     jobs::Duration Begin{};
--- a/src/scheduling/internal/scheduler.cpp
+++ b/src/scheduling/internal/scheduler.cpp
@@ -4,6 +4,9 @@
 #include <map>
 #include <tuple>
 
+#include <absl/container/flat_hash_map.h>
+#include <absl/container/inlined_vector.h>
+
 namespace laburnumspread::scheduling {
 
 using jobs::JobRow;
@@ -70,7 +73,7 @@
 Duration remainingCriticalPath(const JobRow &Job, std::uint32_t Occurrence,
                                const RunTimeEstimator &Estimator) {
   const auto &Steps = Job.Occurrences_[Occurrence].Steps_;
-  std::vector<Duration> EndOf(Steps.size());
+  absl::InlinedVector<Duration, 8> EndOf(Steps.size());
   Duration Longest{};
   for (std::size_t S = 0; S < Steps.size(); ++S) {
     if (Steps[S].done())
@@ -110,7 +113,7 @@
       : Table_(Table), Config_(Config), Advised_(Advised),
         Workers_(std::move(Workers)), Now_(Now) {
     for (std::size_t I = 0; I < Workers_.size(); ++I)
-      ByPool_[Workers_[I].Worker_->Pool_].push_back(I);
+      Pools_[Workers_[I].Worker_->Pool_].Members_.push_back(I);
   }
 
   /// Places the waiting tasks of a step. Returns the number of tasks for which
@@ -122,6 +125,29 @@
   }
 
 private:
+  /// The workers of a pool, by index, and demands that were found to fit on
+  /// none of them. Free resources only shrink during a pass, so neither does
+  /// any larger demand, and a long backlog is not compared with each worker
+  /// again.
+  struct Pool {
+    std::vector<std::size_t> Members_;
+    absl::InlinedVector<Resources, 4> Unfit_;
+
+    bool knownNotToFit(const Resources &Demand) const {
+      return std::any_of(
+          Unfit_.begin(), Unfit_.end(),
+          [&](const Resources &Small) { return Small.fitsInto(Demand); });
+    }
+    void recordUnfit(const Resources &Demand) {
+      Unfit_.erase(std::remove_if(Unfit_.begin(), Unfit_.end(),
+                                  [&](const Resources &Large) {
+                                    return Demand.fitsInto(Large);
+                                  }),
+                   Unfit_.end());
+      Unfit_.push_back(Demand);
+    }
+  };
+
   static StepName nameOf(const ReadyStep &Step) {
     return {Step.Job_->Spec_.Id_, Step.Occurrence_, Step.Step_};
   }
@@ -160,6 +186,9 @@
       Candidate *Chosen = chooseWorker(Step);
       if (!Chosen) {
         Workers_ = Saved;
+        // What did not fit beside the gang's first tasks may fit without them.
+        for (auto &[Name, Members] : Pools_)
+          Members.Unfit_.clear();
         PlannedUsage_ = SavedUsage;
         PlannedPerWorker_ = SavedPerWorker;
         return Count;
@@ -189,24 +218,31 @@
   Candidate *chooseWorker(const ReadyStep &Step) {
     if (!withinWorkspaceLimit(Step))
       return nullptr;
-    const auto Pool = ByPool_.find(Step.Queue_->Pool_);
-    if (Pool == ByPool_.end())
+    const auto Found = Pools_.find(Step.Queue_->Pool_);
+    const Resources Demand = Step.Spec_->demand();
+    if (Found == Pools_.end() || Found->second.knownNotToFit(Demand))
       return nullptr;
+    Pool &Members = Found->second;
     Candidate *Best = nullptr;
-    for (const std::size_t I : Pool->second) {
+    bool AnyFits = false;
+    for (const std::size_t I : Members.Members_) {
       Candidate &Worker = Workers_[I];
-      if (!isEligible(Step, Worker))
+      if (!Demand.fitsInto(Worker.Free_))
+        continue;
+      AnyFits = true;
+      if (!isAllowed(Step, Worker))
         continue;
       if (!Best || isBetter(Step, Worker, *Best))
         Best = &Worker;
     }
+    if (!AnyFits)
+      Members.recordUnfit(Demand);
     return Best;
   }
 
-  bool isEligible(const ReadyStep &Step, const Candidate &Worker) const {
+  /// Whether the step may run on the worker, apart from its free resources.
+  bool isAllowed(const ReadyStep &Step, const Candidate &Worker) const {
     const StepSpec &Spec = *Step.Spec_;
-    if (!Spec.demand().fitsInto(Worker.Free_))
-      return false;
     if (!Spec.Requirement_.empty() &&
         !Worker.Worker_->hasLabel(Spec.Requirement_))
       return false;
@@ -271,8 +307,8 @@
   const AdviceTable &Advised_;
   std::vector<Candidate> Workers_;
   TimePoint Now_;
-  std::map<jobs::PoolName, std::vector<std::size_t>> ByPool_;
-  std::map<jobs::WorkspaceName, Resources> PlannedUsage_;
+  absl::flat_hash_map<jobs::PoolName, Pool> Pools_;
+  absl::flat_hash_map<jobs::WorkspaceName, Resources> PlannedUsage_;
   std::map<StepOnWorker, std::uint32_t> PlannedPerWorker_;
 };
 
--- a/src/scheduling/runtimeestimator.h
+++ b/src/scheduling/runtimeestimator.h
@@ -2,7 +2,7 @@
 
 #include "jobs/jobtypes.h"
 
-#include <map>
+#include <absl/container/flat_hash_map.h>
 
 namespace laburnumspread::scheduling {
 
@@ -52,7 +52,7 @@
     double expected(double LogDeclared) const;
   };
 
-  std::map<jobs::QueueName, LinearFit> Fits_;
+  absl::flat_hash_map<jobs::QueueName, LinearFit> Fits_;
 };
 
 /// Returns the expected run time of the job's critical path: the longest chain
