--- a/bench/micro/leaderbench.cpp
+++ b/bench/micro/leaderbench.cpp
@@ -1,8 +1,7 @@
+#include "bench/micro/fiberthread.h"
 #include "bench/micro/leaderfixture.h"
-#include "framework/fibers/asioscheduler.h"
 
 #include <benchmark/benchmark.h>
-#include <ctime>
 
 // Processor time of the leader for each task, from the submission of its job to
 // its stored end: accept, plan, journal entry, start, report, end. The calls of
@@ -16,26 +15,9 @@
 constexpr auto WarmUp = 1500ms;
 constexpr auto Measured = 3000ms;
 
-double threadSeconds() {
-  timespec Time{};
-  clock_gettime(CLOCK_THREAD_CPUTIME_ID, &Time);
-  return static_cast<double>(Time.tv_sec) +
-         static_cast<double>(Time.tv_nsec) * 1e-9;
-}
-
-/// Must be created on the thread that runs the benchmarks, once.
-void useFibers() {
-  static boost::asio::io_context Io;
-  static const bool Installed = [] {
-    framework::fibers::useAsioScheduler(Io);
-    return true;
-  }();
-  benchmark::DoNotOptimize(Installed);
-}
-
 /// A leader of range(0) workers with range(1) waiting tasks.
 void leadTasks(benchmark::State &State) {
-  useFibers();
+  bench::useFibers();
   static std::vector<std::unique_ptr<bench::LeaderFixture>> Leaders;
   Leaders.push_back(
       std::make_unique<bench::LeaderFixture>(static_cast<int>(State.range(0))));
@@ -43,9 +25,9 @@
   const auto Waiting = static_cast<std::uint64_t>(State.range(1));
   Leader.run(WarmUp, Waiting);
   for (auto _ : State) {
-    const double Before = threadSeconds();
+    const double Before = bench::threadSeconds();
     const std::uint64_t Tasks = Leader.run(Measured, Waiting);
-    const double Used = threadSeconds() - Before;
+    const double Used = bench::threadSeconds() - Before;
     State.SetIterationTime(Tasks == 0 ? 0 : Used / static_cast<double>(Tasks));
     State.counters["tasksPerSecond"] =
         static_cast<double>(Tasks) /
--- /dev/null
+++ b/src/cell/tests/workersessionstest.cpp
@@ -0,0 +1,116 @@
+#include "cell/workersessions.h"
+#include "journal/tests/fakestore.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace laburnumspread::cell {
+
+namespace {
+
+using journal::FakeStore;
+
+const journal::CellKeys Keys("cell/");
+const jobs::RunName Run{{jobs::JobId("0123456789abcdef"), 0, 0, 0},
+                        jobs::RunNumber(1)};
+
+/// Counts the starts; the first ones stay unanswered.
+struct CountingClient {
+  OrderReply start(const WorkerRecord &, const StartOrder &, Duration) {
+    ++Starts_;
+    if (AfterStart_)
+      AfterStart_();
+    return Starts_ > Unanswered_ ? OrderReply{OrderResult::Done, 1}
+                                 : OrderReply();
+  }
+  OrderReply stop(const WorkerRecord &, const jobs::RunName &,
+                  jobs::FencingToken, Duration) {
+    return {};
+  }
+  HoldReply hold(const WorkerRecord &, const HoldOrder &, Duration) {
+    return {};
+  }
+  OrderReply pace(const WorkerRecord &, const jobs::RunName &, int,
+                  jobs::FencingToken, Duration) {
+    return {};
+  }
+  void forget(const WorkerRecord &) {}
+
+  std::uint32_t Starts_ = 0;
+  std::uint32_t Unanswered_ = 0;
+  std::function<void()> AfterStart_;
+};
+
+/// A leader that has stored the intent of a run on a worker.
+struct Fixture {
+  Fixture() {
+    BOOST_REQUIRE(*Leadership_.campaign());
+    Term_ = std::make_shared<Term<FakeStore>>(Store_, Keys, Leadership_,
+                                              Metrics_, CellBounds());
+    Sessions_ = std::make_shared<WorkerSessions<FakeStore, CountingClient>>(
+        Term_, Client_);
+    Row_->Record_.Incarnation_ = {WorkerId("w1"), 1};
+    Row_->Synced_ = true;
+    Term_->Workers_[Row_->Record_.Incarnation_] = Row_;
+    jobs::JobAccepted Job;
+    Job.Spec_.Id_ = Run.Task_.Job_;
+    Job.Spec_.Steps_.resize(1);
+    Term_->Commits_.stage(Job);
+    Intent_ = {Run, Row_->Record_.Incarnation_};
+    Sessions_->runStaged(Run);
+    Term_->Commits_.stage(Intent_);
+  }
+
+  ~Fixture() {
+    Term_->Ended_ = true;
+    while (Sessions_.use_count() > 1)
+      framework::fibers::sleepFor(std::chrono::milliseconds(1));
+  }
+
+  void startAndWait() {
+    Sessions_->start(Intent_);
+    while (Sessions_.use_count() > 1)
+      framework::fibers::sleepFor(std::chrono::milliseconds(1));
+  }
+
+  FakeStore Store_;
+  CountingClient Client_;
+  framework::metrics::Registry Metrics_;
+  journal::Leadership<FakeStore> Leadership_{Store_, Keys, journal::Leader()};
+  std::shared_ptr<Term<FakeStore>> Term_;
+  std::shared_ptr<WorkerSessions<FakeStore, CountingClient>> Sessions_;
+  WorkerRowPtr Row_ = std::make_shared<WorkerRow>();
+  jobs::RunIntended Intent_;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(WorkerSessionsTest, Fixture)
+
+BOOST_AUTO_TEST_CASE(StoredIntentIsSent) {
+  startAndWait();
+  BOOST_TEST(Client_.Starts_ == 1u);
+  BOOST_TEST(Term_->Table_.find(Run)->Confirmed_);
+}
+
+// Guards against a task that starts long after its worker announced that it
+// leaves: the intent was planned before, and storing it took seconds.
+BOOST_AUTO_TEST_CASE(IntentIsNotSentToAWorkerThatDrains) {
+  Row_->Record_.Draining_ = true;
+  startAndWait();
+  BOOST_TEST(Client_.Starts_ == 0u);
+  BOOST_TEST(!Term_->Table_.find(Run));
+}
+
+// Guards against the same by a repeated start. The run may be active, so only
+// the worker's reports end it.
+BOOST_AUTO_TEST_CASE(StartIsNotRepeatedOnAWorkerThatDrains) {
+  Client_.Unanswered_ = 1;
+  Client_.AfterStart_ = [this] { Row_->Record_.Draining_ = true; };
+  startAndWait();
+  BOOST_TEST(Client_.Starts_ == 1u);
+  BOOST_TEST(Term_->Table_.find(Run) != nullptr);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace laburnumspread::cell
