Count finite runs with the worker's usage; look metrics up once

Cause: each hold walked the runs of its worker to learn whether one is finite, and each pass over the machines walked all runs; each order built and looked up the names of its metrics. Change: the table counts finite runs; references to metrics are kept.

--- a/src/cell/machinemanager.h
+++ b/src/cell/machinemanager.h
@@ -237,13 +237,13 @@
         continue;
       View.IdleSince_ = now();
       View.Used_ += Use->Used_;
-      for (const jobs::RunName &Run : Use->Runs_) {
-        const jobs::StepSpec *Step = Term_->Table_.specOf(Run.Task_);
-        if (Step && Step->LongRunning_)
+      View.FiniteRuns_ += Use->FiniteRuns_;
+      if (Use->FiniteRuns_ == Use->Runs_.size())
+        continue;
+      for (const jobs::RunName &Run : Use->Runs_)
+        if (const jobs::StepSpec *Step = Term_->Table_.specOf(Run.Task_);
+            Step && Step->LongRunning_)
           View.LongRunningRuns_.push_back(Run);
-        else
-          ++View.FiniteRuns_;
-      }
     }
   }
 
--- a/src/cell/workersessions.h
+++ b/src/cell/workersessions.h
@@ -41,7 +41,12 @@
         Tracker_(std::make_shared<RunTracker>(Term_->Table_)),
         Stopper_(
             std::make_shared<RunStopper<Store, Client>>(Term_, C, Tracker_)),
-        Fillers_(Term_, Client_) {}
+        Fillers_(Term_, Client_),
+        Holds_(Term_->Metrics_.counter("holds_total")),
+        FirstStartSeconds_(
+            Term_->Metrics_.histogram("task_first_start_seconds")),
+        StartAnswerSeconds_(
+            Term_->Metrics_.histogram("start_answer_seconds")) {}
 
   /// Starts the session of a newly listed worker.
   void open(const WorkerRowPtr &Row) {
@@ -145,7 +150,7 @@
     const HoldReply Reply =
         Client_.hold(Row.Record_, Order, Order.Wait_ + Row.Answers_.timeout());
     Row.recordAnswer(Reply.Result_, SentAt + Order.Wait_, now());
-    Term_->Metrics_.counter("holds_total").add();
+    Holds_.add();
     if (Term_->ended())
       return;
     if (Reply.Result_ == OrderResult::Done)
@@ -173,12 +178,7 @@
   bool hasFiniteRuns(const WorkerRow &Row) const {
     const jobs::WorkerUsage *Use =
         Term_->Table_.usageOf(Row.Record_.Incarnation_);
-    return Use && std::any_of(Use->Runs_.begin(), Use->Runs_.end(),
-                              [&](const jobs::RunName &Run) {
-                                const jobs::StepSpec *Step =
-                                    Term_->Table_.specOf(Run.Task_);
-                                return Step && !Step->LongRunning_;
-                              });
+    return Use && Use->FiniteRuns_ > 0;
   }
 
   void handleNoAnswer(WorkerRow &Row, OrderResult Result) {
@@ -367,9 +367,8 @@
                     Item.Worker_.Id_, now())
             .value_or("");
     if (Run.Run_ == jobs::RunNumber(1))
-      Term_->Metrics_.histogram("task_first_start_seconds")
-          .record(
-              std::chrono::duration<double>(now() - Job->AcceptedAt_).count());
+      FirstStartSeconds_.record(
+          std::chrono::duration<double>(now() - Job->AcceptedAt_).count());
     Order.DeadlineMs_ =
         Row->clockMs(now()) +
         std::chrono::duration_cast<std::chrono::milliseconds>(StartWindow)
@@ -403,8 +402,8 @@
         .counter("starts_total{result=\"" + std::string(nameOf(Reply.Result_)) +
                  "\"}")
         .add();
-    Term_->Metrics_.histogram("start_answer_seconds")
-        .record(std::chrono::duration<double>(now() - SentAt).count());
+    StartAnswerSeconds_.record(
+        std::chrono::duration<double>(now() - SentAt).count());
     if (Term_->ended())
       return true;
     const jobs::RunName &Run = Order.Run_;
@@ -441,6 +440,9 @@
   std::shared_ptr<RunTracker> Tracker_;
   std::shared_ptr<RunStopper<Store, Client>> Stopper_;
   FillerPaceController<Store, Client> Fillers_;
+  framework::metrics::Counter &Holds_;
+  framework::metrics::Histogram &FirstStartSeconds_;
+  framework::metrics::Histogram &StartAnswerSeconds_;
 };
 
 } // namespace laburnumspread::cell
--- a/src/jobs/celltable.h
+++ b/src/jobs/celltable.h
@@ -95,6 +95,8 @@
 struct WorkerUsage {
   Resources Used_;
   std::set<RunName> Runs_;
+  /// How many of the runs end by themselves.
+  std::size_t FiniteRuns_ = 0;
 };
 
 /// State of a cell: its jobs, their tasks, and the resources allocated per
--- a/src/jobs/internal/celltable.cpp
+++ b/src/jobs/internal/celltable.cpp
@@ -145,11 +145,12 @@
     ++Step.LiveCount_;
   Task.Runs_.push_back(Live);
   ++Job.LiveRuns_;
-  const Resources Demand = Job.Spec_.Steps_[Name.Step_].demand();
+  const StepSpec &Spec = Job.Spec_.Steps_[Name.Step_];
   WorkerUsage &Use = addUsage(Live.Worker_);
-  Use.Used_ += Demand;
+  Use.Used_ += Spec.demand();
   Use.Runs_.insert(Run);
-  Workspaces_[Job.Spec_.Workspace_] += Job.Spec_.Steps_[Name.Step_].PerTask_;
+  Use.FiniteRuns_ += !Spec.LongRunning_;
+  Workspaces_[Job.Spec_.Workspace_] += Spec.PerTask_;
 }
 
 void CellTable::applyEvent(const RunIntended &Item, TimePoint Now) {
@@ -181,6 +182,7 @@
   WorkerUsage &Use = addUsage(Live->Worker_);
   Use.Used_ -= Spec.demand();
   Use.Runs_.erase(Item.Run_);
+  Use.FiniteRuns_ -= !Spec.LongRunning_;
   if (Use.Runs_.empty())
     removeUsage(Live->Worker_);
   Workspaces_[Job->Spec_.Workspace_] -= Spec.PerTask_;
