Late jobs are told by the measured start delay; unanswered starts are bounded

Cause: a leader short of processor failed like a cliff. Least slack first picks the jobs that are just in time; the queue of unsent starts then makes each of them late. Three things hid that: a start counted as immediate, run times were measured from the planning and grew with the queue (so late jobs looked in time), and all that fit was planned at once.

Change: the delay from planning to the worker's answer is measured and counts when a job is judged late; run times count from the answer; at most 512 starts wait to be sent or answered, the rest stays in the table for the next pass.

--- a/bench/micro/workerclientbench.cpp
+++ b/bench/micro/workerclientbench.cpp
@@ -36,8 +36,8 @@
   }
 }
 
-/// A worker on loopback that gives one fixed answer. Its threads last as long as
-/// the process.
+/// A worker on loopback that gives one fixed answer. Its threads last as long
+/// as the process.
 cell::WorkerRecord startWorker(const std::string &Body) {
   static boost::asio::io_context Io;
   auto *const Acceptor = new tcp::acceptor(
@@ -97,7 +97,10 @@
   Order.DeadlineMs_ = 486'000;
   orderInParallel(State, [&] { Client.start(Worker, Order, 1s); });
 }
-BENCHMARK(orderStart)->Iterations(5)->UseManualTime()->Unit(benchmark::kMicrosecond);
+BENCHMARK(orderStart)
+    ->Iterations(5)
+    ->UseManualTime()
+    ->Unit(benchmark::kMicrosecond);
 
 /// Holds answered with range(0) running tasks.
 void orderHold(benchmark::State &State) {
@@ -108,11 +111,7 @@
   Order.Wait_ = 250ms;
   orderInParallel(State, [&] { Client.hold(Worker, Order, 1s); });
 }
-BENCHMARK(orderHold)
-    ->Arg(0)
-    ->Arg(10)
-    ->Iterations(5)
-    ->UseManualTime()
-    ->Unit(benchmark::kMicrosecond);
+BENCHMARK(orderHold)->Arg(0)->Arg(10)->Iterations(5)->UseManualTime()->Unit(
+    benchmark::kMicrosecond);
 
 } // namespace
--- a/src/cell/cellservice.h
+++ b/src/cell/cellservice.h
@@ -322,7 +322,8 @@
   /// further passes.
   void schedule(Term<Store> &T, WorkerSessions<Store, Client> &Sessions) {
     const TimePoint StartedAt = now();
-    if (!T.maySendOrders() || StartedAt < NextPassAt_)
+    if (!T.maySendOrders() || StartedAt < NextPassAt_ ||
+        Sessions.unansweredStarts() >= MaxUnansweredStarts)
       return;
     planStarts(T, Sessions);
     const TimePoint EndedAt = now();
@@ -347,8 +348,11 @@
     const scheduling::Scheduler Planner(T.Table_, T.Config_, T.Estimates_,
                                         T.Advice_);
     const scheduling::Plan Plan = Planner.plan(
-        Workers, {now(), framework::clock::toMillis(
-                             framework::clock::SystemClock().now())});
+        Workers,
+        {now(),
+         framework::clock::toMillis(framework::clock::SystemClock().now()),
+         T.StartDelay_.expected()},
+        MaxUnansweredStarts - Sessions.unansweredStarts());
     for (const scheduling::StepName &Step : Plan.AwaitingAdvice_)
       askAdvice(T, Step, Workers);
     for (const jobs::RunIntended &Item : Plan.Starts_) {
@@ -404,6 +408,12 @@
   /// A pass takes longer with more waiting tasks. Without a limit, the leader
   /// of a long backlog would only plan, and neither start nor renew anything.
   static constexpr double MaxPlanningShare = 0.25;
+  /// Starts that may be on their way to workers at a time. A leader that plans
+  /// more starts than it can send would send each one late, in the order of
+  /// planning, and its leases and commits would wait behind them. Below this
+  /// number, what waits stays in the table, and the next pass takes what is
+  /// most urgent then. Sending as many takes about 0.1 s of a processor.
+  static constexpr std::size_t MaxUnansweredStarts = 512;
   /// Lower failure scores count as zero, so that workers whose failures are
   /// long past are equal again.
   static constexpr double MinFailureScore = 0.1;
--- a/src/cell/internal/runtracker.cpp
+++ b/src/cell/internal/runtracker.cpp
@@ -39,8 +39,10 @@
     --Known->second.Unanswered_;
   if (Result == OrderResult::Done) {
     Known->second.SettledAt_ = Now;
-    if (LiveRun *Live = Table_.findLive(Run))
+    if (LiveRun *Live = Table_.findLive(Run)) {
       Live->Confirmed_ = true;
+      Live->AcceptedAt_ = Now;
+    }
     return std::nullopt;
   }
   // A refusal applies to this attempt only. If an earlier attempt was not
--- a/src/cell/term.h
+++ b/src/cell/term.h
@@ -6,6 +6,7 @@
 #include "framework/metrics/metrics.h"
 #include "scheduling/advicetable.h"
 #include "scheduling/runtimeestimator.h"
+#include "scheduling/startdelay.h"
 
 namespace laburnumspread::cell {
 
@@ -98,6 +99,7 @@
   absl::flat_hash_map<WorkerIncarnation, TimePoint> EndedIncarnations_;
   CellConfig Config_;
   scheduling::RunTimeEstimator Estimates_;
+  scheduling::StartDelay StartDelay_;
   scheduling::AdviceTable Advice_;
   framework::metrics::Registry &Metrics_;
   CellBounds Bounds_;
--- a/src/cell/workersessions.h
+++ b/src/cell/workersessions.h
@@ -45,8 +45,8 @@
         Holds_(Term_->Metrics_.counter("holds_total")),
         FirstStartSeconds_(
             Term_->Metrics_.histogram("task_first_start_seconds")),
-        StartAnswerSeconds_(
-            Term_->Metrics_.histogram("start_answer_seconds")) {}
+        StartAnswerSeconds_(Term_->Metrics_.histogram("start_answer_seconds")) {
+  }
 
   /// Starts the session of a newly listed worker.
   void open(const WorkerRowPtr &Row) {
@@ -56,10 +56,16 @@
 
   /// Sends the start of a run whose intent has been stored.
   void start(const jobs::RunIntended &Item) {
-    framework::fibers::spawn(
-        [Self = this->shared_from_this(), Item] { Self->startRun(Item); });
+    ++UnansweredStarts_;
+    framework::fibers::spawn([Self = this->shared_from_this(), Item] {
+      Self->startRun(Item);
+      --Self->UnansweredStarts_;
+    });
   }
 
+  /// Number of starts that wait to be sent or answered.
+  std::size_t unansweredStarts() const { return UnansweredStarts_; }
+
   /// Stops a run and ensures that it can no longer start. The stop is sent at
   /// once if possible; if it cannot be sent or is not executed, the worker's
   /// next reports trigger it again.
@@ -259,8 +265,12 @@
     if (!Job || !Step || !Live || !Task || Step->LongRunning_ ||
         !Task->Saved_.empty())
       return;
-    Term_->Estimates_.recordRun(Job->Spec_.Queue_, Step->Estimate_,
-                                now() - Live->StartedAt_);
+    // Without the time that the start took to arrive: while the leader is short
+    // of processor that would make all tasks look longer, and late jobs in
+    // time.
+    Term_->Estimates_.recordRun(
+        Job->Spec_.Queue_, Step->Estimate_,
+        now() - Live->AcceptedAt_.value_or(Live->StartedAt_));
   }
 
   void endRun(const RunTracker::EndedRun &Item) {
@@ -384,9 +394,9 @@
     Tracker_->noMoreStarts(Run);
   }
 
-  /// Whether a planned start may still be sent to the worker. Storing the intent
-  /// can take seconds, and a task that starts long after its worker announced
-  /// that it leaves is lost with it.
+  /// Whether a planned start may still be sent to the worker. Storing the
+  /// intent can take seconds, and a task that starts long after its worker
+  /// announced that it leaves is lost with it.
   static bool takesStarts(const WorkerRow &Row) {
     return !Row.Ended_ && !Row.Record_.Draining_;
   }
@@ -410,6 +420,9 @@
     if (Reply.ClockMs_ > 0)
       Row.updateClock(Reply.ClockMs_, now());
     logStart(Row, Order, Reply, Attempt);
+    const jobs::LiveRun *Live = Term_->Table_.find(Run);
+    if (Live && Reply.Result_ == OrderResult::Done && Attempt == 0)
+      Term_->StartDelay_.record(now() - Live->StartedAt_);
     const auto Ended =
         Tracker_->startAnswered(Run, Reply.Result_, Attempt, now());
     if (Reply.Result_ == OrderResult::OtherIncarnation)
@@ -440,6 +453,7 @@
   std::shared_ptr<RunTracker> Tracker_;
   std::shared_ptr<RunStopper<Store, Client>> Stopper_;
   FillerPaceController<Store, Client> Fillers_;
+  std::size_t UnansweredStarts_ = 0;
   framework::metrics::Counter &Holds_;
   framework::metrics::Histogram &FirstStartSeconds_;
   framework::metrics::Histogram &StartAnswerSeconds_;
--- a/src/framework/fibers/stackpool.h
+++ b/src/framework/fibers/stackpool.h
@@ -18,7 +18,7 @@
   static constexpr std::size_t StackBytes = 128 * 1024;
   /// Highest number of unused stacks that are kept. Each holds the pages that
   /// its fibers have touched, a few of 4 KB.
-  static constexpr std::size_t MaxUnused = 512;
+  static constexpr std::size_t MaxUnused = 2048;
 
   StackPool() = default;
   StackPool(const StackPool &) = delete;
--- a/src/jobs/celltable.h
+++ b/src/jobs/celltable.h
@@ -27,7 +27,10 @@
   bool StillRunningLogged_ = false;
   /// Speed that the worker reported last, in percent of full speed.
   int Percent_ = 0;
+  /// When its intent was staged, and when its worker accepted the start; the
+  /// latter is empty if this leader did not see it.
   TimePoint StartedAt_{};
+  std::optional<TimePoint> AcceptedAt_;
 };
 
 /// State of one task.
--- a/src/scheduling/internal/scheduler.cpp
+++ b/src/scheduling/internal/scheduler.cpp
@@ -27,7 +27,7 @@
   const StepRow *Row_ = nullptr;
   std::uint32_t Occurrence_ = 0;
   std::uint32_t Step_ = 0;
-  /// Whether the latest start has passed.
+  /// Whether a start that is planned now would arrive after the latest start.
   bool Late_ = false;
   /// Latest time at which the rest of the job can start and still meet its
   /// deadline.
@@ -109,9 +109,9 @@
 public:
   Placement(const CellTable &Table, const CellConfig &Config,
             const AdviceTable &Advised, std::vector<Candidate> Workers,
-            TimePoint Now)
+            TimePoint Now, std::size_t MaxStarts)
       : Table_(Table), Config_(Config), Advised_(Advised),
-        Workers_(std::move(Workers)), Now_(Now) {
+        Workers_(std::move(Workers)), Now_(Now), MaxStarts_(MaxStarts) {
     for (std::size_t I = 0; I < Workers_.size(); ++I)
       Pools_[Workers_[I].Worker_->Pool_].Members_.push_back(I);
   }
@@ -156,6 +156,8 @@
     std::size_t Unplaced = 0;
     bool NoneFits = false;
     for (std::uint32_t I = 0; I < Step.Row_->Tasks_.size(); ++I) {
+      if (Into.Starts_.size() >= MaxStarts_)
+        return Unplaced;
       const TaskRow &Task = Step.Row_->Tasks_[I];
       if (!Task.idle() || Task.NotBefore_ > Now_)
         continue;
@@ -307,6 +309,7 @@
   const AdviceTable &Advised_;
   std::vector<Candidate> Workers_;
   TimePoint Now_;
+  std::size_t MaxStarts_;
   absl::flat_hash_map<jobs::PoolName, Pool> Pools_;
   absl::flat_hash_map<jobs::WorkspaceName, Resources> PlannedUsage_;
   std::map<StepOnWorker, std::uint32_t> PlannedPerWorker_;
@@ -336,7 +339,8 @@
              Queue.Stretch_ * static_cast<double>(Chain.count())));
 }
 
-Plan Scheduler::plan(std::vector<Candidate> Workers, PlanTime At) const {
+Plan Scheduler::plan(std::vector<Candidate> Workers, PlanTime At,
+                     std::size_t MaxStarts) const {
   std::vector<ReadyStep> Ready;
   for (const auto &[Order, Id] : Table_.open()) {
     const JobRow &Job = *Table_.find(Id);
@@ -358,7 +362,8 @@
           JobPrepared = true;
           Base.LatestStart_ = deadlineOf(Job, *Queue, Estimator_) -
                               remainingCriticalPath(Job, K, Estimator_);
-          Base.Late_ = !Spec.LongRunning_ && At.Now_ > Base.LatestStart_;
+          Base.Late_ = !Spec.LongRunning_ &&
+                       At.Now_ + At.StartDelay_ > Base.LatestStart_;
           Base.RemainingCpuWork_ = remainingCpuWork(Job, Estimator_);
         }
         ReadyStep Step = Base;
@@ -370,10 +375,14 @@
       }
   }
   std::sort(Ready.begin(), Ready.end(), runsBefore);
-  Placement Places(Table_, Config_, Advised_, std::move(Workers), At.Now_);
+  Placement Places(Table_, Config_, Advised_, std::move(Workers), At.Now_,
+                   MaxStarts);
   Plan Result;
-  for (const ReadyStep &Step : Ready)
+  for (const ReadyStep &Step : Ready) {
+    if (Result.Starts_.size() >= MaxStarts)
+      break;
     Result.UnplacedTasks_ += Places.place(Step, Result);
+  }
   return Result;
 }
 
--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -6,6 +6,7 @@
 #include "scheduling/runtimeestimator.h"
 #include "workers/workertypes.h"
 
+#include <limits>
 #include <vector>
 
 /// Decides which tasks to start and on which workers. The planning functions
@@ -32,12 +33,15 @@
   TimePoint Now_{};
   /// Wall clock time in Unix milliseconds, for jobs with scheduled occurrences.
   std::int64_t WallMs_ = 0;
+  /// Expected time until a start that is planned now has reached its worker.
+  Duration StartDelay_{};
 };
 
 /// Result of one scheduling pass.
 struct Plan {
   std::vector<jobs::RunIntended> Starts_;
-  /// Number of tasks that are ready but did not fit on any worker.
+  /// Number of tasks that are ready and were compared with the workers, but did
+  /// not fit on any.
   std::size_t UnplacedTasks_ = 0;
   /// Steps with waiting tasks whose queue has an advisor that must approve the
   /// workers, in scheduling order.
@@ -57,8 +61,13 @@
       : Table_(Table), Config_(Config), Estimator_(Estimator),
         Advised_(Advised) {}
 
-  /// Assigns ready tasks to the workers until no more fit.
-  Plan plan(std::vector<Candidate> Workers, PlanTime At) const;
+  /// Assigns ready tasks to the workers until no more fit or \p MaxStarts are
+  /// planned. A gang is planned whole, also past that.
+  Plan plan(std::vector<Candidate> Workers, PlanTime At,
+            std::size_t MaxStarts = NoLimit) const;
+
+  static constexpr std::size_t NoLimit =
+      std::numeric_limits<std::size_t>::max();
 
 private:
   const CellTable &Table_;
--- a/src/scheduling/tests/schedulertest.cpp
+++ b/src/scheduling/tests/schedulertest.cpp
@@ -55,12 +55,13 @@
     Record.Labels_ = std::move(Labels);
   }
 
-  std::vector<jobs::RunIntended> plan(TimePoint Now = Start) {
+  std::vector<jobs::RunIntended>
+  plan(TimePoint Now = Start, std::size_t MaxStarts = Scheduler::NoLimit) {
     std::vector<Candidate> Workers;
     for (const workers::WorkerRecord &Record : Records_)
       Workers.push_back({&Record, Record.Capacity_, 0});
     return Scheduler(Table_, Config_, Estimator_, Advised_)
-        .plan(std::move(Workers), {Now, 1'000'000})
+        .plan(std::move(Workers), {Now, 1'000'000}, MaxStarts)
         .Starts_;
   }
 
@@ -223,6 +224,39 @@
   BOOST_TEST(plan().size() == 3u);
 }
 
+// Guards against a leader that plans more than it can send: what is urgent
+// later would wait behind it.
+BOOST_AUTO_TEST_CASE(LimitedPassStartsTheMostUrgentTasks) {
+  worker("w1", 16'000);
+  job("young", {step(4, 1000)});
+  job("urgent", {step(4, 1000)}, 400ms);
+  const auto Starts = plan(Start, 5);
+  BOOST_TEST(Starts.size() == 5u);
+  BOOST_TEST(startsOf(Starts, "urgent") == 4u);
+}
+
+// Guards against half a gang, which would hold its workers and never run.
+BOOST_AUTO_TEST_CASE(LimitDoesNotSplitAGang) {
+  worker("w1", 16'000);
+  StepSpec Gang = step(4, 1000);
+  Gang.Gang_ = true;
+  job("gang", {Gang});
+  BOOST_TEST(plan(Start, 2).size() == 4u);
+}
+
+// Guards against a backlog whose larger tasks hide smaller ones that fit, and
+// against the reverse: a demand is skipped only if a smaller one fits nowhere.
+BOOST_AUTO_TEST_CASE(DemandThatFitsNowhereHidesOnlyLargerOnes) {
+  worker("w1", 2'500);
+  job("large", {step(2, 4'000)}, 300ms);
+  job("wide", {step(3, 1'000)}, 200ms);
+  job("small", {step(1, 500)}, 100ms);
+  const auto Starts = plan();
+  BOOST_TEST(startsOf(Starts, "large") == 0u);
+  BOOST_TEST(startsOf(Starts, "wide") == 2u);
+  BOOST_TEST(startsOf(Starts, "small") == 1u);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace laburnumspread::scheduling
