--- a/src/framework/http/httpclient.cpp
+++ b/src/framework/http/httpclient.cpp
@@ -25,6 +25,10 @@
 /// without this limit the kernel would retransmit for about 15 minutes.
 constexpr unsigned TcpUserTimeoutMs = 5000;
 
+/// A connection that brought data this recently is used without a look at its
+/// socket, which costs a system call for each request.
+constexpr clock::Duration ProvenAliveFor = std::chrono::milliseconds(100);
+
 std::chrono::steady_clock::time_point toSteady(clock::TimePoint Deadline) {
   return std::chrono::steady_clock::now() +
          (Deadline - clock::SystemClock().now());
@@ -253,7 +257,12 @@
   while (!Idle_.empty()) {
     auto Candidate = std::move(Idle_.back());
     Idle_.pop_back();
-    if (!Candidate->stale())
+    const clock::Duration Idle =
+        clock::SystemClock().now() - Candidate->lastReceivedAt();
+    // The clock may have been set back meanwhile.
+    const bool ProvenAlive =
+        Idle >= clock::Duration::zero() && Idle < ProvenAliveFor;
+    if (ProvenAlive || !Candidate->stale())
       return Candidate;
   }
   return nullptr;
