--- a/src/cell/internal/termgauges.cpp
+++ b/src/cell/internal/termgauges.cpp
@@ -17,6 +17,8 @@
   Set("workers", static_cast<double>(Workers_));
   Set("workers_silent", static_cast<double>(WorkersSilent_));
   Set("store_stalled", StoreStalled_ ? 1 : 0);
+  Set("start_delay_seconds",
+      std::chrono::duration<double>(StartDelay_).count());
 }
 
 } // namespace laburnumspread::cell
--- a/src/cell/term.h
+++ b/src/cell/term.h
@@ -66,6 +66,7 @@
     Result.JobsKnown_ = Table_.jobs().size();
     Result.Workers_ = Workers_.size();
     Result.StoreStalled_ = Commits_.stalled();
+    Result.StartDelay_ = StartDelay_.expected();
     for (const auto &[Incarnation, Use] : Table_.workers())
       for (const jobs::RunName &Run : Use.Runs_)
         countRun(Run, Result);
--- a/src/cell/termgauges.h
+++ b/src/cell/termgauges.h
@@ -21,6 +21,8 @@
   std::size_t Workers_ = 0;
   std::size_t WorkersSilent_ = 0;
   bool StoreStalled_ = false;
+  /// Expected time from planning a start until its worker has it.
+  framework::clock::Duration StartDelay_{};
 
   /// Writes the values to the gauges in \p Into.
   void publish(framework::metrics::Registry &Into) const;
