Let reports gather by the delay of sending alone

Cause: the pause before the next report followed the whole delay of a start, which also grows with a slow store, when the processor is idle. Change: it follows the delay from the stored intent to the worker's answer.

--- a/src/cell/workersessions.h
+++ b/src/cell/workersessions.h
@@ -57,10 +57,11 @@
   /// Sends the start of a run whose intent has been stored.
   void start(const jobs::RunIntended &Item) {
     ++UnansweredStarts_;
-    framework::fibers::spawn([Self = this->shared_from_this(), Item] {
-      Self->startRun(Item);
-      --Self->UnansweredStarts_;
-    });
+    framework::fibers::spawn(
+        [Self = this->shared_from_this(), Item, StoredAt = now()] {
+          Self->startRun(Item, StoredAt);
+          --Self->UnansweredStarts_;
+        });
   }
 
   /// Number of starts that wait to be sent or answered.
@@ -120,7 +121,7 @@
         continue;
       }
       sendHold(*Row);
-      if (const Duration Pause = Term_->StartDelay_.reportPause();
+      if (const Duration Pause = Term_->SendDelay_.reportPause();
           Pause > Duration::zero() && hasFiniteRuns(*Row))
         framework::fibers::sleepFor(Pause);
     }
@@ -356,7 +357,7 @@
   }
 
 private:
-  void startRun(const jobs::RunIntended &Item) {
+  void startRun(const jobs::RunIntended &Item, TimePoint StoredAt) {
     const jobs::RunName &Run = Item.Run_;
     const auto Worker = Term_->Workers_.find(Item.Worker_);
     const jobs::JobRow *Job = Term_->Table_.find(Run.Task_.Job_);
@@ -392,7 +393,7 @@
     // needed and could be executed by a restarted worker.
     for (int Attempt = 0; Attempt < StartAttempts; ++Attempt)
       if (!Term_->Table_.find(Run) || !takesStarts(*Row) ||
-          attemptStart(*Row, Order, Attempt))
+          attemptStart(*Row, Order, Attempt, StoredAt))
         break;
     Tracker_->noMoreStarts(Run);
   }
@@ -405,7 +406,8 @@
   }
 
   /// Sends one start. Returns true if no further attempt is needed.
-  bool attemptStart(WorkerRow &Row, const StartOrder &Order, int Attempt) {
+  bool attemptStart(WorkerRow &Row, const StartOrder &Order, int Attempt,
+                    TimePoint StoredAt) {
     Tracker_->startSent(Order.Run_, Order.DeadlineMs_);
     const TimePoint SentAt = now();
     const OrderReply Reply =
@@ -424,8 +426,10 @@
       Row.updateClock(Reply.ClockMs_, now());
     logStart(Row, Order, Reply, Attempt);
     const jobs::LiveRun *Live = Term_->Table_.find(Run);
-    if (Live && Reply.Result_ == OrderResult::Done && Attempt == 0)
+    if (Live && Reply.Result_ == OrderResult::Done && Attempt == 0) {
       Term_->StartDelay_.record(now() - Live->StartedAt_);
+      Term_->SendDelay_.record(now() - StoredAt);
+    }
     const auto Ended =
         Tracker_->startAnswered(Run, Reply.Result_, Attempt, now());
     if (Reply.Result_ == OrderResult::OtherIncarnation)
