--- a/src/cell/term.h
+++ b/src/cell/term.h
@@ -100,10 +100,7 @@
   absl::flat_hash_map<WorkerIncarnation, TimePoint> EndedIncarnations_;
   CellConfig Config_;
   scheduling::RunTimeEstimator Estimates_;
-  /// From planning a start, and from its stored intent, to the worker's answer.
-  /// A slow store shows in the first alone, a busy processor in both.
   scheduling::StartDelay StartDelay_;
-  scheduling::StartDelay SendDelay_;
   scheduling::AdviceTable Advice_;
   framework::metrics::Registry &Metrics_;
   CellBounds Bounds_;
--- a/src/cell/workersessions.h
+++ b/src/cell/workersessions.h
@@ -57,11 +57,10 @@
   /// Sends the start of a run whose intent has been stored.
   void start(const jobs::RunIntended &Item) {
     ++UnansweredStarts_;
-    framework::fibers::spawn(
-        [Self = this->shared_from_this(), Item, StoredAt = now()] {
-          Self->startRun(Item, StoredAt);
-          --Self->UnansweredStarts_;
-        });
+    framework::fibers::spawn([Self = this->shared_from_this(), Item] {
+      Self->startRun(Item);
+      --Self->UnansweredStarts_;
+    });
   }
 
   /// Number of starts that wait to be sent or answered.
@@ -121,7 +120,7 @@
         continue;
       }
       sendHold(*Row);
-      if (const Duration Pause = Term_->SendDelay_.reportPause();
+      if (const Duration Pause = Term_->StartDelay_.reportPause();
           Pause > Duration::zero() && hasFiniteRuns(*Row))
         framework::fibers::sleepFor(Pause);
     }
@@ -357,7 +356,7 @@
   }
 
 private:
-  void startRun(const jobs::RunIntended &Item, TimePoint StoredAt) {
+  void startRun(const jobs::RunIntended &Item) {
     const jobs::RunName &Run = Item.Run_;
     const auto Worker = Term_->Workers_.find(Item.Worker_);
     const jobs::JobRow *Job = Term_->Table_.find(Run.Task_.Job_);
@@ -393,7 +392,7 @@
     // needed and could be executed by a restarted worker.
     for (int Attempt = 0; Attempt < StartAttempts; ++Attempt)
       if (!Term_->Table_.find(Run) || !takesStarts(*Row) ||
-          attemptStart(*Row, Order, Attempt, StoredAt))
+          attemptStart(*Row, Order, Attempt))
         break;
     Tracker_->noMoreStarts(Run);
   }
@@ -406,8 +405,7 @@
   }
 
   /// Sends one start. Returns true if no further attempt is needed.
-  bool attemptStart(WorkerRow &Row, const StartOrder &Order, int Attempt,
-                    TimePoint StoredAt) {
+  bool attemptStart(WorkerRow &Row, const StartOrder &Order, int Attempt) {
     Tracker_->startSent(Order.Run_, Order.DeadlineMs_);
     const TimePoint SentAt = now();
     const OrderReply Reply =
@@ -426,10 +424,8 @@
       Row.updateClock(Reply.ClockMs_, now());
     logStart(Row, Order, Reply, Attempt);
     const jobs::LiveRun *Live = Term_->Table_.find(Run);
-    if (Live && Reply.Result_ == OrderResult::Done && Attempt == 0) {
+    if (Live && Reply.Result_ == OrderResult::Done && Attempt == 0)
       Term_->StartDelay_.record(now() - Live->StartedAt_);
-      Term_->SendDelay_.record(now() - StoredAt);
-    }
     const auto Ended =
         Tracker_->startAnswered(Run, Reply.Result_, Attempt, now());
     if (Reply.Result_ == OrderResult::OtherIncarnation)
--- a/src/scheduling/startdelay.h
+++ b/src/scheduling/startdelay.h
@@ -8,9 +8,9 @@
 
 using framework::clock::Duration;
 
-/// Time until a worker has a start, as measured from its planning or from a
-/// later step on its way. It grows when the leader is short of processor, and
-/// from its planning also when the store is slow.
+/// Time from planning a start until its worker has it, as measured: the store
+/// keeps the intent, the start waits for its turn, the worker answers. It grows
+/// when the leader is short of processor or the store is slow.
 class StartDelay {
 public:
   /// Longer delays count as this: the worker did not answer in time.
@@ -28,16 +28,15 @@
   Duration expected() const { return Mean_ + Deviation_; }
 
   /// Time to let further ends gather on a worker before the next report is
-  /// requested, by the delay of starts whose intents are stored. Zero while
-  /// they arrive at once. A leader that is behind would otherwise request a
-  /// report for each end; with half of the delay that it has anyway, it
-  /// requests fewer, and catches up.
+  /// requested. Zero while starts arrive at once. A leader that is behind would
+  /// otherwise request a report for each end; with half of the delay that it
+  /// has anyway, it requests fewer, and catches up.
   Duration reportPause() const {
     return Mean_ < BehindFrom ? Duration::zero()
                               : std::min(Mean_ / 2, MaxReportPause);
   }
 
-  /// A round trip to a worker, several times over.
+  /// A store's answer and a round trip to a worker, several times over.
   static constexpr Duration BehindFrom = std::chrono::milliseconds(60);
   /// A fraction of the time that a task of a second may be late.
   static constexpr Duration MaxReportPause = std::chrono::milliseconds(150);
