--- a/src/cell/workersessions.h
+++ b/src/cell/workersessions.h
@@ -120,9 +120,6 @@
         continue;
       }
       sendHold(*Row);
-      if (const Duration Pause = Term_->StartDelay_.reportPause();
-          Pause > Duration::zero() && hasFiniteRuns(*Row))
-        framework::fibers::sleepFor(Pause);
     }
     Client_.forget(Row->Record_);
     const auto Found = Term_->Workers_.find(Row->Record_.Incarnation_);
--- a/src/scheduling/startdelay.h
+++ b/src/scheduling/startdelay.h
@@ -27,20 +27,6 @@
   /// Delay within which most of the next starts arrive; zero before the first.
   Duration expected() const { return Mean_ + Deviation_; }
 
-  /// Time to let further ends gather on a worker before the next report is
-  /// requested. Zero while starts arrive at once. A leader that is behind would
-  /// otherwise request a report for each end; with half of the delay that it
-  /// has anyway, it requests fewer, and catches up.
-  Duration reportPause() const {
-    return Mean_ < BehindFrom ? Duration::zero()
-                              : std::min(Mean_ / 2, MaxReportPause);
-  }
-
-  /// A store's answer and a round trip to a worker, several times over.
-  static constexpr Duration BehindFrom = std::chrono::milliseconds(60);
-  /// A fraction of the time that a task of a second may be late.
-  static constexpr Duration MaxReportPause = std::chrono::milliseconds(150);
-
 private:
   /// Smoothing as for round-trip times (RFC 6298).
   static constexpr int MeanDivisor = 8;
--- a/src/scheduling/tests/startdelaytest.cpp
+++ b/src/scheduling/tests/startdelaytest.cpp
@@ -35,14 +35,6 @@
   BOOST_TEST((Delay.expected() < 20ms));
 }
 
-// Guards against a leader that is behind and asks for a report at each end, and
-// against reports that wait at a leader that is not.
-BOOST_AUTO_TEST_CASE(ReportsWaitOnlyWhileStartsAreLate) {
-  BOOST_TEST((after(20ms, 100).reportPause() == 0ms));
-  BOOST_TEST((after(200ms, 100).reportPause() > 90ms));
-  BOOST_TEST((after(900ms, 100).reportPause() == StartDelay::MaxReportPause));
-}
-
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace laburnumspread::scheduling
