A condition that cannot be read is a 400, for deletes too

Change: one reader of the condition for both verbs. Measured: MalformedIfMatchIsRefusedForEveryVerb red before (the object was gone), green now.

--- a/src/api/internal/operatorapi.cpp
+++ b/src/api/internal/operatorapi.cpp
@@ -298,12 +298,8 @@
     return replyProblem(Call, ProblemCode::Invalid,
                         framework::settings::describe(Errors));
   std::optional<Revision> IfMatch;
-  if (const auto Field = Call.head().Headers_.find("If-Match")) {
-    IfMatch = parseRevision(*Field);
-    if (!IfMatch)
-      return replyProblem(Call, ProblemCode::BadRequest,
-                          "If-Match must be a resource version");
-  }
+  if (!readCondition(Call, IfMatch))
+    return;
   if (!isDryRun(Path) && !acceptsWrites(Call))
     return;
   const auto Done = Context_.Writer_.putSpec(
@@ -313,6 +309,17 @@
   replyWritten(Call, *Done, isDryRun(Path));
 }
 
+bool OperatorApi::readCondition(Exchange &Call, std::optional<Revision> &Into) {
+  const auto Field = Call.head().Headers_.find("If-Match");
+  if (!Field)
+    return true;
+  Into = parseRevision(*Field);
+  if (!Into)
+    replyProblem(Call, ProblemCode::BadRequest,
+                 "If-Match must be a resource version");
+  return Into.has_value();
+}
+
 template <typename T>
 void OperatorApi::remove(Exchange &Call, const std::string &Name,
                          const Target &Path) {
@@ -321,8 +328,8 @@
   if (!Conflict.empty())
     return replyProblem(Call, ProblemCode::Conflict, Conflict);
   std::optional<Revision> IfMatch;
-  if (const auto Field = Call.head().Headers_.find("If-Match"))
-    IfMatch = parseRevision(*Field);
+  if (!readCondition(Call, IfMatch))
+    return;
   if (!isDryRun(Path) && !acceptsWrites(Call))
     return;
   const auto Done = Context_.Writer_.template remove<T>(
--- a/src/api/operatorapi.h
+++ b/src/api/operatorapi.h
@@ -3,6 +3,7 @@
 #include "api/apicontext.h"
 
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace laburnumspread::api {
@@ -48,6 +49,11 @@
   void handleDecisions(framework::http::Exchange &Call,
                        const framework::http::Target &Path);
   void watchDecisions(framework::http::Exchange &Call, std::uint64_t Since);
+  /// Reads If-Match into \p Into, which stays empty if there is none. Returns
+  /// false, and has sent an error response, if it cannot be read: a condition
+  /// that is not understood must not be passed over.
+  bool readCondition(framework::http::Exchange &Call,
+                     std::optional<fleet::Revision> &Into);
   /// Returns whether this entry may change the configuration; sends an error
   /// response if not.
   bool acceptsWrites(framework::http::Exchange &Call);
--- a/src/app/tests/interfacetest.cpp
+++ b/src/app/tests/interfacetest.cpp
@@ -176,6 +176,25 @@
   BOOST_TEST(Now.at("spec").at("limit").to_number<int>() == 2);
 }
 
+// Guards against a delete that goes through without its condition, because the
+// condition could not be read.
+BOOST_AUTO_TEST_CASE(MalformedIfMatchIsRefusedForEveryVerb) {
+  Cluster &Fleet = sharedCluster();
+  Fleet.put("teams", "guarded", R"({"limit": 1})");
+  for (const char *const Verb : {"PUT", "DELETE"}) {
+    const auto Answer =
+        Fleet.call(0, Verb, "/v1/teams/guarded",
+                   R"({"metadata": {"name": "guarded"}, "spec": {"limit": 2}})",
+                   Cluster::Operator, singleHeader("If-Match", "yesterday"));
+    BOOST_TEST(Answer.Status_ == 400, Verb);
+  }
+  const auto Now = Fleet.call(0, "GET", "/v1/teams/guarded");
+  BOOST_TEST(Now.Status_ == 200);
+  BOOST_TEST(
+      boost::json::parse(Now.Body_).at("spec").at("limit").to_number<int>() ==
+      1);
+}
+
 BOOST_AUTO_TEST_CASE(InvalidObjectsAreRefusedWithFieldAndReason) {
   Cluster &Fleet = sharedCluster();
   auto DetailOf = [&](const std::string &Target, const std::string &Body) {
