Events staged after the end of a term are answered; a leaving entry says so

Change: such callbacks hear "unknown" at once; the reason of job.refused is the true one. Measured: EventStagedAfterTheEndIsAnsweredAsUnknown red before, green now; cell tests green. The reason has no test: nothing reads log lines in the tests of calls.

--- a/src/cell/commitqueue.h
+++ b/src/cell/commitqueue.h
@@ -43,7 +43,7 @@
     Table_.apply(Item, framework::clock::SteadyClock().now());
     Events_.push_back(std::move(Item));
     if (Done)
-      Callbacks_.push_back(std::move(Done));
+      addCallback(std::move(Done));
     wake();
   }
 
@@ -55,7 +55,7 @@
     if (Events_.empty())
       InFlight_.push_back(std::move(Done));
     else
-      Callbacks_.push_back(std::move(Done));
+      addCallback(std::move(Done));
   }
 
   /// Commits until the leadership ends. \p BeforeGroup may stage more events
@@ -102,6 +102,13 @@
   bool idle() const { return Events_.empty() && !Committing_; }
 
 private:
+  /// After run() has returned, nothing is written any more.
+  void addCallback(Callback Done) {
+    if (Finished_)
+      return Done(CommitOutcome::Unknown);
+    Callbacks_.push_back(std::move(Done));
+  }
+
   void waitForWork() {
     while (!WorkPending_ && !Stopped_) {
       Wake_ = std::make_shared<framework::fibers::Waiter>();
@@ -137,6 +144,7 @@
 
   void finish(CommitOutcome Outcome) {
     Stopped_ = true;
+    Finished_ = true;
     const auto Waiting = std::move(Callbacks_);
     Callbacks_.clear();
     for (const Callback &Done : Waiting)
@@ -154,6 +162,7 @@
   bool WorkPending_ = false;
   bool Committing_ = false;
   bool Stopped_ = false;
+  bool Finished_ = false;
 };
 
 } // namespace laburnumspread::cell
--- a/src/cell/jobcallhandler.h
+++ b/src/cell/jobcallhandler.h
@@ -61,7 +61,8 @@
     if (storeUnavailable() || Leaving) {
       framework::log::info("job.refused")
           .field("job", Call.Job_)
-          .field("reason", "the store does not answer");
+          .field("reason", storeUnavailable() ? "the store does not answer"
+                                              : "the entry is leaving");
       return Reply({Call.Sequence_, peers::JobCallStatus::Refused, "", 0,
                     RetryAfterOutageMs});
     }
--- a/src/cell/tests/commitqueuetest.cpp
+++ b/src/cell/tests/commitqueuetest.cpp
@@ -88,6 +88,20 @@
   BOOST_TEST((stateAfterReplay(3) == JobState::Failed));
 }
 
+// Guards against a caller who waits for its whole timeout: an event that was
+// staged when the term had just ended was never written and never answered.
+BOOST_AUTO_TEST_CASE(EventStagedAfterTheEndIsAnsweredAsUnknown) {
+  Term_->Commits_.stop();
+  Term_->Commits_.run([] {});
+  std::vector<CommitOutcome> Heard;
+  const auto Listen = [&](CommitOutcome Outcome) { Heard.push_back(Outcome); };
+  Term_->Commits_.stage(jobs::JobCancelled{Job}, Listen);
+  Term_->Commits_.whenStored(Listen);
+  BOOST_REQUIRE(Heard.size() == 2u);
+  BOOST_TEST((Heard[0] == CommitOutcome::Unknown));
+  BOOST_TEST((Heard[1] == CommitOutcome::Unknown));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace laburnumspread::cell
