--- a/src/cell/tests/machinemanagertest.cpp
+++ b/src/cell/tests/machinemanagertest.cpp
@@ -1,4 +1,5 @@
 #include "cell/machinemanager.h"
+#include "cell/tests/silentclient.h"
 #include "journal/tests/fakestore.h"
 
 #include <boost/test/unit_test.hpp>
@@ -12,25 +13,6 @@
 const journal::CellKeys Keys("cell/");
 const MachineId Machine("m1");
 
-/// Never replies; the tests open no worker sessions.
-struct SilentClient {
-  OrderReply start(const WorkerRecord &, const StartOrder &, Duration) {
-    return {};
-  }
-  OrderReply stop(const WorkerRecord &, const jobs::RunName &,
-                  jobs::FencingToken, Duration) {
-    return {};
-  }
-  HoldReply hold(const WorkerRecord &, const HoldOrder &, Duration) {
-    return {};
-  }
-  OrderReply pace(const WorkerRecord &, const jobs::RunName &, int,
-                  jobs::FencingToken, Duration) {
-    return {};
-  }
-  void forget(const WorkerRecord &) {}
-};
-
 /// Returns the list as of the time of the request.
 struct FakeMachines {
   absl::StatusOr<std::vector<MachineRecord>> list() {
--- a/src/cell/tests/workersessionstest.cpp
+++ b/src/cell/tests/workersessionstest.cpp
@@ -1,4 +1,5 @@
 #include "cell/workersessions.h"
+#include "cell/tests/silentclient.h"
 #include "journal/tests/fakestore.h"
 
 #include <boost/test/unit_test.hpp>
@@ -14,7 +15,7 @@
                         jobs::RunNumber(1)};
 
 /// Counts the starts; the first ones stay unanswered.
-struct CountingClient {
+struct CountingClient : SilentClient {
   OrderReply start(const WorkerRecord &, const StartOrder &, Duration) {
     ++Starts_;
     if (AfterStart_)
@@ -22,18 +23,6 @@
     return Starts_ > Unanswered_ ? OrderReply{OrderResult::Done, 1}
                                  : OrderReply();
   }
-  OrderReply stop(const WorkerRecord &, const jobs::RunName &,
-                  jobs::FencingToken, Duration) {
-    return {};
-  }
-  HoldReply hold(const WorkerRecord &, const HoldOrder &, Duration) {
-    return {};
-  }
-  OrderReply pace(const WorkerRecord &, const jobs::RunName &, int,
-                  jobs::FencingToken, Duration) {
-    return {};
-  }
-  void forget(const WorkerRecord &) {}
 
   std::uint32_t Starts_ = 0;
   std::uint32_t Unanswered_ = 0;
--- /dev/null
+++ b/src/scheduling/internal/placement.cpp
@@ -0,0 +1,183 @@
+#include "scheduling/internal/placement.h"
+
+#include <algorithm>
+
+namespace laburnumspread::scheduling {
+
+using jobs::RunNumber;
+using jobs::StepSpec;
+using jobs::TaskRow;
+
+bool PoolCandidates::knownNotToFit(const Resources &Demand) const {
+  return std::any_of(Unfit_.begin(), Unfit_.end(), [&](const Resources &Small) {
+    return Small.fitsInto(Demand);
+  });
+}
+
+void PoolCandidates::recordUnfit(const Resources &Demand) {
+  Unfit_.erase(std::remove_if(Unfit_.begin(), Unfit_.end(),
+                              [&](const Resources &Large) {
+                                return Demand.fitsInto(Large);
+                              }),
+               Unfit_.end());
+  Unfit_.push_back(Demand);
+}
+
+Placement::Placement(const CellTable &Table, const CellConfig &Config,
+                     const AdviceTable &Advised, std::vector<Candidate> Workers,
+                     TimePoint Now, std::size_t MaxStarts)
+    : Table_(Table), Config_(Config), Advised_(Advised),
+      Workers_(std::move(Workers)), Now_(Now), MaxStarts_(MaxStarts) {
+  for (std::size_t I = 0; I < Workers_.size(); ++I)
+    Pools_[Workers_[I].Worker_->Pool_].Members_.push_back(I);
+}
+
+std::size_t Placement::place(const ReadyStep &Step, Plan &Into) {
+  if (Step.Queue_->Advice_)
+    Into.AwaitingAdvice_.push_back(Step.name());
+  return Step.Spec_->Gang_ ? placeGang(Step, Into) : placeTasks(Step, Into);
+}
+
+std::size_t Placement::placeTasks(const ReadyStep &Step, Plan &Into) {
+  std::size_t Unplaced = 0;
+  bool NoneFits = false;
+  for (std::uint32_t I = 0; I < Step.Row_->Tasks_.size(); ++I) {
+    if (Into.Starts_.size() >= MaxStarts_)
+      return Unplaced;
+    const TaskRow &Task = Step.Row_->Tasks_[I];
+    if (!Task.idle() || Task.NotBefore_ > Now_)
+      continue;
+    // All tasks of a step have the same demand: if one does not fit, none
+    // will.
+    Candidate *Chosen = NoneFits ? nullptr : chooseWorker(Step);
+    if (!Chosen) {
+      NoneFits = true;
+      ++Unplaced;
+      continue;
+    }
+    assign(Step, I, Task.LastRun_.next(), *Chosen, Into);
+  }
+  return Unplaced;
+}
+
+std::size_t Placement::placeGang(const ReadyStep &Step, Plan &Into) {
+  RunNumber Run;
+  for (const TaskRow &Task : Step.Row_->Tasks_)
+    Run = std::max(Run, Task.LastRun_);
+  Plan Trial;
+  const auto Saved = Workers_;
+  const auto SavedUsage = PlannedUsage_;
+  const auto SavedPerWorker = PlannedPerWorker_;
+  const auto Count = static_cast<std::uint32_t>(Step.Row_->Tasks_.size());
+  for (std::uint32_t I = 0; I < Count; ++I) {
+    Candidate *Chosen = chooseWorker(Step);
+    if (!Chosen) {
+      Workers_ = Saved;
+      // What did not fit beside the gang's first tasks may fit without them.
+      for (auto &[Name, Pool] : Pools_)
+        Pool.Unfit_.clear();
+      PlannedUsage_ = SavedUsage;
+      PlannedPerWorker_ = SavedPerWorker;
+      return Count;
+    }
+    assign(Step, I, Run.next(), *Chosen, Trial);
+  }
+  Into.Starts_.insert(Into.Starts_.end(), Trial.Starts_.begin(),
+                      Trial.Starts_.end());
+  return 0;
+}
+
+void Placement::assign(const ReadyStep &Step, std::uint32_t Index,
+                       RunNumber Run, Candidate &On, Plan &Into) {
+  On.Free_ -= Step.Spec_->demand();
+  PlannedUsage_[Step.Job_->Spec_.Workspace_] += Step.Spec_->PerTask_;
+  if (Step.Spec_->AntiAffinity_ > 0)
+    ++PlannedPerWorker_[keyOf(Step, On)];
+  Into.Starts_.push_back(
+      {{{Step.Job_->Spec_.Id_, Step.Occurrence_, Step.Step_, Index}, Run},
+       On.Worker_->Incarnation_});
+}
+
+Candidate *Placement::chooseWorker(const ReadyStep &Step) {
+  if (!withinWorkspaceLimit(Step))
+    return nullptr;
+  const auto Found = Pools_.find(Step.Queue_->Pool_);
+  const Resources Demand = Step.Spec_->demand();
+  if (Found == Pools_.end() || Found->second.knownNotToFit(Demand))
+    return nullptr;
+  PoolCandidates &Pool = Found->second;
+  Candidate *Best = nullptr;
+  bool AnyFits = false;
+  for (const std::size_t I : Pool.Members_) {
+    Candidate &Worker = Workers_[I];
+    if (!Demand.fitsInto(Worker.Free_))
+      continue;
+    AnyFits = true;
+    if (!isAllowed(Step, Worker))
+      continue;
+    if (!Best || isBetter(Step, Worker, *Best))
+      Best = &Worker;
+  }
+  if (!AnyFits)
+    Pool.recordUnfit(Demand);
+  return Best;
+}
+
+bool Placement::isAllowed(const ReadyStep &Step,
+                          const Candidate &Worker) const {
+  const StepSpec &Spec = *Step.Spec_;
+  if (!Spec.Requirement_.empty() &&
+      !Worker.Worker_->hasLabel(Spec.Requirement_))
+    return false;
+  if (Step.Queue_->Advice_ &&
+      !Advised_.ticket(Step.name(), Worker.Worker_->Incarnation_.Id_, Now_))
+    return false;
+  return Spec.AntiAffinity_ == 0 ||
+         runsOnWorker(Step, Worker) < Spec.AntiAffinity_;
+}
+
+bool Placement::isBetter(const ReadyStep &Step, const Candidate &A,
+                         const Candidate &B) {
+  const auto FarFromData = [&](const Candidate &C) {
+    return !Step.Spec_->DataRack_.empty() &&
+           !C.Worker_->hasLabel(Step.Spec_->DataRack_);
+  };
+  return std::make_tuple(A.FailureScore_, FarFromData(A), A.Free_.MilliCpus_) <
+         std::make_tuple(B.FailureScore_, FarFromData(B), B.Free_.MilliCpus_);
+}
+
+Placement::StepOnWorker Placement::keyOf(const ReadyStep &Step,
+                                         const Candidate &Worker) {
+  return {Step.Job_->Spec_.Id_, Step.Occurrence_, Step.Step_,
+          Worker.Worker_->Incarnation_};
+}
+
+std::uint32_t Placement::runsOnWorker(const ReadyStep &Step,
+                                      const Candidate &Worker) const {
+  std::uint32_t Count = 0;
+  if (const auto Row = PlannedPerWorker_.find(keyOf(Step, Worker));
+      Row != PlannedPerWorker_.end())
+    Count = Row->second;
+  for (const TaskRow &Task : Step.Row_->Tasks_)
+    for (const jobs::LiveRun &Live : Task.Runs_)
+      Count += Live.Worker_ == Worker.Worker_->Incarnation_;
+  return Count;
+}
+
+bool Placement::withinWorkspaceLimit(const ReadyStep &Step) const {
+  const auto Row = Config_.Workspaces_.find(Step.Job_->Spec_.Workspace_);
+  if (Row == Config_.Workspaces_.end())
+    return true;
+  Resources Used = Table_.usedBy(Row->first);
+  if (const auto InThisPass = PlannedUsage_.find(Row->first);
+      InThisPass != PlannedUsage_.end())
+    Used += InThisPass->second;
+  Used += Step.Spec_->PerTask_;
+  const Resources &Limit = Row->second.MaxAllowed_;
+  return (Limit.MilliCpus_ == 0 || Used.MilliCpus_ <= Limit.MilliCpus_) &&
+         (Limit.MemoryMb_ == 0 || Used.MemoryMb_ <= Limit.MemoryMb_) &&
+         (Limit.Accelerators_ == 0 ||
+          Used.Accelerators_ <= Limit.Accelerators_);
+}
+
+} // namespace laburnumspread::scheduling
--- /dev/null
+++ b/src/scheduling/internal/placement.h
@@ -0,0 +1,93 @@
+#pragma once
+
+#include "scheduling/scheduler.h"
+
+#include <map>
+#include <tuple>
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/container/inlined_vector.h>
+
+namespace laburnumspread::scheduling {
+
+using jobs::Resources;
+
+/// A step with tasks that can start now.
+struct ReadyStep {
+  const jobs::JobRow *Job_ = nullptr;
+  const jobs::QueueConfig *Queue_ = nullptr;
+  const jobs::StepSpec *Spec_ = nullptr;
+  const jobs::StepRow *Row_ = nullptr;
+  std::uint32_t Occurrence_ = 0;
+  std::uint32_t Step_ = 0;
+  /// Whether a start that is planned now would arrive after the latest start.
+  bool Late_ = false;
+  /// Latest time at which the rest of the job can start and still meet its
+  /// deadline.
+  TimePoint LatestStart_{};
+  /// Expected CPU time that the job still needs, in millicores times seconds.
+  double RemainingCpuWork_ = 0;
+
+  StepName name() const { return {Job_->Spec_.Id_, Occurrence_, Step_}; }
+};
+
+/// The workers of a pool, by index, and demands that were found to fit on none
+/// of them. Free resources only shrink during a pass, so neither does any
+/// larger demand, and a long backlog is not compared with each worker again.
+struct PoolCandidates {
+  std::vector<std::size_t> Members_;
+  absl::InlinedVector<Resources, 4> Unfit_;
+
+  bool knownNotToFit(const Resources &Demand) const;
+  void recordUnfit(const Resources &Demand);
+};
+
+/// Tracks free resources during a scheduling pass and assigns tasks to workers.
+class Placement {
+public:
+  Placement(const CellTable &Table, const CellConfig &Config,
+            const AdviceTable &Advised, std::vector<Candidate> Workers,
+            TimePoint Now, std::size_t MaxStarts);
+
+  /// Places the waiting tasks of a step. Returns the number of tasks for which
+  /// no worker was found.
+  std::size_t place(const ReadyStep &Step, Plan &Into);
+
+private:
+  using StepOnWorker = std::tuple<jobs::JobId, std::uint32_t, std::uint32_t,
+                                  jobs::WorkerIncarnation>;
+
+  static bool isBetter(const ReadyStep &Step, const Candidate &A,
+                       const Candidate &B);
+  static StepOnWorker keyOf(const ReadyStep &Step, const Candidate &Worker);
+
+  std::size_t placeTasks(const ReadyStep &Step, Plan &Into);
+  /// Places all tasks of a gang under one run number, or none of them.
+  std::size_t placeGang(const ReadyStep &Step, Plan &Into);
+  void assign(const ReadyStep &Step, std::uint32_t Index, jobs::RunNumber Run,
+              Candidate &On, Plan &Into);
+  /// Returns the best worker for one task, or nullptr if none is eligible.
+  /// Prefers the lowest penalty, then a worker on the rack of the input data,
+  /// then best fit, so that other workers stay empty and their machines can be
+  /// moved to other pools.
+  Candidate *chooseWorker(const ReadyStep &Step);
+  /// Whether the step may run on the worker, apart from its free resources.
+  bool isAllowed(const ReadyStep &Step, const Candidate &Worker) const;
+  /// Counts the tasks of the step that run, may run, or are planned on the
+  /// worker.
+  std::uint32_t runsOnWorker(const ReadyStep &Step,
+                             const Candidate &Worker) const;
+  bool withinWorkspaceLimit(const ReadyStep &Step) const;
+
+  const CellTable &Table_;
+  const CellConfig &Config_;
+  const AdviceTable &Advised_;
+  std::vector<Candidate> Workers_;
+  TimePoint Now_;
+  std::size_t MaxStarts_;
+  absl::flat_hash_map<jobs::PoolName, PoolCandidates> Pools_;
+  absl::flat_hash_map<jobs::WorkspaceName, Resources> PlannedUsage_;
+  std::map<StepOnWorker, std::uint32_t> PlannedPerWorker_;
+};
+
+} // namespace laburnumspread::scheduling
--- a/src/scheduling/internal/scheduler.cpp
+++ b/src/scheduling/internal/scheduler.cpp
@@ -1,41 +1,19 @@
-#include "scheduling/scheduler.h"
+#include "scheduling/internal/placement.h"
 
 #include <algorithm>
-#include <map>
 #include <tuple>
 
-#include <absl/container/flat_hash_map.h>
 #include <absl/container/inlined_vector.h>
 
 namespace laburnumspread::scheduling {
 
 using jobs::JobRow;
 using jobs::QueueConfig;
-using jobs::Resources;
-using jobs::RunNumber;
 using jobs::StepRow;
 using jobs::StepSpec;
-using jobs::TaskRow;
 
 namespace {
 
-/// A step with tasks that can start now.
-struct ReadyStep {
-  const JobRow *Job_ = nullptr;
-  const QueueConfig *Queue_ = nullptr;
-  const StepSpec *Spec_ = nullptr;
-  const StepRow *Row_ = nullptr;
-  std::uint32_t Occurrence_ = 0;
-  std::uint32_t Step_ = 0;
-  /// Whether a start that is planned now would arrive after the latest start.
-  bool Late_ = false;
-  /// Latest time at which the rest of the job can start and still meet its
-  /// deadline.
-  TimePoint LatestStart_{};
-  /// Expected CPU time that the job still needs, in millicores times seconds.
-  double RemainingCpuWork_ = 0;
-};
-
 /// Scheduling order. Long-running tasks come first, because their users are
 /// affected by every second of downtime. Jobs that can still meet their
 /// deadline follow, by least slack. Late jobs earn only a fraction of their
@@ -104,217 +82,6 @@
   return Sum;
 }
 
-/// Tracks free resources during a scheduling pass and assigns tasks to workers.
-class Placement {
-public:
-  Placement(const CellTable &Table, const CellConfig &Config,
-            const AdviceTable &Advised, std::vector<Candidate> Workers,
-            TimePoint Now, std::size_t MaxStarts)
-      : Table_(Table), Config_(Config), Advised_(Advised),
-        Workers_(std::move(Workers)), Now_(Now), MaxStarts_(MaxStarts) {
-    for (std::size_t I = 0; I < Workers_.size(); ++I)
-      Pools_[Workers_[I].Worker_->Pool_].Members_.push_back(I);
-  }
-
-  /// Places the waiting tasks of a step. Returns the number of tasks for which
-  /// no worker was found.
-  std::size_t place(const ReadyStep &Step, Plan &Into) {
-    if (Step.Queue_->Advice_)
-      Into.AwaitingAdvice_.push_back(nameOf(Step));
-    return Step.Spec_->Gang_ ? placeGang(Step, Into) : placeTasks(Step, Into);
-  }
-
-private:
-  /// The workers of a pool, by index, and demands that were found to fit on
-  /// none of them. Free resources only shrink during a pass, so neither does
-  /// any larger demand, and a long backlog is not compared with each worker
-  /// again.
-  struct Pool {
-    std::vector<std::size_t> Members_;
-    absl::InlinedVector<Resources, 4> Unfit_;
-
-    bool knownNotToFit(const Resources &Demand) const {
-      return std::any_of(
-          Unfit_.begin(), Unfit_.end(),
-          [&](const Resources &Small) { return Small.fitsInto(Demand); });
-    }
-    void recordUnfit(const Resources &Demand) {
-      Unfit_.erase(std::remove_if(Unfit_.begin(), Unfit_.end(),
-                                  [&](const Resources &Large) {
-                                    return Demand.fitsInto(Large);
-                                  }),
-                   Unfit_.end());
-      Unfit_.push_back(Demand);
-    }
-  };
-
-  static StepName nameOf(const ReadyStep &Step) {
-    return {Step.Job_->Spec_.Id_, Step.Occurrence_, Step.Step_};
-  }
-
-  std::size_t placeTasks(const ReadyStep &Step, Plan &Into) {
-    std::size_t Unplaced = 0;
-    bool NoneFits = false;
-    for (std::uint32_t I = 0; I < Step.Row_->Tasks_.size(); ++I) {
-      if (Into.Starts_.size() >= MaxStarts_)
-        return Unplaced;
-      const TaskRow &Task = Step.Row_->Tasks_[I];
-      if (!Task.idle() || Task.NotBefore_ > Now_)
-        continue;
-      // All tasks of a step have the same demand: if one does not fit, none
-      // will.
-      Candidate *Chosen = NoneFits ? nullptr : chooseWorker(Step);
-      if (!Chosen) {
-        NoneFits = true;
-        ++Unplaced;
-        continue;
-      }
-      assign(Step, I, Task.LastRun_.next(), *Chosen, Into);
-    }
-    return Unplaced;
-  }
-
-  /// Places all tasks of a gang under one run number, or none of them.
-  std::size_t placeGang(const ReadyStep &Step, Plan &Into) {
-    RunNumber Run;
-    for (const TaskRow &Task : Step.Row_->Tasks_)
-      Run = std::max(Run, Task.LastRun_);
-    Plan Trial;
-    const auto Saved = Workers_;
-    const auto SavedUsage = PlannedUsage_;
-    const auto SavedPerWorker = PlannedPerWorker_;
-    const auto Count = static_cast<std::uint32_t>(Step.Row_->Tasks_.size());
-    for (std::uint32_t I = 0; I < Count; ++I) {
-      Candidate *Chosen = chooseWorker(Step);
-      if (!Chosen) {
-        Workers_ = Saved;
-        // What did not fit beside the gang's first tasks may fit without them.
-        for (auto &[Name, Members] : Pools_)
-          Members.Unfit_.clear();
-        PlannedUsage_ = SavedUsage;
-        PlannedPerWorker_ = SavedPerWorker;
-        return Count;
-      }
-      assign(Step, I, Run.next(), *Chosen, Trial);
-    }
-    Into.Starts_.insert(Into.Starts_.end(), Trial.Starts_.begin(),
-                        Trial.Starts_.end());
-    return 0;
-  }
-
-  void assign(const ReadyStep &Step, std::uint32_t Index, RunNumber Run,
-              Candidate &On, Plan &Into) {
-    On.Free_ -= Step.Spec_->demand();
-    PlannedUsage_[Step.Job_->Spec_.Workspace_] += Step.Spec_->PerTask_;
-    if (Step.Spec_->AntiAffinity_ > 0)
-      ++PlannedPerWorker_[keyOf(Step, On)];
-    Into.Starts_.push_back(
-        {{{Step.Job_->Spec_.Id_, Step.Occurrence_, Step.Step_, Index}, Run},
-         On.Worker_->Incarnation_});
-  }
-
-  /// Returns the best worker for one task, or nullptr if none is eligible.
-  /// Prefers the lowest penalty, then a worker on the rack of the input data,
-  /// then best fit, so that other workers stay empty and their machines can be
-  /// moved to other pools.
-  Candidate *chooseWorker(const ReadyStep &Step) {
-    if (!withinWorkspaceLimit(Step))
-      return nullptr;
-    const auto Found = Pools_.find(Step.Queue_->Pool_);
-    const Resources Demand = Step.Spec_->demand();
-    if (Found == Pools_.end() || Found->second.knownNotToFit(Demand))
-      return nullptr;
-    Pool &Members = Found->second;
-    Candidate *Best = nullptr;
-    bool AnyFits = false;
-    for (const std::size_t I : Members.Members_) {
-      Candidate &Worker = Workers_[I];
-      if (!Demand.fitsInto(Worker.Free_))
-        continue;
-      AnyFits = true;
-      if (!isAllowed(Step, Worker))
-        continue;
-      if (!Best || isBetter(Step, Worker, *Best))
-        Best = &Worker;
-    }
-    if (!AnyFits)
-      Members.recordUnfit(Demand);
-    return Best;
-  }
-
-  /// Whether the step may run on the worker, apart from its free resources.
-  bool isAllowed(const ReadyStep &Step, const Candidate &Worker) const {
-    const StepSpec &Spec = *Step.Spec_;
-    if (!Spec.Requirement_.empty() &&
-        !Worker.Worker_->hasLabel(Spec.Requirement_))
-      return false;
-    if (Step.Queue_->Advice_ &&
-        !Advised_.ticket(nameOf(Step), Worker.Worker_->Incarnation_.Id_, Now_))
-      return false;
-    return Spec.AntiAffinity_ == 0 ||
-           runsOnWorker(Step, Worker) < Spec.AntiAffinity_;
-  }
-
-  static bool isBetter(const ReadyStep &Step, const Candidate &A,
-                       const Candidate &B) {
-    const auto FarFromData = [&](const Candidate &C) {
-      return !Step.Spec_->DataRack_.empty() &&
-             !C.Worker_->hasLabel(Step.Spec_->DataRack_);
-    };
-    return std::make_tuple(A.FailureScore_, FarFromData(A),
-                           A.Free_.MilliCpus_) <
-           std::make_tuple(B.FailureScore_, FarFromData(B), B.Free_.MilliCpus_);
-  }
-
-  using StepOnWorker = std::tuple<jobs::JobId, std::uint32_t, std::uint32_t,
-                                  jobs::WorkerIncarnation>;
-
-  static StepOnWorker keyOf(const ReadyStep &Step, const Candidate &Worker) {
-    return {Step.Job_->Spec_.Id_, Step.Occurrence_, Step.Step_,
-            Worker.Worker_->Incarnation_};
-  }
-
-  /// Counts the tasks of the step that run, may run, or are planned on the
-  /// worker.
-  std::uint32_t runsOnWorker(const ReadyStep &Step,
-                             const Candidate &Worker) const {
-    std::uint32_t Count = 0;
-    if (const auto Row = PlannedPerWorker_.find(keyOf(Step, Worker));
-        Row != PlannedPerWorker_.end())
-      Count = Row->second;
-    for (const TaskRow &Task : Step.Row_->Tasks_)
-      for (const jobs::LiveRun &Live : Task.Runs_)
-        Count += Live.Worker_ == Worker.Worker_->Incarnation_;
-    return Count;
-  }
-
-  bool withinWorkspaceLimit(const ReadyStep &Step) const {
-    const auto Row = Config_.Workspaces_.find(Step.Job_->Spec_.Workspace_);
-    if (Row == Config_.Workspaces_.end())
-      return true;
-    Resources Used = Table_.usedBy(Row->first);
-    if (const auto InThisPass = PlannedUsage_.find(Row->first);
-        InThisPass != PlannedUsage_.end())
-      Used += InThisPass->second;
-    Used += Step.Spec_->PerTask_;
-    const Resources &Limit = Row->second.MaxAllowed_;
-    return (Limit.MilliCpus_ == 0 || Used.MilliCpus_ <= Limit.MilliCpus_) &&
-           (Limit.MemoryMb_ == 0 || Used.MemoryMb_ <= Limit.MemoryMb_) &&
-           (Limit.Accelerators_ == 0 ||
-            Used.Accelerators_ <= Limit.Accelerators_);
-  }
-
-  const CellTable &Table_;
-  const CellConfig &Config_;
-  const AdviceTable &Advised_;
-  std::vector<Candidate> Workers_;
-  TimePoint Now_;
-  std::size_t MaxStarts_;
-  absl::flat_hash_map<jobs::PoolName, Pool> Pools_;
-  absl::flat_hash_map<jobs::WorkspaceName, Resources> PlannedUsage_;
-  std::map<StepOnWorker, std::uint32_t> PlannedPerWorker_;
-};
-
 /// Returns the number of occurrences that are due by the wall clock.
 std::uint32_t dueOccurrences(const jobs::JobSpec &Job, std::int64_t WallMs) {
   if (Job.Occurrences_ == 0)
