--- a/src/framework/ids/tests/internednametest.cpp
+++ b/src/framework/ids/tests/internednametest.cpp
@@ -51,7 +51,8 @@
   First.reset();
   Moved = Name("another");
   BOOST_TEST(Copy.str() == "only reference");
-  Copy = Copy;
+  const Name &Same = Copy;
+  Copy = Same;
   BOOST_TEST(Copy.str() == "only reference");
 }
 
@@ -61,8 +62,10 @@
   const std::size_t Before = storedNameCount();
   {
     const Name First("kept for a moment");
-    const Name Copy = First;
+    Name Copy;
+    Copy = First;
     const Name Same("kept for a moment");
+    BOOST_TEST((Copy == Same));
     BOOST_TEST(storedNameCount() == Before + 1);
   }
   BOOST_TEST(storedNameCount() == Before);
