--- a/src/cell/cellservice.h
+++ b/src/cell/cellservice.h
@@ -412,7 +412,8 @@
   /// more starts than it can send would send each one late, in the order of
   /// planning, and its leases and commits would wait behind them. Below this
   /// number, what waits stays in the table, and the next pass takes what is
-  /// most urgent then. Sending as many takes about 0.1 s of a processor.
+  /// most urgent then. Starts that are repeated do not count, as workers that
+  /// are cut off would stop all others.
   static constexpr std::size_t MaxUnansweredStarts = 512;
   /// Lower failure scores count as zero, so that workers whose failures are
   /// long past are equal again.
--- a/src/cell/tests/workersessionstest.cpp
+++ b/src/cell/tests/workersessionstest.cpp
@@ -100,6 +100,19 @@
   BOOST_TEST(Term_->Table_.find(Run) != nullptr);
 }
 
+// Guards against a cell that plans nothing while many workers are cut off: the
+// repeated starts to them would use up what may be on its way.
+BOOST_AUTO_TEST_CASE(RepeatedStartsDoNotCountAsUnanswered) {
+  Client_.Unanswered_ = 2;
+  std::vector<std::size_t> Counted;
+  Client_.AfterStart_ = [&] {
+    Counted.push_back(Sessions_->unansweredStarts());
+  };
+  startAndWait();
+  const std::vector<std::size_t> Expected{1, 0, 0};
+  BOOST_TEST(Counted == Expected, boost::test_tools::per_element());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace laburnumspread::cell
--- a/src/cell/workersessions.h
+++ b/src/cell/workersessions.h
@@ -56,14 +56,14 @@
 
   /// Sends the start of a run whose intent has been stored.
   void start(const jobs::RunIntended &Item) {
-    ++UnansweredStarts_;
-    framework::fibers::spawn([Self = this->shared_from_this(), Item] {
-      Self->startRun(Item);
-      --Self->UnansweredStarts_;
+    auto Count = std::make_shared<CountedStart>(UnansweredStarts_);
+    framework::fibers::spawn([Self = this->shared_from_this(), Item,
+                              Count = std::move(Count)]() mutable {
+      Self->startRun(Item, std::move(Count));
     });
   }
 
-  /// Number of starts that wait to be sent or answered.
+  /// Number of starts whose first attempt waits to be sent or answered.
   std::size_t unansweredStarts() const { return UnansweredStarts_; }
 
   /// Stops a run and ensures that it can no longer start. The stop is sent at
@@ -105,6 +105,18 @@
   }
 
 private:
+  /// Counts a start for as long as it exists.
+  class CountedStart {
+  public:
+    explicit CountedStart(std::size_t &Count) : Count_(Count) { ++Count_; }
+    ~CountedStart() { --Count_; }
+    CountedStart(const CountedStart &) = delete;
+    CountedStart &operator=(const CountedStart &) = delete;
+
+  private:
+    std::size_t &Count_;
+  };
+
   static TimePoint now() { return Term<Store>::now(); }
 
   void runSession(const WorkerRowPtr &Row) {
@@ -353,7 +365,8 @@
   }
 
 private:
-  void startRun(const jobs::RunIntended &Item) {
+  void startRun(const jobs::RunIntended &Item,
+                std::shared_ptr<CountedStart> Count) {
     const jobs::RunName &Run = Item.Run_;
     const auto Worker = Term_->Workers_.find(Item.Worker_);
     const jobs::JobRow *Job = Term_->Table_.find(Run.Task_.Job_);
@@ -387,10 +400,12 @@
     Row->wake();
     // Reports may have settled the run meanwhile. Then another attempt is not
     // needed and could be executed by a restarted worker.
-    for (int Attempt = 0; Attempt < StartAttempts; ++Attempt)
+    for (int Attempt = 0; Attempt < StartAttempts; ++Attempt) {
       if (!Term_->Table_.find(Run) || !takesStarts(*Row) ||
           attemptStart(*Row, Order, Attempt))
         break;
+      Count.reset();
+    }
     Tracker_->noMoreStarts(Run);
   }
 
