Idle workers of a zone or rack that fails are polled before they get tasks

Callers saw: after a zone lost power (299 entries, 3,000 workers, its leader elsewhere), 33 of 95 jobs of the next two seconds late, and starts unanswered for 4.5 s. Cause: a worker without runs is not polled. The few workers in use there fell silent within 0.3 s, but 700 idle ones looked well until the platform no longer listed them, and each task placed there was lost to them for seconds. Change: once three polled workers, and at least half, of a zone or of a label that only one zone has (a rack) are silent, its idle workers are polled; a live one replies within milliseconds and is used again. It is right because a task goes only to workers that replied after the silence began.

--- a/src/cell/cellservice.h
+++ b/src/cell/cellservice.h
@@ -302,6 +302,8 @@
       }
       for (const auto &[Incarnation, Row] : T->Workers_)
         Row->FailureScore_ *= FailureScoreDecay;
+      if (Sessions_ && T->maySendOrders())
+        Sessions_->verifyFailedDomains();
       T->Table_.forgetEnded(now() - Bounds_.StatusRetention_);
       loseRunsOnUnknownWorkers(*T);
       if (!T->Table_.open().empty())
--- a/src/cell/workersessions.h
+++ b/src/cell/workersessions.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "cell/failuredomains.h"
 #include "cell/fillerpacecontroller.h"
 #include "cell/runstopper.h"
 #include "cell/term.h"
@@ -63,6 +64,18 @@
     });
   }
 
+  /// Polls idle workers whose failure domain seems to have failed, before any
+  /// task is sent to them.
+  void verifyFailedDomains() {
+    const auto Unverified = findUnverifiedWorkers(Term_->Workers_, now());
+    if (Unverified.empty())
+      return;
+    framework::log::warning("workers.verified")
+        .field("workers", static_cast<std::uint64_t>(Unverified.size()));
+    for (const WorkerRowPtr &Row : Unverified)
+      Row->suspect();
+  }
+
   /// Number of starts whose first attempt waits to be sent or answered.
   std::size_t unansweredStarts() const { return UnansweredStarts_; }
 
@@ -168,6 +181,7 @@
     const HoldReply Reply =
         Client_.hold(Row.Record_, Order, Order.Wait_ + Row.Answers_.timeout());
     Row.recordAnswer(Reply.Result_, SentAt + Order.Wait_, now());
+    Row.Suspect_ = false;
     Holds_.add();
     if (Term_->ended())
       return;
--- a/src/cell/workertable.h
+++ b/src/cell/workertable.h
@@ -80,6 +80,8 @@
   TimePoint ListedAt_{};
   /// Consecutive orders without a reply.
   std::uint32_t Unanswered_ = 0;
+  /// Set by suspect() until the outcome of the next order is known.
+  bool Suspect_ = false;
   /// Run ends up to these numbers are stored in the journal, are staged, or
   /// have been acknowledged to the worker.
   std::uint64_t EndsStored_ = 0;
@@ -186,6 +188,7 @@
   /// replies.
   void suspect() {
     Unanswered_ = std::max(Unanswered_, MaxUnansweredInUse + 1);
+    Suspect_ = true;
     wake();
   }
 
@@ -195,6 +198,9 @@
            !Record_.Draining_ && Unanswered_ <= MaxUnansweredInUse;
   }
 
+  /// Whether the worker's session waits for work and does not poll it.
+  bool sessionIdle() const { return Wake_ != nullptr; }
+
   /// Wakes the worker's session if it is idle.
   void wake() {
     if (Wake_)
