A new leader accepts the connections of all entries at once

Callers saw: after a takeover on 298 entries, calls through part of the entries got no answer for 1.3 s (504, eight attempts each), while others were answered at once. Cause: the peer socket's queue of connections had ZeroMQ's default length of 100. All entries connect to the new leader at the same moment, while its one processor is busy with the takeover; the packets that open the others' connections are dropped and are sent again after seconds. Up to 100 entries this cannot happen. Change: the queue holds 4,096, or the kernel's limit. Looked for elsewhere: the HTTP servers ask for the kernel's limit already. AllEntriesOfALargeFleetMayConnectAtOnce failed before (100).

--- a/src/peers/internal/peermesh.cpp
+++ b/src/peers/internal/peermesh.cpp
@@ -23,6 +23,12 @@
 constexpr int HeartbeatTimeoutMs = 3000;
 constexpr int ReconnectMs = 100;
 constexpr int ReconnectMaxMs = 1000;
+/// Connections that may wait to be accepted. All entries connect to a new
+/// leader at the same moment, while its processor is busy with the takeover.
+/// ZeroMQ's default is 100: the opening packets of the others are dropped and
+/// sent again only after seconds, in which their callers get no answer. The
+/// kernel reduces a higher number to its own limit.
+constexpr int MaxPendingConnections = 4096;
 constexpr const char *ZapEndpoint = "inproc://zeromq.zap.01";
 constexpr const char *ZapDomain = "laburnumspread";
 /// A ZAP request consists of the frames version, request id, domain, address,
@@ -206,6 +212,7 @@
     S.Inbox_.set(zmq::sockopt::curve_server, true);
     S.Inbox_.set(zmq::sockopt::curve_secretkey, S.Keys_.Secret_);
     S.Inbox_.set(zmq::sockopt::zap_domain, ZapDomain);
+    S.Inbox_.set(zmq::sockopt::backlog, MaxPendingConnections);
     const std::string Port = At.Port_ == 0 ? "*" : std::to_string(At.Port_);
     S.Inbox_.bind("tcp://" + At.Ip_ + ":" + Port);
   } catch (const zmq::error_t &Error) {
--- a/src/peers/tests/peermeshtest.cpp
+++ b/src/peers/tests/peermeshtest.cpp
@@ -6,6 +6,12 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <optional>
+
+#include <arpa/inet.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 using namespace laburnumspread;
 using namespace laburnumspread::peers;
 using namespace std::chrono_literals;
@@ -46,11 +52,44 @@
   return Io;
 }
 
+/// Highest descriptor that a test process is expected to have.
+constexpr int MaxDescriptor = 1024;
+
+/// Returns how many connections may wait to be accepted on this process's
+/// listening socket at the port, as the kernel tells.
+std::optional<unsigned> pendingConnectionsAllowed(std::uint16_t Port) {
+  for (int Fd = 0; Fd < MaxDescriptor; ++Fd) {
+    sockaddr_in At{};
+    socklen_t AtSize = sizeof At;
+    tcp_info Info{};
+    socklen_t InfoSize = sizeof Info;
+    if (getsockname(Fd, reinterpret_cast<sockaddr *>(&At), &AtSize) != 0 ||
+        At.sin_family != AF_INET || ntohs(At.sin_port) != Port ||
+        getsockopt(Fd, IPPROTO_TCP, TCP_INFO, &Info, &InfoSize) != 0 ||
+        Info.tcpi_state != TCP_LISTEN)
+      continue;
+    // Of a listening socket, this field holds the size of its queue.
+    return Info.tcpi_sacked;
+  }
+  return std::nullopt;
+}
+
 constexpr int MaxTries = 1000;
 constexpr int TriesWithoutDelivery = 50;
 
 } // namespace
 
+// Guards against callers that get no answer for seconds after a takeover on a
+// large fleet: all entries connect to the new leader at once, and those past
+// the queue of its socket try again only after seconds.
+BOOST_AUTO_TEST_CASE(AllEntriesOfALargeFleetMayConnectAtOnce) {
+  constexpr unsigned Entries = 1000;
+  Node A(sharedIo(), "a", generatePeerKeys());
+  const auto Allowed = pendingConnectionsAllowed(A.Mesh_.advertised().Port_);
+  BOOST_REQUIRE(Allowed.has_value());
+  BOOST_TEST(*Allowed >= Entries);
+}
+
 BOOST_AUTO_TEST_CASE(EntriesOfOneFleetExchangeMessages) {
   const PeerKeys Keys = generatePeerKeys();
   Node A(sharedIo(), "a", Keys), B(sharedIo(), "b", Keys);
