A new leader takes thousands of workers in by batches and keeps its lease

Cause: the whole list was taken in without a break, each worker compared with all others, and 3,000 sessions opened their connections at once. The renewal of the head key waited behind them for longer than its lease of a second, so that the next entry took over, and fared the same. The slower the processor, the more leaders fail one after the other. Change: 32 workers at a time, those with runs first; other fibers run in between. The workers that a new one replaces are found by id and machine. leadership.renewal_late tells a lease lost for want of processor time from one that the store did not renew. It works because the work ahead of a renewal is bounded by a batch, whatever the fleet.

--- a/src/cell/leaderelector.h
+++ b/src/cell/leaderelector.h
@@ -53,6 +53,8 @@
   /// The lease lasts one second; at this interval several renewals in a row may
   /// fail.
   static constexpr Duration RenewInterval = std::chrono::milliseconds(200);
+  /// Delays of a renewal that are logged: half of the interval.
+  static constexpr Duration LateRenewal = RenewInterval / 2;
   /// Delay at the very first start of all entries, which start within a few
   /// tenths of a second of each other.
   static constexpr Duration FirstStartDelay = std::chrono::milliseconds(500);
@@ -309,14 +311,28 @@
 
   void renewLoop() {
     while (true) {
+      const TimePoint SleptAt = now();
       framework::fibers::sleepFor(RenewInterval);
       if (!Leadership_.held())
         continue;
+      logLateRenewal(now() - SleptAt - RenewInterval);
       framework::fibers::spawn([this] { renewLease(); });
       offerIfStoreUnreachable();
     }
   }
 
+  /// Other work of this process kept the renewal waiting. Without this line, a
+  /// lease that was lost for lack of processor time looks like one that the
+  /// store did not renew.
+  void logLateRenewal(Duration Late) const {
+    if (Late > LateRenewal)
+      framework::log::warning("leadership.renewal_late")
+          .field("token", Leadership_.token().value())
+          .field("late_ms", Late.count() / 1000)
+          .field("confirmed_ms_ago",
+                 (now() - Leadership_.confirmedAt()).count() / 1000);
+  }
+
   /// Handles a store that is unreachable for this entry alone. Without an
   /// offer, nothing could be stored and callers would wait until the lease
   /// expires, a second or more. After the offer this entry answers no calls,
--- a/src/cell/workerfollower.h
+++ b/src/cell/workerfollower.h
@@ -2,6 +2,12 @@
 
 #include "cell/machinemanager.h"
 
+#include <algorithm>
+#include <limits>
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
+
 namespace laburnumspread::cell {
 
 /// Prefix of the keys under which the platform lists workers, and the parser
@@ -24,6 +30,12 @@
 
   static constexpr Duration RetryPause = std::chrono::milliseconds(100);
   static constexpr Duration ListTimeout = std::chrono::milliseconds(1500);
+  /// Number of workers of a full list that are taken in at a time. After each
+  /// batch the other fibers run: a new leader opens a connection to each
+  /// worker, and with thousands of them at once its renewals would wait for
+  /// longer than its lease lasts, and the next leader would fare the same.
+  static constexpr std::size_t ListBatch = 32;
+  static constexpr Duration BatchPause = std::chrono::milliseconds(1);
 
   WorkerFollower(Store &S, WorkerDirectory Where, TermPtr T,
                  SessionsPtr Sessions, MachinesPtr M)
@@ -63,17 +75,39 @@
 private:
   static TimePoint now() { return Term<Store>::now(); }
 
-  void applyFullList(Term<Store> &T,
-                     const std::vector<store::KeyValue> &Items) {
+  void applyFullList(Term<Store> &T, std::vector<store::KeyValue> Items) {
+    moveWorkersInUseToFront(T, Items);
     std::set<WorkerIncarnation> Listed;
-    for (const store::KeyValue &Item : Items)
-      if (const auto Incarnation = recordWorker(T, Item))
+    for (std::size_t I = 0; I < Items.size(); ++I) {
+      if (I % ListBatch == ListBatch - 1)
+        framework::fibers::sleepFor(BatchPause);
+      if (T.ended())
+        return;
+      if (const auto Incarnation = recordWorker(T, Items[I]))
         Listed.insert(*Incarnation);
+    }
     for (const auto &[Incarnation, Row] : T.Workers_)
       if (!Listed.contains(Incarnation))
         Row->Listed_ = false;
   }
 
+  WorkerId idOf(const std::string &Key) const {
+    return WorkerId(std::string_view(Key).substr(Directory_.Prefix_.size()));
+  }
+
+  /// Workers with runs come first: their leases are to be renewed, and ended
+  /// runs make room for others.
+  void moveWorkersInUseToFront(const Term<Store> &T,
+                               std::vector<store::KeyValue> &Items) const {
+    absl::flat_hash_set<WorkerId> InUse;
+    for (const auto &[Incarnation, Use] : T.Table_.workers())
+      InUse.insert(Incarnation.Id_);
+    std::stable_partition(Items.begin(), Items.end(),
+                          [&](const store::KeyValue &Item) {
+                            return InUse.contains(idOf(Item.Key_));
+                          });
+  }
+
   std::optional<WorkerIncarnation> recordWorker(Term<Store> &T,
                                                 const store::KeyValue &Item) {
     const auto Record = Directory_.Read_(Item);
@@ -95,23 +129,49 @@
     return Record->Incarnation_;
   }
 
-  void addWorker(Term<Store> &T, const WorkerRecord &Record) {
-    // A worker is one incarnation on one machine, and an id belongs to one
-    // incarnation at a time.
+  /// Returns the workers that a newly listed one replaces: a worker is one
+  /// incarnation on one machine, and an id belongs to one incarnation at a
+  /// time.
+  std::vector<WorkerRowPtr> replacedBy(const Term<Store> &T,
+                                       const WorkerRecord &Record) {
     std::vector<WorkerRowPtr> Replaced;
-    for (const auto &[Incarnation, Row] : T.Workers_)
-      if ((Incarnation.Id_ == Record.Incarnation_.Id_ &&
-           Incarnation.StartedMs_ < Record.Incarnation_.StartedMs_) ||
-          (!Record.Machine_.empty() &&
-           Incarnation.Id_ != Record.Incarnation_.Id_ &&
-           Row->Record_.Machine_ == Record.Machine_ &&
-           Incarnation.StartedMs_ < Record.Incarnation_.StartedMs_))
+    const WorkerIncarnation &New = Record.Incarnation_;
+    forEachIncarnation(T, New.Id_, [&](const WorkerRowPtr &Row) {
+      if (Row->Record_.Incarnation_.StartedMs_ < New.StartedMs_)
         Replaced.push_back(Row);
+    });
+    const auto Former = OnMachine_.find(Record.Machine_);
+    if (Former == OnMachine_.end())
+      return Replaced;
+    std::erase_if(Former->second, [&](const WorkerIncarnation &Item) {
+      const auto Found = T.Workers_.find(Item);
+      if (Found != T.Workers_.end() && Item.StartedMs_ >= New.StartedMs_)
+        return false;
+      if (Found != T.Workers_.end() && Item.Id_ != New.Id_)
+        Replaced.push_back(Found->second);
+      return true;
+    });
+    return Replaced;
+  }
+
+  template <typename Fn>
+  static void forEachIncarnation(const Term<Store> &T, const WorkerId &Id,
+                                 Fn &&Visit) {
+    constexpr auto Earliest = std::numeric_limits<std::int64_t>::min();
+    for (auto At = T.Workers_.lower_bound({Id, Earliest});
+         At != T.Workers_.end() && At->first.Id_ == Id; ++At)
+      Visit(At->second);
+  }
+
+  void addWorker(Term<Store> &T, const WorkerRecord &Record) {
+    const std::vector<WorkerRowPtr> Replaced = replacedBy(T, Record);
     auto Row = std::make_shared<WorkerRow>();
     Row->Record_ = Record;
     Row->ClockAt_ = now();
     Row->ListedAt_ = now();
     T.Workers_[Record.Incarnation_] = Row;
+    if (!Record.Machine_.empty())
+      OnMachine_[Record.Machine_].push_back(Record.Incarnation_);
     framework::log::info("worker.listed")
         .field("worker", Record.Incarnation_.Id_.str())
         .field("born_ms", Record.Incarnation_.StartedMs_)
@@ -124,13 +184,12 @@
   }
 
   void markUnlisted(Term<Store> &T, const std::string &Key) {
-    const std::string Id = Key.substr(Directory_.Prefix_.size());
-    for (const auto &[Incarnation, Row] : T.Workers_)
-      if (Incarnation.Id_.str() == Id) {
-        Row->Listed_ = false;
-        Row->wake();
-        framework::log::info("worker.unlisted").field("worker", Id);
-      }
+    const WorkerId Id = idOf(Key);
+    forEachIncarnation(T, Id, [&](const WorkerRowPtr &Row) {
+      Row->Listed_ = false;
+      Row->wake();
+      framework::log::info("worker.unlisted").field("worker", Id.str());
+    });
   }
 
   Store &Store_;
@@ -138,6 +197,8 @@
   TermPtr Term_;
   SessionsPtr Sessions_;
   MachinesPtr Machines_;
+  /// Incarnations that were listed on each machine.
+  absl::flat_hash_map<MachineId, std::vector<WorkerIncarnation>> OnMachine_;
 };
 
 } // namespace laburnumspread::cell
