Signals are handled from the first line of main on

SIGHUP and SIGUSR1 would have ended it too. No caller was affected, as none is served by then. Cause: the handlers were set once the entry served; before that the default action applied. Evidence: the start held up by settings that are a pipe, then SIGTERM: code 143 each time. Change: handlers come first in main. Until the event loop exists, SIGTERM and SIGINT end the process with 0 and the others are ignored; then the signals are kept until their handler is set. The settings are watched from before they are read, so that no change of that time is missed. Looked for elsewhere: laburnumctl and the stand-ins have no such state.

--- a/src/app/laburnumspreadd.cpp
+++ b/src/app/laburnumspreadd.cpp
@@ -1,5 +1,6 @@
 #include "app/cellapp.h"
 #include "app/entryapp.h"
+#include "app/processsignals.h"
 
 #include "framework/fibers/asioscheduler.h"
 #include "framework/fibers/spawn.h"
@@ -7,11 +8,9 @@
 #include "framework/log/log.h"
 #include "framework/settings/settingswatch.h"
 
-#include <csignal>
 #include <functional>
 #include <iostream>
 
-#include <boost/asio/signal_set.hpp>
 #include <cxxopts.hpp>
 
 // laburnumspreadd: the entry server process.
@@ -20,6 +19,8 @@
 
 using namespace laburnumspread;
 
+using SettingsWatchPtr = std::shared_ptr<framework::settings::SettingsWatch>;
+
 constexpr int BadSettings = 2;
 constexpr int StartFailure = 1;
 /// Limits the log lines lost when the process is killed.
@@ -34,33 +35,9 @@
       .field("reason", std::string(Reason.message()));
 }
 
-/// Writes the state dump to the standard output on each SIGUSR1.
-template <typename App>
-void dumpOnSignal(boost::asio::signal_set &Signals, App &Served) {
-  Signals.async_wait([&Signals, &Served](const auto &Error, int) {
-    if (Error)
-      return;
-    framework::fibers::spawn(
-        [&Served] { std::cout << Served.dump() << std::endl; });
-    dumpOnSignal(Signals, Served);
-  });
-}
-
-/// Calls \p Reload on each SIGHUP, which requests a reload of the settings.
-void reloadOnSignal(boost::asio::signal_set &Signals,
-                    const std::function<void()> &Reload) {
-  Signals.async_wait([&Signals, Reload](const auto &Error, int) {
-    if (Error)
-      return;
-    framework::fibers::spawn(Reload);
-    reloadOnSignal(Signals, Reload);
-  });
-}
-
 /// Polls the settings file and calls \p Reload when it has changed.
-void reloadOnChange(
-    const std::shared_ptr<framework::settings::SettingsWatch> &Watch,
-    const std::function<void()> &Reload) {
+void reloadOnChange(const SettingsWatchPtr &Watch,
+                    const std::function<void()> &Reload) {
   framework::fibers::spawn([Watch, Reload] {
     while (true) {
       framework::fibers::sleepFor(SettingsPollInterval);
@@ -73,8 +50,8 @@
 /// Serves until SIGTERM or SIGINT, then exits the process: with 0 if \p Stop
 /// returns true, with 1 otherwise.
 template <typename App>
-int serveUntilSignal(boost::asio::io_context &Io, App &Served,
-                     const std::string &File,
+int serveUntilSignal(app::ProcessSignals &Signals, App &Served,
+                     const SettingsWatchPtr &Watch,
                      const std::function<void()> &Reload,
                      const std::function<bool()> &Stop) {
   framework::fibers::spawn([] {
@@ -83,18 +60,19 @@
       framework::fibers::sleepFor(LogFlushInterval);
     }
   });
-  boost::asio::signal_set Dump(Io, SIGUSR1);
-  dumpOnSignal(Dump, Served);
-  boost::asio::signal_set Hangup(Io, SIGHUP);
-  const auto Watch = std::make_shared<framework::settings::SettingsWatch>(File);
-  reloadOnSignal(Hangup, [Watch, Reload] {
-    Watch->changed();
-    Reload();
+  Signals.onDump([&Served] {
+    framework::fibers::spawn(
+        [&Served] { std::cout << Served.dump() << std::endl; });
+  });
+  Signals.onHangup([Watch, Reload] {
+    framework::fibers::spawn([Watch, Reload] {
+      Watch->changed();
+      Reload();
+    });
   });
   reloadOnChange(Watch, Reload);
   framework::fibers::Waiter StopSignal;
-  boost::asio::signal_set Signals(Io, SIGTERM, SIGINT);
-  Signals.async_wait([&StopSignal](const auto &, int) { StopSignal.signal(); });
+  Signals.onStop([&StopSignal] { StopSignal.signal(); });
   while (!StopSignal.signalled())
     StopSignal.waitUntil(framework::clock::SystemClock().now() +
                          std::chrono::hours(24));
@@ -113,9 +91,11 @@
   return StartFailure;
 }
 
-int serve(const entry::EntrySettings &Settings, const std::string &File) {
+int serve(const entry::EntrySettings &Settings, const std::string &File,
+          const SettingsWatchPtr &Watch) {
   framework::log::configure(Settings.LogFormat_, Settings.LogLevel_);
   boost::asio::io_context Io(1);
+  app::ProcessSignals Signals(Io);
   framework::fibers::useAsioScheduler(Io);
   app::EntryApp App(Io, Settings);
   if (absl::Status Started = App.start(); !Started.ok())
@@ -131,12 +111,15 @@
     framework::log::setLevel(NewSettings->LogLevel_);
     framework::log::info("settings.reloaded").field("file", File);
   };
-  return serveUntilSignal(Io, App, File, Reload, [&App] { return App.stop(); });
+  return serveUntilSignal(Signals, App, Watch, Reload,
+                          [&App] { return App.stop(); });
 }
 
-int serveCell(const cell::CellSettings &Settings, const std::string &File) {
+int serveCell(const cell::CellSettings &Settings, const std::string &File,
+              const SettingsWatchPtr &Watch) {
   framework::log::configure(Settings.LogFormat_, Settings.LogLevel_);
   boost::asio::io_context Io(1);
+  app::ProcessSignals Signals(Io);
   framework::fibers::useAsioScheduler(Io);
   app::CellApp App(Io, Settings);
   if (absl::Status Started = App.start(); !Started.ok())
@@ -150,7 +133,7 @@
       return reportRejectedSettings(NewSettings.status());
     App.reload(*NewSettings);
   };
-  return serveUntilSignal(Io, App, File, Reload, [&App] {
+  return serveUntilSignal(Signals, App, Watch, Reload, [&App] {
     App.stop();
     return true;
   });
@@ -184,7 +167,7 @@
 } // namespace
 
 int main(int ArgumentCount, char **Arguments) {
-  std::signal(SIGPIPE, SIG_IGN);
+  app::handleSignalsBeforeServing();
   cxxopts::Options Options("laburnumspreadd",
                            "Entry server of a laburnumspread fleet");
   Options.add_options()("config", "settings file, JSON with comments",
@@ -202,13 +185,17 @@
     }
     const std::string File = Parsed["config"].as<std::string>();
     const bool OnlyCheck = Parsed.count("check") > 0;
+    // Created before the settings are read, so that no change is missed.
+    const auto Watch =
+        std::make_shared<framework::settings::SettingsWatch>(File);
     if (isCell(File))
       return checkOrServe<cell::CellSettings>(
-          cell::loadCellSettings(File), OnlyCheck,
-          [&](const auto &Settings) { return serveCell(Settings, File); });
+          cell::loadCellSettings(File), OnlyCheck, [&](const auto &Settings) {
+            return serveCell(Settings, File, Watch);
+          });
     return checkOrServe<entry::EntrySettings>(
         entry::loadSettings(File), OnlyCheck,
-        [&](const auto &Settings) { return serve(Settings, File); });
+        [&](const auto &Settings) { return serve(Settings, File, Watch); });
   } catch (const cxxopts::exceptions::exception &Error) {
     std::cerr << "laburnumspreadd: " << Error.what() << '\n';
     return BadSettings;
