A pool that stays short of workers lets the fewest jobs wait

Cause: the job with the least slack goes first, so each starts at the last moment, and any delay makes all of them late. Change: each pass projects the backlog of a pool whose ready tasks do not all fit, in the order of latest starts, on what it can run, with running tasks and machines on their way. Where a job is not reached in time, the one that frees the most work waits (Moore and Hodgson), if it has not begun and more jobs are reached by it; no job waits for one of lower priority, and those held by a workspace's limit take no place. The tolerance, half a standard deviation, comes from the run times that were seen.

--- a/src/cell/cellservice.h
+++ b/src/cell/cellservice.h
@@ -379,7 +379,9 @@
         {now(),
          framework::clock::toMillis(framework::clock::SystemClock().now()),
          T.StartDelay_.expected()},
-        MaxUnansweredStarts - Sessions.unansweredStarts());
+        MaxUnansweredStarts - Sessions.unansweredStarts(),
+        Machines_ ? Machines_->arrivals()
+                  : std::vector<scheduling::CapacityArrival>());
     for (const scheduling::StepName &Step : Plan.AwaitingAdvice_)
       askAdvice(T, Step, Workers);
     for (const jobs::RunIntended &Item : Plan.Starts_) {
--- a/src/cell/internal/machinetable.cpp
+++ b/src/cell/internal/machinetable.cpp
@@ -116,6 +116,18 @@
   return Incarnations;
 }
 
+std::vector<scheduling::CapacityArrival>
+MachineTable::arrivals(TimePoint Now) const {
+  std::vector<scheduling::CapacityArrival> Result;
+  for (const auto &[Machine, Item] : Orders_) {
+    const capacity::MachineView *View = findView(Machine);
+    if (View && Item.Kind_ == MachineOrderKind::Move && Item.Acknowledged_)
+      Result.push_back({View->Record_.Pool_, View->Record_.Capacity_,
+                        std::max(Now, Item.NewIncarnationFrom_)});
+  }
+  return Result;
+}
+
 bool MachineTable::isUnschedulable(const MachineId &Machine) const {
   if (busy(Machine))
     return true;
--- a/src/cell/machinemanager.h
+++ b/src/cell/machinemanager.h
@@ -92,6 +92,11 @@
     return Table_->isUnschedulable(Record.Machine_);
   }
 
+  /// Returns the machines on their way between pools.
+  std::vector<scheduling::CapacityArrival> arrivals() const {
+    return Table_->arrivals(now());
+  }
+
 private:
   static TimePoint now() { return Term<Store>::now(); }
 
--- a/src/cell/machinetable.h
+++ b/src/cell/machinetable.h
@@ -2,6 +2,7 @@
 
 #include "capacity/capacitytypes.h"
 #include "cell/celltypes.h"
+#include "scheduling/scheduler.h"
 
 #include <map>
 
@@ -67,6 +68,8 @@
            Found->second.Kind_ == MachineOrderKind::Upkeep;
   }
   bool anyBusy() const { return !Orders_.empty(); }
+  /// Returns the capacity that acknowledged moves bring to pools, and when.
+  std::vector<scheduling::CapacityArrival> arrivals(TimePoint Now) const;
   /// Sets the home pool of the machine, as recorded by an earlier leader.
   void setHomePool(const MachineId &Machine, const PoolName &HomePool) {
     HomePools_[Machine] = HomePool;
--- a/src/cell/tests/machinetabletest.cpp
+++ b/src/cell/tests/machinetabletest.cpp
@@ -40,6 +40,21 @@
   BOOST_TEST(!Table.busy(Machine));
 }
 
+BOOST_AUTO_TEST_CASE(MovedMachineIsOnItsWayOnceTheOrderIsAcknowledged) {
+  MachineTable Table(2s);
+  Table.recordWorker(worker(1), Start);
+  Table.orderSent(Machine, MachineOrderKind::Move, 1500ms, Start);
+  BOOST_TEST(Table.arrivals(Start).empty());
+  Table.setPool(Machine, PoolName("other"));
+  Table.orderAcknowledged(Machine, Start);
+  const auto Arrivals = Table.arrivals(Start);
+  BOOST_REQUIRE(Arrivals.size() == 1u);
+  BOOST_TEST(Arrivals.front().Pool_ == PoolName("other"));
+  BOOST_TEST((Arrivals.front().At_ == Start + 1500ms));
+  Table.recordWorker(worker(2), Start + 2s);
+  BOOST_TEST(Table.arrivals(Start + 2s).empty());
+}
+
 // Guards against too many machines of a wave being down. After the store has
 // dropped its history, all workers' entries are read again, including those of
 // machines that have just gone down; each made its machine appear to be back.
--- /dev/null
+++ b/src/scheduling/internal/backlogprojection.cpp
@@ -0,0 +1,232 @@
+#include "scheduling/internal/backlogprojection.h"
+
+#include <algorithm>
+#include <iterator>
+#include <limits>
+
+namespace laburnumspread::scheduling {
+
+using jobs::QueueConfig;
+using jobs::StepRow;
+using jobs::StepSpec;
+
+namespace {
+
+Resources times(const Resources &Each, std::size_t Count) {
+  const auto N = static_cast<std::int64_t>(Count);
+  return {N * Each.MilliCpus_, N * Each.MemoryMb_, N * Each.Accelerators_};
+}
+
+ResourceTime operator+(const ResourceTime &A, const ResourceTime &B) {
+  return {A.MilliCpus_ + B.MilliCpus_, A.MemoryMb_ + B.MemoryMb_};
+}
+
+ResourceTime operator-(const ResourceTime &A, const ResourceTime &B) {
+  return {A.MilliCpus_ - B.MilliCpus_, A.MemoryMb_ - B.MemoryMb_};
+}
+
+/// Returns what a task of the step holds in \p Time.
+ResourceTime workOf(const StepSpec &Spec, Duration Time) {
+  const Resources Each = Spec.demand();
+  const auto Micros = static_cast<double>(Time.count());
+  return {Micros * static_cast<double>(Each.MilliCpus_),
+          Micros * static_cast<double>(Each.MemoryMb_)};
+}
+
+std::size_t idleTasks(const jobs::StepRow &Row) {
+  return Row.Tasks_.size() - Row.DoneCount_ - Row.LiveCount_;
+}
+
+/// Returns the workspace's upper limit; what has none is unlimited.
+Resources limitOf(const jobs::WorkspaceConfig &Workspace) {
+  const auto OrUnlimited = [](std::int64_t Limit) {
+    return Limit == 0 ? std::numeric_limits<std::int64_t>::max() : Limit;
+  };
+  const Resources &Most = Workspace.MaxAllowed_;
+  return {OrUnlimited(Most.MilliCpus_), OrUnlimited(Most.MemoryMb_),
+          OrUnlimited(Most.Accelerators_)};
+}
+
+/// Returns when \p Work of one kind of resource is done, if \p Now of it is
+/// there at \p At, and more later.
+template <typename Amount>
+TimePoint doneAt(double Work, std::int64_t Now, TimePoint At,
+                 const std::map<TimePoint, Resources> &Later, Amount Of) {
+  if (Work <= 0)
+    return At;
+  double Rate = static_cast<double>(Now);
+  for (const auto &[From, Part] : Later) {
+    const double Before = Rate * static_cast<double>((From - At).count());
+    if (From > At) {
+      if (Rate > 0 && Before >= Work)
+        break;
+      Work -= std::max(0.0, Before);
+      At = From;
+    }
+    Rate += static_cast<double>(Of(Part));
+  }
+  return Rate > 0 ? At + Duration(static_cast<std::int64_t>(Work / Rate))
+                  : TimePoint::max();
+}
+
+} // namespace
+
+void PoolCapacity::add(const Resources &Part) { Now_ += Part; }
+
+void PoolCapacity::addLater(const Resources &Part, TimePoint At) {
+  Later_[At] += Part;
+}
+
+TimePoint PoolCapacity::doneAt(const ResourceTime &Work, TimePoint Now) const {
+  const TimePoint ByCpu =
+      scheduling::doneAt(Work.MilliCpus_, Now_.MilliCpus_, Now, Later_,
+                         [](const Resources &Part) { return Part.MilliCpus_; });
+  const TimePoint ByMemory =
+      scheduling::doneAt(Work.MemoryMb_, Now_.MemoryMb_, Now, Later_,
+                         [](const Resources &Part) { return Part.MemoryMb_; });
+  return std::max(ByCpu, ByMemory);
+}
+
+bool BacklogProjection::defer(std::vector<ReadyStep> &Steps,
+                              const std::vector<Candidate> &Workers,
+                              const std::vector<CapacityArrival> &Arrivals) {
+  findShortPools(Steps, Workers, Arrivals);
+  if (Pools_.empty())
+    return false;
+  addRunningTasks();
+  for (auto &[Pool, Item] : Pools_)
+    Item.WorkOfAll_ = Item.Work_;
+  absl::flat_hash_set<const jobs::JobRow *> Seen;
+  for (const ReadyStep &Step : Steps) {
+    const auto Found = Pools_.find(Step.Queue_->Pool_);
+    if (Found != Pools_.end() && !Step.Spec_->LongRunning_ &&
+        Step.Urgency_ == Urgency::InTime && Seen.insert(Step.Job_).second)
+      addJob(Found->second, Step);
+  }
+  absl::flat_hash_set<const jobs::JobRow *> Deferred;
+  for (const auto &[Pool, Item] : Pools_)
+    if (Item.ReachedByDeferral_ > Item.ReachedOtherwise_)
+      Deferred.insert(Item.Deferred_.begin(), Item.Deferred_.end());
+  for (ReadyStep &Step : Steps)
+    if (Step.Urgency_ == Urgency::InTime && Deferred.contains(Step.Job_))
+      Step.Urgency_ = Urgency::Deferred;
+  return !Deferred.empty();
+}
+
+void BacklogProjection::findShortPools(
+    const std::vector<ReadyStep> &Steps, const std::vector<Candidate> &Workers,
+    const std::vector<CapacityArrival> &Arrivals) {
+  absl::flat_hash_map<jobs::PoolName, Resources> Free, Ready;
+  for (const Candidate &Item : Workers)
+    Free[Item.Worker_->Pool_] += Item.Free_;
+  for (const ReadyStep &Step : Steps)
+    Ready[Step.Queue_->Pool_] +=
+        times(Step.Spec_->demand(), idleTasks(*Step.Row_));
+  for (const auto &[Pool, Demand] : Ready)
+    if (!Demand.fitsInto(Free[Pool]))
+      Pools_[Pool].Capacity_.add(Free[Pool]);
+  for (const CapacityArrival &Item : Arrivals)
+    if (const auto Found = Pools_.find(Item.Pool_); Found != Pools_.end())
+      Found->second.Capacity_.addLater(Item.Capacity_, Item.At_);
+}
+
+void BacklogProjection::addRunningTasks() {
+  for (const auto &[Order, Id] : Table_.open()) {
+    const jobs::JobRow &Job = *Table_.find(Id);
+    const QueueConfig *Queue = Config_.find(Job.Spec_.Queue_);
+    const auto Found = Queue ? Pools_.find(Queue->Pool_) : Pools_.end();
+    if (Job.LiveRuns_ == 0 || Found == Pools_.end())
+      continue;
+    for (const jobs::OccurrenceRow &Occurrence : Job.Occurrences_)
+      for (std::size_t S = 0; S < Occurrence.Steps_.size(); ++S) {
+        const StepSpec &Spec = Job.Spec_.Steps_[S];
+        const StepRow &Row = Occurrence.Steps_[S];
+        if (Spec.LongRunning_ || Row.LiveCount_ == 0)
+          continue;
+        Found->second.Capacity_.add(times(Spec.demand(), Row.LiveCount_));
+        const Duration Expected =
+            Estimator_.expectedRunTime(Job.Spec_.Queue_, Spec);
+        for (const jobs::TaskRow &Task : Row.Tasks_)
+          if (!Task.Runs_.empty())
+            Found->second.Work_ =
+                Found->second.Work_ +
+                workOf(Spec, std::max(Duration::zero(),
+                                      Task.Runs_.front().StartedAt_ + Expected -
+                                          At_.Now_));
+      }
+  }
+}
+
+const jobs::JobRow *BacklogProjection::Projection::deferLargest() {
+  const auto Largest = std::prev(Deferrable_.end());
+  const JobWork Chosen = Largest->second;
+  Deferrable_.erase(Largest);
+  Work_ = Work_ - Chosen.Work_;
+  Deferred_.push_back(Chosen.Job_);
+  return Chosen.Job_;
+}
+
+void BacklogProjection::addJob(Projection &Into, const ReadyStep &Step) {
+  if (Into.Capacity_.empty() || heldByLimit(Into, Step))
+    return;
+  // A job is not deferred for one of lower priority.
+  const std::pair Priority(Step.Spec_->Filler_, Step.Queue_->Priority_);
+  if (Into.Priority_ != Priority)
+    Into.Deferrable_.clear();
+  Into.Priority_ = Priority;
+  const JobWork Own = waitingWork(*Step.Job_);
+  const TimePoint LatestStart = latestStart(Step);
+  const auto ReachedInTime = [&](const ResourceTime &Before) {
+    return Into.Capacity_.doneAt(Before, At_.Now_) <= LatestStart;
+  };
+  Into.ReachedOtherwise_ += ReachedInTime(Into.WorkOfAll_);
+  Into.WorkOfAll_ = Into.WorkOfAll_ + Own.Work_;
+  Into.Work_ = Into.Work_ + Own.Work_;
+  if (Step.Job_->State_ == jobs::JobState::Pending)
+    Into.Deferrable_.emplace(Own.Work_.MilliCpus_, Own);
+  while (!ReachedInTime(Into.Work_ - Own.Work_)) {
+    if (Into.Deferrable_.empty() || Into.deferLargest() == Step.Job_)
+      return;
+    // The deferred job was one of those reached in time.
+    --Into.ReachedByDeferral_;
+  }
+  ++Into.ReachedByDeferral_;
+}
+
+bool BacklogProjection::heldByLimit(Projection &Into,
+                                    const ReadyStep &Step) const {
+  const auto Row = Config_.Workspaces_.find(Step.Job_->Spec_.Workspace_);
+  if (Row == Config_.Workspaces_.end())
+    return false;
+  Resources &Waiting = Into.Waiting_[Row->first];
+  const Resources With =
+      Waiting + times(Step.Spec_->PerTask_, idleTasks(*Step.Row_));
+  if (!(Table_.usedBy(Row->first) + With).fitsInto(limitOf(Row->second)))
+    return true;
+  Waiting = With;
+  return false;
+}
+
+BacklogProjection::JobWork
+BacklogProjection::waitingWork(const jobs::JobRow &Job) const {
+  JobWork Sum{&Job, {}};
+  for (const jobs::OccurrenceRow &Occurrence : Job.Occurrences_)
+    for (std::size_t S = 0; S < Occurrence.Steps_.size(); ++S) {
+      const StepSpec &Spec = Job.Spec_.Steps_[S];
+      const std::size_t Idle = idleTasks(Occurrence.Steps_[S]);
+      if (Spec.LongRunning_ || Idle == 0)
+        continue;
+      const Duration Expected =
+          Estimator_.expectedRunTime(Job.Spec_.Queue_, Spec);
+      Sum.Work_ =
+          Sum.Work_ + workOf(Spec, Expected * static_cast<std::int64_t>(Idle));
+    }
+  return Sum;
+}
+
+TimePoint BacklogProjection::latestStart(const ReadyStep &Step) const {
+  return Step.LatestStart_ - At_.StartDelay_ +
+         Estimator_.deviation(Step.Job_->Spec_.Queue_, *Step.Spec_) / 2;
+}
+
+} // namespace laburnumspread::scheduling
--- a/src/scheduling/internal/placement.h
+++ b/src/scheduling/internal/placement.h
@@ -12,6 +12,17 @@
 
 using jobs::Resources;
 
+/// Whether a job's tasks are worth starting now.
+enum class Urgency {
+  /// The job can meet its deadline.
+  InTime,
+  /// It could, but its pool is short of workers, and more jobs end in time if
+  /// this one waits.
+  Deferred,
+  /// A start that is planned now would arrive after the latest start.
+  Late,
+};
+
 /// A step with tasks that can start now.
 struct ReadyStep {
   const jobs::JobRow *Job_ = nullptr;
@@ -20,8 +31,7 @@
   const jobs::StepRow *Row_ = nullptr;
   std::uint32_t Occurrence_ = 0;
   std::uint32_t Step_ = 0;
-  /// Whether a start that is planned now would arrive after the latest start.
-  bool Late_ = false;
+  Urgency Urgency_ = Urgency::InTime;
   /// Latest time at which the rest of the job can start and still meet its
   /// deadline.
   TimePoint LatestStart_{};
--- a/src/scheduling/internal/runtimeestimator.cpp
+++ b/src/scheduling/internal/runtimeestimator.cpp
@@ -11,6 +11,9 @@
   ++Runs_;
   const double Weight =
       std::max(MinRunWeight, 1.0 / static_cast<double>(Runs_));
+  const double Error = LogMeasured - expected(LogDeclared);
+  if (Runs_ > 1)
+    SquaredError_ += Weight * (Error * Error - SquaredError_);
   const double DeclaredOffset = LogDeclared - MeanLogDeclared_;
   MeanLogDeclared_ += Weight * DeclaredOffset;
   const double MeasuredOffset = LogMeasured - MeanLogMeasured_;
@@ -52,6 +55,17 @@
       static_cast<std::int64_t>(std::exp(Row->second.expected(Declared))));
 }
 
+jobs::Duration RunTimeEstimator::deviation(const jobs::QueueName &Queue,
+                                           const jobs::StepSpec &Step) const {
+  const auto Row = Fits_.find(Queue);
+  if (Row == Fits_.end() || Row->second.Runs_ < MinRuns)
+    return jobs::Duration::zero();
+  const auto Expected =
+      static_cast<double>(expectedRunTime(Queue, Step).count());
+  return jobs::Duration(static_cast<std::int64_t>(
+      Expected * std::sqrt(Row->second.SquaredError_)));
+}
+
 jobs::Duration criticalPath(const jobs::JobSpec &Job,
                             const RunTimeEstimator &Estimator) {
   absl::InlinedVector<jobs::Duration, 8> EndOf(Job.Steps_.size());
--- a/src/scheduling/internal/scheduler.cpp
+++ b/src/scheduling/internal/scheduler.cpp
@@ -1,4 +1,4 @@
-#include "scheduling/internal/placement.h"
+#include "scheduling/internal/backlogprojection.h"
 
 #include <algorithm>
 #include <tuple>
@@ -16,18 +16,22 @@
 
 /// Scheduling order. Long-running tasks come first, because their users are
 /// affected by every second of downtime. Jobs that can still meet their
-/// deadline follow, by least slack. Late jobs earn only a fraction of their
-/// value and get the remaining capacity, those with the least remaining work
-/// first, which completes most of them.
+/// deadline follow, by least slack; those that a short pool defers come next,
+/// and of them the one that may still be reached in time is the one with the
+/// most slack. Late jobs earn only a fraction of their value and get the
+/// remaining capacity, those with the least remaining work first, which
+/// completes most of them.
 bool runsBefore(const ReadyStep &A, const ReadyStep &B) {
   const auto Rank = [](const ReadyStep &S) {
-    return std::make_tuple(!S.Spec_->LongRunning_, S.Late_, S.Spec_->Filler_,
+    return std::make_tuple(!S.Spec_->LongRunning_, S.Urgency_, S.Spec_->Filler_,
                            S.Queue_->Priority_);
   };
   if (Rank(A) != Rank(B))
     return Rank(A) < Rank(B);
-  if (A.Late_)
+  if (A.Urgency_ == Urgency::Late)
     return A.RemainingCpuWork_ < B.RemainingCpuWork_;
+  if (A.Urgency_ == Urgency::Deferred)
+    return A.LatestStart_ > B.LatestStart_;
   return A.LatestStart_ < B.LatestStart_;
 }
 
@@ -106,8 +110,7 @@
              Queue.Stretch_ * static_cast<double>(Chain.count())));
 }
 
-Plan Scheduler::plan(std::vector<Candidate> Workers, PlanTime At,
-                     std::size_t MaxStarts) const {
+std::vector<ReadyStep> Scheduler::findReadySteps(PlanTime At) const {
   std::vector<ReadyStep> Ready;
   for (const auto &[Order, Id] : Table_.open()) {
     const JobRow &Job = *Table_.find(Id);
@@ -129,8 +132,10 @@
           JobPrepared = true;
           Base.LatestStart_ = deadlineOf(Job, *Queue, Estimator_) -
                               remainingCriticalPath(Job, K, Estimator_);
-          Base.Late_ = !Spec.LongRunning_ &&
-                       At.Now_ + At.StartDelay_ > Base.LatestStart_;
+          Base.Urgency_ =
+              !Spec.LongRunning_ && At.Now_ + At.StartDelay_ > Base.LatestStart_
+                  ? Urgency::Late
+                  : Urgency::InTime;
           Base.RemainingCpuWork_ = remainingCpuWork(Job, Estimator_);
         }
         ReadyStep Step = Base;
@@ -141,7 +146,17 @@
         Ready.push_back(Step);
       }
   }
+  return Ready;
+}
+
+Plan Scheduler::plan(std::vector<Candidate> Workers, PlanTime At,
+                     std::size_t MaxStarts,
+                     const std::vector<CapacityArrival> &Arrivals) const {
+  std::vector<ReadyStep> Ready = findReadySteps(At);
   std::sort(Ready.begin(), Ready.end(), runsBefore);
+  if (BacklogProjection(Table_, Config_, Estimator_, At)
+          .defer(Ready, Workers, Arrivals))
+    std::sort(Ready.begin(), Ready.end(), runsBefore);
   Placement Places(Table_, Config_, Advised_, std::move(Workers), At.Now_,
                    MaxStarts);
   Plan Result;
--- a/src/scheduling/runtimeestimator.h
+++ b/src/scheduling/runtimeestimator.h
@@ -39,6 +39,11 @@
   jobs::Duration expectedRunTime(const jobs::QueueName &Queue,
                                  const jobs::StepSpec &Step) const;
 
+  /// Returns how far run times deviate from expectedRunTime() (one standard
+  /// deviation); zero if too few runs are known.
+  jobs::Duration deviation(const jobs::QueueName &Queue,
+                           const jobs::StepSpec &Step) const;
+
 private:
   /// Weighted least-squares fit of log(measured) to log(declared).
   struct LinearFit {
@@ -47,6 +52,8 @@
     double MeanLogMeasured_ = 0;
     double Variance_ = 0;
     double Covariance_ = 0;
+    /// Mean square of the errors of the expected logarithms.
+    double SquaredError_ = 0;
 
     void add(double LogDeclared, double LogMeasured);
     double expected(double LogDeclared) const;
--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -37,6 +37,17 @@
   Duration StartDelay_{};
 };
 
+/// Resources that are added to a pool when a machine that was ordered there
+/// arrives.
+struct CapacityArrival {
+  jobs::PoolName Pool_;
+  jobs::Resources Capacity_;
+  TimePoint At_{};
+};
+
+/// A step with tasks that can start now; see internal/placement.h.
+struct ReadyStep;
+
 /// Result of one scheduling pass.
 struct Plan {
   std::vector<jobs::RunIntended> Starts_;
@@ -62,14 +73,18 @@
         Advised_(Advised) {}
 
   /// Assigns ready tasks to the workers until no more fit or \p MaxStarts are
-  /// planned. A gang is planned whole, also past that.
+  /// planned. A gang is planned whole, also past that. \p Arrivals are the
+  /// machines on their way, which a pool that is short of workers counts on.
   Plan plan(std::vector<Candidate> Workers, PlanTime At,
-            std::size_t MaxStarts = NoLimit) const;
+            std::size_t MaxStarts = NoLimit,
+            const std::vector<CapacityArrival> &Arrivals = {}) const;
 
   static constexpr std::size_t NoLimit =
       std::numeric_limits<std::size_t>::max();
 
 private:
+  std::vector<ReadyStep> findReadySteps(PlanTime At) const;
+
   const CellTable &Table_;
   const CellConfig &Config_;
   const RunTimeEstimator &Estimator_;
--- a/src/scheduling/tests/runtimeestimatortest.cpp
+++ b/src/scheduling/tests/runtimeestimatortest.cpp
@@ -86,6 +86,19 @@
   BOOST_TEST(EstimatorError < 1.3 * DeclaredError);
 }
 
+BOOST_AUTO_TEST_CASE(DeviationIsThatOfTheRunTimes) {
+  RunTimeEstimator Estimator;
+  BOOST_TEST((Estimator.deviation(Queue, declared(1s)) == 0ms));
+  std::mt19937 Random(7);
+  std::normal_distribution<double> Seconds(1, 0.2);
+  for (int I = 0; I < 1000; ++I)
+    Estimator.recordRun(
+        Queue, 1s,
+        jobs::Duration(static_cast<std::int64_t>(1e6 * Seconds(Random))));
+  const jobs::Duration Found = Estimator.deviation(Queue, declared(1s));
+  BOOST_TEST((Found > 150ms && Found < 250ms));
+}
+
 BOOST_AUTO_TEST_CASE(HungRunHasLittleEffect) {
   RunTimeEstimator Estimator;
   for (int I = 0; I < 100; ++I)
