Starts are repeated only while no other entry can lead

Cause: an unanswered start was repeated for as long as orders may be sent, up to 4 s after the store's last confirmation, while the head key's lease ends after one. A successor may lead then; only the token that it left at the worker refuses the repeat, and a worker that restarts under its id forgets it. The former leader's repeat then ran beside the successor's own run of the task.

Change: Leadership knows whether it has been offered (it was the elector's state) and so whether no other process can lead (soleLeaderAt); WorkerSessions repeats a start only then. A start sent before is lost with the connection of the worker that restarts. The run model's former leader follows the same rule, else nothing in the model has changed.

Ruled out: waiting 5 s after each takeover before an inherited run of a former incarnation is settled; it costs every takeover, and one restart after the settling report would still have led to two runs.

StartIsNotRepeatedOnceASuccessorMayLead seen red (2 starts of 1).

--- a/src/cell/leaderelector.h
+++ b/src/cell/leaderelector.h
@@ -145,9 +145,7 @@
 
   /// Whether this entry leads, has not offered the leadership, and no other
   /// entry can lead at present.
-  bool isSoleLeader() const {
-    return !Offered_ && Leadership_.leaseValidAt(now());
-  }
+  bool isSoleLeader() const { return Leadership_.soleLeaderAt(now()); }
   /// Outlives every term that was started under it.
   journal::Leadership<Store> &leadership() { return Leadership_; }
   /// The latest leader known; its token is 0 if there is none.
@@ -346,11 +344,12 @@
                              Leadership_.refusals() >= OfferAfterRefusals;
     if (!Unreachable || !Events_.IsServing_() || Leaving_ || !Peers_.SendOffer_)
       return;
-    if (!std::exchange(Offered_, true))
+    if (!Leadership_.offered())
       framework::log::warning("leadership.offered")
           .field("token", Leadership_.token().value())
           .field("confirmed_ms_ago",
                  (now() - Leadership_.confirmedAt()).count() / 1000);
+    Leadership_.setOffered(true);
     Peers_.SendOffer_({Leadership_.token().value()});
   }
 
@@ -386,7 +385,7 @@
       return endLeadership("a peer accepted the offered leadership");
     Events_.OnTokenRaised_();
     setSeenLeader(Leadership_.self());
-    Offered_ = false;
+    Leadership_.setOffered(false);
     framework::log::info("leadership.taken_back")
         .field("token", Leadership_.token().value());
   }
@@ -414,7 +413,7 @@
       return;
     if (!*Alive)
       endLeadership("the lease has expired");
-    else if (Offered_)
+    else if (Leadership_.offered())
       reclaimLeadership();
   }
 
@@ -427,7 +426,7 @@
     if (ActiveTerm_)
       Events_.OnEnded_("lost; a new leadership has started");
     ActiveTerm_ = Leadership_.term();
-    Offered_ = false;
+    Leadership_.setOffered(false);
     Directory_.record(Leadership_.self());
     if (Peers_.SendNotice_)
       Peers_.SendNotice_(toNotice(Leadership_.self()));
@@ -446,8 +445,6 @@
   /// The leadership for which OnStarted_ was called, and OnEnded_ was not.
   std::optional<journal::TermNumber> ActiveTerm_;
   PeerLinks Peers_;
-  /// Whether the peers have been told that they may lead.
-  bool Offered_ = false;
   bool Reclaiming_ = false;
   std::uint32_t SilentChecks_ = 0;
   TimePoint StoreFailedAt_{};
--- a/src/cell/term.h
+++ b/src/cell/term.h
@@ -63,6 +63,14 @@
     return maySendOrders() && Evacuations_.current(now());
   }
 
+  /// Whether a start without a reply may be sent again. Once a successor may
+  /// lead, only the token that it left at the worker keeps a repeated start
+  /// from running beside the successor's own run of the task, and a worker that
+  /// restarts forgets it. A start sent before that is lost with the connection.
+  bool mayRepeatStarts() const {
+    return maySendStarts() && Leadership_.soleLeaderAt(now());
+  }
+
   /// Whether a planned start may still be sent to the worker. Storing the
   /// intent can take seconds; a task that starts long after its worker
   /// announced that it leaves is lost with it.
--- a/src/cell/tests/runmodel.h
+++ b/src/cell/tests/runmodel.h
@@ -89,6 +89,9 @@
   bool maySendOrders(TimePoint Now) const {
     return Active_ && Now - ConfirmedAt_ < StoreOutageTolerance;
   }
+  bool isSoleLeader(TimePoint Now) const {
+    return Active_ && Now - ConfirmedAt_ < StoreLease;
+  }
 };
 
 using LeaderPtr = std::shared_ptr<ModelLeader>;
@@ -959,9 +962,10 @@
         loseRuns(Item->From_, Row.Record_.Incarnation_);
       return;
     }
-    // Further attempts are sent only within the window of the start.
+    // Further attempts are sent only within the window of the start, and while
+    // no successor can lead.
     if (Item->Attempt_ + 1 >= StartAttempts ||
-        Now_ - Item->SentAt_ > StartWindow ||
+        Now_ - Item->SentAt_ > StartWindow || !Leader.isSoleLeader(Now_) ||
         !Leader.Table_.find(Item->Start_.Run_))
       return Leader.Tracker_.noMoreStarts(Item->Start_.Run_);
     auto Again = std::make_shared<Message>(*Item);
--- a/src/cell/tests/workersessionstest.cpp
+++ b/src/cell/tests/workersessionstest.cpp
@@ -174,6 +174,16 @@
   BOOST_TEST(Term_->Table_.find(Run) != nullptr);
 }
 
+// Guards against a second run of a task: the repeat reaches a worker that has
+// restarted and so forgotten the token of the successor.
+BOOST_AUTO_TEST_CASE(StartIsNotRepeatedOnceASuccessorMayLead) {
+  Client_.Unanswered_ = 1;
+  Client_.AfterStart_ = [this] { Leadership_.setOffered(true); };
+  startAndWait();
+  BOOST_TEST(Client_.Starts_ == 1u);
+  BOOST_TEST(Term_->Table_.find(Run) != nullptr);
+}
+
 // Guards against starts by a leader that no evacuation can have reached.
 BOOST_AUTO_TEST_CASE(IntentIsNotSentWhileEvacuationsMayBeMissing) {
   Evacuations_.setBound(std::chrono::seconds(5));
--- a/src/cell/workersessions.h
+++ b/src/cell/workersessions.h
@@ -481,8 +481,10 @@
     // Reports may have settled the run meanwhile. Then another attempt is not
     // needed and could be executed by a restarted worker.
     for (int Attempt = 0; Attempt < StartAttempts; ++Attempt) {
-      if (!Term_->Table_.find(Run) || !Term_->maySendStarts() ||
-          !Term_->takesStarts(*Row) || attemptStart(*Row, Order, Attempt))
+      const bool MaySend =
+          Attempt == 0 ? Term_->maySendStarts() : Term_->mayRepeatStarts();
+      if (!Term_->Table_.find(Run) || !MaySend || !Term_->takesStarts(*Row) ||
+          attemptStart(*Row, Order, Attempt))
         break;
       Count.reset();
     }
--- a/src/journal/leadership.h
+++ b/src/journal/leadership.h
@@ -182,6 +182,15 @@
                          std::chrono::seconds(LeaseSeconds) - AnswerMargin;
   }
 
+  /// Records whether peers have been told that one of them may lead instead.
+  void setOffered(bool Offered) { Offered_ = Offered; }
+  bool offered() const { return Offered_; }
+  /// Whether no other process can lead at \p Now: the lease is valid, and the
+  /// leadership has not been offered.
+  bool soleLeaderAt(TimePoint Now) const {
+    return !Offered_ && leaseValidAt(Now);
+  }
+
   bool held() const { return Self_.Token_.value() != 0; }
   /// The current term, or the last one if this process does not lead.
   TermNumber term() const { return Term_; }
@@ -280,6 +289,7 @@
   std::uint32_t Refusals_ = 0;
   bool RewritePending_ = false;
   bool Resigned_ = false;
+  bool Offered_ = false;
   TermNumber Term_;
   TimePoint StartedAt_{};
 };
