Only workers in use have a session; the others are polled within a bound

Cause: the leader opened a fiber, a connection and a poll for every listed worker, needed or not, and polled each silent one every half second.

Change: a worker has a session only while it runs something or may. WorkerPolls chooses the unused workers to poll: silent ones and a reserve of each pool, at most 32 in flight. Placement prefers workers that have replied. Connections are closed when the term ends.

--- a/src/cell/cellservice.h
+++ b/src/cell/cellservice.h
@@ -193,8 +193,7 @@
         .field("reason", Reason);
     Term_->Ended_ = true;
     Term_->Commits_.stop();
-    for (const auto &[Incarnation, Row] : Term_->Workers_)
-      Row->wake();
+    Sessions_->close();
     Term_ = nullptr;
     Sessions_ = nullptr;
     Machines_ = nullptr;
@@ -305,6 +304,8 @@
         Row->FailureScore_ *= FailureScoreDecay;
       if (Sessions_ && T->maySendOrders())
         Sessions_->verifyFailedDomains();
+      if (Sessions_)
+        Sessions_->maintain();
       T->Table_.forgetEnded(now() - Bounds_.StatusRetention_);
       loseRunsOnUnknownWorkers(*T);
       if (Planner_)
--- a/src/cell/internal/failuredomains.cpp
+++ b/src/cell/internal/failuredomains.cpp
@@ -120,7 +120,7 @@
     return Result;
   const DomainTallies Domains(Workers, Now);
   for (const auto &[Incarnation, Row] : Workers)
-    if (Row->sessionIdle() && Row->acceptsTasks() &&
+    if (!Row->HasSession_ && Row->acceptsTasks() &&
         !repliedRecently(*Row, Now) && Domains.inFailedDomain(Row->Record_))
       Result.push_back(Row);
   return Result;
--- a/src/cell/taskplanner.h
+++ b/src/cell/taskplanner.h
@@ -135,7 +135,7 @@
           {&Row->Record_,
            Use ? Row->Record_.Capacity_ - Use->Used_ : Row->Record_.Capacity_,
            Row->FailureScore_ < MinFailureScore ? 0 : Row->FailureScore_,
-           Slow_.contains(Incarnation)});
+           Slow_.contains(Incarnation), !Row->Synced_});
     }
     return Result;
   }
@@ -163,6 +163,7 @@
       if (Outcome == CommitOutcome::Stored)
         S->start(Item);
     });
+    Sessions_->prepareStart(Item.Worker_);
   }
 
   /// Asks the advisor about a step unless a question is pending. The advisor
--- a/src/cell/term.h
+++ b/src/cell/term.h
@@ -41,11 +41,11 @@
     if (std::exchange(Row.Ended_, true))
       return;
     EndedIncarnations_.emplace(Row.Record_.Incarnation_, now());
+    Row.endFirstReplyWaits();
     framework::log::info("worker.over")
         .field("worker", Row.Record_.Incarnation_.Id_.str())
         .field("born_ms", Row.Record_.Incarnation_.StartedMs_)
         .field("reason", Reason);
-    Row.wake();
   }
 
   /// Whether the leadership has ended; fibers of the term then stop.
@@ -81,7 +81,8 @@
 
   /// Whether new tasks may be planned on the worker.
   bool acceptsTasks(const WorkerRow &Row) const {
-    return Row.acceptsTasks() && takesStarts(Row);
+    return Row.acceptsTasks() && takesStarts(Row) &&
+           (Row.Synced_ || !Table_.usageOf(Row.Record_.Incarnation_));
   }
 
   /// Returns the time after which no run ordered by an earlier leader is active
--- a/src/cell/tests/failuredomainstest.cpp
+++ b/src/cell/tests/failuredomainstest.cpp
@@ -21,6 +21,7 @@
     Row->Record_.Labels_ = {
         jobs::Label("r" + std::to_string(Workers_.size() / 2))};
     Row->Synced_ = true;
+    Row->HasSession_ = true;
     Workers_[Row->Record_.Incarnation_] = Row;
     return *Row;
   }
@@ -29,7 +30,7 @@
   void addSilent(const ZoneName &Zone) { add(Zone).Unanswered_ = 1; }
   WorkerRow &addIdle(const ZoneName &Zone) {
     WorkerRow &Row = add(Zone);
-    Row.Wake_ = std::make_shared<framework::fibers::Waiter>();
+    Row.HasSession_ = false;
     Row.AnsweredAt_ = Now - 1min;
     return Row;
   }
--- a/src/cell/tests/runmodel.h
+++ b/src/cell/tests/runmodel.h
@@ -61,7 +61,7 @@
 };
 
 /// An entry that leads, or assumes that it does.
-struct ModelLeader {
+struct ModelLeader : std::enable_shared_from_this<ModelLeader> {
   explicit ModelLeader(FencingToken Token, TimePoint Now)
       : Token_(Token), ConfirmedAt_(Now), StartedAt_(Now), Tracker_(Table_) {}
 
@@ -75,6 +75,9 @@
   std::set<WorkerIncarnation> EndedIncarnations_;
   /// Runs with a stop that was neither answered nor given up.
   std::set<RunName> StopsInFlight_;
+  /// Runs that are sent when their worker replies to this leader for the first
+  /// time.
+  std::map<WorkerIncarnation, std::vector<RunName>> AwaitingFirstReply_;
   bool Active_ = true;
   /// Whether the store does not answer this leader. The group that it was
   /// writing then is in flight; what comes later is staged. The group is open
@@ -324,11 +327,12 @@
       Row->Listed_ = true;
       return;
     }
-    if (Row)
-      endIncarnation(Leader, *Row);
+    if (const WorkerRowPtr Former = Row)
+      endIncarnation(Leader, Former);
     Row = std::make_shared<WorkerRow>();
     Row->Record_.Incarnation_ = Incarnation;
     Row->ClockAt_ = Now_;
+    Row->MayRunStaleStarts_ = Leader.Tracker_.mayRunStaleStarts(Incarnation);
   }
 
   void listAllWorkers(ModelLeader &Leader) {
@@ -346,9 +350,10 @@
       Row = nullptr;
   }
 
-  static void endIncarnation(ModelLeader &Leader, WorkerRow &Row) {
-    Row.Ended_ = true;
-    Leader.EndedIncarnations_.insert(Row.Record_.Incarnation_);
+  void endIncarnation(ModelLeader &Leader, const WorkerRowPtr &Row) {
+    Row->Ended_ = true;
+    Leader.EndedIncarnations_.insert(Row->Record_.Incarnation_);
+    endFirstReplyWait(Leader.shared_from_this(), Row);
   }
 
   static bool needsHold(const ModelLeader &Leader, const WorkerRow &Row) {
@@ -435,7 +440,7 @@
       return;
     std::vector<scheduling::Candidate> Candidates;
     for (const WorkerRowPtr &Row : Leader->Rows_)
-      if (Row && Row->acceptsTasks()) {
+      if (Row && Row->acceptsTasks() && Row->Synced_) {
         const auto *Use = Leader->Table_.usageOf(Row->Record_.Incarnation_);
         Candidates.push_back(
             {&Row->Record_, Use ? WorkerCapacity - Use->Used_ : WorkerCapacity,
@@ -498,6 +503,8 @@
         Leader->Table_.usageOf(Row->Record_.Incarnation_);
     if (Use && !(Use->Used_ + WorkerCapacity).fitsInto(WorkerCapacity))
       return;
+    if (Use && !Row->Synced_)
+      return;
     if (Leader->Table_.open().size() < OpenJobs && !acceptJob(*Leader))
       return;
     const auto Task = idleTask(Leader->Table_);
@@ -512,8 +519,27 @@
   void stageStart(const LeaderPtr &Leader, const WorkerRowPtr &Row,
                   const jobs::RunIntended &Item) {
     Leader->Tracker_.runStaged(Item.Run_);
-    if (commit(*Leader, {Item}) && Leader->Table_.find(Item.Run_))
+    if (!commit(*Leader, {Item}) || !Leader->Table_.find(Item.Run_))
+      return;
+    if (Row->Synced_)
       sendStart(Leader, Row, Item.Run_);
+    else
+      Leader->AwaitingFirstReply_[Item.Worker_].push_back(Item.Run_);
+  }
+
+  /// Sends the starts that waited for the worker's first reply, or ends their
+  /// runs if it has not come.
+  void endFirstReplyWait(const LeaderPtr &Leader, const WorkerRowPtr &Row) {
+    for (const RunName &Run : std::exchange(
+             Leader->AwaitingFirstReply_[Row->Record_.Incarnation_], {})) {
+      if (!Leader->Active_ || !Leader->Table_.find(Run))
+        continue;
+      if (Row->Synced_ && !Row->Ended_ && Leader->maySendOrders(Now_) &&
+          !Leader->Table_.unwantedSince(Run))
+        sendStart(Leader, Row, Run);
+      else
+        endRuns(Leader, {{Run, EndKind::Refused, jobs::Checkpoint(), ""}});
+    }
   }
 
   /// Orders another run of a task that has one. The table must ignore it unless
@@ -523,7 +549,7 @@
     const std::size_t I = pick(Detail, WorkerCount);
     const WorkerRowPtr Row = Leader->Rows_[I];
     if (!Leader->maySendOrders(Now_) || Leader->StoreDown_ || !Row ||
-        !Row->acceptsTasks())
+        !Row->acceptsTasks() || !Row->Synced_)
       return;
     std::vector<TaskName> Running;
     for (const auto &[Incarnation, Use] : Leader->Table_.workers())
@@ -860,7 +886,7 @@
     WorkerRow &Row = *Item.Row_;
     const HoldReply &Reply = Item.Report_;
     if (Reply.Result_ == OrderResult::OtherIncarnation) {
-      endIncarnation(Leader, Row);
+      endIncarnation(Leader, Item.Row_);
       return;
     }
     if (Reply.Result_ != OrderResult::Done)
@@ -894,6 +920,7 @@
       Row.EndsStaged_ = std::max(Row.EndsStaged_, End.Number_);
     if (!Leader.StoreDown_)
       Row.EndsStored_ = Row.EndsStaged_;
+    endFirstReplyWait(From, Item.Row_);
   }
 
   bool endRuns(const LeaderPtr &From,
@@ -960,6 +987,8 @@
       if (Row.leaseExpired(Now_,
                            inheritedLeaseExpiry(Leader.StartedAt_, Lease)))
         loseRuns(Item->From_, Row.Record_.Incarnation_);
+      if (!Row.Synced_)
+        endFirstReplyWait(Item->From_, Item->Row_);
       return;
     }
     // Further attempts are sent only within the window of the start, and while
--- a/src/cell/tests/workersessionstest.cpp
+++ b/src/cell/tests/workersessionstest.cpp
@@ -53,6 +53,8 @@
         Term_, Client_);
     Row_->Record_.Incarnation_ = {WorkerId("w1"), 1};
     Row_->Synced_ = true;
+    // Most tests are about orders only, so the worker is not polled.
+    Row_->HasSession_ = true;
     Term_->Workers_[Row_->Record_.Incarnation_] = Row_;
     jobs::JobAccepted Job;
     Job.Spec_.Id_ = Run.Task_.Job_;
@@ -75,6 +77,16 @@
       framework::fibers::sleepFor(std::chrono::milliseconds(1));
   }
 
+  /// Starts the run on a worker that has not replied yet.
+  void startBeforeFirstReply() {
+    Row_->Synced_ = false;
+    Row_->HasSession_ = false;
+    Sessions_->start(Intent_);
+    framework::fibers::sleepFor(std::chrono::milliseconds(1));
+    while (Sessions_->unansweredStarts() > 0)
+      framework::fibers::sleepFor(std::chrono::milliseconds(1));
+  }
+
   /// Stages two runs of a speculative task, the second one on another worker.
   /// Returns the second run.
   jobs::RunIntended stageCopy() {
@@ -102,7 +114,8 @@
     Client_.Report_.Result_ = OrderResult::Done;
     Client_.Report_.Ends_ = {
         {1, {Task, jobs::RunNumber(1)}, jobs::EndKind::Done, {}}};
-    Sessions_->open(Row_);
+    Row_->HasSession_ = false;
+    Sessions_->add(Row_);
     for (int Waits = 0; Waits < 200 && !Term_->Table_.find(Task)->Done_;
          ++Waits)
       framework::fibers::sleepFor(std::chrono::milliseconds(1));
@@ -174,6 +187,55 @@
   BOOST_TEST(Term_->Table_.find(Run) != nullptr);
 }
 
+// Guards against sessions and connections that grow with the cell and not with
+// its work.
+BOOST_AUTO_TEST_CASE(UnusedWorkersHaveNoSession) {
+  const auto Unused = std::make_shared<WorkerRow>();
+  Unused->Record_.Incarnation_ = {WorkerId("w9"), 1};
+  Term_->Workers_[Unused->Record_.Incarnation_] = Unused;
+  Sessions_->add(Unused);
+  Row_->HasSession_ = false;
+  Sessions_->add(Row_);
+  BOOST_TEST(!Unused->HasSession_);
+  BOOST_TEST(Row_->HasSession_);
+}
+
+// Guards against a start before the worker's clock and runs are known.
+BOOST_AUTO_TEST_CASE(StartFollowsTheFirstReplyOfItsWorker) {
+  Client_.Report_.Result_ = OrderResult::Done;
+  bool SyncedBefore = false;
+  Client_.AfterStart_ = [&] { SyncedBefore = Row_->Synced_; };
+  startBeforeFirstReply();
+  BOOST_TEST(Client_.Starts_ == 1u);
+  BOOST_TEST(SyncedBefore);
+}
+
+// Guards against a task that waits for a worker that is gone.
+BOOST_AUTO_TEST_CASE(IntentForAWorkerWithoutReplyIsReleased) {
+  startBeforeFirstReply();
+  BOOST_TEST(Client_.Starts_ == 0u);
+  BOOST_TEST(!Term_->Table_.find(Run));
+  BOOST_TEST(!Term_->acceptsTasks(*Row_));
+}
+
+// Guards against tasks for a worker that may run those of an earlier leader.
+BOOST_AUTO_TEST_CASE(WorkerInUseAcceptsTasksOnceItHasReplied) {
+  Row_->Synced_ = false;
+  BOOST_TEST(!Term_->acceptsTasks(*Row_));
+  Row_->Synced_ = true;
+  BOOST_TEST(Term_->acceptsTasks(*Row_));
+}
+
+// Guards against connections to workers that a former leader keeps.
+BOOST_AUTO_TEST_CASE(GoneWorkersAreRemoved) {
+  const auto Unlisted = std::make_shared<WorkerRow>();
+  Unlisted->Record_.Incarnation_ = {WorkerId("w9"), 1};
+  Unlisted->Listed_ = false;
+  Term_->Workers_[Unlisted->Record_.Incarnation_] = Unlisted;
+  Sessions_->maintain();
+  BOOST_TEST(Term_->Workers_.size() == 1u);
+}
+
 // Guards against a second run of a task: the repeat reaches a worker that has
 // restarted and so forgotten the token of the successor.
 BOOST_AUTO_TEST_CASE(StartIsNotRepeatedOnceASuccessorMayLead) {
--- a/src/cell/workerfollower.h
+++ b/src/cell/workerfollower.h
@@ -176,7 +176,7 @@
         .field("worker", Record.Incarnation_.Id_.str())
         .field("born_ms", Record.Incarnation_.StartedMs_)
         .field("pool", Record.Pool_.str());
-    Sessions_->open(Row);
+    Sessions_->add(Row);
     for (const WorkerRowPtr &Old : Replaced)
       Sessions_->endIncarnation(*Old, "a newer incarnation is listed",
                                 Old->Record_.Incarnation_.Id_ ==
@@ -187,7 +187,6 @@
     const WorkerId Id = idOf(Key);
     forEachIncarnation(T, Id, [&](const WorkerRowPtr &Row) {
       Row->Listed_ = false;
-      Row->wake();
       framework::log::info("worker.unlisted").field("worker", Id.str());
     });
   }
--- a/src/cell/workersessions.h
+++ b/src/cell/workersessions.h
@@ -5,6 +5,7 @@
 #include "cell/fillerpacecontroller.h"
 #include "cell/runstopper.h"
 #include "cell/term.h"
+#include "cell/workerpolls.h"
 #include "scheduling/scheduler.h"
 
 namespace laburnumspread::cell {
@@ -13,6 +14,9 @@
 /// and stops tasks, and turns the workers' reports into events. RunTracker
 /// decides which runs have ended; this class also gives up runs whose lease
 /// must have expired on a worker that does not reply.
+///
+/// Only a worker that is in use, or may be, has a session, which is a fiber.
+/// The others are polled as WorkerPolls chooses.
 template <store::KeyValueStore Store, WorkerClient Client>
 class WorkerSessions
     : public std::enable_shared_from_this<WorkerSessions<Store, Client>> {
@@ -35,7 +39,8 @@
       std::chrono::milliseconds(150);
   /// A worker ignores a start that arrives later than this after it was sent.
   static constexpr Duration StartWindow = std::chrono::milliseconds(1500);
-  static constexpr Duration IdleCheckInterval = std::chrono::milliseconds(500);
+  /// Longest time for which a start waits for its worker's first reply.
+  static constexpr Duration FirstReplyWait = 2 * MaxAnswerTimeout;
   /// As many attempts as fit into StartWindow.
   static constexpr int StartAttempts = 6;
   static constexpr double FailureScoreIncrement = 1;
@@ -54,15 +59,37 @@
         StartAnswerSeconds_(Term_->Metrics_.histogram("start_answer_seconds")) {
   }
 
-  /// Starts the session of a newly listed worker.
-  void open(const WorkerRowPtr &Row) {
-    framework::fibers::spawn(
-        [Self = this->shared_from_this(), Row] { Self->runSession(Row); });
+  /// Takes in a newly listed worker.
+  void add(const WorkerRowPtr &Row) {
+    Row->MayRunStaleStarts_ =
+        Tracker_->mayRunStaleStarts(Row->Record_.Incarnation_);
+    if (needsSession(*Row))
+      openSession(Row);
+  }
+
+  /// Removes the workers that are gone and polls unused ones. To be called
+  /// several times a second.
+  void maintain() {
+    removeGone();
+    if (!Term_->maySendOrders())
+      return;
+    for (const WorkerRowPtr &Row : WorkerPolls::choose(
+             Term_->Workers_, Term_->Table_, PollsInFlight_, now()))
+      openSession(Row);
+  }
+
+  /// Closes the connections to all workers. To be called at the end of the
+  /// term.
+  void close() {
+    for (const auto &[Incarnation, Row] : Term_->Workers_) {
+      Row->endFirstReplyWaits();
+      Client_.forget(Row->Record_);
+    }
   }
 
   /// Sends the start of a run whose intent has been stored.
   void start(const jobs::RunIntended &Item) {
-    auto Count = std::make_shared<CountedStart>(UnansweredStarts_);
+    auto Count = std::make_shared<ScopedCount>(UnansweredStarts_);
     framework::fibers::spawn([Self = this->shared_from_this(), Item,
                               Count = std::move(Count)]() mutable {
       Self->startRun(Item, std::move(Count));
@@ -123,65 +150,80 @@
   }
 
 private:
-  /// Counts a start for as long as it exists.
-  class CountedStart {
+  /// Counts something for as long as it exists.
+  class ScopedCount {
   public:
-    explicit CountedStart(std::size_t &Count) : Count_(Count) { ++Count_; }
-    ~CountedStart() { --Count_; }
-    CountedStart(const CountedStart &) = delete;
-    CountedStart &operator=(const CountedStart &) = delete;
+    explicit ScopedCount(std::size_t &Count) : Count_(Count) { ++Count_; }
+    ~ScopedCount() { --Count_; }
+    ScopedCount(const ScopedCount &) = delete;
+    ScopedCount &operator=(const ScopedCount &) = delete;
 
   private:
     std::size_t &Count_;
   };
+  using ScopedCountPtr = std::shared_ptr<ScopedCount>;
 
   static TimePoint now() { return Term<Store>::now(); }
 
-  void runSession(const WorkerRowPtr &Row) {
-    while (!Term_->ended() && !Row->Ended_) {
+  /// Polls the worker at least once, and for as long as it needs a session.
+  void openSession(const WorkerRowPtr &Row) {
+    if (std::exchange(Row->HasSession_, true))
+      return;
+    ScopedCountPtr Poll;
+    if (!needsSession(*Row))
+      Poll = std::make_shared<ScopedCount>(PollsInFlight_);
+    framework::fibers::spawn([Self = this->shared_from_this(), Row,
+                              Poll = std::move(Poll)]() mutable {
+      Self->runSession(*Row, std::move(Poll));
+      Row->HasSession_ = false;
+    });
+  }
+
+  /// \p Poll is set if the worker is unused so far.
+  void runSession(WorkerRow &Row, ScopedCountPtr Poll) {
+    while (!Term_->ended() && !Row.Ended_) {
       if (!Term_->maySendOrders()) {
         framework::fibers::sleepFor(RetryPause);
         continue;
       }
-      if (!needsHold(*Row)) {
-        if (!Row->Listed_)
-          break;
-        waitForWake(*Row);
-        continue;
-      }
-      sendHold(*Row);
+      sendHold(Row);
+      const bool Needed = needsSession(Row);
+      if (Needed)
+        Poll = nullptr;
+      // After a lost reply, the first retry is sent at once.
+      if (!Needed && !(Row.Listed_ && Row.Unanswered_ == 1))
+        break;
     }
-    Client_.forget(Row->Record_);
-    const auto Found = Term_->Workers_.find(Row->Record_.Incarnation_);
-    if (Found == Term_->Workers_.end() || Found->second != Row)
-      return;
-    Term_->Workers_.erase(Found);
-    Term_->Speeds_.forget(Row->Record_.Incarnation_);
+    if (!Row.Synced_)
+      Row.endFirstReplyWaits();
+    Row.NextPollAt_ = now() + WorkerPolls::SilentInterval;
   }
 
-  bool needsHold(const WorkerRow &Row) const {
-    return !Row.Synced_ || Row.MayRunStaleStarts_ || Row.HasUnknownRuns_ ||
-           listedButSilent(Row) || Row.EndsStored_ > Row.EndsAcknowledged_ ||
-           inUse(Row);
+  /// Whether the worker runs something, or may, or has ends to acknowledge.
+  bool needsSession(const WorkerRow &Row) const {
+    return Row.MayRunStaleStarts_ || Row.HasUnknownRuns_ ||
+           Row.EndsStored_ > Row.EndsAcknowledged_ || inUse(Row);
   }
 
-  /// A worker that stopped replying receives no tasks until it replies. It is
-  /// therefore polled even when nothing can run on it, or it would stay empty
-  /// forever.
-  static bool listedButSilent(const WorkerRow &Row) {
-    return Row.Listed_ && Row.Unanswered_ > 0;
+  /// Removes workers that are no longer listed, or whose incarnation has ended,
+  /// once their sessions are over.
+  void removeGone() {
+    for (auto At = Term_->Workers_.begin(); At != Term_->Workers_.end();) {
+      const WorkerRowPtr Row = At->second;
+      if (Row->HasSession_ || (Row->Listed_ && !Row->Ended_)) {
+        ++At;
+        continue;
+      }
+      Client_.forget(Row->Record_);
+      Term_->Speeds_.forget(Row->Record_.Incarnation_);
+      At = Term_->Workers_.erase(At);
+    }
   }
 
   bool inUse(const WorkerRow &Row) const {
     return Term_->Table_.usageOf(Row.Record_.Incarnation_) != nullptr;
   }
 
-  void waitForWake(WorkerRow &Row) {
-    Row.Wake_ = std::make_shared<framework::fibers::Waiter>();
-    Row.Wake_->waitUntil(framework::clock::wallDeadline(IdleCheckInterval));
-    Row.Wake_ = nullptr;
-  }
-
   void sendHold(WorkerRow &Row) {
     const HoldOrder Order = nextHold(Row);
     const TimePoint SentAt = now();
@@ -201,8 +243,9 @@
       Term_->Superseded_ = true;
     handleNoAnswer(Row, Reply.Result_);
     // The first retry is sent at once, because run ends may be waiting there.
-    if (Row.Unanswered_ > 1)
-      framework::fibers::sleepFor(inUse(Row) ? RetryPause : IdleCheckInterval);
+    if (Row.Unanswered_ > 1 && needsSession(Row))
+      framework::fibers::sleepFor(inUse(Row) ? RetryPause
+                                             : WorkerPolls::SilentInterval);
   }
 
   /// If only unknown runs are active on the worker, its lease is not renewed.
@@ -221,7 +264,9 @@
   }
 
   void handleNoAnswer(WorkerRow &Row, OrderResult Result) {
-    if (++Row.Unanswered_ == 1)
+    if (++Row.Unanswered_ > MaxUnansweredInUse)
+      Row.endFirstReplyWaits();
+    if (Row.Unanswered_ == 1)
       framework::log::warning("worker.unanswered")
           .field("worker", Row.Record_.Incarnation_.Id_.str())
           .field("result", nameOf(Result))
@@ -261,6 +306,7 @@
     Fillers_.handleReport(Row, Reply);
     if (!Row.Synced_) {
       Row.markSynced(now(), Term_->Bounds_.MaxLease_);
+      Row.endFirstReplyWaits();
       Term_->Commits_.wake();
     }
     awaitEndsStored(Row, Reply);
@@ -444,20 +490,30 @@
     Fillers_.started(Run);
   }
 
+  /// Polls a worker that has not replied yet while the first intent for it is
+  /// being stored, so that its start need not wait.
+  void prepareStart(const WorkerIncarnation &Worker) {
+    const auto Row = Term_->Workers_.find(Worker);
+    if (Row != Term_->Workers_.end() && !Row->second->Synced_)
+      openSession(Row->second);
+  }
+
 private:
-  void startRun(const jobs::RunIntended &Item,
-                std::shared_ptr<CountedStart> Count) {
+  void startRun(const jobs::RunIntended &Item, ScopedCountPtr Count) {
     const jobs::RunName &Run = Item.Run_;
     const auto Worker = Term_->Workers_.find(Item.Worker_);
-    const jobs::JobRow *Job = Term_->Table_.find(Run.Task_.Job_);
-    const jobs::LiveRun *Live = Term_->Table_.find(Run);
-    if (Term_->ended() || !Live)
+    if (Term_->ended() || !Term_->Table_.find(Run))
+      return;
+    const bool Known = Worker != Term_->Workers_.end();
+    const WorkerRowPtr Row = Known ? Worker->second : nullptr;
+    if (Known && !Row->Synced_)
+      awaitFirstReply(Row);
+    if (Term_->ended() || !Term_->Table_.find(Run))
       return;
-    if (Term_->Table_.unwantedSince(Run) || !Term_->maySendStarts() ||
-        Worker == Term_->Workers_.end() || !Term_->takesStarts(*Worker->second))
+    if (!Known || !maySendFirst(Run, *Row))
       return endRun(
           {Run, jobs::EndKind::Refused, jobs::Checkpoint(), "not sent"});
-    const WorkerRowPtr Row = Worker->second;
+    const jobs::JobRow *Job = Term_->Table_.find(Run.Task_.Job_);
     const std::string Payload = Job->Spec_.Payload_;
     StartOrder Order;
     Order.Run_ = Run;
@@ -477,7 +533,7 @@
         std::chrono::duration_cast<std::chrono::milliseconds>(StartWindow)
             .count();
     Row->recordOrder(Order.DeadlineMs_, now(), Term_->Bounds_.MaxLease_);
-    Row->wake();
+    openSession(Row);
     // Reports may have settled the run meanwhile. Then another attempt is not
     // needed and could be executed by a restarted worker.
     for (int Attempt = 0; Attempt < StartAttempts; ++Attempt) {
@@ -491,6 +547,22 @@
     Tracker_->noMoreStarts(Run);
   }
 
+  /// Polls a worker that has not replied to this leader, and waits for the
+  /// reply: its clock, on which the start's deadline is given, and what runs
+  /// there are unknown before.
+  void awaitFirstReply(const WorkerRowPtr &Row) {
+    auto Replied = std::make_shared<framework::fibers::Waiter>();
+    Row->AwaitingFirstReply_.push_back(Replied);
+    openSession(Row);
+    Replied->waitUntil(framework::clock::wallDeadline(FirstReplyWait));
+  }
+
+  /// Whether a run that was never sent may be sent now.
+  bool maySendFirst(const jobs::RunName &Run, const WorkerRow &Row) const {
+    return Row.Synced_ && !Term_->Table_.unwantedSince(Run) &&
+           Term_->maySendStarts() && Term_->takesStarts(Row);
+  }
+
   /// Sends one start. Returns true if no further attempt is needed.
   bool attemptStart(WorkerRow &Row, const StartOrder &Order, int Attempt) {
     Tracker_->startSent(Order.Run_, Order.DeadlineMs_);
@@ -545,6 +617,8 @@
   FillerPaceController<Store, Client> Fillers_;
   CopyReporter CopyReporter_;
   std::size_t UnansweredStarts_ = 0;
+  /// Sessions that were opened to poll an unused worker.
+  std::size_t PollsInFlight_ = 0;
   framework::metrics::Counter &Holds_;
   framework::metrics::Histogram &FirstStartSeconds_;
   framework::metrics::Histogram &StartAnswerSeconds_;
--- a/src/cell/workertable.h
+++ b/src/cell/workertable.h
@@ -7,6 +7,8 @@
 #include "scheduling/pacer.h"
 
 #include <memory>
+#include <utility>
+#include <vector>
 
 namespace laburnumspread::cell {
 
@@ -58,7 +60,7 @@
   /// Whether the platform's worker list contains it.
   bool Listed_ = true;
   /// Whether it has replied to this leader. Then its runs are known, and it
-  /// refuses orders of earlier leaders.
+  /// refuses orders of earlier leaders. Until then no start is sent to it.
   bool Synced_ = false;
   /// A start that was sent to an earlier incarnation of this worker may still
   /// be executed here.
@@ -91,7 +93,12 @@
   scheduling::Pacer Pace_;
   /// Score of the runs that failed or hung on this worker; decays over time.
   double FailureScore_ = 0;
-  framework::fibers::WaiterPtr Wake_;
+  /// Whether a fiber is polling the worker.
+  bool HasSession_ = false;
+  /// When a worker that did not reply is polled again, if it is not in use.
+  TimePoint NextPollAt_{};
+  /// Starts that wait for the worker's first reply.
+  std::vector<framework::fibers::WaiterPtr> AwaitingFirstReply_;
   framework::clock::AdaptiveTimeout Answers_{MinAnswerTimeout,
                                              MaxAnswerTimeout};
 
@@ -189,22 +196,22 @@
   void suspect() {
     Unanswered_ = std::max(Unanswered_, MaxUnansweredInUse + 1);
     Suspect_ = true;
-    wake();
   }
 
-  /// Whether new tasks may be started on the worker.
+  /// Whether new tasks may be started on the worker, as far as its replies and
+  /// the platform's list tell. One that has not replied yet accepts them only
+  /// if the journal shows no runs on it.
   bool acceptsTasks() const {
-    return Listed_ && Synced_ && !Ended_ && !MayRunStaleStarts_ &&
-           !Record_.Draining_ && Unanswered_ <= MaxUnansweredInUse;
+    return Listed_ && !Ended_ && !MayRunStaleStarts_ && !Record_.Draining_ &&
+           Unanswered_ <= MaxUnansweredInUse;
   }
 
-  /// Whether the worker's session waits for work and does not poll it.
-  bool sessionIdle() const { return Wake_ != nullptr; }
-
-  /// Wakes the worker's session if it is idle.
-  void wake() {
-    if (Wake_)
-      Wake_->signal();
+  /// Lets the starts continue that wait for the worker's first reply: it has
+  /// come, or is no longer expected.
+  void endFirstReplyWaits() {
+    for (const framework::fibers::WaiterPtr &Item :
+         std::exchange(AwaitingFirstReply_, {}))
+      Item->signal();
   }
 };
 
--- a/src/scheduling/internal/placement.cpp
+++ b/src/scheduling/internal/placement.cpp
@@ -196,7 +196,7 @@
                          const Candidate &B) {
   const auto Rank = [&](const Candidate &C) {
     return std::make_tuple(C.FailureScore_, isFarFromData(Step, C),
-                           C.Slow_ && Step.Spec_->Speculative_,
+                           C.Slow_ && Step.Spec_->Speculative_, C.Unproven_,
                            C.Free_.MilliCpus_);
   };
   return Rank(A) < Rank(B);
--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -36,6 +36,9 @@
   /// Whether its tasks take longer than those of other workers. Speculative
   /// steps prefer others.
   bool Slow_ = false;
+  /// Whether it has not replied to this leader yet, so that its first start
+  /// takes one exchange more.
+  bool Unproven_ = false;
 };
 
 /// The time of a scheduling pass, by both clocks.
