Calls reach the leader of a large fleet through relays

Cause: every entry that calls a new leader sets up a connection with it, and the leader one back for its replies: two CURVE key exchanges, measured at about 1 ms of a core together (a loop of 500 connections on one machine: 1,032 us a connection for both sides, 163 us without CURVE). 515 entries do that in the first second of a leader: half a second of a whole core, four seconds of one of 0.12. Its renewals came 1.8 to 2.4 s late, it lost the lease, and the next leader fared the same. Unanswered calls were sent up to 8 times each.

Change: in a fleet of more than 64 entries the square root of them, the strongest, forward the calls of the others (CallRelays, the same set at each entry; JobCall.forward_to, reply_to; a relay confirms at once). An entry keeps its relay, passes over one that does not confirm, and calls the leader itself only if none has confirmed. The interval of repeated calls doubles from the third attempt on, and calls that wait are sent at once when a new leader becomes known. The list of entries is a map by name (it was scanned for each row that was read: the square of the entries, three times at each start).

Ruled out: answering over the connection that a call came on; it halves the exchanges and leaves them proportional to the entries.

Smaller fleets call the leader directly, as before.

--- a/src/app/internal/cellapp.cpp
+++ b/src/app/internal/cellapp.cpp
@@ -74,20 +74,20 @@
                                                       Settings_.LinkMbps_)),
             journal::CellKeys(Settings_.StorePrefix_ + "cell/0/"),
             makeLeader(Self_), Settings_.Bounds_, Metrics_),
-        Router_(
-            {[this](const peers::JobCall &Call,
-                    const cell::CallRouter::ReplyFn &Reply) {
-               Cell_.handle(Call, Reply);
-             },
-             [this] { return Cell_.leads(); },
-             [this] { return Cell_.leader(); },
-             [this](const journal::Leader &Seen) {
-               return Seen.Entry_ == Self_.Name_ &&
-                      Seen.Incarnation_ == Self_.Incarnation_;
-             },
-             [this](const journal::Leader &To, const peers::JobCall &Call) {
-               Mesh_.send({To.Entry_, To.Incarnation_}, To.PeerAddress_, Call);
-             }}),
+        Router_({[this](const peers::JobCall &Call,
+                        const cell::CallRouter::ReplyFn &Reply) {
+                   Cell_.handle(Call, Reply);
+                 },
+                 [this] { return Cell_.leads(); },
+                 [this] { return Cell_.leader(); },
+                 [this](const journal::Leader &Seen) {
+                   return Seen.Entry_ == Self_.Name_ &&
+                          Seen.Incarnation_ == Self_.Incarnation_;
+                 },
+                 [this](const journal::Leader &To, const peers::JobCall &Call,
+                        const cell::CallAttempt &Attempt) {
+                   sendCall(To, Call, Attempt);
+                 }}),
         Gateway_(Router_, platform::readJob, Metrics_),
         Follower_(
             Store_, std::string(platform::OperatorPrefix),
@@ -165,11 +165,12 @@
   /// Asks a few entries which leader they know of. Each may be cut off from the
   /// store as this one is, so others are chosen each time.
   void askForLeader() {
-    std::vector<std::pair<membership::MemberId, std::string>> Chosen;
-    std::sample(PeerAddresses_.begin(), PeerAddresses_.end(),
+    std::vector<std::pair<fleet::EntryName, cell::Candidate>> Chosen;
+    std::sample(Relays_.entries().begin(), Relays_.entries().end(),
                 std::back_inserter(Chosen), PeersPerQuery, Random_);
-    for (const auto &[Id, Address] : Chosen)
-      Mesh_.send(Id, Address, peers::LeaderQuery());
+    for (const auto &[Name, Entry] : Chosen)
+      if (Name != Self_.Name_)
+        Mesh_.send(Entry.Id_, Entry.PeerAddress_, peers::LeaderQuery());
   }
 
   cell::PeerLinks peerLinks() {
@@ -177,12 +178,70 @@
         [this](const peers::LeadershipOffer &Offer) { sendToCallers(Offer); },
         [this](const peers::LeaderNotice &Notice) { sendToCallers(Notice); },
         [this] { askForLeader(); },
-        [this](const membership::MemberId &Id, const std::string &Address) {
-          std::erase_if(PeerAddresses_, [&](const auto &Item) {
-            return Item.first.Name_ == Id.Name_;
-          });
-          PeerAddresses_[Id] = Address;
-        }};
+        [this](const cell::Candidate &Entry) { Relays_.recordEntry(Entry); },
+        [this] { connectToRelay(); },
+        [this] { Router_.resendAll(); }};
+  }
+
+  /// Sets up the connection to the relay, so that it need not be done for the
+  /// first call.
+  void connectToRelay() {
+    if (const auto Relay = Relays_.preferred())
+      Mesh_.send({Relay->Id_.Name_, fleet::Incarnation()}, Relay->PeerAddress_,
+                 peers::LeaderQuery());
+  }
+
+  /// Sends a call to the leader, directly or through a relay.
+  void sendCall(const journal::Leader &Leader, const peers::JobCall &Call,
+                const cell::CallAttempt &Attempt) {
+    const auto Relay =
+        Relays_.choose(Attempt, Leader.Entry_, SteadyClock().now());
+    if (!Relay)
+      return Mesh_.send({Leader.Entry_, Leader.Incarnation_},
+                        Leader.PeerAddress_, Call);
+    peers::JobCall Forwarded = Call;
+    Forwarded.ForwardTo_ = cell::toNotice(Leader);
+    // Any incarnation of a relay will do.
+    Mesh_.send({Relay->Id_.Name_, fleet::Incarnation()}, Relay->PeerAddress_,
+               Forwarded);
+  }
+
+  /// Forwards a call for an entry that uses this one as a relay.
+  void forwardCall(const peers::Sender &From, peers::JobCall Call) {
+    Cell_.learnLeader(*Call.ForwardTo_);
+    Call.ForwardTo_.reset();
+    const journal::Leader &Leader = Cell_.leader();
+    const bool Elsewhere =
+        Leader.Token_.value() != 0 && Leader.Entry_ != Self_.Name_;
+    if (!Elsewhere)
+      return handleCall(From, Call);
+    Call.ReplyTo_ = {From.Id_, From.Address_};
+    Mesh_.send({Leader.Entry_, Leader.Incarnation_}, Leader.PeerAddress_, Call);
+    peers::JobReply Confirmation;
+    Confirmation.Sequence_ = Call.Sequence_;
+    Confirmation.Status_ = peers::JobCallStatus::Forwarded;
+    Mesh_.send(From.Id_, From.Address_, Confirmation);
+  }
+
+  /// Serves a call if this entry leads.
+  void handleCall(const peers::Sender &From, const peers::JobCall &Call) {
+    Gateway_.recordPeerVersion(jobs::ConfigVersion(Call.ConfigVersion_));
+    Cell_.handle(Call,
+                 [this, From, ReplyTo = Call.ReplyTo_](peers::JobReply Reply) {
+                   Reply.ReplyTo_ = ReplyTo;
+                   Mesh_.send(From.Id_, From.Address_, Reply);
+                 });
+  }
+
+  void handleReply(const peers::Sender &From, peers::JobReply Reply) {
+    Relays_.recordConfirmation(From.Id_.Name_, SteadyClock().now());
+    if (Reply.Leader_)
+      Cell_.learnLeader(*Reply.Leader_);
+    if (!Reply.ReplyTo_)
+      return Router_.handleReply(Reply);
+    const peers::PeerAddress To = *Reply.ReplyTo_;
+    Reply.ReplyTo_.reset();
+    Mesh_.send(To.Id_, To.Address_, Reply);
   }
 
   void receive(const peers::Sender &From, const peers::Message &Body) {
@@ -194,16 +253,11 @@
     if (std::holds_alternative<peers::LeaderQuery>(Body))
       return Mesh_.send(From.Id_, From.Address_,
                         cell::toNotice(Cell_.leader()));
-    if (const auto *Call = std::get_if<peers::JobCall>(&Body)) {
-      Gateway_.recordPeerVersion(jobs::ConfigVersion(Call->ConfigVersion_));
-      Cell_.handle(*Call, [this, From](const peers::JobReply &Reply) {
-        Mesh_.send(From.Id_, From.Address_, Reply);
-      });
-    } else if (const auto *Reply = std::get_if<peers::JobReply>(&Body)) {
-      if (Reply->Leader_)
-        Cell_.learnLeader(*Reply->Leader_);
-      Router_.handleReply(*Reply);
-    }
+    if (const auto *Call = std::get_if<peers::JobCall>(&Body))
+      return Call->ForwardTo_ ? forwardCall(From, *Call)
+                              : handleCall(From, *Call);
+    if (const auto *Reply = std::get_if<peers::JobReply>(&Body))
+      handleReply(From, *Reply);
   }
 
   void applyConfigItem(const store::KeyValue &Item) {
@@ -248,8 +302,7 @@
   framework::http::Server MetricsServer_;
   /// Sender of the last message from each peer entry.
   std::map<fleet::EntryName, peers::Sender> KnownPeers_;
-  /// Addresses that entries have published in the store.
-  std::map<membership::MemberId, std::string> PeerAddresses_;
+  cell::CallRelays Relays_{Self_.Name_};
   std::mt19937_64 Random_{Self_.Incarnation_.value()};
   std::size_t InFlight_ = 0;
   bool Leaving_ = false;
--- a/src/cell/callrouter.h
+++ b/src/cell/callrouter.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "cell/callrelays.h"
 #include "framework/clock/steadyclock.h"
 #include "framework/fibers/spawn.h"
 #include "framework/fibers/waiter.h"
@@ -56,12 +57,18 @@
     std::function<journal::Leader()> Leader_;
     /// Whether the given leader is this process.
     std::function<bool(const journal::Leader &)> IsThisProcess_;
-    std::function<void(const journal::Leader &, const peers::JobCall &)> Send_;
+    std::function<void(const journal::Leader &, const peers::JobCall &,
+                       const CallAttempt &)>
+        Send_;
   };
 
   /// Time after which an unanswered call is resent. A reply between
   /// availability zones and a commit take a few milliseconds each.
   static constexpr Duration ResendInterval = std::chrono::milliseconds(120);
+  /// From the third attempt on, the interval doubles up to this. A leader that
+  /// is short of processor time gets each call several times otherwise, and has
+  /// the less time for any.
+  static constexpr Duration MaxResendInterval = std::chrono::milliseconds(480);
 
   explicit CallRouter(Routes P) : Routes_(std::move(P)) {}
 
@@ -71,15 +78,21 @@
   CallResult call(peers::JobCall Call, TimePoint LeaderDeadline,
                   TimePoint Deadline);
 
-  /// Delivers a reply from the leader to the waiting call.
+  /// Delivers a reply from the leader, or from a relay, to the waiting call.
   void handleReply(const peers::JobReply &Reply);
+  /// Sends the calls again that wait for a reply: there is a new leader.
+  void resendAll();
 
 private:
   struct Pending {
     framework::fibers::WaiterPtr Wake_;
     std::optional<peers::JobReply> Reply_;
+    /// Whether a relay has forwarded the call.
+    bool Forwarded_ = false;
   };
 
+  static Duration resendInterval(std::uint32_t Attempts);
+
   Routes Routes_;
   std::uint64_t Next_ = 1;
   std::map<std::uint64_t, std::shared_ptr<Pending>> Pending_;
--- a/src/cell/internal/callergateway.cpp
+++ b/src/cell/internal/callergateway.cpp
@@ -191,6 +191,7 @@
     return Result;
   case JobCallStatus::Unknown:
   case JobCallStatus::NotLeader:
+  case JobCallStatus::Forwarded:
     return answer(CallerStatus::Unknown, "the outcome is not known");
   }
   return answer(CallerStatus::Unknown);
--- a/src/cell/internal/callrouter.cpp
+++ b/src/cell/internal/callrouter.cpp
@@ -34,10 +34,10 @@
       });
     } else if (Leader.Token_.value() != 0 && !Routes_.IsThisProcess_(Leader)) {
       CountAttempt(Leader);
-      Routes_.Send_(Leader, Call);
+      Routes_.Send_(Leader, Call, {Result.Attempts_, Own->Forwarded_});
     }
-    const Duration Wait =
-        std::min<Duration>(ResendInterval, Deadline - SteadyClock().now());
+    const Duration Wait = std::min<Duration>(resendInterval(Result.Attempts_),
+                                             Deadline - SteadyClock().now());
     if (!Own->Reply_)
       Own->Wake_->waitUntil(framework::clock::wallDeadline(Wait));
     if (Own->Reply_ && Own->Reply_->Status_ != JobCallStatus::NotLeader) {
@@ -67,9 +67,26 @@
   const auto Found = Pending_.find(Reply.Sequence_);
   if (Found == Pending_.end())
     return;
+  if (Reply.Status_ == JobCallStatus::Forwarded) {
+    Found->second->Forwarded_ = true;
+    return;
+  }
   Found->second->Reply_ = Reply;
   if (Found->second->Wake_)
     Found->second->Wake_->signal();
 }
 
+void CallRouter::resendAll() {
+  for (const auto &[Sequence, Call] : Pending_)
+    if (Call->Wake_)
+      Call->Wake_->signal();
+}
+
+Duration CallRouter::resendInterval(std::uint32_t Attempts) {
+  Duration Interval = ResendInterval;
+  for (std::uint32_t I = 2; I < Attempts && Interval < MaxResendInterval; ++I)
+    Interval *= 2;
+  return std::min(Interval, MaxResendInterval);
+}
+
 } // namespace laburnumspread::cell
--- a/src/cell/internal/leaderdirectory.cpp
+++ b/src/cell/internal/leaderdirectory.cpp
@@ -2,9 +2,12 @@
 
 namespace laburnumspread::cell {
 
-void LeaderDirectory::record(const journal::Leader &Leader) {
-  if (Leader.Token_ > GoneThrough_ && Leader.Token_ >= Latest_.Token_)
-    Latest_ = Leader;
+bool LeaderDirectory::record(const journal::Leader &Leader) {
+  if (Leader.Token_ <= GoneThrough_ || Leader.Token_ < Latest_.Token_)
+    return false;
+  const bool New = Leader.Token_ > Latest_.Token_;
+  Latest_ = Leader;
+  return New;
 }
 
 void LeaderDirectory::recordNone(fleet::Revision AsOf) {
--- a/src/cell/leaderdirectory.h
+++ b/src/cell/leaderdirectory.h
@@ -15,7 +15,8 @@
 class LeaderDirectory {
 public:
   /// Records a leader. One with a lower token than the latest is ignored.
-  void record(const journal::Leader &Leader);
+  /// Returns whether it is a new leader, or a new token of the latest.
+  bool record(const journal::Leader &Leader);
   /// Records that the store had no leader at revision \p AsOf. Leaders with
   /// higher tokens have come after it.
   void recordNone(fleet::Revision AsOf);
--- a/src/cell/leaderelector.h
+++ b/src/cell/leaderelector.h
@@ -40,9 +40,12 @@
   std::function<void(const peers::LeaderNotice &)> SendNotice_;
   /// Asks some entries which leader they know of.
   std::function<void()> SendQuery_;
-  /// An entry has published its address.
-  std::function<void(const membership::MemberId &, const std::string &)>
-      OnPeerAddress_;
+  /// An entry, possibly this one, has published its weight and address.
+  std::function<void(const Candidate &)> OnCandidate_;
+  /// All entries that started together have published theirs.
+  std::function<void()> OnCandidatesKnown_;
+  /// There is a new leader.
+  std::function<void()> OnNewLeader_;
 };
 
 /// Makes this entry the leader of the cell when there is none: registers as a
@@ -137,7 +140,7 @@
   /// Records the leader that a peer knows of. A leader that learns of its
   /// successor from a peer stops at once.
   void learnLeader(const journal::Leader &Leader) {
-    Directory_.record(Leader);
+    recordLeader(Leader);
     if (Leadership_.held() && Leader.Token_ > Leadership_.token() &&
         !Leader.sameProcess(Leadership_.self()))
       endLeadership("a peer named a later leader");
@@ -186,9 +189,8 @@
           fleet::EntryName(Item.Key_.substr(Keys_.candidates().size())),
           Item.Value_);
       Candidacy_.recordWeight(Item.Key_, Other.Weight_);
-      if (!Other.PeerAddress_.empty() &&
-          Other.Id_.Name_ != Leadership_.self().Entry_ && Peers_.OnPeerAddress_)
-        Peers_.OnPeerAddress_(Other.Id_, Other.PeerAddress_);
+      if (!Other.PeerAddress_.empty() && Peers_.OnCandidate_)
+        Peers_.OnCandidate_(Other);
     }
     return Read->Items_.size();
   }
@@ -198,6 +200,8 @@
   void readLateCandidates() {
     framework::fibers::sleepFor(LateCandidatesDelay);
     readCandidates();
+    if (Peers_.OnCandidatesKnown_)
+      Peers_.OnCandidatesKnown_();
   }
 
   /// The store does not answer this entry: peers may know of a new leader.
@@ -274,7 +278,12 @@
 
   void setSeenLeader(const journal::Leader &Leader) {
     SeenLeader_ = Leader;
-    Directory_.record(Leader);
+    recordLeader(Leader);
+  }
+
+  void recordLeader(const journal::Leader &Leader) {
+    if (Directory_.record(Leader) && Peers_.OnNewLeader_)
+      Peers_.OnNewLeader_();
   }
 
   /// Campaigns if there is no leader, or if the leader was an earlier process
@@ -427,7 +436,7 @@
       Events_.OnEnded_("lost; a new leadership has started");
     ActiveTerm_ = Leadership_.term();
     Leadership_.setOffered(false);
-    Directory_.record(Leadership_.self());
+    recordLeader(Leadership_.self());
     if (Peers_.SendNotice_)
       Peers_.SendNotice_(toNotice(Leadership_.self()));
     Events_.OnStarted_();
--- a/src/cell/tests/callattemptstest.cpp
+++ b/src/cell/tests/callattemptstest.cpp
@@ -35,7 +35,8 @@
   CallRouter Router({[](const peers::JobCall &, const CallRouter::ReplyFn &) {},
                      [] { return false; }, [] { return journal::Leader(); },
                      [](const journal::Leader &) { return false; },
-                     [](const journal::Leader &, const peers::JobCall &) {}});
+                     [](const journal::Leader &, const peers::JobCall &,
+                        const CallAttempt &) {}});
   const TimePoint Past = framework::clock::SteadyClock().now();
   const peers::JobReply Reply = Router.call({}, Past, Past).Reply_;
   BOOST_TEST((Reply.Status_ == peers::JobCallStatus::Refused));
@@ -48,19 +49,20 @@
   Known.Token_ = jobs::FencingToken(4);
   std::vector<std::uint64_t> Asked;
   CallRouter *Self = nullptr;
-  CallRouter Router(
-      {[](const peers::JobCall &, const CallRouter::ReplyFn &) {},
-       [] { return false; }, [&] { return Known; },
-       [](const journal::Leader &) { return false; },
-       [&](const journal::Leader &To, const peers::JobCall &Call) {
-         Asked.push_back(To.Token_.value());
-         peers::JobReply Reply;
-         Reply.Sequence_ = Call.Sequence_;
-         Reply.Status_ = Asked.size() == 1 ? peers::JobCallStatus::NotLeader
+  CallRouter Router({[](const peers::JobCall &, const CallRouter::ReplyFn &) {},
+                     [] { return false; }, [&] { return Known; },
+                     [](const journal::Leader &) { return false; },
+                     [&](const journal::Leader &To, const peers::JobCall &Call,
+                         const CallAttempt &) {
+                       Asked.push_back(To.Token_.value());
+                       peers::JobReply Reply;
+                       Reply.Sequence_ = Call.Sequence_;
+                       Reply.Status_ = Asked.size() == 1
+                                           ? peers::JobCallStatus::NotLeader
                                            : peers::JobCallStatus::Ok;
-         Known.Token_ = jobs::FencingToken(9);
-         Self->handleReply(Reply);
-       }});
+                       Known.Token_ = jobs::FencingToken(9);
+                       Self->handleReply(Reply);
+                     }});
   Self = &Router;
   const TimePoint Now = framework::clock::SteadyClock().now();
   const CallResult Result = Router.call({}, Now + std::chrono::minutes(1),
--- a/src/cell/tests/callergatewaytest.cpp
+++ b/src/cell/tests/callergatewaytest.cpp
@@ -45,7 +45,8 @@
        },
        [this] { return HasLeader_; }, [] { return journal::Leader(); },
        [](const journal::Leader &) { return false; },
-       [](const journal::Leader &, const peers::JobCall &) {}}};
+       [](const journal::Leader &, const peers::JobCall &,
+          const CallAttempt &) {}}};
   CallerGateway Gateway_{Router_, readJob, Metrics_};
 };
 
--- a/src/peers/internal/messagecodec.cpp
+++ b/src/peers/internal/messagecodec.cpp
@@ -296,6 +296,25 @@
   Out.mutable_head_offer()->set_token(From.Token_);
 }
 
+void write(const LeaderNotice &From, wire::LeaderNotice &To) {
+  write(From.Id_, *To.mutable_leader());
+  To.set_address(From.Address_);
+  To.set_token(From.Token_);
+}
+
+LeaderNotice read(const wire::LeaderNotice &From) {
+  return {read(From.leader()), From.address(), From.token()};
+}
+
+void write(const PeerAddress &From, wire::PeerAddress &To) {
+  write(From.Id_, *To.mutable_entry());
+  To.set_address(From.Address_);
+}
+
+PeerAddress read(const wire::PeerAddress &From) {
+  return {read(From.entry()), From.address()};
+}
+
 void write(const JobCall &From, wire::Envelope &Out) {
   wire::JobCall &To = *Out.mutable_job_call();
   To.set_sequence(From.Sequence_);
@@ -304,6 +323,10 @@
   To.set_queue(From.Queue_);
   To.set_spec(From.Spec_);
   To.set_config_version(From.ConfigVersion_);
+  if (From.ForwardTo_)
+    write(*From.ForwardTo_, *To.mutable_forward_to());
+  if (From.ReplyTo_)
+    write(*From.ReplyTo_, *To.mutable_reply_to());
   if (!From.Origin_)
     return;
   To.mutable_origin()->set_host(From.Origin_->Host_);
@@ -325,17 +348,11 @@
           From.queue(),
           From.spec(),
           From.config_version(),
-          readOrigin(From)};
-}
-
-void write(const LeaderNotice &From, wire::LeaderNotice &To) {
-  write(From.Id_, *To.mutable_leader());
-  To.set_address(From.Address_);
-  To.set_token(From.Token_);
-}
-
-LeaderNotice read(const wire::LeaderNotice &From) {
-  return {read(From.leader()), From.address(), From.token()};
+          readOrigin(From),
+          From.has_forward_to() ? std::optional(read(From.forward_to()))
+                                : std::nullopt,
+          From.has_reply_to() ? std::optional(read(From.reply_to()))
+                              : std::nullopt};
 }
 
 void write(const LeaderNotice &From, wire::Envelope &Out) {
@@ -357,11 +374,13 @@
   if (From.Leader_)
     write(*From.Leader_, *To.mutable_leader());
   To.set_refusal(static_cast<std::uint32_t>(From.Refusal_));
+  if (From.ReplyTo_)
+    write(*From.ReplyTo_, *To.mutable_reply_to());
 }
 
 JobReply read(const wire::JobReply &From) {
   return {From.sequence(),
-          readEnum(From.verdict(), JobCallStatus::UnknownKey,
+          readEnum(From.verdict(), JobCallStatus::Forwarded,
                    JobCallStatus::Unknown),
           From.state(),
           From.waiting(),
@@ -369,7 +388,9 @@
           From.config_version(),
           From.has_leader() ? std::optional(read(From.leader())) : std::nullopt,
           readEnum(From.refusal(), RefusalReason::Leaving,
-                   RefusalReason::StoreUnavailable)};
+                   RefusalReason::StoreUnavailable),
+          From.has_reply_to() ? std::optional(read(From.reply_to()))
+                              : std::nullopt};
 }
 
 absl::StatusOr<Message> readBody(const wire::Envelope &In,
--- a/src/peers/messages.h
+++ b/src/peers/messages.h
@@ -108,7 +108,22 @@
   std::string Key_;
 };
 
-/// A caller's request about a job, forwarded to the leader of the cell.
+/// Names the leader of the cell that the sender knows of. Receivers keep the
+/// one with the highest token, so that a late notice does no harm.
+struct LeaderNotice {
+  MemberId Id_;
+  std::string Address_;
+  /// The leader's fencing token; 0 names no leader.
+  std::uint64_t Token_ = 0;
+};
+
+/// An entry and where it is reached.
+struct PeerAddress {
+  MemberId Id_;
+  std::string Address_;
+};
+
+/// A caller's request about a job, for the leader of the cell.
 struct JobCall {
   /// Unique per sender; copied into the reply.
   std::uint64_t Sequence_ = 0;
@@ -121,6 +136,12 @@
   std::uint64_t ConfigVersion_ = 0;
   /// Not set by earlier releases.
   std::optional<CallOrigin> Origin_;
+  /// Set if the recipient is to forward the call: the leader that the sender
+  /// knows of.
+  std::optional<LeaderNotice> ForwardTo_ = std::nullopt;
+  /// Set if the call was forwarded: the entry that the reply is for. Copied
+  /// into the reply.
+  std::optional<PeerAddress> ReplyTo_ = std::nullopt;
 };
 
 enum class JobCallStatus {
@@ -140,15 +161,8 @@
   /// The leader's configuration is newer than the sender's and does not accept
   /// the key; nothing was done.
   UnknownKey,
-};
-
-/// Names the leader of the cell that the sender knows of. Receivers keep the
-/// one with the highest token, so that a late notice does no harm.
-struct LeaderNotice {
-  MemberId Id_;
-  std::string Address_;
-  /// The leader's fencing token; 0 names no leader.
-  std::uint64_t Token_ = 0;
+  /// The recipient has forwarded the call; another reply follows.
+  Forwarded,
 };
 
 /// Asks for a LeaderNotice. Sent by an entry that the store does not answer.
@@ -178,6 +192,8 @@
   std::optional<LeaderNotice> Leader_ = std::nullopt;
   /// With Refused, the reason.
   RefusalReason Refusal_ = RefusalReason::StoreUnavailable;
+  /// Set if the call was forwarded: the entry that the reply is for.
+  std::optional<PeerAddress> ReplyTo_ = std::nullopt;
 };
 
 /// Sent by a leader that cannot reach the store. An entry that can reach it may
