A leader that is late starts less, polls less and refuses new jobs at once

Cause: past its processor time a leader took on ever more: 512 starts on their way, polls of busy workers four times a second, and every submission. Each answer waited for all of it.

Change: LeaderLoad smooths how late the cell's tick runs. Above 0.1 s fewer starts are on their way, in proportion, and busy workers are polled at the longer interval (ends are reported at once anyway); above 0.5 s new jobs are refused as not run, with 1 to 2 s to come back, spread by job. Calls and commits, which callers wait for, are urgent fibers like the renewals. fiber_delay_seconds and jobs_refused_total{reason="leader_busy"} show it.

--- a/src/cell/cellservice.h
+++ b/src/cell/cellservice.h
@@ -181,7 +181,8 @@
     Machines_->setKeys(Keys_);
     Calls_ = std::make_shared<JobCallHandler<Store, Client>>(Term_, Sessions_);
     Metrics_.counter("takeovers_total").add();
-    framework::fibers::spawn(
+    // Callers wait for its commits.
+    framework::fibers::spawnUrgent(
         [this, T = Term_, Sessions = Sessions_, Machines = Machines_] {
           runTerm(T, Sessions, Machines);
         });
@@ -291,10 +292,12 @@
 
   void tickLoop() {
     while (true) {
+      const TimePoint DueAt = now() + TickInterval;
       framework::fibers::sleepFor(TickInterval);
       const TermPtr T = Term_;
       if (!T || T->ended() || !T->JournalLoaded_)
         continue;
+      T->Load_.record(now() - DueAt);
       if (T->Superseded_) {
         Elector_.endLeadership(
             "a worker refused the fencing token: a later leader exists");
--- a/src/cell/internal/callergateway.cpp
+++ b/src/cell/internal/callergateway.cpp
@@ -44,6 +44,8 @@
     return "the pool is full: the job would end too late to be of use";
   case peers::RefusalReason::Leaving:
     return "the leader of the cell is leaving";
+  case peers::RefusalReason::LeaderBusy:
+    return "the leader of the cell has too much to do";
   }
   return "";
 }
--- a/src/cell/internal/termgauges.cpp
+++ b/src/cell/internal/termgauges.cpp
@@ -21,6 +21,8 @@
   Set("store_stalled", StoreStalled_ ? 1 : 0);
   Set("start_delay_seconds",
       std::chrono::duration<double>(StartDelay_).count());
+  Set("fiber_delay_seconds",
+      std::chrono::duration<double>(FiberDelay_).count());
 }
 
 } // namespace laburnumspread::cell
--- a/src/cell/jobcallhandler.h
+++ b/src/cell/jobcallhandler.h
@@ -22,6 +22,9 @@
   /// Jobs that are refused during an outage return after this, and up to as
   /// much later, so that not all of them meet the store at its return.
   static constexpr Duration OutageRetryAfter = std::chrono::seconds(1);
+  /// The same for jobs that are refused by a leader with too little processor
+  /// time.
+  static constexpr Duration OverloadRetryAfter = std::chrono::seconds(1);
 
   JobCallHandler(TermPtr T, SessionsPtr S)
       : Term_(std::move(T)), Sessions_(std::move(S)) {}
@@ -97,6 +100,11 @@
           scheduling::spreadDelay(Spec.Id_, OutageRetryAfter, OutageRetryAfter);
       return Refusal{peers::RefusalReason::StoreUnavailable, Times};
     }
+    if (Term_->Load_.overloaded()) {
+      Times.RetryAfter_ = scheduling::spreadDelay(Spec.Id_, OverloadRetryAfter,
+                                                  OverloadRetryAfter);
+      return Refusal{peers::RefusalReason::LeaderBusy, Times};
+    }
     Times = Term_->Admission_.decide(Spec, Term_->Config_, Term_->Estimates_,
                                      Term_->now());
     if (Times.Accepted_)
@@ -151,6 +159,8 @@
       return "the pool is full";
     case peers::RefusalReason::Leaving:
       return "the entry is leaving";
+    case peers::RefusalReason::LeaderBusy:
+      return "the leader has too little processor time";
     }
     return "";
   }
@@ -163,6 +173,8 @@
       return "pool_full";
     case peers::RefusalReason::Leaving:
       return "leaving";
+    case peers::RefusalReason::LeaderBusy:
+      return "leader_busy";
     }
     return "";
   }
--- a/src/cell/taskplanner.h
+++ b/src/cell/taskplanner.h
@@ -36,7 +36,7 @@
   void runPass() {
     const TimePoint StartedAt = now();
     if (!Term_->maySendStarts() || StartedAt < NextPassAt_ ||
-        Sessions_->unansweredStarts() >= MaxUnansweredStarts)
+        Sessions_->unansweredStarts() >= startsAllowed())
       return;
     planStarts();
     const TimePoint EndedAt = now();
@@ -56,7 +56,7 @@
         outageCandidates());
     std::uint64_t Sent = 0;
     for (const jobs::RunIntended &Item : Starts) {
-      if (Sessions_->unansweredStarts() >= MaxUnansweredStarts)
+      if (Sessions_->unansweredStarts() >= startsAllowed())
         break;
       Sessions_->runStaged(Item.Run_);
       Term_->Commits_.stageSentStart(Item);
@@ -72,6 +72,10 @@
 private:
   static TimePoint now() { return Term<Store>::now(); }
 
+  std::size_t startsAllowed() const {
+    return Term_->Load_.startsAllowed(MaxUnansweredStarts);
+  }
+
   void planStarts() {
     Term_->Shares_.update(Term_->Table_, Term_->Config_, now());
     const bool CopiesDue = now() >= NextCopiesAt_;
@@ -84,7 +88,7 @@
                                         Term_->Estimates_, Term_->Advice_,
                                         Term_->Shares_);
     const std::size_t MaxStarts =
-        MaxUnansweredStarts - Sessions_->unansweredStarts();
+        startsAllowed() - Sessions_->unansweredStarts();
     scheduling::Plan Plan =
         Planner.plan(Workers, planTime(), MaxStarts, Machines_->arrivals());
     std::vector<scheduling::Copy> Copies;
--- a/src/cell/term.h
+++ b/src/cell/term.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cell/commitqueue.h"
+#include "cell/leaderload.h"
 #include "cell/termgauges.h"
 #include "cell/workertable.h"
 #include "cell/zoneevacuations.h"
@@ -100,6 +101,7 @@
     Result.Workers_ = Workers_.size();
     Result.StoreStalled_ = Commits_.stalled();
     Result.StartDelay_ = StartDelay_.expected();
+    Result.FiberDelay_ = Load_.delay();
     for (const auto &[Incarnation, Use] : Table_.workers())
       for (const jobs::RunName &Run : Use.Runs_)
         countRun(Run, Result);
@@ -141,6 +143,7 @@
   const ZoneEvacuations &Evacuations_;
   scheduling::RunTimeEstimator Estimates_;
   scheduling::StartDelay StartDelay_;
+  LeaderLoad Load_;
   scheduling::AdviceTable Advice_;
   scheduling::WorkspaceShares Shares_;
   scheduling::WorkerSpeeds Speeds_;
--- a/src/cell/termgauges.h
+++ b/src/cell/termgauges.h
@@ -26,6 +26,8 @@
   bool StoreStalled_ = false;
   /// Expected time from planning a start until its worker has it.
   framework::clock::Duration StartDelay_{};
+  /// How late the leader's fibers run.
+  framework::clock::Duration FiberDelay_{};
 
   /// Writes the values to the gauges in \p Into.
   void publish(framework::metrics::Registry &Into) const;
--- a/src/cell/tests/callergatewaytest.cpp
+++ b/src/cell/tests/callergatewaytest.cpp
@@ -62,7 +62,7 @@
   std::set<std::string> Details;
   for (const auto Reason :
        {peers::RefusalReason::StoreUnavailable, peers::RefusalReason::PoolFull,
-        peers::RefusalReason::Leaving}) {
+        peers::RefusalReason::Leaving, peers::RefusalReason::LeaderBusy}) {
     Reply_.Refusal_ = Reason;
     const CallerAnswer Answer = submit("0123456789abcdef");
     BOOST_TEST((Answer.Status_ == CallerStatus::TryLater));
@@ -71,7 +71,7 @@
     BOOST_TEST(Answer.Detail_.starts_with("the pool is full") == Full);
     Details.insert(Answer.Detail_);
   }
-  BOOST_TEST(Details.size() == 3u);
+  BOOST_TEST(Details.size() == 4u);
 }
 
 // Guards against callers that all return in the same moment when a leader has
--- a/src/cell/workersessions.h
+++ b/src/cell/workersessions.h
@@ -252,9 +252,11 @@
   HoldOrder nextHold(WorkerRow &Row) const {
     if (Row.HasUnknownRuns_ && !inUse(Row))
       return Row.nextPoll(Term_->Token_, BusyHoldWait);
-    const bool Busy = Row.HasUnknownRuns_ || hasFiniteRuns(Row);
+    // A leader that is late polls less often; ends are reported at once anyway.
+    const bool Often =
+        (Row.HasUnknownRuns_ || hasFiniteRuns(Row)) && !Term_->Load_.late();
     return Row.nextRenewal(now(), Term_->Token_, Term_->Bounds_.MaxLease_,
-                           Busy ? BusyHoldWait : HoldWait);
+                           Often ? BusyHoldWait : HoldWait);
   }
 
   bool hasFiniteRuns(const WorkerRow &Row) const {
--- a/src/peers/internal/messagecodec.cpp
+++ b/src/peers/internal/messagecodec.cpp
@@ -387,7 +387,7 @@
           From.retry_after_ms(),
           From.config_version(),
           From.has_leader() ? std::optional(read(From.leader())) : std::nullopt,
-          readEnum(From.refusal(), RefusalReason::Leaving,
+          readEnum(From.refusal(), RefusalReason::LeaderBusy,
                    RefusalReason::StoreUnavailable),
           From.has_reply_to() ? std::optional(read(From.reply_to()))
                               : std::nullopt};
--- a/src/peers/internal/peermesh.cpp
+++ b/src/peers/internal/peermesh.cpp
@@ -65,8 +65,10 @@
   void start() {
     ZapReader_.emplace(Io_, Zap_);
     InboxReader_.emplace(Io_, Inbox_);
-    framework::fibers::spawn([Self = shared_from_this()] { Self->zapLoop(); });
-    framework::fibers::spawn(
+    framework::fibers::spawnUrgent(
+        [Self = shared_from_this()] { Self->zapLoop(); });
+    // Entries repeat what is not answered soon.
+    framework::fibers::spawnUrgent(
         [Self = shared_from_this()] { Self->receiveLoop(); });
   }
 
--- a/src/peers/messages.h
+++ b/src/peers/messages.h
@@ -177,6 +177,8 @@
   PoolFull,
   /// The leader is leaving and accepts no more jobs.
   Leaving,
+  /// The leader has too little processor time for more jobs.
+  LeaderBusy,
 };
 
 struct JobReply {
--- a/src/peers/tests/messagecodectest.cpp
+++ b/src/peers/tests/messagecodectest.cpp
@@ -46,7 +46,7 @@
   Reply.RetryAfterMs_ = 2500;
   for (const RefusalReason Reason :
        {RefusalReason::StoreUnavailable, RefusalReason::PoolFull,
-        RefusalReason::Leaving}) {
+        RefusalReason::Leaving, RefusalReason::LeaderBusy}) {
     Reply.Refusal_ = Reason;
     const Envelope Received = *decode(encode(envelopeWith(Reply)));
     const auto &Body = std::get<JobReply>(Received.Message_);
