A late leader holds workers for 2 s at a time and follows their list first

Cause: on the fleet without strong entries the leader took new tasks to workers that had said five seconds before that they leave (DRAIN, 14 times): its watch of the list was answered after the time that it waits, was given up, and the whole list of 5,000 was read again, which made it later still. And 1,400 workers with standing tasks, each held for 0.8 s, took more than its processor had, also after the traffic, so that ready tasks stayed unstarted (LOST).

Change: the worker list is followed by an urgent fiber. While the leader is late, holds wait for 2 s at the worker, the longest that the platform allows.

--- a/src/cell/cellservice.h
+++ b/src/cell/cellservice.h
@@ -220,7 +220,8 @@
                static_cast<std::uint64_t>(T->Table_.jobs().size()))
         .field("runs_unwanted", countUnwantedRuns(*T))
         .field("load_ms", (now() - StartedAt).count() / 1000);
-    framework::fibers::spawn(
+    // A watch that is answered late is given up, and the full list read again.
+    framework::fibers::spawnUrgent(
         [Follower = std::make_shared<WorkerFollower<Store, Client, Service>>(
              Store_, Directory_, T, Sessions, Machines)] {
           Follower->follow();
--- a/src/cell/workersessions.h
+++ b/src/cell/workersessions.h
@@ -32,6 +32,9 @@
   /// remain unknown and no new tasks can start in their place. Each hold is
   /// billed, but there most of them return early because a task ends.
   static constexpr Duration BusyHoldWait = std::chrono::milliseconds(250);
+  /// The same while the leader is late: the longest that the platform allows.
+  /// Its time goes to starts then; ends are reported at once anyway.
+  static constexpr Duration LateHoldWait = std::chrono::milliseconds(2000);
   static constexpr Duration RetryPause = OrderRetryPause;
   /// Pause between two reports of a worker while the store does not answer: its
   /// ends cannot be acknowledged, so that each report is returned at once.
@@ -252,11 +255,15 @@
   HoldOrder nextHold(WorkerRow &Row) const {
     if (Row.HasUnknownRuns_ && !inUse(Row))
       return Row.nextPoll(Term_->Token_, BusyHoldWait);
-    // A leader that is late polls less often; ends are reported at once anyway.
-    const bool Often =
-        (Row.HasUnknownRuns_ || hasFiniteRuns(Row)) && !Term_->Load_.late();
+    const bool Busy = Row.HasUnknownRuns_ || hasFiniteRuns(Row);
     return Row.nextRenewal(now(), Term_->Token_, Term_->Bounds_.MaxLease_,
-                           Often ? BusyHoldWait : HoldWait);
+                           holdWait(Busy));
+  }
+
+  Duration holdWait(bool Busy) const {
+    if (Term_->Load_.late())
+      return LateHoldWait;
+    return Busy ? BusyHoldWait : HoldWait;
   }
 
   bool hasFiniteRuns(const WorkerRow &Row) const {
