A leader short of processor time refuses jobs that it would start too late

Change: LeaderLoad measures the pace of starts and the ready tasks that wait. While the leader is late, or was within two seconds, a job whose projected end by that pace is of no use any more is refused as not run, with the excess as the time to come back, spread by job. Long-running jobs start first and are accepted. A leader that is in time refuses nothing.

Test: SlowLeaderRefusesWhatItCannotStartInTime, WaitFollowsFromThePaceOfALateLeader.

--- a/src/cell/cellservice.h
+++ b/src/cell/cellservice.h
@@ -298,7 +298,7 @@
       const TermPtr T = Term_;
       if (!T || T->ended() || !T->JournalLoaded_)
         continue;
-      T->Load_.record(now() - DueAt);
+      T->Load_.record(now() - DueAt, now());
       if (T->Superseded_) {
         Elector_.endLeadership(
             "a worker refused the fencing token: a later leader exists");
--- a/src/cell/jobcallhandler.h
+++ b/src/cell/jobcallhandler.h
@@ -100,9 +100,13 @@
           scheduling::spreadDelay(Spec.Id_, OutageRetryAfter, OutageRetryAfter);
       return Refusal{peers::RefusalReason::StoreUnavailable, Times};
     }
-    if (Term_->Load_.overloaded()) {
-      Times.RetryAfter_ = scheduling::spreadDelay(Spec.Id_, OverloadRetryAfter,
-                                                  OverloadRetryAfter);
+    if (const Duration Excess = excessWait(Spec);
+        Term_->Load_.overloaded() || Excess > Duration::zero()) {
+      const Duration Least =
+          std::clamp(Excess, OverloadRetryAfter,
+                     Duration(scheduling::AdmissionProjection::MaxRetryAfter));
+      Times.RetryAfter_ =
+          scheduling::spreadDelay(Spec.Id_, Least, OverloadRetryAfter);
       return Refusal{peers::RefusalReason::LeaderBusy, Times};
     }
     Times = Term_->Admission_.decide(Spec, Term_->Config_, Term_->Estimates_,
@@ -112,6 +116,21 @@
     return Refusal{peers::RefusalReason::PoolFull, Times};
   }
 
+  /// Returns by how much the pace of a leader that is short of processor time
+  /// lets the job end too late to be of use; zero if it does not. Long-running
+  /// jobs are started first.
+  Duration excessWait(const jobs::JobSpec &Spec) const {
+    const QueueConfig *Queue = Term_->Config_.find(Spec.Queue_);
+    const Duration Wait = Term_->Load_.startWait(Term_->now());
+    if (!Queue || Wait == Duration::zero() || Spec.Steps_.front().LongRunning_)
+      return Duration::zero();
+    const Duration Useful =
+        scheduling::UsefulAllowances *
+        scheduling::allowanceOf(Spec, *Queue, Term_->Estimates_);
+    const Duration Chain = scheduling::criticalPath(Spec, Term_->Estimates_);
+    return std::max(Duration::zero(), Wait + Chain - Useful);
+  }
+
   void refuse(const peers::JobCall &Call, const jobs::JobId &Job,
               const Refusal &Why, const JobReplyFn &Reply) {
     const std::int64_t RetryAfterMs = toMs(Why.Times_.RetryAfter_);
--- a/src/cell/taskplanner.h
+++ b/src/cell/taskplanner.h
@@ -91,6 +91,9 @@
         startsAllowed() - Sessions_->unansweredStarts();
     scheduling::Plan Plan =
         Planner.plan(Workers, planTime(), MaxStarts, Machines_->arrivals());
+    const std::size_t Planned = Plan.Starts_.size();
+    Term_->Load_.recordPass(
+        Planned, Plan.ReadyTasks_ - std::min(Planned, Plan.ReadyTasks_), now());
     std::vector<scheduling::Copy> Copies;
     if (CopiesDue && Plan.Starts_.size() < MaxStarts)
       Copies = planCopies(Workers, Plan, MaxStarts - Plan.Starts_.size());
--- a/src/cell/tests/jobcallhandlertest.cpp
+++ b/src/cell/tests/jobcallhandlertest.cpp
@@ -155,6 +155,20 @@
   BOOST_TEST(Delays.size() > 5u);
 }
 
+// Guards against a job that is accepted and ends long after it is of use, since
+// the leader is too slow to start what waits already.
+BOOST_AUTO_TEST_CASE(SlowLeaderRefusesWhatItCannotStartInTime) {
+  Term_->Config_.Queues_.back().Stretch_ = 2;
+  for (int I = 0; I < 10; ++I)
+    Term_->Load_.record(300ms, Term_->now());
+  Term_->Load_.recordPass(10, 0, Term_->now());
+  BOOST_TEST(!submit(job("0000000000000001")).has_value());
+  Term_->Load_.recordPass(0, 100'000, Term_->now());
+  const auto Reply = submit(job("0000000000000002"));
+  checkRefused(Reply, RefusalReason::LeaderBusy);
+  BOOST_TEST(Reply->RetryAfterMs_ >= 1000u);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace laburnumspread::cell
--- a/src/cell/tests/leaderloadtest.cpp
+++ b/src/cell/tests/leaderloadtest.cpp
@@ -12,6 +12,7 @@
 using Duration = LeaderLoad::Duration;
 
 constexpr std::size_t MostStarts = 512;
+constexpr LeaderLoad::TimePoint Now{1h};
 
 /// A leader with too little processor time, in simulated time. Each start costs
 /// it some time, and so do the polls of what runs. Tasks end by themselves.
@@ -58,7 +59,7 @@
         PollCost * (PollsPerTask * static_cast<int>(Ends_.size()) / 10);
     const Duration Late = std::max(Duration::zero(), Work - Tick);
     WorstDelay_ = std::max(WorstDelay_, Late);
-    Load_.record(Late);
+    Load_.record(Late, LeaderLoad::TimePoint(Now_));
     Now_ += Tick + Late;
     while (!Ends_.empty() && Ends_.front() <= Now_)
       Ends_.pop_front();
@@ -82,7 +83,7 @@
 BOOST_AUTO_TEST_CASE(NothingChangesWhileTheLeaderIsInTime) {
   LeaderLoad Load;
   for (int I = 0; I < 100; ++I)
-    Load.record(LeaderLoad::NormalDelay);
+    Load.record(LeaderLoad::NormalDelay, Now);
   BOOST_TEST(Load.startsAllowed(MostStarts) == MostStarts);
   BOOST_TEST(!Load.overloaded());
   ShortLeader Leader(true);
@@ -93,14 +94,33 @@
 BOOST_AUTO_TEST_CASE(StartsShrinkAsTheDelayGrows) {
   LeaderLoad Load;
   for (int I = 0; I < 100; ++I)
-    Load.record(4 * LeaderLoad::NormalDelay);
+    Load.record(4 * LeaderLoad::NormalDelay, Now);
   BOOST_TEST(Load.startsAllowed(MostStarts) <= MostStarts / 4 + 1);
   for (int I = 0; I < 100; ++I)
-    Load.record(std::chrono::hours(1));
+    Load.record(std::chrono::hours(1), Now);
   BOOST_TEST(Load.startsAllowed(MostStarts) == 1u);
   BOOST_TEST(Load.overloaded());
 }
 
+// Guards against jobs that a slow leader accepts and cannot start while they
+// are of use.
+BOOST_AUTO_TEST_CASE(WaitFollowsFromThePaceOfALateLeader) {
+  LeaderLoad Load;
+  const auto RecordSecond = [&](int Second) {
+    Load.recordPass(300, 3000, Now + std::chrono::seconds(Second));
+  };
+  RecordSecond(0);
+  RecordSecond(1);
+  BOOST_TEST((Load.startWait(Now + 1s) == Duration::zero()));
+  for (int Second = 2; Second < 12; ++Second)
+    RecordSecond(Second);
+  for (int I = 0; I < 10; ++I)
+    Load.record(300ms, Now + 12s);
+  BOOST_TEST((Load.startWait(Now + 13s) > 9s));
+  BOOST_TEST((Load.startWait(Now + 13s) < 11s));
+  BOOST_TEST((Load.startWait(Now + 15s) == Duration::zero()));
+}
+
 // Guards against a leader short of processor time that takes on ever more,
 // until its answers and renewals all come too late.
 BOOST_AUTO_TEST_CASE(ShortLeaderStaysInTimeAndServesItsCapacity) {
--- a/src/scheduling/internal/scheduler.cpp
+++ b/src/scheduling/internal/scheduler.cpp
@@ -157,6 +157,9 @@
   ShareOrder Order(Ready, Shared, Config_, Shares_);
   Plan Result;
   Result.Divisions_ = Order.divisions();
+  for (const ReadyStep &Step : Ready)
+    if (!Step.Spec_->LongRunning_)
+      Result.ReadyTasks_ += idleTasks(*Step.Row_);
   while (const ReadyStep *Step = Order.next()) {
     if (Result.Starts_.size() >= MaxStarts)
       break;
--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -106,6 +106,8 @@
 /// Result of one scheduling pass.
 struct Plan {
   std::vector<jobs::RunIntended> Starts_;
+  /// Number of finite tasks that were ready, with those that are started.
+  std::size_t ReadyTasks_ = 0;
   /// Number of tasks that are ready and were compared with the workers, but did
   /// not fit on any.
   std::size_t UnplacedTasks_ = 0;
