--- a/src/cell/callrelays.h
+++ b/src/cell/callrelays.h
@@ -42,10 +42,10 @@
   /// connection.
   static constexpr std::uint32_t MaxRelays = 2;
   static constexpr std::uint32_t AttemptsPerRelay = 2;
-  /// Time within which a relay confirms, and for which one that did not is
-  /// passed over.
+  /// Time within which a relay confirms that it forwarded a call.
   static constexpr Duration MaxConfirmationTime =
       std::chrono::milliseconds(240);
+  /// Time for which a relay that did not is passed over.
   static constexpr Duration SilencePenalty = std::chrono::seconds(5);
 
   explicit CallRelays(fleet::EntryName Self) : Self_(std::move(Self)) {}
--- a/src/cell/internal/callrelays.cpp
+++ b/src/cell/internal/callrelays.cpp
@@ -11,7 +11,6 @@
 namespace laburnumspread::cell {
 
 using fleet::EntryName;
-
 using framework::ids::rendezvousWeight;
 using framework::ids::stableHash;
 
