--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <iostream>
-#include <thread>
 
 // Case 1: the leader is killed while a worker has more than 500 tasks, and they
 // end before the next leader asks for them.
@@ -67,17 +66,11 @@
       R"({"spec":")" + std::to_string(TaskMs) + R"(","steps":[{"count":)" +
       std::to_string(TasksPerJob) + R"(,"cpu":50,"mem_mb":100,"estimate_ms":)" +
       std::to_string(TaskMs) + "}]}";
-  std::atomic<int> Accepted{0};
-  std::vector<std::thread> Clients;
-  for (int Client = 0; Client < Entries; ++Client)
-    Clients.emplace_back([&, Client] {
-      for (int Job = Client; Job < Jobs; Job += Entries)
-        Accepted += Here.submit(pathOf(Job), Body, 10000) ? 1 : 0;
-    });
-  for (std::thread &Each : Clients)
-    Each.join();
-  if (Accepted < Jobs)
-    return NotRun;
+  // One after the other: the ends come over half a second and more, so that a
+  // leader that is not disrupted takes note of them in time.
+  for (int Job = 0; Job < Jobs; ++Job)
+    if (!Here.submit(pathOf(Job), Body, 10000))
+      return NotRun;
   const std::int64_t Until = To.nowMs() + LongestMs;
   std::int64_t FirstEnd = -1;
   while (FirstEnd < 0 && To.nowMs() < Until) {
