--- a/review/common/site.cpp
+++ b/review/common/site.cpp
@@ -7,6 +7,7 @@
 #include <filesystem>
 #include <random>
 #include <sstream>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -691,6 +692,8 @@
   if (Child < 0)
     return false;
   if (Child == 0) {
+    // An entry ends with the driver, also if that is killed.
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
     const int Log =
         open(Which.Log_.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     dup2(Log, STDOUT_FILENO);
