Log lines say whose call was decided, and which attempt; late replies are compared

Nothing told the incident's hypotheses apart: job.accepted and job.refused named neither the entry that asked nor its call nor the attempt, and an entry dropped the late reply to a call that it had answered, without a line.

Now a call carries the number of the attempt, and its reply the same number; job.accepted, job.refused and job.cancelled have entry, call and attempt, and caller.answered has call. An entry remembers the calls that it has answered as rejected: a later reply "accepted" is logged as call.contradicted and counted (gauge calls_contradicted).

- One leader, one call, two decisions (hypothesis 1): job.refused and job.accepted with the same entry and call at one leader, and the gauge.
- Two leaders (2): the same lines at two entries, and the gauge.
- Two calls (3): the lines name different calls, and the gauge stays 0.
- A reply for another call (4): the lines of the leader have another job.

--- a/src/app/internal/cellapp.cpp
+++ b/src/app/internal/cellapp.cpp
@@ -76,7 +76,9 @@
             makeLeader(Self_), Settings_.Bounds_, Metrics_),
         Router_({[this](const peers::JobCall &Call,
                         const cell::CallRouter::ReplyFn &Reply) {
-                   Cell_.handle(Call, Reply);
+                   peers::JobCall Own = Call;
+                   Own.Caller_ = Self_;
+                   Cell_.handle(Own, Reply);
                  },
                  [this] { return Cell_.leads(); },
                  [this] { return Cell_.leader(); },
@@ -147,6 +149,8 @@
     Metrics_.gauge("ready").set(ready() ? 1 : 0);
     Metrics_.gauge("leads").set(Cell_.leads() ? 1 : 0);
     Metrics_.gauge("store_calls").set(static_cast<double>(Store_.calls()));
+    Metrics_.gauge("calls_contradicted")
+        .set(static_cast<double>(Router_.contradictedCalls()));
     Metrics_.gauge("caller_requests_in_flight")
         .set(static_cast<double>(InFlight_));
     Cell_.publishGauges(Metrics_);
--- a/src/cell/callergateway.h
+++ b/src/cell/callergateway.h
@@ -50,8 +50,10 @@
   std::uint64_t Waiting_ = 0;
   Duration RetryAfter_{};
   std::string Detail_;
-  /// The leader that was asked last, and how often a leader was asked.
+  /// The leader that was asked last, by which call, and how often a leader was
+  /// asked.
   journal::Leader Leader_;
+  std::uint64_t Call_ = 0;
   std::uint32_t Attempts_ = 0;
 };
 
--- a/src/cell/callrouter.h
+++ b/src/cell/callrouter.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "cell/answeredcalls.h"
 #include "cell/callrelays.h"
 #include "framework/clock/steadyclock.h"
 #include "framework/fibers/spawn.h"
@@ -36,6 +37,8 @@
 /// Outcome of a call, and what it met on its way.
 struct CallResult {
   peers::JobReply Reply_;
+  /// The number by which the leader's log names the call.
+  std::uint64_t Sequence_ = 0;
   /// The leader that was asked last; its token is 0 if none was.
   journal::Leader Asked_;
   /// Number of attempts that were sent.
@@ -83,6 +86,10 @@
   /// Sends the calls again that wait for a reply: there is a new leader.
   void resendAll();
 
+  /// Number of calls that were answered as rejected, although a leader has
+  /// accepted them.
+  std::uint64_t contradictedCalls() const { return Answered_.contradicted(); }
+
 private:
   struct Pending {
     framework::fibers::WaiterPtr Wake_;
@@ -96,6 +103,7 @@
   Routes Routes_;
   std::uint64_t Next_ = 1;
   std::map<std::uint64_t, std::shared_ptr<Pending>> Pending_;
+  AnsweredCalls Answered_;
 };
 
 } // namespace laburnumspread::cell
--- a/src/cell/cellservice.h
+++ b/src/cell/cellservice.h
@@ -125,17 +125,19 @@
   /// Serves a call if this entry leads, else replies NotLeader and the latest
   /// leader known. \p Reply is called once, possibly later.
   void handle(const peers::JobCall &Call, const JobReplyFn &Reply) {
-    if (!leads())
-      return Reply({Call.Sequence_, peers::JobCallStatus::NotLeader, "", 0, 0,
-                    Config_.Version_.value(), toNotice(leader())});
-    const auto ReplyWithVersion =
-        [Reply, Version = Config_.Version_.value()](peers::JobReply Answer) {
+    const auto Complete =
+        [Reply, Attempt = Call.Attempt_,
+         Version = Config_.Version_.value()](peers::JobReply Answer) {
+          Answer.Attempt_ = Attempt;
           Answer.ConfigVersion_ = Version;
           Reply(Answer);
         };
+    if (!leads())
+      return Complete({Call.Sequence_, peers::JobCallStatus::NotLeader, "", 0,
+                       0, 0, toNotice(leader())});
     if (const auto Refusal = refusalFor(Call))
-      return ReplyWithVersion({Call.Sequence_, *Refusal, "", 0, 0});
-    Calls_->handle(Call, Elector_.leaving(), ReplyWithVersion);
+      return Complete({Call.Sequence_, *Refusal, "", 0, 0});
+    Calls_->handle(Call, Elector_.leaving(), Complete);
   }
 
 private:
--- a/src/cell/internal/callergateway.cpp
+++ b/src/cell/internal/callergateway.cpp
@@ -165,6 +165,7 @@
       Called.Reply_.RetryAfterMs_ == 0)
     Result.RetryAfter_ = scheduling::spreadDelay(Job, RetryAfter, RetryAfter);
   Result.Leader_ = Called.Asked_;
+  Result.Call_ = Called.Sequence_;
   Result.Attempts_ = Called.Attempts_;
   return Result;
 }
--- a/src/cell/internal/callrouter.cpp
+++ b/src/cell/internal/callrouter.cpp
@@ -16,10 +16,12 @@
   Pending_[Sequence] = Own;
   CallAttempts Attempts;
   CallResult Result;
+  Result.Sequence_ = Sequence;
   const auto CountAttempt = [&](const journal::Leader &To) {
     Attempts.sent();
     ++Result.Attempts_;
     Result.Asked_ = To;
+    Call.Attempt_ = Result.Attempts_;
   };
   std::optional<JobReply> Answer;
   while (SteadyClock().now() < Deadline) {
@@ -60,13 +62,14 @@
     Result.Reply_.Status_ = Attempts.mayHaveBeenAccepted()
                                 ? JobCallStatus::Unknown
                                 : JobCallStatus::Refused;
+  Answered_.record(Call, Result.Reply_);
   return Result;
 }
 
 void CallRouter::handleReply(const JobReply &Reply) {
   const auto Found = Pending_.find(Reply.Sequence_);
   if (Found == Pending_.end())
-    return;
+    return Answered_.checkLateReply(Reply);
   if (Reply.Status_ == JobCallStatus::Forwarded) {
     Found->second->Forwarded_ = true;
     return;
--- a/src/cell/jobcallhandler.h
+++ b/src/cell/jobcallhandler.h
@@ -73,7 +73,7 @@
     countRetry(Spec.Id_, Refused.has_value());
     if (Refused)
       return refuse(Call, Spec.Id_, *Refused, Reply);
-    logAccepted(Spec);
+    logAccepted(Spec, Call);
     Term_->Metrics_.counter("jobs_accepted_total").add();
     Term_->Admission_.add(Spec, Term_->Config_, Term_->Estimates_);
     Term_->Commits_.stage(Accepted, Answer);
@@ -136,6 +136,7 @@
     const std::int64_t RetryAfterMs = toMs(Why.Times_.RetryAfter_);
     framework::log::Event Line(framework::log::Level::Info, "job.refused");
     Line.field("job", Job.str()).field("reason", textOf(Why.Reason_));
+    logAttempt(Line, Call);
     if (Why.Reason_ == peers::RefusalReason::PoolFull)
       Line.field("projected_ms", toMs(Why.Times_.Projected_))
           .field("useful_ms", toMs(Why.Times_.Useful_));
@@ -198,13 +199,23 @@
     return "";
   }
 
-  static void logAccepted(const jobs::JobSpec &Spec) {
+  /// Adds which entry's call this is and which attempt, so that several
+  /// decisions about one call can be told from those about several calls.
+  static void logAttempt(framework::log::Event &Line,
+                         const peers::JobCall &Call) {
+    Line.field("entry", Call.Caller_.Name_.str())
+        .field("call", Call.Sequence_)
+        .field("attempt", static_cast<std::uint64_t>(Call.Attempt_));
+  }
+
+  static void logAccepted(const jobs::JobSpec &Spec,
+                          const peers::JobCall &Call) {
     std::uint64_t Tasks = 0;
     for (const jobs::StepSpec &Step : Spec.Steps_)
       Tasks += Step.Count_;
     const jobs::StepSpec &First = Spec.Steps_.front();
-    framework::log::info("job.accepted")
-        .field("job", Spec.Id_.str())
+    framework::log::Event Line(framework::log::Level::Info, "job.accepted");
+    Line.field("job", Spec.Id_.str())
         .field("queue", Spec.Queue_.str())
         .field("workspace", Spec.Workspace_.str())
         .field("steps", static_cast<std::uint64_t>(Spec.Steps_.size()))
@@ -219,6 +230,7 @@
         .field("image", First.Image_.str())
         .field("target_ms", First.TargetMs_)
         .field("occurrences", static_cast<std::uint64_t>(Spec.Occurrences_));
+    logAttempt(Line, Call);
   }
 
   void state(const peers::JobCall &Call, const JobReplyFn &Reply) {
@@ -255,10 +267,10 @@
              "", 0, 0});
     };
     if (Job->ended()) {
-      logCancel("job.cancel_repeated", *Job);
+      logCancel("job.cancel_repeated", *Job, Call);
       return Term_->Commits_.whenStored(Answer);
     }
-    logCancel("job.cancelled", *Job);
+    logCancel("job.cancelled", *Job, Call);
     Term_->Commits_.stage(jobs::JobCancelled{Id},
                           [Answer, Id, S = Sessions_](CommitOutcome Outcome) {
                             if (Outcome == CommitOutcome::Stored && S)
@@ -267,11 +279,13 @@
                           });
   }
 
-  static void logCancel(std::string_view Event, const jobs::JobRow &Job) {
-    framework::log::info(Event)
-        .field("job", Job.Spec_.Id_.str())
+  static void logCancel(std::string_view Event, const jobs::JobRow &Job,
+                        const peers::JobCall &Call) {
+    framework::log::Event Line(framework::log::Level::Info, Event);
+    Line.field("job", Job.Spec_.Id_.str())
         .field("state", jobs::nameOf(Job.State_))
         .field("runs_live", static_cast<std::uint64_t>(Job.LiveRuns_));
+    logAttempt(Line, Call);
   }
 
   TermPtr Term_;
--- a/src/peers/internal/messagecodec.cpp
+++ b/src/peers/internal/messagecodec.cpp
@@ -327,6 +327,7 @@
     write(*From.ForwardTo_, *To.mutable_forward_to());
   if (From.ReplyTo_)
     write(*From.ReplyTo_, *To.mutable_reply_to());
+  To.set_attempt(From.Attempt_);
   if (!From.Origin_)
     return;
   To.mutable_origin()->set_host(From.Origin_->Host_);
@@ -341,7 +342,7 @@
                     From.origin().key()};
 }
 
-JobCall read(const wire::JobCall &From) {
+JobCall read(const wire::JobCall &From, const MemberId &Sender) {
   return {From.sequence(),
           readEnum(From.kind(), JobCallKind::Waiting, JobCallKind::State),
           From.job(),
@@ -352,7 +353,9 @@
           From.has_forward_to() ? std::optional(read(From.forward_to()))
                                 : std::nullopt,
           From.has_reply_to() ? std::optional(read(From.reply_to()))
-                              : std::nullopt};
+                              : std::nullopt,
+          From.attempt(),
+          From.has_reply_to() ? read(From.reply_to()).Id_ : Sender};
 }
 
 void write(const LeaderNotice &From, wire::Envelope &Out) {
@@ -376,6 +379,7 @@
   To.set_refusal(static_cast<std::uint32_t>(From.Refusal_));
   if (From.ReplyTo_)
     write(*From.ReplyTo_, *To.mutable_reply_to());
+  To.set_attempt(From.Attempt_);
 }
 
 JobReply read(const wire::JobReply &From) {
@@ -390,7 +394,8 @@
           readEnum(From.refusal(), RefusalReason::LeaderBusy,
                    RefusalReason::StoreUnavailable),
           From.has_reply_to() ? std::optional(read(From.reply_to()))
-                              : std::nullopt};
+                              : std::nullopt,
+          From.attempt()};
 }
 
 absl::StatusOr<Message> readBody(const wire::Envelope &In,
@@ -427,7 +432,7 @@
   case wire::Envelope::kCancel:
     return CancelRequest{idempotency::RecordName(In.cancel().name())};
   case wire::Envelope::kJobCall:
-    return read(In.job_call());
+    return read(In.job_call(), Sender);
   case wire::Envelope::kJobReply:
     return read(In.job_reply());
   case wire::Envelope::kHeadOffer:
--- a/src/peers/messages.h
+++ b/src/peers/messages.h
@@ -142,6 +142,12 @@
   /// Set if the call was forwarded: the entry that the reply is for. Copied
   /// into the reply.
   std::optional<PeerAddress> ReplyTo_ = std::nullopt;
+  /// Number of the attempt to send this call, from 1; copied into the reply. 0
+  /// from earlier releases.
+  std::uint32_t Attempt_ = 0;
+  /// The entry that admitted the call, also if a relay has forwarded it. Taken
+  /// from the sender of the message or from ReplyTo_.
+  MemberId Caller_ = {};
 };
 
 enum class JobCallStatus {
@@ -196,6 +202,8 @@
   RefusalReason Refusal_ = RefusalReason::StoreUnavailable;
   /// Set if the call was forwarded: the entry that the reply is for.
   std::optional<PeerAddress> ReplyTo_ = std::nullopt;
+  /// The attempt that this replies to; 0 from earlier releases.
+  std::uint32_t Attempt_ = 0;
 };
 
 /// Sent by a leader that cannot reach the store. An entry that can reach it may
