A call that was rejected is rejected for good

Cause: an entry sends an unanswered call again after 120 ms. A leader that is late finds two attempts of one call. It decided each anew: refused the first (pool full, store away, too little processor time, leaving), and accepted the second when the reason had passed. The entry took the first final reply as the answer to the call and dropped the other. With a change of the leader the two attempts may also be decided by two leaders.

Change: a decision is made once for a call. - A leader remembers for its term what it has rejected, by entry and number of the call (RejectedCalls, bounded: what is no longer remembered is rejected, never decided anew), and repeats the answer. - A call names the token of the leader that it is meant for; a leader of another term does not process it. - A reply names its attempt and the token of the leader that rejected. Others stay open, and the caller hears of those, or "unknown" at its deadline.

So a caller is refused as soon as before where all attempts went to one leader, and the refusal is true. Cancels (410, 503) follow the same rule.

--- a/src/cell/callrouter.h
+++ b/src/cell/callrouter.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cell/answeredcalls.h"
+#include "cell/callattempts.h"
 #include "cell/callrelays.h"
 #include "framework/clock/steadyclock.h"
 #include "framework/fibers/spawn.h"
@@ -17,23 +18,6 @@
 using framework::clock::Duration;
 using framework::clock::TimePoint;
 
-/// Counts the attempts to send a call that may have been accepted.
-class CallAttempts {
-public:
-  /// A further attempt was sent.
-  void sent() { ++Unrejected_; }
-  /// One of the attempts was rejected without being processed.
-  void rejected() {
-    if (Unrejected_ > 0)
-      --Unrejected_;
-  }
-  /// Whether a leader may have accepted the call, or may still do so.
-  bool mayHaveBeenAccepted() const { return Unrejected_ > 0; }
-
-private:
-  std::uint32_t Unrejected_ = 0;
-};
-
 /// Outcome of a call, and what it met on its way.
 struct CallResult {
   peers::JobReply Reply_;
@@ -75,9 +59,10 @@
 
   explicit CallRouter(Routes P) : Routes_(std::move(P)) {}
 
-  /// Waits for the reply of the leader. The status is Refused if no leader can
-  /// have accepted the call by \p LeaderDeadline or \p Deadline; if one may
-  /// have accepted it and no reply arrived, it is Unknown at \p Deadline.
+  /// Waits for the reply of the leader. A rejection is returned as soon as no
+  /// attempt can be accepted any more. The status is Refused if no leader has
+  /// processed the call by \p LeaderDeadline or \p Deadline; if one may have
+  /// accepted it and no reply arrived, it is Unknown at \p Deadline.
   CallResult call(peers::JobCall Call, TimePoint LeaderDeadline,
                   TimePoint Deadline);
 
@@ -91,18 +76,35 @@
   std::uint64_t contradictedCalls() const { return Answered_.contradicted(); }
 
 private:
-  struct Pending {
+  /// A call that waits for its answer.
+  struct PendingCall {
+    peers::JobCall Call_;
+    CallAttempts Attempts_;
+    /// The leader that was asked last.
+    journal::Leader Asked_;
     framework::fibers::WaiterPtr Wake_;
-    std::optional<peers::JobReply> Reply_;
+    /// Whether the recipient of the latest attempt does not lead.
+    bool LeaderDenied_ = false;
     /// Whether a relay has forwarded the call.
     bool Forwarded_ = false;
+    /// The latest rejection. It is the answer once no attempt can be accepted.
+    std::optional<peers::JobReply> Rejection_;
+    std::optional<peers::JobReply> Answer_;
   };
 
   static Duration resendInterval(std::uint32_t Attempts);
+  /// Sends the call to the leader, if one is known.
+  void sendAttempt(PendingCall &Own);
+  static void waitForReply(PendingCall &Own, TimePoint Deadline);
+  /// Waits before the next attempt, unless a reply has named a later leader.
+  void pauseAfterDenial(const PendingCall &Own) const;
+  /// Evaluates a reply to one of the attempts.
+  static void acceptReply(PendingCall &Own, const peers::JobReply &Reply);
+  static peers::JobReply answerOf(const PendingCall &Own);
 
   Routes Routes_;
   std::uint64_t Next_ = 1;
-  std::map<std::uint64_t, std::shared_ptr<Pending>> Pending_;
+  std::map<std::uint64_t, std::shared_ptr<PendingCall>> Pending_;
   AnsweredCalls Answered_;
 };
 
--- a/src/cell/cellservice.h
+++ b/src/cell/cellservice.h
@@ -122,8 +122,9 @@
     (Active ? Term_->gauges() : TermGauges()).publish(Into);
   }
 
-  /// Serves a call if this entry leads, else replies NotLeader and the latest
-  /// leader known. \p Reply is called once, possibly later.
+  /// Serves a call if this entry leads and the call was not meant for another
+  /// term, else replies NotLeader and the latest leader known. \p Reply is
+  /// called once, possibly later.
   void handle(const peers::JobCall &Call, const JobReplyFn &Reply) {
     const auto Complete =
         [Reply, Attempt = Call.Attempt_,
@@ -132,11 +133,12 @@
           Answer.ConfigVersion_ = Version;
           Reply(Answer);
         };
-    if (!leads())
+    if (!leads() || isForAnotherTerm(Call))
       return Complete({Call.Sequence_, peers::JobCallStatus::NotLeader, "", 0,
                        0, 0, toNotice(leader())});
-    if (const auto Refusal = refusalFor(Call))
-      return Complete({Call.Sequence_, *Refusal, "", 0, 0});
+    if (!Calls_->earlierRejection(Call))
+      if (const auto Refusal = refusalFor(Call))
+        return Calls_->reject(Call, *Refusal, Complete);
     Calls_->handle(Call, Elector_.leaving(), Complete);
   }
 
@@ -154,6 +156,16 @@
     return Result;
   }
 
+  /// Whether a change was sent to a leader of another term than this. The entry
+  /// that sent it takes a rejection by the leader of a term as the answer to
+  /// all that it sent to that term and earlier ones; a late message must not be
+  /// accepted by a later term then.
+  bool isForAnotherTerm(const peers::JobCall &Call) const {
+    const jobs::FencingToken Meant(Call.Token_);
+    return peers::changesJobs(Call.Kind_) && Call.Token_ != 0 &&
+           (Meant < Term_->FirstToken_ || Meant > Term_->Token_);
+  }
+
   /// Returns the status to refuse a call with under a newer configuration, or
   /// nullopt. A resent submission whose job is already stored is not refused.
   std::optional<peers::JobCallStatus>
--- a/src/cell/internal/answeredcalls.cpp
+++ b/src/cell/internal/answeredcalls.cpp
@@ -4,26 +4,11 @@
 
 namespace laburnumspread::cell {
 
-using peers::JobCallKind;
 using peers::JobCallStatus;
 
-namespace {
-
-bool changesJobs(JobCallKind Kind) {
-  return Kind == JobCallKind::Submit || Kind == JobCallKind::Cancel;
-}
-
-bool isRejection(JobCallStatus Status) {
-  return Status == JobCallStatus::Refused || Status == JobCallStatus::Missing ||
-         Status == JobCallStatus::NoSuchQueue ||
-         Status == JobCallStatus::UnknownKey;
-}
-
-} // namespace
-
 void AnsweredCalls::record(const peers::JobCall &Call,
                            const peers::JobReply &Answer) {
-  if (!changesJobs(Call.Kind_) || !isRejection(Answer.Status_))
+  if (!peers::changesJobs(Call.Kind_) || !peers::isRejection(Answer.Status_))
     return;
   Rejected_[Call.Sequence_] = {Call.Job_, Answer.Status_};
   if (Rejected_.size() > MaxCalls)
--- a/src/cell/jobcallhandler.h
+++ b/src/cell/jobcallhandler.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cell/refusedjobs.h"
+#include "cell/rejectedcalls.h"
 #include "cell/workersessions.h"
 #include "peers/messages.h"
 
@@ -30,9 +31,12 @@
       : Term_(std::move(T)), Sessions_(std::move(S)) {}
 
   /// Serves a call. \p Reply is called once, possibly later. With \p Leaving,
-  /// no new jobs are accepted.
+  /// no new jobs are accepted. A call of which an earlier attempt was rejected
+  /// is rejected again, unless another call has submitted its job since.
   void handle(const peers::JobCall &Call, bool Leaving,
               const JobReplyFn &Reply) {
+    if (const auto Before = earlierRejection(Call))
+      return reject(Call, *Before, Reply);
     switch (Call.Kind_) {
     case peers::JobCallKind::Submit:
       return submit(Call, Leaving, Reply);
@@ -46,6 +50,33 @@
     }
   }
 
+  /// Returns the reply with which an earlier attempt of the call was rejected,
+  /// or nullopt.
+  std::optional<peers::JobReply>
+  earlierRejection(const peers::JobCall &Call) const {
+    const bool Submitted = Call.Kind_ == peers::JobCallKind::Submit &&
+                           Term_->Table_.find(jobs::JobId(Call.Job_));
+    if (Submitted || !peers::changesJobs(Call.Kind_))
+      return std::nullopt;
+    return Rejected_.find(Call);
+  }
+
+  /// Rejects a call, and each later attempt of it during this term.
+  void reject(const peers::JobCall &Call, peers::JobReply Rejection,
+              const JobReplyFn &Reply) {
+    if (peers::changesJobs(Call.Kind_))
+      Rejected_.add(Call, Rejection, Term_->now());
+    Rejection.Sequence_ = Call.Sequence_;
+    Rejection.Token_ = Term_->Token_.value();
+    Reply(Rejection);
+  }
+  void reject(const peers::JobCall &Call, peers::JobCallStatus Status,
+              const JobReplyFn &Reply) {
+    peers::JobReply Rejection;
+    Rejection.Status_ = Status;
+    reject(Call, Rejection, Reply);
+  }
+
 private:
   /// Whether the outcome of a commit would not be known in time. A job accepted
   /// now could only be answered with an unknown outcome.
@@ -66,7 +97,7 @@
     const auto Group = jobs::decodeGroup(Call.Spec_);
     if (!Group.ok() || Group->Events_.size() != 1 ||
         !std::holds_alternative<jobs::JobAccepted>(Group->Events_.front()))
-      return Reply({Call.Sequence_, peers::JobCallStatus::Missing, "", 0, 0});
+      return reject(Call, peers::JobCallStatus::Missing, Reply);
     const jobs::Event &Accepted = Group->Events_.front();
     const auto &Spec = std::get<jobs::JobAccepted>(Accepted).Spec_;
     const auto Refused = refusalOf(Spec, Leaving);
@@ -147,11 +178,10 @@
         .add();
     Refused_.add(Job, Term_->now());
     peers::JobReply Result;
-    Result.Sequence_ = Call.Sequence_;
     Result.Status_ = peers::JobCallStatus::Refused;
     Result.RetryAfterMs_ = static_cast<std::uint64_t>(RetryAfterMs);
     Result.Refusal_ = Why.Reason_;
-    Reply(Result);
+    reject(Call, Result, Reply);
   }
 
   /// Counts a job that was refused before and is sent again.
@@ -259,7 +289,7 @@
     const jobs::JobId Id(Call.Job_);
     const jobs::JobRow *Job = Term_->Table_.find(Id);
     if (!Job)
-      return Reply({Call.Sequence_, peers::JobCallStatus::Missing, "", 0, 0});
+      return reject(Call, peers::JobCallStatus::Missing, Reply);
     auto Answer = [Reply, Sequence = Call.Sequence_](CommitOutcome Outcome) {
       Reply({Sequence,
              Outcome == CommitOutcome::Stored ? peers::JobCallStatus::Ok
@@ -291,6 +321,7 @@
   TermPtr Term_;
   SessionsPtr Sessions_;
   RefusedJobs Refused_;
+  RejectedCalls Rejected_;
 };
 
 } // namespace laburnumspread::cell
--- /dev/null
+++ b/src/cell/rejectedcalls.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "framework/clock/clock.h"
+#include "peers/messages.h"
+
+#include <map>
+#include <optional>
+
+namespace laburnumspread::cell {
+
+/// Remembers the calls that a leader has rejected during its term, so that each
+/// further attempt of a call gets the same answer.
+///
+/// Guards against a job that runs although its caller was told that it never
+/// does: an entry sends an unanswered call again, a late leader finds both
+/// attempts, and the reason to reject the first may have passed before the
+/// second. Entries number their calls, so what is no longer remembered one by
+/// one is below a bound and rejected as well.
+class RejectedCalls {
+public:
+  using TimePoint = framework::clock::TimePoint;
+
+  /// Rejected calls of an entry that are remembered one by one.
+  static constexpr std::size_t MaxCallsPerEntry = 256;
+  /// An entry that has had no call rejected for this long is forgotten, as
+  /// entries restart and each has a new name then. Its attempts are sent within
+  /// seconds of each other.
+  static constexpr framework::clock::Duration Retention =
+      std::chrono::minutes(10);
+
+  /// Records the rejection of a call. Calls without a number are not recorded.
+  void add(const peers::JobCall &Call, const peers::JobReply &Rejection,
+           TimePoint Now);
+  /// Returns the reply to an earlier attempt that was rejected, or nullopt if
+  /// there is none. For a call that is too old to be remembered, returns
+  /// Refused.
+  std::optional<peers::JobReply> find(const peers::JobCall &Call) const;
+  /// Number of entries with rejected calls.
+  std::size_t entries() const { return Entries_.size(); }
+
+private:
+  struct Entry {
+    std::map<std::uint64_t, peers::JobReply> Replies_;
+    /// Calls up to this number are rejected.
+    std::uint64_t ForgottenThrough_ = 0;
+    TimePoint LastAt_{};
+  };
+
+  void forgetSilentEntries(TimePoint Now);
+
+  std::map<peers::MemberId, Entry> Entries_;
+};
+
+} // namespace laburnumspread::cell
--- a/src/cell/term.h
+++ b/src/cell/term.h
@@ -24,9 +24,10 @@
        framework::metrics::Registry &Metrics, CellBounds Bounds,
        const ZoneEvacuations &Evacuations)
       : Leadership_(Leadership), TermNumber_(Leadership.term()),
-        Token_(Leadership.token()), Log_(S, Keys, Leadership),
-        Commits_(Table_, Log_, Metrics), Evacuations_(Evacuations),
-        Metrics_(Metrics), Bounds_(Bounds), StartedAt_(now()) {}
+        FirstToken_(Leadership.token()), Token_(FirstToken_),
+        Log_(S, Keys, Leadership), Commits_(Table_, Log_, Metrics),
+        Evacuations_(Evacuations), Metrics_(Metrics), Bounds_(Bounds),
+        StartedAt_(now()) {}
 
   static TimePoint now() { return framework::clock::SteadyClock().now(); }
 
@@ -129,6 +130,8 @@
 
   journal::Leadership<Store> &Leadership_;
   journal::TermNumber TermNumber_;
+  /// The token with which the term began.
+  jobs::FencingToken FirstToken_;
   /// Increases when this entry rewrites the head key during the same
   /// leadership.
   jobs::FencingToken Token_;
--- a/src/cell/tests/callattemptstest.cpp
+++ b/src/cell/tests/callattemptstest.cpp
@@ -4,6 +4,13 @@
 
 namespace laburnumspread::cell {
 
+namespace {
+
+constexpr jobs::FencingToken First(4);
+constexpr jobs::FencingToken Second(9);
+
+} // namespace
+
 BOOST_AUTO_TEST_SUITE(CallAttemptsTest)
 
 BOOST_AUTO_TEST_CASE(UnsentCallIsNotAccepted) {
@@ -12,22 +19,58 @@
 
 BOOST_AUTO_TEST_CASE(RejectedCallIsNotAccepted) {
   CallAttempts Attempts;
-  Attempts.sent();
-  Attempts.rejected();
+  Attempts.notProcessed(Attempts.sent(First));
+  BOOST_TEST(!Attempts.mayHaveBeenAccepted());
+  Attempts.rejected(Attempts.sent(First), First);
   BOOST_TEST(!Attempts.mayHaveBeenAccepted());
 }
 
 // Guards against telling a caller "not run", so that it submits the job
 // elsewhere, although the job is in the journal: the first leader accepted the
-// call and died, and its successor rejected the second attempt.
+// call and died, and its successor did not process the second attempt.
 BOOST_AUTO_TEST_CASE(OneRejectionDoesNotCoverTwoAttempts) {
   CallAttempts Attempts;
-  Attempts.sent();
-  Attempts.sent();
-  Attempts.rejected();
+  Attempts.sent(First);
+  Attempts.notProcessed(Attempts.sent(Second));
   BOOST_TEST(Attempts.mayHaveBeenAccepted());
 }
 
+// Guards against holding a caller to its deadline: its first attempt was lost
+// with a leader, whose successor knows that the job was not stored.
+BOOST_AUTO_TEST_CASE(RejectionCoversAttemptsAtFormerLeaders) {
+  CallAttempts Attempts;
+  Attempts.sent(First);
+  Attempts.sent(Second);
+  Attempts.rejected(Attempts.sent(Second), Second);
+  BOOST_TEST(!Attempts.mayHaveBeenAccepted());
+}
+
+// Guards against a refusal by a former leader that is taken as the answer while
+// its successor accepts the job.
+BOOST_AUTO_TEST_CASE(RejectionDoesNotCoverAttemptsAtLaterLeaders) {
+  CallAttempts Attempts;
+  const std::uint32_t AtFirst = Attempts.sent(First);
+  const std::uint32_t AtSecond = Attempts.sent(Second);
+  Attempts.rejected(AtFirst, First);
+  BOOST_TEST(Attempts.mayHaveBeenAccepted());
+  Attempts.notProcessed(AtSecond);
+  BOOST_TEST(!Attempts.mayHaveBeenAccepted());
+}
+
+// Guards against the same where the leader that was asked is not known, or
+// where an earlier release does not tell which attempt and leader it speaks of.
+BOOST_AUTO_TEST_CASE(UnnamedRejectionCoversOneAttempt) {
+  CallAttempts Attempts;
+  Attempts.sent(jobs::FencingToken());
+  Attempts.rejected(Attempts.sent(First), Second);
+  BOOST_TEST(Attempts.mayHaveBeenAccepted());
+  Attempts.sent(First);
+  Attempts.rejected(0, jobs::FencingToken());
+  BOOST_TEST(Attempts.mayHaveBeenAccepted());
+  Attempts.rejected(0, jobs::FencingToken());
+  BOOST_TEST(!Attempts.mayHaveBeenAccepted());
+}
+
 // Guards against answering "unknown" to a caller whose last attempt during an
 // outage has no time left. No leader was ever asked, and the caller would not
 // dare to submit the job again.
--- /dev/null
+++ b/src/cell/tests/rejectedcallstest.cpp
@@ -0,0 +1,80 @@
+#include "cell/rejectedcalls.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace laburnumspread::cell {
+
+namespace {
+
+using namespace std::chrono_literals;
+using peers::JobCallStatus;
+
+constexpr framework::clock::TimePoint Now{1h};
+
+peers::JobCall call(std::uint64_t Sequence, const char *Entry = "e0",
+                    std::uint64_t Incarnation = 1) {
+  peers::JobCall Result;
+  Result.Sequence_ = Sequence;
+  Result.Caller_ = {fleet::EntryName(Entry), fleet::Incarnation(Incarnation)};
+  return Result;
+}
+
+peers::JobReply reply(JobCallStatus Status) {
+  peers::JobReply Result;
+  Result.Status_ = Status;
+  return Result;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(RejectedCallsTest)
+
+// Guards against a further attempt of a rejected call that is accepted, and
+// against the answer to one call that is given to another.
+BOOST_AUTO_TEST_CASE(FurtherAttemptsGetTheSameAnswer) {
+  RejectedCalls Calls;
+  Calls.add(call(5), reply(JobCallStatus::Missing), Now);
+  BOOST_REQUIRE(Calls.find(call(5)));
+  BOOST_TEST((Calls.find(call(5))->Status_ == JobCallStatus::Missing));
+  BOOST_TEST(!Calls.find(call(4)));
+  BOOST_TEST(!Calls.find(call(6)));
+  BOOST_TEST(!Calls.find(call(5, "e1")));
+  BOOST_TEST(!Calls.find(call(5, "e0", 2)));
+}
+
+// Guards against a call that is accepted once its rejection is no longer
+// remembered, and against memory that grows with the refusals of a term.
+BOOST_AUTO_TEST_CASE(ForgottenCallsStayRejected) {
+  RejectedCalls Calls;
+  constexpr std::uint64_t Count = 3 * RejectedCalls::MaxCallsPerEntry;
+  for (std::uint64_t I = 1; I <= Count; ++I)
+    Calls.add(call(2 * I), reply(JobCallStatus::Refused), Now);
+  Calls.add(call(2), reply(JobCallStatus::Refused), Now);
+  for (std::uint64_t I = 1; I <= Count; ++I)
+    BOOST_TEST(Calls.find(call(2 * I)).has_value());
+  BOOST_TEST(Calls.find(call(1))->RetryAfterMs_ > 0u);
+  BOOST_TEST(!Calls.find(call(2 * Count - 1)));
+}
+
+// Guards against entries of earlier releases and tests, whose calls have no
+// number, sharing one answer.
+BOOST_AUTO_TEST_CASE(CallsWithoutANumberAreNotRemembered) {
+  RejectedCalls Calls;
+  Calls.add(call(0), reply(JobCallStatus::Refused), Now);
+  BOOST_TEST(!Calls.find(call(0)));
+}
+
+// Guards against memory that grows with the restarts of entries.
+BOOST_AUTO_TEST_CASE(EntriesThatAreGoneAreForgotten) {
+  RejectedCalls Calls;
+  Calls.add(call(1, "e0"), reply(JobCallStatus::Refused), Now);
+  Calls.add(call(1, "e1"), reply(JobCallStatus::Refused), Now + 5min);
+  Calls.add(call(1, "e2"), reply(JobCallStatus::Refused),
+            Now + RejectedCalls::Retention + 1ms);
+  BOOST_TEST(Calls.entries() == 2u);
+  BOOST_TEST(!Calls.find(call(1, "e0")));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace laburnumspread::cell
--- a/src/peers/internal/messagecodec.cpp
+++ b/src/peers/internal/messagecodec.cpp
@@ -328,6 +328,7 @@
   if (From.ReplyTo_)
     write(*From.ReplyTo_, *To.mutable_reply_to());
   To.set_attempt(From.Attempt_);
+  To.set_token(From.Token_);
   if (!From.Origin_)
     return;
   To.mutable_origin()->set_host(From.Origin_->Host_);
@@ -355,7 +356,8 @@
           From.has_reply_to() ? std::optional(read(From.reply_to()))
                               : std::nullopt,
           From.attempt(),
-          From.has_reply_to() ? read(From.reply_to()).Id_ : Sender};
+          From.has_reply_to() ? read(From.reply_to()).Id_ : Sender,
+          From.token()};
 }
 
 void write(const LeaderNotice &From, wire::Envelope &Out) {
@@ -380,6 +382,7 @@
   if (From.ReplyTo_)
     write(*From.ReplyTo_, *To.mutable_reply_to());
   To.set_attempt(From.Attempt_);
+  To.set_token(From.Token_);
 }
 
 JobReply read(const wire::JobReply &From) {
@@ -395,7 +398,8 @@
                    RefusalReason::StoreUnavailable),
           From.has_reply_to() ? std::optional(read(From.reply_to()))
                               : std::nullopt,
-          From.attempt()};
+          From.attempt(),
+          From.token()};
 }
 
 absl::StatusOr<Message> readBody(const wire::Envelope &In,
--- a/src/peers/messages.h
+++ b/src/peers/messages.h
@@ -148,6 +148,9 @@
   /// The entry that admitted the call, also if a relay has forwarded it. Taken
   /// from the sender of the message or from ReplyTo_.
   MemberId Caller_ = {};
+  /// Fencing token of the leader that is asked; 0 if the sender knows none, or
+  /// from earlier releases.
+  std::uint64_t Token_ = 0;
 };
 
 enum class JobCallStatus {
@@ -204,8 +207,23 @@
   std::optional<PeerAddress> ReplyTo_ = std::nullopt;
   /// The attempt that this replies to; 0 from earlier releases.
   std::uint32_t Attempt_ = 0;
+  /// With a rejection, the fencing token of the leader that decided; 0 from
+  /// earlier releases.
+  std::uint64_t Token_ = 0;
 };
 
+/// Whether a call of this kind changes jobs.
+constexpr bool changesJobs(JobCallKind Kind) {
+  return Kind == JobCallKind::Submit || Kind == JobCallKind::Cancel;
+}
+
+/// Whether the status means that the leader has rejected a change.
+constexpr bool isRejection(JobCallStatus Status) {
+  return Status == JobCallStatus::Refused || Status == JobCallStatus::Missing ||
+         Status == JobCallStatus::NoSuchQueue ||
+         Status == JobCallStatus::UnknownKey;
+}
+
 /// Sent by a leader that cannot reach the store. An entry that can reach it may
 /// take over the leadership with this fencing token immediately.
 struct LeadershipOffer {
