Old calls are answered by what is known, and one call never hears two answers

- A call that was accepted, whose reply was lost, and whose entry had 256 other calls rejected since, was below the bound of what is remembered; a cancel was then answered "refused" although it was carried out.
A submission of a known job was answered well, but only by the order of two checks.
- A call that was rejected and comes again after another call has submitted the job was answered "accepted": true of the job, but the entry had told its caller the opposite, and logged call.contradicted, a false alarm.

Now: a remembered rejection is always repeated. A call that is too old to be remembered is answered by the table (submission of a known job), refused (unknown job, which no attempt can have had accepted) or "unknown" (cancel).

--- a/src/cell/cellservice.h
+++ b/src/cell/cellservice.h
@@ -136,7 +136,7 @@
     if (!leads() || isForAnotherTerm(Call))
       return Complete({Call.Sequence_, peers::JobCallStatus::NotLeader, "", 0,
                        0, 0, toNotice(leader())});
-    if (!Calls_->earlierRejection(Call))
+    if (!Calls_->earlierReply(Call))
       if (const auto Refusal = refusalFor(Call))
         return Calls_->reject(Call, *Refusal, Complete);
     Calls_->handle(Call, Elector_.leaving(), Complete);
--- a/src/cell/internal/callrouter.cpp
+++ b/src/cell/internal/callrouter.cpp
@@ -45,8 +45,7 @@
     Routes_.HandleLocally_(
         Own.Call_, [this](const JobReply &Reply) { handleReply(Reply); });
   else
-    Routes_.Send_(Leader, Own.Call_,
-                  {Own.Attempts_.count(), Own.Forwarded_});
+    Routes_.Send_(Leader, Own.Call_, {Own.Attempts_.count(), Own.Forwarded_});
 }
 
 void CallRouter::waitForReply(PendingCall &Own, TimePoint Deadline) {
--- a/src/cell/jobcallhandler.h
+++ b/src/cell/jobcallhandler.h
@@ -32,11 +32,11 @@
 
   /// Serves a call. \p Reply is called once, possibly later. With \p Leaving,
   /// no new jobs are accepted. A call of which an earlier attempt was rejected
-  /// is rejected again, unless another call has submitted its job since.
+  /// is not decided anew.
   void handle(const peers::JobCall &Call, bool Leaving,
               const JobReplyFn &Reply) {
-    if (const auto Before = earlierRejection(Call))
-      return reject(Call, *Before, Reply);
+    if (const auto Before = earlierReply(Call))
+      return reply(Call, *Before, Reply);
     switch (Call.Kind_) {
     case peers::JobCallKind::Submit:
       return submit(Call, Leaving, Reply);
@@ -50,25 +50,25 @@
     }
   }
 
-  /// Returns the reply with which an earlier attempt of the call was rejected,
-  /// or nullopt.
+  /// Returns the answer to a call of which an earlier attempt was rejected, or
+  /// may have been; nullopt for any other.
   std::optional<peers::JobReply>
-  earlierRejection(const peers::JobCall &Call) const {
-    const bool Submitted = Call.Kind_ == peers::JobCallKind::Submit &&
-                           Term_->Table_.find(jobs::JobId(Call.Job_));
-    if (Submitted || !peers::changesJobs(Call.Kind_))
+  earlierReply(const peers::JobCall &Call) const {
+    if (!peers::changesJobs(Call.Kind_))
       return std::nullopt;
-    return Rejected_.find(Call);
+    if (const auto Rejection = Rejected_.find(Call))
+      return Rejection;
+    if (Rejected_.mayBeForgotten(Call))
+      return replyToForgotten(Call);
+    return std::nullopt;
   }
 
   /// Rejects a call, and each later attempt of it during this term.
-  void reject(const peers::JobCall &Call, peers::JobReply Rejection,
+  void reject(const peers::JobCall &Call, const peers::JobReply &Rejection,
               const JobReplyFn &Reply) {
     if (peers::changesJobs(Call.Kind_))
       Rejected_.add(Call, Rejection, Term_->now());
-    Rejection.Sequence_ = Call.Sequence_;
-    Rejection.Token_ = Term_->Token_.value();
-    Reply(Rejection);
+    reply(Call, Rejection, Reply);
   }
   void reject(const peers::JobCall &Call, peers::JobCallStatus Status,
               const JobReplyFn &Reply) {
@@ -78,6 +78,29 @@
   }
 
 private:
+  void reply(const peers::JobCall &Call, peers::JobReply Answer,
+             const JobReplyFn &Reply) const {
+    Answer.Sequence_ = Call.Sequence_;
+    Answer.Token_ = Term_->Token_.value();
+    Reply(Answer);
+  }
+
+  /// A submission that was accepted is in the table. Of a cancel it is not
+  /// known what became of its earlier attempts.
+  std::optional<peers::JobReply>
+  replyToForgotten(const peers::JobCall &Call) const {
+    if (Term_->Table_.find(jobs::JobId(Call.Job_)) &&
+        Call.Kind_ == peers::JobCallKind::Submit)
+      return std::nullopt;
+    peers::JobReply Result;
+    if (Call.Kind_ == peers::JobCallKind::Cancel)
+      return Result;
+    Result.Status_ = peers::JobCallStatus::Refused;
+    Result.Refusal_ = peers::RefusalReason::LeaderBusy;
+    Result.RetryAfterMs_ = static_cast<std::uint64_t>(toMs(OverloadRetryAfter));
+    return Result;
+  }
+
   /// Whether the outcome of a commit would not be known in time. A job accepted
   /// now could only be answered with an unknown outcome.
   bool storeUnavailable() const {
--- a/src/cell/rejectedcalls.h
+++ b/src/cell/rejectedcalls.h
@@ -14,8 +14,8 @@
 /// Guards against a job that runs although its caller was told that it never
 /// does: an entry sends an unanswered call again, a late leader finds both
 /// attempts, and the reason to reject the first may have passed before the
-/// second. Entries number their calls, so what is no longer remembered one by
-/// one is below a bound and rejected as well.
+/// second. Entries number their calls, so a call that may have been forgotten
+/// is below a bound, and is not decided anew either.
 class RejectedCalls {
 public:
   using TimePoint = framework::clock::TimePoint;
@@ -32,16 +32,17 @@
   void add(const peers::JobCall &Call, const peers::JobReply &Rejection,
            TimePoint Now);
   /// Returns the reply to an earlier attempt that was rejected, or nullopt if
-  /// there is none. For a call that is too old to be remembered, returns
-  /// Refused.
+  /// none is remembered.
   std::optional<peers::JobReply> find(const peers::JobCall &Call) const;
+  /// Whether the call is so old that a rejection of it may be forgotten.
+  bool mayBeForgotten(const peers::JobCall &Call) const;
   /// Number of entries with rejected calls.
   std::size_t entries() const { return Entries_.size(); }
 
 private:
   struct Entry {
     std::map<std::uint64_t, peers::JobReply> Replies_;
-    /// Calls up to this number are rejected.
+    /// Rejections of calls up to this number may be forgotten.
     std::uint64_t ForgottenThrough_ = 0;
     TimePoint LastAt_{};
   };
--- a/src/cell/tests/jobcallfixture.h
+++ b/src/cell/tests/jobcallfixture.h
@@ -68,6 +68,21 @@
     return Result;
   }
 
+  /// Handles an attempt of the numbered call of an entry.
+  std::optional<peers::JobReply> handleNumbered(std::uint64_t Sequence,
+                                                peers::JobCallKind Kind,
+                                                const jobs::JobSpec &Spec) {
+    peers::JobCall Call;
+    Call.Sequence_ = Sequence;
+    Call.Kind_ = Kind;
+    Call.Job_ = Spec.Id_.str();
+    Call.Spec_ = jobs::encodeGroup({jobs::JobAccepted{Spec}});
+    std::optional<peers::JobReply> Result;
+    Handler_->handle(Call, false,
+                     [&](const peers::JobReply &Reply) { Result = Reply; });
+    return Result;
+  }
+
   bool known(const jobs::JobSpec &Spec) const {
     return Term_->Table_.find(Spec.Id_) != nullptr;
   }
--- a/src/cell/tests/jobcallhandlertest.cpp
+++ b/src/cell/tests/jobcallhandlertest.cpp
@@ -84,6 +84,51 @@
   BOOST_TEST(Reply->RetryAfterMs_ >= 1000u);
 }
 
+// Guards against an entry that tells its caller "refused" and hears "accepted"
+// later, since another call has submitted the job in between.
+BOOST_AUTO_TEST_CASE(RejectedCallStaysRejectedAlsoIfAnotherSubmitsTheJob) {
+  const jobs::JobSpec Job = job("0000000000000001");
+  fillPool();
+  checkRefused(handleNumbered(1, peers::JobCallKind::Submit, Job),
+               RefusalReason::PoolFull);
+  Term_->Admission_.rebuild({});
+  handleNumbered(2, peers::JobCallKind::Submit, Job);
+  BOOST_TEST(known(Job));
+  checkRefused(handleNumbered(1, peers::JobCallKind::Submit, Job),
+               RefusalReason::PoolFull);
+}
+
+// Guards against a job that is cancelled although its caller was told that
+// there is no such job.
+BOOST_AUTO_TEST_CASE(CancelOfAMissingJobIsNotCarriedOutLater) {
+  const jobs::JobSpec Job = job("0000000000000001");
+  const auto First = handleNumbered(1, peers::JobCallKind::Cancel, Job);
+  BOOST_TEST((First->Status_ == JobCallStatus::Missing));
+  submit(Job);
+  const auto Again = handleNumbered(1, peers::JobCallKind::Cancel, Job);
+  BOOST_TEST((Again->Status_ == JobCallStatus::Missing));
+  BOOST_TEST(!Term_->Table_.find(Job.Id_)->ended());
+}
+
+// Guards against a refusal of a job that runs: its call was accepted, and so
+// many others were rejected since that rejections are forgotten.
+BOOST_AUTO_TEST_CASE(OldCallsAreAnsweredByWhatIsKnown) {
+  const jobs::JobSpec Accepted = job("0000000000000001");
+  const jobs::JobSpec Other = job("0000000000000002");
+  handleNumbered(1, peers::JobCallKind::Submit, Accepted);
+  fillPool();
+  for (std::uint64_t I = 2; I <= RejectedCalls::MaxCallsPerEntry + 3; ++I)
+    handleNumbered(I, peers::JobCallKind::Submit, Other);
+  Term_->Admission_.rebuild({});
+  BOOST_TEST(!handleNumbered(1, peers::JobCallKind::Submit, Accepted));
+  const auto Old = handleNumbered(2, peers::JobCallKind::Submit, Other);
+  checkRefused(Old, RefusalReason::LeaderBusy);
+  BOOST_TEST(Old->RetryAfterMs_ > 0u);
+  const auto Cancel = handleNumbered(2, peers::JobCallKind::Cancel, Accepted);
+  BOOST_TEST((Cancel->Status_ == JobCallStatus::Unknown));
+  BOOST_TEST(!Term_->Table_.find(Accepted.Id_)->ended());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace laburnumspread::cell
