Soak: brief pauses and full pools; refusals that were not true are findings

The soak could not show it: its pool was never full, its pauses were single ones of 100 to 4000 ms, and it looked at no log of the entries.

- pause-briefly stops entries for 150 to 400 ms by SIGSTOP, several times in a series; half the time the leader, as the store names it, else any entry.
- crowd adds ten callers with 8 to 16 tasks a step, so that jobs are refused with "the pool is full" and accepted moments later.
They give up after one or two refusals, as another attempt finds the job accepted and hides it.
Both new kinds are in the default list.
- Each call.contradicted line of an entry's log is a finding.

--- a/soak/callers.cpp
+++ b/soak/callers.cpp
@@ -21,10 +21,6 @@
 constexpr int NotSent = 0;
 constexpr int NoAnswer = -1;
 constexpr auto RequestTimeout = 3000ms;
-/// Upper limit of the random number of attempts after which a caller gives up,
-/// if all of them were refused.
-constexpr std::uint64_t MaxRefusals = 6;
-constexpr std::uint64_t MaxTasksPerStep = 4;
 /// Limit of concurrent standing jobs, so that the workers have capacity for
 /// all.
 constexpr int MaxStandingJobs = 12;
@@ -35,8 +31,33 @@
 
 } // namespace
 
-Callers::CallerPtr Callers::makeCaller(std::uint64_t Seed) const {
-  const auto Result = std::make_shared<Caller>(Seed);
+const Callers::Workload Callers::Usual = {
+    .MinInterval_ = 100ms,
+    .MaxInterval_ = 700ms,
+    .MinRunTime_ = 20ms,
+    .MaxRunTime_ = 1500ms,
+    .MinTasks_ = 1,
+    .MaxTasks_ = 4,
+    .MaxRefusals_ = 6,
+    .MayStand_ = true,
+};
+
+// Callers give up early: an attempt after an untrue refusal finds the job
+// accepted, which hides the fault.
+const Callers::Workload Callers::Crowd = {
+    .MinInterval_ = 20ms,
+    .MaxInterval_ = 200ms,
+    .MinRunTime_ = 100ms,
+    .MaxRunTime_ = 400ms,
+    .MinTasks_ = 8,
+    .MaxTasks_ = 16,
+    .MaxRefusals_ = 2,
+    .MayStand_ = false,
+};
+
+Callers::CallerPtr Callers::makeCaller(std::uint64_t Seed,
+                                       const Workload &Load) const {
+  const auto Result = std::make_shared<Caller>(Seed, Load);
   for (std::size_t I = 0; I < Entries_.count(); ++I)
     Result->Clients_.push_back(std::make_unique<framework::http::Client>(
         Io_, Entries_.callerAddress(I)));
@@ -44,20 +65,39 @@
 }
 
 void Callers::start(std::size_t Count, std::uint64_t Seed) {
+  startCallers(Count, Seed, Usual);
+}
+
+std::function<void()> Callers::startCrowd(std::size_t Count,
+                                          std::uint64_t Seed) {
+  return [Started = startCallers(Count, Seed, Crowd)] {
+    for (const CallerPtr &Each : Started)
+      Each->Stopped_ = true;
+  };
+}
+
+std::vector<Callers::CallerPtr> Callers::startCallers(std::size_t Count,
+                                                      std::uint64_t Seed,
+                                                      const Workload &Load) {
   Random Generator(Seed);
-  for (std::size_t I = 0; I < Count; ++I)
+  std::vector<CallerPtr> Started;
+  for (std::size_t I = 0; I < Count; ++I) {
+    Started.push_back(makeCaller(Generator.split(), Load));
     framework::fibers::spawn(
-        [this, Self = makeCaller(Generator.split())] { submitLoop(Self); });
+        [this, Self = Started.back()] { submitLoop(Self); });
+  }
+  return Started;
 }
 
 void Callers::submitLoop(const CallerPtr &Self) {
-  while (!Stopping_) {
+  while (!Stopping_ && !Self->Stopped_) {
     JobRecord &Job = createJob(*Self);
     framework::fibers::spawn([this, Self, &Job] {
       submit(*Self, Job);
       pollUntilDone(*Self, Job);
     });
-    sleepFor(Self->Random_.between(100ms, 700ms));
+    sleepFor(Self->Random_.between(Self->Load_.MinInterval_,
+                                   Self->Load_.MaxInterval_));
   }
 }
 
@@ -70,11 +110,13 @@
   const auto Standing = std::ranges::count_if(Jobs_, [](const JobRecord &Each) {
     return Each.Standing_ && !Each.CancelAcknowledged_ && !Each.Refused_;
   });
-  Job.Standing_ = Standing < MaxStandingJobs && Self.Random_.oneIn(4);
+  Job.Standing_ = Self.Load_.MayStand_ && Standing < MaxStandingJobs &&
+                  Self.Random_.oneIn(4);
   const bool TwoSteps = !Job.Standing_ && Self.Random_.oneIn(3);
   for (int Step = 0; Step < (TwoSteps ? 2 : 1); ++Step)
-    Job.Tasks_.push_back(
-        static_cast<std::uint32_t>(1 + Self.Random_.below(MaxTasksPerStep)));
+    Job.Tasks_.push_back(static_cast<std::uint32_t>(
+        Self.Load_.MinTasks_ +
+        Self.Random_.below(Self.Load_.MaxTasks_ - Self.Load_.MinTasks_ + 1)));
   Jobs_.push_back(Job);
   return Jobs_.back();
 }
@@ -103,10 +145,12 @@
 }
 
 void Callers::submit(Caller &Self, JobRecord &Job) {
-  const std::string Body = makeJobBody(Job.Tasks_, Job.Standing_,
-                                       Self.Random_.between(20ms, 1500ms));
+  const std::string Body = makeJobBody(
+      Job.Tasks_, Job.Standing_,
+      Self.Random_.between(Self.Load_.MinRunTime_, Self.Load_.MaxRunTime_));
   std::string ResponseBody;
-  const std::uint64_t RefusalLimit = 1 + Self.Random_.below(MaxRefusals);
+  const std::uint64_t RefusalLimit =
+      1 + Self.Random_.below(Self.Load_.MaxRefusals_);
   bool OnlyRefused = true;
   for (std::uint64_t Attempt = 1; !Job.Accepted_; ++Attempt) {
     const int Status = call(Self, "POST", Job.Id_.str(), Body, ResponseBody);
@@ -169,7 +213,7 @@
 }
 
 bool Callers::allEntriesServe() {
-  const CallerPtr Self = makeCaller(0);
+  const CallerPtr Self = makeCaller(0, Usual);
   for (const auto &Client : Self->Clients_) {
     const auto Response =
         Client->exchange(makeJobRequest("GET", ""),
@@ -181,7 +225,7 @@
 }
 
 std::vector<std::string> Callers::checkFinalStates() {
-  const CallerPtr Self = makeCaller(0);
+  const CallerPtr Self = makeCaller(0, Usual);
   std::vector<std::string> Result;
   for (const JobRecord &Job : Jobs_) {
     if (!Job.Accepted_)
--- a/soak/callers.h
+++ b/soak/callers.h
@@ -17,6 +17,9 @@
 
   /// Starts \p Count callers, whose random choices derive from \p Seed.
   void start(std::size_t Count, std::uint64_t Seed);
+  /// Starts \p Count more callers, which together submit more than the pool
+  /// can do. Returns what makes them stop submitting.
+  std::function<void()> startCrowd(std::size_t Count, std::uint64_t Seed);
   /// Stops submitting jobs; jobs already submitted are still polled.
   void stopSubmitting() { Stopping_ = true; }
   /// Whether every entry answers a request with status 200.
@@ -29,16 +32,35 @@
   std::size_t acknowledgedCancels() const { return AcknowledgedCancels_; }
 
 private:
+  /// What a caller submits; all bounds are included.
+  struct Workload {
+    milliseconds MinInterval_, MaxInterval_;
+    milliseconds MinRunTime_, MaxRunTime_;
+    std::uint64_t MinTasks_, MaxTasks_;
+    /// Upper limit of the random number of attempts after which a caller gives
+    /// up, if all of them were refused.
+    std::uint64_t MaxRefusals_;
+    bool MayStand_;
+  };
+  static const Workload Usual;
+  static const Workload Crowd;
+
   /// One caller: its random numbers and a client for each entry.
   struct Caller {
-    explicit Caller(std::uint64_t Seed) : Random_(Seed) {}
+    Caller(std::uint64_t Seed, const Workload &Load)
+        : Random_(Seed), Load_(Load) {}
 
     Random Random_;
+    const Workload &Load_;
+    /// Whether the caller's own crowd has stopped submitting.
+    bool Stopped_ = false;
     std::vector<std::unique_ptr<framework::http::Client>> Clients_;
   };
   using CallerPtr = std::shared_ptr<Caller>;
 
-  CallerPtr makeCaller(std::uint64_t Seed) const;
+  CallerPtr makeCaller(std::uint64_t Seed, const Workload &Load) const;
+  std::vector<CallerPtr> startCallers(std::size_t Count, std::uint64_t Seed,
+                                      const Workload &Load);
   void submitLoop(const CallerPtr &Self);
   /// Adds a record of a random job that has not been submitted yet.
   JobRecord &createJob(Caller &Self);
--- a/soak/entryprocesses.cpp
+++ b/soak/entryprocesses.cpp
@@ -22,6 +22,7 @@
 /// entry's port while its process is restarting.
 constexpr std::uint16_t FirstPort = 20000;
 constexpr std::uint16_t PortRange = 10000;
+constexpr const char *StorePrefix = "soak/";
 constexpr int MaxPortTries = 1000;
 /// Longer than any run, so that the states of ended jobs can be read until the
 /// run is over.
@@ -44,6 +45,10 @@
   return !Error;
 }
 
+std::string nameOf(std::size_t Index) {
+  return "entry-" + std::to_string(Index);
+}
+
 bool isExpectedExit(int Code, const std::set<int> &Sent) {
   return (Code == 0 && Sent.contains(SIGTERM)) ||
          (Code == SignalExitBase + SIGKILL && Sent.contains(SIGKILL));
@@ -98,7 +103,7 @@
   const std::string Platform = LocalAddress(PlatformPorts_[Index]);
   const json::object Settings{
       {"kind", "cell"},
-      {"name", "entry-" + std::to_string(Index)},
+      {"name", nameOf(Index)},
       {"zone", "z" + std::to_string(Index)},
       {"listen",
        json::object{{"callers", callerAddress(Index).str()},
@@ -106,7 +111,7 @@
                     {"peers", LocalAddress(peerPort(Index))},
                     {"peersAdvertised", LocalAddress(PeerProxyPorts_[Index])},
                     {"metrics", AnyPort}}},
-      {"store", json::object{{"address", Platform}, {"prefix", "soak/"}}},
+      {"store", json::object{{"address", Platform}, {"prefix", StorePrefix}}},
       {"services", json::object{{"machines", Platform}}},
       {"peerKeys",
        json::object{{"public", PublicKey_}, {"secret", SecretKey_}}},
@@ -125,7 +130,18 @@
 
 std::string EntryProcesses::filePath(std::size_t Index,
                                      const std::string &Suffix) const {
-  return Folder_ + "/entry-" + std::to_string(Index) + "." + Suffix;
+  return Folder_ + "/" + nameOf(Index) + "." + Suffix;
+}
+
+journal::CellKeys EntryProcesses::cellKeys() {
+  return journal::CellKeys(std::string(StorePrefix) + "cell/0/");
+}
+
+std::size_t EntryProcesses::indexOf(const std::string &Name) const {
+  std::size_t Index = 0;
+  while (Index < Count_ && nameOf(Index) != Name)
+    ++Index;
+  return Index;
 }
 
 pid_t EntryProcesses::processId(std::size_t Index) const {
--- a/soak/entryprocesses.h
+++ b/soak/entryprocesses.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "framework/http/httptypes.h"
+#include "journal/leader.h"
 #include "soak/invariants.h"
 
 #include <csignal>
@@ -34,7 +35,12 @@
   /// settings that can be reloaded at run time change.
   absl::Status changeSettings(std::size_t Index, std::uint64_t Choice);
 
+  /// Keys of the entries' cell in the platform's store.
+  static journal::CellKeys cellKeys();
+
   std::size_t count() const { return Count_; }
+  /// Index of the entry with this name; count() if there is none.
+  std::size_t indexOf(const std::string &Name) const;
   framework::http::Address callerAddress(std::size_t Index) const {
     return {"127.0.0.1", Ports_[Index]};
   }
@@ -42,6 +48,8 @@
   std::uint16_t peerPort(std::size_t Index) const {
     return Ports_[Count_ + Index];
   }
+  /// Path of an entry's file in the folder.
+  std::string filePath(std::size_t Index, const std::string &Suffix) const;
   /// Process id of the entry, 0 while no process runs.
   pid_t processId(std::size_t Index) const;
   /// Sends signal \p Number to \p Process if that is still this entry's
@@ -55,7 +63,6 @@
   std::vector<std::string> missingExits() const;
 
 private:
-  std::string filePath(std::size_t Index, const std::string &Suffix) const;
   std::map<pid_t, int> exits(std::size_t Index) const;
   absl::Status writeEntry(std::size_t Index, bool Debug,
                           double MoveSeconds) const;
--- a/soak/faultinjector.cpp
+++ b/soak/faultinjector.cpp
@@ -19,6 +19,12 @@
 /// One injection in this many injects BurstSize faults at once.
 constexpr std::uint64_t BurstOdds = 6;
 constexpr int BurstSize = 3;
+/// About as late as a process is that has little processor time.
+constexpr auto MinBriefPause = 150ms;
+constexpr auto MaxBriefPause = 400ms;
+constexpr auto MaxBetweenBriefPauses = 300ms;
+/// Callers that submit more than the pool can do.
+constexpr std::size_t CrowdSize = 10;
 constexpr auto PollInterval = 20ms;
 
 void noRevert() {}
@@ -30,6 +36,7 @@
     {"kill-all", &FaultInjector::killAll},
     {"stop", &FaultInjector::stop},
     {"freeze", &FaultInjector::freeze},
+    {"pause-briefly", &FaultInjector::pauseBriefly},
     {"change-settings", &FaultInjector::changeSettings},
     {"block-store-access", &FaultInjector::blockStoreAccess},
     {"refuse-store-calls", &FaultInjector::refuseStoreCalls},
@@ -50,15 +57,27 @@
     {"lose-start-answers", &FaultInjector::loseStartAnswers},
     {"late-starts", &FaultInjector::lateStarts},
     {"wave", &FaultInjector::wave},
+    {"crowd", &FaultInjector::crowd},
 };
 
 FaultInjector::FaultInjector(CellPlatform &Platform, EntryProcesses &Entries,
+                             Callers &Workload,
                              std::vector<std::uint16_t> PlatformPorts,
                              ProxySet &Proxies, std::size_t MachineCount,
                              std::uint64_t Seed)
-    : Platform_(Platform), Entries_(Entries), Proxies_(Proxies),
-      PlatformPorts_(std::move(PlatformPorts)), MachineCount_(MachineCount),
-      Random_(Seed) {}
+    : Platform_(Platform), Entries_(Entries), Callers_(Workload),
+      Proxies_(Proxies), PlatformPorts_(std::move(PlatformPorts)),
+      MachineCount_(MachineCount), Random_(Seed) {}
+
+bool FaultInjector::isKind(std::string_view Name) {
+  return std::ranges::find(Kinds, Name, &Kind::Name_) != Kinds.end();
+}
+
+void FaultInjector::limitTo(const std::vector<std::string> &Names) {
+  std::erase_if(Kinds_, [&](const Kind &Each) {
+    return std::ranges::find(Names, Each.Name_) == Names.end();
+  });
+}
 
 void FaultInjector::injectFor(milliseconds Time) {
   const auto Until = framework::clock::SteadyClock().now() + Time;
@@ -73,7 +92,7 @@
 }
 
 void FaultInjector::injectOne() {
-  const Kind &Drawn = Kinds[Random_.below(Kinds.size())];
+  const Kind &Drawn = Kinds_[Random_.below(Kinds_.size())];
   const auto Length = Random_.between(MinFaultTime, MaxFaultTime);
   framework::log::info("soak.fault")
       .field("kind", Drawn.Name_)
@@ -130,7 +149,38 @@
 }
 
 FaultInjector::Revert FaultInjector::freeze() {
-  const std::size_t Entry = randomEntry();
+  return stopProcess(randomEntry());
+}
+
+FaultInjector::Revert FaultInjector::pauseBriefly() {
+  const auto Over = std::make_shared<bool>(false);
+  framework::fibers::spawn([this, Over] { pauseInSeries(Over); });
+  return [Over] { *Over = true; };
+}
+
+void FaultInjector::pauseInSeries(const std::shared_ptr<bool> &Over) {
+  ++Active_;
+  while (!*Over) {
+    const Revert Resume = stopProcess(leaderOrRandomEntry());
+    sleepFor(Random_.between(MinBriefPause, MaxBriefPause));
+    Resume();
+    sleepFor(Random_.between(0ms, MaxBetweenBriefPauses));
+  }
+  --Active_;
+}
+
+std::size_t FaultInjector::leaderOrRandomEntry() {
+  const auto Head = Platform_.read(EntryProcesses::cellKeys().head());
+  const auto Leader =
+      Head ? journal::decodeLeader(*Head, fleet::Revision(0)) : std::nullopt;
+  const std::size_t Index =
+      Leader ? Entries_.indexOf(Leader->Entry_.str()) : Entries_.count();
+  const std::size_t Other = randomEntry();
+  const bool AskLeader = Random_.oneIn(2);
+  return AskLeader && Index < Entries_.count() ? Index : Other;
+}
+
+FaultInjector::Revert FaultInjector::stopProcess(std::size_t Entry) {
   const pid_t Process = Entries_.processId(Entry);
   return applyShared("freeze" + std::to_string(Process),
                      [this, Entry, Process](bool On) {
@@ -312,4 +362,8 @@
   return noRevert;
 }
 
+FaultInjector::Revert FaultInjector::crowd() {
+  return Callers_.startCrowd(CrowdSize, Random_.split());
+}
+
 } // namespace laburnumspread::soak
--- a/soak/faultinjector.h
+++ b/soak/faultinjector.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "platform/standin/cellplatform.h"
-#include "soak/entryprocesses.h"
+#include "soak/callers.h"
 #include "soak/faultproxy.h"
 #include "soak/random.h"
 
@@ -24,9 +24,14 @@
   /// \p PlatformPorts holds the platform's port for each entry, behind the
   /// proxy; \p Seed determines all random choices.
   FaultInjector(CellPlatform &Platform, EntryProcesses &Entries,
-                std::vector<std::uint16_t> PlatformPorts, ProxySet &Proxies,
-                std::size_t MachineCount, std::uint64_t Seed);
+                Callers &Workload, std::vector<std::uint16_t> PlatformPorts,
+                ProxySet &Proxies, std::size_t MachineCount,
+                std::uint64_t Seed);
 
+  /// Whether there is a kind of fault with this name.
+  static bool isKind(std::string_view Name);
+  /// Injects only faults of these kinds from now on.
+  void limitTo(const std::vector<std::string> &Names);
   /// Injects faults for \p Time and returns when all have been reverted.
   void injectFor(milliseconds Time);
   /// Number of faults injected so far.
@@ -46,6 +51,8 @@
   /// \p What begins, and with false when the last of them is reverted.
   Revert applyShared(const std::string &What,
                      const std::function<void(bool)> &Set);
+  /// The entry that the store names as the leader, or a random one.
+  std::size_t leaderOrRandomEntry();
   std::size_t randomEntry() { return Random_.below(Entries_.count()); }
   /// Calls applyShared for the platform port of a random entry.
   Revert onPlatformPort(const std::string &What,
@@ -56,6 +63,11 @@
   Revert killAll();
   Revert stop();
   Revert freeze();
+  Revert pauseBriefly();
+  /// Stops and resumes entries in turn until \p Over is true.
+  void pauseInSeries(const std::shared_ptr<bool> &Over);
+  /// Overlaps with other faults that stop the process.
+  Revert stopProcess(std::size_t Entry);
   Revert changeSettings();
   // Requests through an entry's platform port.
   Revert blockStoreAccess();
@@ -80,6 +92,8 @@
   Revert loseStartAnswers();
   Revert lateStarts();
   Revert wave();
+  // Callers.
+  Revert crowd();
 
   /// Blocks one entry's proxy upstream, downstream or both.
   Revert cut(const std::string &What, std::deque<FaultProxy> &Proxies);
@@ -89,10 +103,12 @@
 
   CellPlatform &Platform_;
   EntryProcesses &Entries_;
+  Callers &Callers_;
   ProxySet &Proxies_;
   std::vector<std::uint16_t> PlatformPorts_;
   std::size_t MachineCount_;
   Random Random_;
+  std::vector<Kind> Kinds_ = Kinds;
   std::map<std::string, int> ActiveByName_;
   std::size_t Active_ = 0;
   std::size_t Count_ = 0;
--- a/soak/soak.cpp
+++ b/soak/soak.cpp
@@ -5,6 +5,7 @@
 #include "framework/log/log.h"
 #include "platform/standin/testrequests.h"
 #include "soak/callers.h"
+#include "soak/entrylogs.h"
 #include "soak/faultinjector.h"
 
 #include <filesystem>
@@ -43,6 +44,8 @@
   std::string Folder_;
   std::uint64_t Seed_ = 1;
   std::size_t Entries_ = 3;
+  /// Kinds of faults to inject; empty for all.
+  std::vector<std::string> Faults_;
   milliseconds FaultTime_{};
 };
 
@@ -51,7 +54,7 @@
 public:
   SoakRun(boost::asio::io_context &Io, const Options &RunOptions)
       : Options_(RunOptions), Random_(RunOptions.Seed_), Platform_(Io),
-        Entries_(RunOptions.Folder_, RunOptions.Entries_),
+        Entries_(RunOptions.Folder_, RunOptions.Entries_), EntryLogs_(Entries_),
         Callers_(Io, Entries_, Jobs_, FindingLog_), Io_(Io) {}
 
   absl::Status prepare();
@@ -86,6 +89,7 @@
   EntryProcesses Entries_;
   JobRecords Jobs_;
   FindingLog FindingLog_;
+  EntryLogs EntryLogs_;
   Callers Callers_;
   std::vector<std::uint16_t> PlatformPorts_;
   boost::asio::io_context &Io_;
@@ -171,6 +175,7 @@
     while (true) {
       sleepFor(PollInterval);
       FindingLog_.report(findSafetyViolations(Jobs_, ledger()));
+      FindingLog_.report(EntryLogs_.readContradictions());
       framework::log::flush();
     }
   });
@@ -212,6 +217,7 @@
   FindingLog_.report(unusedProxies());
   FindingLog_.report(Entries_.unexpectedExits());
   FindingLog_.report(findSafetyViolations(Jobs_, ledger()));
+  FindingLog_.report(EntryLogs_.readContradictions());
 }
 
 void SoakRun::run() {
@@ -220,8 +226,10 @@
     return Callers_.allEntriesServe() ? Findings()
                                       : Findings{"an entry does not serve"};
   });
-  FaultInjector Injector(Platform_, Entries_, PlatformPorts_, Proxies_,
-                         MachineCount, Random_.split());
+  FaultInjector Injector(Platform_, Entries_, Callers_, PlatformPorts_,
+                         Proxies_, MachineCount, Random_.split());
+  if (!Options_.Faults_.empty())
+    Injector.limitTo(Options_.Faults_);
   Callers_.start(CallerCount, Random_.split());
   for (milliseconds Left = Options_.FaultTime_;
        Left > 0ms && !FindingLog_.hasFindings();) {
@@ -280,17 +288,26 @@
       "seconds", "how long faults are injected",
       cxxopts::value<int>()->default_value("20"))(
       "entries", "number of entries",
-      cxxopts::value<std::size_t>()->default_value("3"))("help",
-                                                         "print this help");
+      cxxopts::value<std::size_t>()->default_value("3"))(
+      "faults", "kinds of faults to inject, separated by commas; default: all",
+      cxxopts::value<std::vector<std::string>>())("help", "print this help");
   try {
     const auto Given = Parser.parse(ArgCount, Args);
     if (Given.count("help") || !Given.count("folder")) {
       std::cout << Parser.help() << '\n';
       return Given.count("help") ? 0 : BadUsage;
     }
+    std::vector<std::string> Faults;
+    if (Given.count("faults"))
+      Faults = Given["faults"].as<std::vector<std::string>>();
+    for (const std::string &Name : Faults)
+      if (!FaultInjector::isKind(Name)) {
+        std::cerr << "laburnum-soak: --faults: no such kind: " << Name << '\n';
+        return BadUsage;
+      }
     return serve({Given["folder"].as<std::string>(),
                   Given["seed"].as<std::uint64_t>(),
-                  Given["entries"].as<std::size_t>(),
+                  Given["entries"].as<std::size_t>(), Faults,
                   std::chrono::seconds(Given["seconds"].as<int>())});
   } catch (const cxxopts::exceptions::exception &Error) {
     std::cerr << "laburnum-soak: " << Error.what() << '\n';
