--- a/src/cell/callrouter.h
+++ b/src/cell/callrouter.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "cell/answeredcalls.h"
-#include "cell/callattempts.h"
 #include "cell/callrelays.h"
+#include "cell/callreplies.h"
 #include "framework/clock/steadyclock.h"
 #include "framework/fibers/spawn.h"
 #include "framework/fibers/waiter.h"
@@ -78,8 +78,11 @@
 private:
   /// A call that waits for its answer.
   struct PendingCall {
+    explicit PendingCall(peers::JobCall Call)
+        : Call_(std::move(Call)), Replies_(Call_.Kind_) {}
+
     peers::JobCall Call_;
-    CallAttempts Attempts_;
+    CallReplies Replies_;
     /// The leader that was asked last.
     journal::Leader Asked_;
     framework::fibers::WaiterPtr Wake_;
@@ -87,9 +90,6 @@
     bool LeaderDenied_ = false;
     /// Whether a relay has forwarded the call.
     bool Forwarded_ = false;
-    /// The latest rejection. It is the answer once no attempt can be accepted.
-    std::optional<peers::JobReply> Rejection_;
-    std::optional<peers::JobReply> Answer_;
   };
 
   static Duration resendInterval(std::uint32_t Attempts);
@@ -100,7 +100,6 @@
   void pauseAfterDenial(const PendingCall &Own) const;
   /// Evaluates a reply to one of the attempts.
   static void acceptReply(PendingCall &Own, const peers::JobReply &Reply);
-  static peers::JobReply answerOf(const PendingCall &Own);
 
   Routes Routes_;
   std::uint64_t Next_ = 1;
--- a/src/cell/cellservice.h
+++ b/src/cell/cellservice.h
@@ -133,10 +133,10 @@
           Answer.ConfigVersion_ = Version;
           Reply(Answer);
         };
-    if (!leads() || isForAnotherTerm(Call))
+    if (!leads() || isForAnotherTerm(Call, Term_->tokens()))
       return Complete({Call.Sequence_, peers::JobCallStatus::NotLeader, "", 0,
                        0, 0, toNotice(leader())});
-    if (!Calls_->earlierReply(Call))
+    if (!Calls_->earlierRejection(Call))
       if (const auto Refusal = refusalFor(Call))
         return Calls_->reject(Call, *Refusal, Complete);
     Calls_->handle(Call, Elector_.leaving(), Complete);
@@ -156,23 +156,12 @@
     return Result;
   }
 
-  /// Whether a change was sent to a leader of another term than this. The entry
-  /// that sent it takes a rejection by the leader of a term as the answer to
-  /// all that it sent to that term and earlier ones; a late message must not be
-  /// accepted by a later term then.
-  bool isForAnotherTerm(const peers::JobCall &Call) const {
-    const jobs::FencingToken Meant(Call.Token_);
-    return peers::changesJobs(Call.Kind_) && Call.Token_ != 0 &&
-           (Meant < Term_->FirstToken_ || Meant > Term_->Token_);
-  }
-
   /// Returns the status to refuse a call with under a newer configuration, or
   /// nullopt. A resent submission whose job is already stored is not refused.
   std::optional<peers::JobCallStatus>
   refusalFor(const peers::JobCall &Call) const {
     const auto Refusal = refusalByNewerConfig(Config_, Call);
-    if (!Refusal || (Call.Kind_ == peers::JobCallKind::Submit &&
-                     Term_->Table_.find(jobs::JobId(Call.Job_))))
+    if (!Refusal || isSubmitted(Call, Term_->Table_))
       return std::nullopt;
     framework::log::info("call.refused_by_newer_config")
         .field("queue", Call.Queue_)
--- a/src/cell/internal/rejectedcalls.cpp
+++ b/src/cell/internal/rejectedcalls.cpp
@@ -13,7 +13,7 @@
   Entry &From = Entries_[Call.Caller_];
   From.LastAt_ = Now;
   From.Replies_.emplace(Call.Sequence_, Rejection);
-  if (From.Replies_.size() <= MaxCallsPerEntry)
+  if (From.Replies_.size() <= MaxCalls_)
     return;
   From.ForgottenThrough_ =
       std::max(From.ForgottenThrough_, From.Replies_.begin()->first);
--- a/src/cell/jobcallhandler.h
+++ b/src/cell/jobcallhandler.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "cell/callrules.h"
 #include "cell/refusedjobs.h"
-#include "cell/rejectedcalls.h"
 #include "cell/workersessions.h"
 #include "peers/messages.h"
 
@@ -35,8 +35,8 @@
   /// is not decided anew.
   void handle(const peers::JobCall &Call, bool Leaving,
               const JobReplyFn &Reply) {
-    if (const auto Before = earlierReply(Call))
-      return reply(Call, *Before, Reply);
+    if (const auto Before = earlierRejection(Call))
+      return reject(Call, *Before, Reply);
     switch (Call.Kind_) {
     case peers::JobCallKind::Submit:
       return submit(Call, Leaving, Reply);
@@ -50,25 +50,17 @@
     }
   }
 
-  /// Returns the answer to a call of which an earlier attempt was rejected, or
+  /// Returns the reply to a call of which an earlier attempt was rejected, or
   /// may have been; nullopt for any other.
   std::optional<peers::JobReply>
-  earlierReply(const peers::JobCall &Call) const {
-    if (!peers::changesJobs(Call.Kind_))
-      return std::nullopt;
-    if (const auto Rejection = Rejected_.find(Call))
-      return Rejection;
-    if (Rejected_.mayBeForgotten(Call))
-      return replyToForgotten(Call);
-    return std::nullopt;
+  earlierRejection(const peers::JobCall &Call) const {
+    return cell::earlierRejection(Call, Rejected_, Term_->Table_);
   }
 
   /// Rejects a call, and each later attempt of it during this term.
   void reject(const peers::JobCall &Call, const peers::JobReply &Rejection,
               const JobReplyFn &Reply) {
-    if (peers::changesJobs(Call.Kind_))
-      Rejected_.add(Call, Rejection, Term_->now());
-    reply(Call, Rejection, Reply);
+    Reply(rejectCall(Call, Rejection, Term_->Token_, Rejected_, Term_->now()));
   }
   void reject(const peers::JobCall &Call, peers::JobCallStatus Status,
               const JobReplyFn &Reply) {
@@ -78,29 +70,6 @@
   }
 
 private:
-  void reply(const peers::JobCall &Call, peers::JobReply Answer,
-             const JobReplyFn &Reply) const {
-    Answer.Sequence_ = Call.Sequence_;
-    Answer.Token_ = Term_->Token_.value();
-    Reply(Answer);
-  }
-
-  /// A submission that was accepted is in the table. Of a cancel it is not
-  /// known what became of its earlier attempts.
-  std::optional<peers::JobReply>
-  replyToForgotten(const peers::JobCall &Call) const {
-    if (Term_->Table_.find(jobs::JobId(Call.Job_)) &&
-        Call.Kind_ == peers::JobCallKind::Submit)
-      return std::nullopt;
-    peers::JobReply Result;
-    if (Call.Kind_ == peers::JobCallKind::Cancel)
-      return Result;
-    Result.Status_ = peers::JobCallStatus::Refused;
-    Result.Refusal_ = peers::RefusalReason::LeaderBusy;
-    Result.RetryAfterMs_ = static_cast<std::uint64_t>(toMs(OverloadRetryAfter));
-    return Result;
-  }
-
   /// Whether the outcome of a commit would not be known in time. A job accepted
   /// now could only be answered with an unknown outcome.
   bool storeUnavailable() const {
--- a/src/cell/rejectedcalls.h
+++ b/src/cell/rejectedcalls.h
@@ -28,6 +28,10 @@
   static constexpr framework::clock::Duration Retention =
       std::chrono::minutes(10);
 
+  /// At most \p MaxCalls rejected calls of an entry are remembered one by one.
+  explicit RejectedCalls(std::size_t MaxCalls = MaxCallsPerEntry)
+      : MaxCalls_(MaxCalls) {}
+
   /// Records the rejection of a call. Calls without a number are not recorded.
   void add(const peers::JobCall &Call, const peers::JobReply &Rejection,
            TimePoint Now);
@@ -49,6 +53,7 @@
 
   void forgetSilentEntries(TimePoint Now);
 
+  std::size_t MaxCalls_;
   std::map<peers::MemberId, Entry> Entries_;
 };
 
--- a/src/cell/term.h
+++ b/src/cell/term.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "cell/callrules.h"
 #include "cell/commitqueue.h"
 #include "cell/leaderload.h"
 #include "cell/termgauges.h"
@@ -50,6 +51,8 @@
         .field("reason", Reason);
   }
 
+  TermTokens tokens() const { return {FirstToken_, Token_}; }
+
   /// Whether the leadership has ended; fibers of the term then stop.
   bool ended() const { return Ended_ || !Leadership_.holds(TermNumber_); }
 
