A rejection is the answer as soon as the last open attempt was not processed

What callers saw: a caller waited until its deadline and was told "unknown", although the only attempt that any leader had processed was refused.

Cause: a refusal by a former leader is kept while an attempt to a later one is open. If the reply to that one is "not the leader", no attempt is open, but only a further rejection ended the call; it was sent again instead, and an unanswered third attempt made the outcome unknown.

Why the fix works: after each reply, whatever its kind, the kept rejection becomes the answer once no attempt may have been accepted. cell passes.

--- a/src/cell/internal/callreplies.cpp
+++ b/src/cell/internal/callreplies.cpp
@@ -8,16 +8,18 @@
 void CallReplies::add(const JobReply &Reply) {
   if (Answer_)
     return;
-  if (Reply.Status_ == JobCallStatus::NotLeader)
-    return Attempts_.notProcessed(Reply.Attempt_);
-  if (!peers::changesJobs(Kind_) || !peers::isRejection(Reply.Status_)) {
+  const bool Rejected =
+      peers::changesJobs(Kind_) && peers::isRejection(Reply.Status_);
+  if (Reply.Status_ == JobCallStatus::NotLeader) {
+    Attempts_.notProcessed(Reply.Attempt_);
+  } else if (Rejected) {
+    Attempts_.rejected(Reply.Attempt_, jobs::FencingToken(Reply.Token_));
+    Rejection_ = Reply;
+  } else {
     Answer_ = Reply;
-    return;
   }
-  Attempts_.rejected(Reply.Attempt_, jobs::FencingToken(Reply.Token_));
-  Rejection_ = Reply;
-  if (!Attempts_.mayHaveBeenAccepted())
-    Answer_ = Reply;
+  if (!Answer_ && !Attempts_.mayHaveBeenAccepted())
+    Answer_ = Rejection_;
 }
 
 JobReply CallReplies::answerAtDeadline() const {
@@ -27,7 +29,7 @@
   if (Attempts_.mayHaveBeenAccepted())
     return Result;
   Result.Status_ = JobCallStatus::Refused;
-  return Rejection_.value_or(Result);
+  return Result;
 }
 
 } // namespace laburnumspread::cell
--- a/src/cell/tests/lateleadertest.cpp
+++ b/src/cell/tests/lateleadertest.cpp
@@ -23,12 +23,13 @@
     return Result;
   }
 
-  CallResult submitThroughRouter(const jobs::JobSpec &Spec) {
+  CallResult submitThroughRouter(const jobs::JobSpec &Spec,
+                                 Duration Timeout = 1min) {
     peers::JobCall Call;
     Call.Kind_ = peers::JobCallKind::Submit;
     Call.Job_ = Spec.Id_.str();
     Call.Spec_ = jobs::encodeGroup({jobs::JobAccepted{Spec}});
-    const TimePoint Until = framework::clock::SteadyClock().now() + 1min;
+    const TimePoint Until = framework::clock::SteadyClock().now() + Timeout;
     return Router_.call(std::move(Call), Until, Until);
   }
 
@@ -117,6 +118,30 @@
   BOOST_TEST(Router_.contradictedCalls() == 0u);
 }
 
+// Guards against a caller that is told "unknown" although the only attempt that
+// was processed was refused.
+BOOST_AUTO_TEST_CASE(RefusalIsReturnedOnceNoAttemptIsOpen) {
+  const jobs::JobSpec Job = job("0000000000000001");
+  spawnLeaders([this] {
+    waitForAttempts(1);
+    Known_ = leaderWith(Known_.Token_.value() + 1);
+    Router_.resendAll();
+    waitForAttempts(2);
+    fillPool();
+    handle(Waiting_[0]);
+    peers::JobReply Denial;
+    Denial.Sequence_ = Waiting_[1].Call_.Sequence_;
+    Denial.Attempt_ = Waiting_[1].Call_.Attempt_;
+    Denial.Status_ = JobCallStatus::NotLeader;
+    Router_.handleReply(Denial);
+  });
+  const CallResult Result = submitThroughRouter(Job, 1s);
+  waitForLeaders();
+  BOOST_TEST((Result.Reply_.Status_ == JobCallStatus::Refused));
+  BOOST_TEST((Result.Reply_.Refusal_ == RefusalReason::PoolFull));
+  BOOST_TEST(Result.Attempts_ == 2u);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace laburnumspread::cell
