A rejection is never forgotten, only its text

What a caller could see: a refused job runs, if an attempt of its call was held up for over ten minutes within one term.

Cause: an entry without rejections for ten minutes was forgotten whole, and a late attempt of a rejected call was decided anew.

Why the fix works: of a silent entry, the bound below which calls may have been rejected stays (a few dozen bytes for each process of an entry in a term), so the late attempt is not decided anew.

--- a/src/cell/internal/rejectedcalls.cpp
+++ b/src/cell/internal/rejectedcalls.cpp
@@ -13,11 +13,7 @@
   Entry &From = Entries_[Call.Caller_];
   From.LastAt_ = Now;
   From.Replies_.emplace(Call.Sequence_, Rejection);
-  if (From.Replies_.size() <= MaxCalls_)
-    return;
-  From.ForgottenThrough_ =
-      std::max(From.ForgottenThrough_, From.Replies_.begin()->first);
-  From.Replies_.erase(From.Replies_.begin());
+  forgetAllBut(MaxCalls_, From);
 }
 
 std::optional<peers::JobReply>
@@ -37,10 +33,25 @@
          Call.Sequence_ <= From->second.ForgottenThrough_;
 }
 
+std::size_t RejectedCalls::size() const {
+  std::size_t Result = 0;
+  for (const auto &[Id, From] : Entries_)
+    Result += From.Replies_.size();
+  return Result;
+}
+
+void RejectedCalls::forgetAllBut(std::size_t Count, Entry &From) {
+  while (From.Replies_.size() > Count) {
+    From.ForgottenThrough_ =
+        std::max(From.ForgottenThrough_, From.Replies_.begin()->first);
+    From.Replies_.erase(From.Replies_.begin());
+  }
+}
+
 void RejectedCalls::forgetSilentEntries(TimePoint Now) {
-  std::erase_if(Entries_, [Now](const auto &Item) {
-    return Now - Item.second.LastAt_ > Retention;
-  });
+  for (auto &[Id, From] : Entries_)
+    if (Now - From.LastAt_ > Retention)
+      forgetAllBut(0, From);
 }
 
 } // namespace laburnumspread::cell
--- a/src/cell/rejectedcalls.h
+++ b/src/cell/rejectedcalls.h
@@ -22,9 +22,8 @@
 
   /// Rejected calls of an entry that are remembered one by one.
   static constexpr std::size_t MaxCallsPerEntry = 256;
-  /// An entry that has had no call rejected for this long is forgotten, as
-  /// entries restart and each has a new name then. Its attempts are sent within
-  /// seconds of each other.
+  /// Of an entry that has had no call rejected for this long, only the bound is
+  /// kept. Entries restart, and each process counts as another.
   static constexpr framework::clock::Duration Retention =
       std::chrono::minutes(10);
 
@@ -40,8 +39,8 @@
   std::optional<peers::JobReply> find(const peers::JobCall &Call) const;
   /// Whether the call is so old that a rejection of it may be forgotten.
   bool mayBeForgotten(const peers::JobCall &Call) const;
-  /// Number of entries with rejected calls.
-  std::size_t entries() const { return Entries_.size(); }
+  /// Number of calls that are remembered one by one.
+  std::size_t size() const;
 
 private:
   struct Entry {
@@ -51,6 +50,8 @@
     TimePoint LastAt_{};
   };
 
+  /// Forgets the oldest calls of the entry, but for the given number.
+  static void forgetAllBut(std::size_t Count, Entry &From);
   void forgetSilentEntries(TimePoint Now);
 
   std::size_t MaxCalls_;
