A cancel that was carried out is not answered with a rejection

What callers saw: 401, 404 or 503 for a cancel that was carried out.

Cause: a rejection closes all attempts that were meant for the leader of a term or earlier ones, on the ground that this leader knows what they brought about. That held for submissions, whose job is in the tables.

Why the fix works: one check for both kinds, isMade(): no attempt is rejected if the tables hold what the call asks for, a job or a cancelled job. A job that is still open is not cancelled by a withdrawn key. OldCallsAreAnsweredByWhatIsKnown now asks for "refused" in place of "unknown" for an old cancel of an open job, which is more: it is checked that the job stays open.

--- a/src/cell/callrules.h
+++ b/src/cell/callrules.h
@@ -17,9 +17,10 @@
 /// accepted by a later term then.
 bool isForAnotherTerm(const peers::JobCall &Call, const TermTokens &Own);
 
-/// Whether the call is a submission whose job the leader has accepted. No
-/// attempt of it is rejected any more.
-bool isSubmitted(const peers::JobCall &Call, const jobs::CellTable &Table);
+/// Whether the tables hold what the call asks for: the job of a submission, or
+/// a cancelled job. An earlier attempt may have brought that about, so no
+/// attempt is rejected any more.
+bool isMade(const peers::JobCall &Call, const jobs::CellTable &Table);
 
 /// Returns the reply to a call of which an earlier attempt was rejected, or may
 /// have been; nullopt for any other.
--- a/src/cell/cellservice.h
+++ b/src/cell/cellservice.h
@@ -136,9 +136,8 @@
     if (!leads() || isForAnotherTerm(Call, Term_->tokens()))
       return Complete({Call.Sequence_, peers::JobCallStatus::NotLeader, "", 0,
                        0, 0, toNotice(leader())});
-    if (!Calls_->earlierRejection(Call))
-      if (const auto Refusal = refusalFor(Call))
-        return Calls_->reject(Call, *Refusal, Complete);
+    if (const auto Refusal = Calls_->refusalUnder(Config_, Call))
+      return Calls_->reject(Call, *Refusal, Complete);
     Calls_->handle(Call, Elector_.leaving(), Complete);
   }
 
@@ -156,20 +155,6 @@
     return Result;
   }
 
-  /// Returns the status to refuse a call with under a newer configuration, or
-  /// nullopt. A resent submission whose job is already stored is not refused.
-  std::optional<peers::JobCallStatus>
-  refusalFor(const peers::JobCall &Call) const {
-    const auto Refusal = refusalByNewerConfig(Config_, Call);
-    if (!Refusal || isSubmitted(Call, Term_->Table_))
-      return std::nullopt;
-    framework::log::info("call.refused_by_newer_config")
-        .field("queue", Call.Queue_)
-        .field("config", Config_.Version_.value())
-        .field("entry_config", Call.ConfigVersion_);
-    return Refusal;
-  }
-
   /// Whether there is a term that has replayed the journal.
   bool serving() const { return Term_ && Term_->JournalLoaded_; }
 
--- a/src/cell/internal/callrules.cpp
+++ b/src/cell/internal/callrules.cpp
@@ -16,9 +16,13 @@
          (Meant < Own.First_ || Meant > Own.Latest_);
 }
 
-bool isSubmitted(const peers::JobCall &Call, const jobs::CellTable &Table) {
-  return Call.Kind_ == peers::JobCallKind::Submit &&
-         Table.find(jobs::JobId(Call.Job_));
+bool isMade(const peers::JobCall &Call, const jobs::CellTable &Table) {
+  const jobs::JobRow *Job = Table.find(jobs::JobId(Call.Job_));
+  if (!Job)
+    return false;
+  return Call.Kind_ == peers::JobCallKind::Submit ||
+         (Call.Kind_ == peers::JobCallKind::Cancel &&
+          Job->State_ == jobs::JobState::Cancelled);
 }
 
 std::optional<peers::JobReply> earlierRejection(const peers::JobCall &Call,
@@ -28,11 +32,9 @@
     return std::nullopt;
   if (const auto Rejection = Rejected.find(Call))
     return Rejection;
-  if (!Rejected.mayBeForgotten(Call) || isSubmitted(Call, Table))
+  if (!Rejected.mayBeForgotten(Call) || isMade(Call, Table))
     return std::nullopt;
   peers::JobReply Result;
-  if (Call.Kind_ == peers::JobCallKind::Cancel)
-    return Result;
   Result.Status_ = peers::JobCallStatus::Refused;
   Result.Refusal_ = peers::RefusalReason::LeaderBusy;
   Result.RetryAfterMs_ = ForgottenRetryAfterMs;
--- a/src/cell/jobcallhandler.h
+++ b/src/cell/jobcallhandler.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "cell/callcheck.h"
 #include "cell/callrules.h"
 #include "cell/refusedjobs.h"
 #include "cell/workersessions.h"
@@ -50,11 +51,19 @@
     }
   }
 
-  /// Returns the reply to a call of which an earlier attempt was rejected, or
-  /// may have been; nullopt for any other.
-  std::optional<peers::JobReply>
-  earlierRejection(const peers::JobCall &Call) const {
-    return cell::earlierRejection(Call, Rejected_, Term_->Table_);
+  /// Returns the status to refuse a call with under a configuration that is
+  /// newer than that of the entry that admitted it, or nullopt. A change that
+  /// is made already is not refused, nor is a call decided anew.
+  std::optional<peers::JobCallStatus>
+  refusalUnder(const CellConfig &InForce, const peers::JobCall &Call) const {
+    const auto Refusal = refusalByNewerConfig(InForce, Call);
+    if (!Refusal || isMade(Call, Term_->Table_) || earlierRejection(Call))
+      return std::nullopt;
+    framework::log::info("call.refused_by_newer_config")
+        .field("queue", Call.Queue_)
+        .field("config", InForce.Version_.value())
+        .field("entry_config", Call.ConfigVersion_);
+    return Refusal;
   }
 
   /// Rejects a call, and each later attempt of it during this term.
@@ -70,6 +79,11 @@
   }
 
 private:
+  std::optional<peers::JobReply>
+  earlierRejection(const peers::JobCall &Call) const {
+    return cell::earlierRejection(Call, Rejected_, Term_->Table_);
+  }
+
   /// Whether the outcome of a commit would not be known in time. A job accepted
   /// now could only be answered with an unknown outcome.
   bool storeUnavailable() const {
--- a/src/cell/tests/callmodel.h
+++ b/src/cell/tests/callmodel.h
@@ -198,6 +198,15 @@
   std::uint64_t otherTerms() const { return OtherTerms_; }
   std::uint64_t leaderChanges() const { return LeaderChanges_; }
   std::uint64_t raisedTokens() const { return RaisedTokens_; }
+  /// Cancels that were stored although they were answered with a rejection.
+  std::uint64_t storedRejectedCancels() const {
+    return static_cast<std::uint64_t>(std::count_if(
+        Journal_.Log_.begin(), Journal_.Log_.end(),
+        [this](const CausedEvent &Item) {
+          const CallRecord &Record = Records_[Item.Record_];
+          return Record.Kind_ == JobCallKind::Cancel && Record.rejected();
+        }));
+  }
   std::uint64_t storedEvents() const { return StoredEvents_; }
   /// Events that a former leader staged and that were never stored.
   std::uint64_t lostEvents() const { return LostEvents_; }
@@ -386,7 +395,7 @@
       return reject(Leader, Item, *Before);
     }
     const bool Newer = Verdict % 7 == 0;
-    if (Newer && !isSubmitted(Item.Call_, Leader.Table_))
+    if (Newer && !isMade(Item.Call_, Leader.Table_))
       return reject(Leader, Item, JobCallStatus::UnknownKey);
     if (Item.Call_.Kind_ == JobCallKind::Submit)
       return submit(Leader, Item, Verdict % 5 < 2);
--- a/src/cell/tests/callmodeltest.cpp
+++ b/src/cell/tests/callmodeltest.cpp
@@ -14,6 +14,8 @@
 
 /// A whole schedule takes less than RejectedCalls::Retention.
 constexpr framework::clock::Duration ShortTime = std::chrono::milliseconds(50);
+/// Attempts are delayed for longer than that.
+constexpr framework::clock::Duration LongTime = std::chrono::minutes(1);
 
 rc::Gen<int> anyDetail() {
   return rc::gen::resize(MaxScheduleLength,
@@ -85,6 +87,25 @@
                 << RaisedTokens << ", stored " << Stored << ", lost " << Lost);
 }
 
+// Guards against a job that is cancelled although its caller was told that the
+// cancel was refused.
+BOOST_AUTO_TEST_CASE(RejectedCancelsAreNeverStored) {
+  BOOST_TEST(rc::check("a rejected cancel has no effect", [] {
+    Model Simulation(ShortTime);
+    run(Simulation);
+    RC_ASSERT(Simulation.storedRejectedCancels() == 0u);
+  }));
+}
+
+// Guards against a job that runs although its caller was told that it never
+// does: an attempt arrives once its leader has forgotten the rejection.
+BOOST_AUTO_TEST_CASE(RejectedJobsAreNotStoredAfterAnyDelay) {
+  BOOST_TEST(rc::check("a rejection is true for ever", [] {
+    Model Simulation(LongTime);
+    run(Simulation);
+  }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace laburnumspread::cell
--- a/src/cell/tests/jobcallhandlertest.cpp
+++ b/src/cell/tests/jobcallhandlertest.cpp
@@ -124,11 +124,42 @@
   const auto Old = handleNumbered(2, peers::JobCallKind::Submit, Other);
   checkRefused(Old, RefusalReason::LeaderBusy);
   BOOST_TEST(Old->RetryAfterMs_ > 0u);
-  const auto Cancel = handleNumbered(2, peers::JobCallKind::Cancel, Accepted);
-  BOOST_TEST((Cancel->Status_ == JobCallStatus::Unknown));
+  checkRefused(handleNumbered(2, peers::JobCallKind::Cancel, Accepted),
+               RefusalReason::LeaderBusy);
   BOOST_TEST(!Term_->Table_.find(Accepted.Id_)->ended());
 }
 
+// Guards against a cancel that is carried out although its caller was told that
+// it was rejected: its attempts are too old to be remembered by then.
+BOOST_AUTO_TEST_CASE(CancelThatWasCarriedOutIsNotRejected) {
+  const jobs::JobSpec Job = job("0000000000000001");
+  const jobs::JobSpec Unknown = job("0000000000000002");
+  submit(Job);
+  handleNumbered(1, peers::JobCallKind::Cancel, Job);
+  for (std::uint64_t I = 2; I <= RejectedCalls::MaxCallsPerEntry + 3; ++I)
+    handleNumbered(I, peers::JobCallKind::Cancel, Unknown);
+  const auto Reply = handleNumbered(1, peers::JobCallKind::Cancel, Job);
+  BOOST_TEST((!Reply || Reply->Status_ == JobCallStatus::Ok));
+}
+
+// Guards against a cancel that is carried out although its caller was told that
+// its key is unknown: the key was withdrawn between two attempts.
+BOOST_AUTO_TEST_CASE(CancelThatWasCarriedOutIsNotRefusedByANewerConfig) {
+  submit(job("0000000000000001"));
+  peers::JobCall Cancel;
+  Cancel.Kind_ = peers::JobCallKind::Cancel;
+  Cancel.Job_ = "0000000000000001";
+  Cancel.Queue_ = Queue.str();
+  Cancel.Origin_ = {"", "/q/0000000000000001", "withdrawn"};
+  CellConfig InForce;
+  InForce.Version_ = ConfigVersion(1);
+  InForce.Queues_.emplace_back().Name_ = Queue;
+  InForce.Queues_.back().PathPrefix_ = "/q/";
+  BOOST_TEST(Handler_->refusalUnder(InForce, Cancel).has_value());
+  Handler_->handle(Cancel, false, [](const peers::JobReply &) {});
+  BOOST_TEST(!Handler_->refusalUnder(InForce, Cancel).has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace laburnumspread::cell
