A machine that is busy after an unanswered order counts as ordered

What was seen: with max_allowed 1, a second machine of a wave was ordered into upkeep while the first was in its own.

Cause: an order without an answer is repeated. If the platform executed it, the machine is no longer up and the repetition may be answered "busy". That answer was taken for the order: its record was dropped, so the machine counted as up, and its worker as usable, until the next list of machines, up to a second later.

Evidence, before the fix (cell): BusyMachineCountsAsDownAfterAnUnansweredUpkeep: check Api_.Upkeeps_ == 2u has failed [3 != 2]

Why the fix works: "busy" after an unanswered attempt settles the order as acknowledged. It stays open until a list or a new worker shows the machine up. If the order was not executed (the machine was leaving), the machine is held back for the duration of an order, and the upkeep is not recorded as begun, so it is ordered again.

Measured: cell passes.

--- a/src/cell/machineorders.h
+++ b/src/cell/machineorders.h
@@ -37,16 +37,16 @@
     Table_->orderSent(Order.Machine_, MachineOrderKind::Upkeep,
                       Term_->Bounds_.UpkeepDuration_, now());
     framework::fibers::spawn([Self = this->shared_from_this(), Order] {
-      const MachineResult Result = Self->sendUntilAnswered(Order.Machine_, [&] {
+      const Answer Answered = Self->sendUntilAnswered(Order.Machine_, [&] {
         return Self->Api_.upkeep(Order.Machine_, Order.Wave_,
                                  Self->Term_->Token_);
       });
       framework::log::info("machine.upkeep")
           .field("machine", Order.Machine_.str())
           .field("wave", Order.Wave_.value())
-          .field("result", nameOf(Result));
-      Self->settleOrder(Order.Machine_, Result);
-      if (Result == MachineResult::Done && !Self->Term_->ended())
+          .field("result", nameOf(Answered.Result_));
+      Self->settleOrder(Order.Machine_, Answered);
+      if (Answered.Result_ == MachineResult::Done && !Self->Term_->ended())
         Self->Term_->Commits_.stage(
             jobs::UpkeepBegun{Order.Wave_, Order.Machine_});
     });
@@ -61,43 +61,60 @@
     Table_->orderSent(Order.Machine_, MachineOrderKind::Move,
                       Term_->Bounds_.MoveDuration_, now());
     framework::fibers::spawn([Self = this->shared_from_this(), Order] {
-      const MachineResult Result = Self->sendUntilAnswered(Order.Machine_, [&] {
+      const Answer Answered = Self->sendUntilAnswered(Order.Machine_, [&] {
         return Self->Api_.move(Order.Machine_, Order.To_, Self->Term_->Token_);
       });
       framework::log::info("machine.move")
           .field("machine", Order.Machine_.str())
           .field("to", Order.To_.str())
           .field("reason", nameOf(Order.Reason_))
-          .field("result", nameOf(Result));
-      if (Result == MachineResult::Done)
+          .field("result", nameOf(Answered.Result_));
+      if (Answered.Result_ == MachineResult::Done)
         Self->Table_->setPool(Order.Machine_, Order.To_);
-      Self->settleOrder(Order.Machine_, Result);
+      Self->settleOrder(Order.Machine_, Answered);
     });
   }
 
 private:
   static TimePoint now() { return Term<Store>::now(); }
 
+  struct Answer {
+    MachineResult Result_ = MachineResult::Unknown;
+    /// Whether an earlier attempt had no answer.
+    bool AfterUnanswered_ = false;
+
+    /// Whether the machine may be down because of the order. A machine on which
+    /// an unanswered attempt was executed can be busy with it. Taken as up, it
+    /// would not count towards its wave's limit until a list shows it, and
+    /// tasks would be sent to its worker.
+    bool mayBeExecuted() const {
+      return Result_ == MachineResult::Done ||
+             (Result_ == MachineResult::Busy && AfterUnanswered_);
+    }
+  };
+
   /// Repeats an order until it is answered, as long as it still applies to the
   /// machine. The platform ignores a repetition of an order that it has
   /// executed.
   template <typename Call>
-  MachineResult sendUntilAnswered(const MachineId &Machine, const Call &Send) {
+  Answer sendUntilAnswered(const MachineId &Machine, const Call &Send) {
+    bool AfterUnanswered = false;
     while (true) {
       if (!recordInJournal(Machine))
-        return MachineResult::Unknown;
+        return {};
       if (!orderStillApplies(Machine)) {
         countOrder("given_up");
         framework::log::info("machine.order_given_up")
             .field("machine", Machine.str());
-        return MachineResult::Unknown;
+        return {};
       }
       const MachineResult Result = Send();
       countOrder(nameOf(Result));
       const bool Open =
           Result == MachineResult::Unknown || Result == MachineResult::Refused;
       if (!Open || Term_->ended())
-        return Result;
+        return {Result, AfterUnanswered};
+      AfterUnanswered |= Result == MachineResult::Unknown;
       framework::fibers::sleepFor(RetryPause);
     }
   }
@@ -149,10 +166,10 @@
     return *Committed == CommitOutcome::Stored;
   }
 
-  void settleOrder(const MachineId &Machine, MachineResult Result) {
+  void settleOrder(const MachineId &Machine, const Answer &Answered) {
     if (Term_->ended())
       return;
-    if (Result != MachineResult::Done)
+    if (!Answered.mayBeExecuted())
       return Table_->orderRefused(Machine, now());
     Table_->orderAcknowledged(Machine, now());
     suspectWorker(Machine);
--- a/src/cell/tests/machinemanagertest.cpp
+++ b/src/cell/tests/machinemanagertest.cpp
@@ -4,6 +4,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <deque>
+
 namespace laburnumspread::cell {
 
 namespace {
@@ -27,6 +29,11 @@
   }
   MachineResult upkeep(const MachineId &, WaveNumber, jobs::FencingToken) {
     ++Upkeeps_;
+    if (!UpkeepResults_.empty()) {
+      const MachineResult Next = UpkeepResults_.front();
+      UpkeepResults_.pop_front();
+      return Next;
+    }
     const auto Meanwhile = std::exchange(BeforeUpkeep_, nullptr);
     if (!Meanwhile)
       return MachineResult::Done;
@@ -40,6 +47,8 @@
   /// Called between the next upkeep request and its reply, which may be lost.
   std::function<void()> BeforeUpkeep_;
   bool LostUpkeep_ = true;
+  /// Results of the next upkeep requests.
+  std::deque<MachineResult> UpkeepResults_;
   std::uint32_t Lists_ = 0;
   std::uint32_t Upkeeps_ = 0;
 };
@@ -106,13 +115,13 @@
   }
 
   /// A wave requests the machine's upkeep, and orders may be sent.
-  void beginUpkeep() {
+  void beginUpkeep(std::vector<MachineId> Machines = {Machine}) {
     Api_.Machines_.front().State_ = MachineState::Up;
     Term_->JournalLoaded_ = true;
     Commits_ = boost::fibers::fiber([this] { Term_->Commits_.run([] {}); });
     WaveRecord Wave;
     Wave.Number_ = WaveNumber(7);
-    Wave.Machines_ = {Machine};
+    Wave.Machines_ = std::move(Machines);
     Manager_->setWaves({{Wave.Number_, Wave}});
     Manager_->start();
   }
@@ -191,6 +200,22 @@
   BOOST_TEST(Term_->Table_.usageOf(Row_->Record_.Incarnation_));
 }
 
+// Guards against more machines of a wave in upkeep than it allows: an order is
+// executed without an answer, its repetition finds the machine busy, and the
+// list does not show that yet.
+BOOST_AUTO_TEST_CASE(BusyMachineCountsAsDownAfterAnUnansweredUpkeep) {
+  MachineRecord Other = Api_.Machines_.front();
+  Other.Id_ = MachineId("m2");
+  Other.State_ = MachineState::Up;
+  Api_.Machines_.push_back(Other);
+  Api_.UpkeepResults_ = {MachineResult::Unknown, MachineResult::Busy};
+  beginUpkeep({Machine, Other.Id_});
+  while (orders("busy") == 0)
+    framework::fibers::sleepFor(TestedManager::PlanInterval);
+  framework::fibers::sleepFor(4 * TestedManager::PlanInterval);
+  BOOST_TEST(Api_.Upkeeps_ == 2u);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace laburnumspread::cell
