An operator's own change is no conflict, and an unanswered one is not "not written"

What callers saw: a PUT with If-Match whose answer from the store was lost got 409 "resource version is N", although N was this very change; a DELETE got "no such object" for its own removal; and an outage right after an unanswered write got "unavailable", which says that nothing was written, although the store may carry the write out seconds later.

Cause: the read after a lost answer compares the whole stored value, which holds several objects. If another object of it changed in between, or the write was carried out only after that read, the change was tried anew, and its edit was judged against its own result. Errors of a later attempt were reported as if no earlier one existed.

Why the fix works: each unanswered attempt is kept with what the object is if it was carried out. A later attempt that finds exactly that, resource version included, reports success; an error after an unanswered attempt is Unknown. Two writers can share a resource version only with the same base, and then only one of them was stored; equal content is what both asked for.

--- a/src/config/objectwriter.h
+++ b/src/config/objectwriter.h
@@ -6,10 +6,12 @@
 #include "framework/clock/clock.h"
 #include "store/kvstore.h"
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include <absl/status/statusor.h>
 #include <boost/json/object.hpp>
@@ -47,9 +49,10 @@
 
 /// Changes declared objects by compare-and-swap on the values that hold them.
 ///
-/// A write whose answer was lost may have taken effect. The value is then read
-/// back, so that a change that took effect is not reported as failed, or vice
-/// versa.
+/// A write whose answer was lost may have taken effect, or may do so later. The
+/// value is then read back, and each further attempt compares the object with
+/// what the earlier ones would have written, so that a change that took effect
+/// is not reported as failed, or vice versa.
 template <store::KeyValueStore Store> class ObjectWriter {
 public:
   ObjectWriter(Store &Into, std::string Prefix)
@@ -118,19 +121,27 @@
          bool DryRun, framework::clock::TimePoint Deadline,
          const std::vector<store::Compare> &Guards = {}) {
     const std::string Key = shardKey(Prefix_, fleet::KindOf<T>::Value, Name);
+    std::vector<Unanswered<T>> Earlier;
     for (int Attempt = 0; Attempt < MaxAttempts; ++Attempt) {
       absl::StatusOr<store::RangeResult> Read =
           Store_.range(Key, Revision(0), Deadline);
       if (!Read.ok())
-        return absl::UnavailableError(std::string(Read.status().message()));
+        return failure(absl::UnavailableError(Read.status().message()),
+                       !Earlier.empty());
       absl::StatusOr<LoadedShard> Shard = loadShard(Key, *Read);
       if (!Shard.ok())
-        return Shard.status();
+        return failure(Shard.status(), !Earlier.empty());
       std::optional<T> Object = readFrom<T>(*Shard, Name);
       const boost::json::value Before = stored(Object);
+      const auto Own =
+          std::find_if(Earlier.begin(), Earlier.end(), [&](const auto &Item) {
+            return Item.Written_ == Before;
+          });
+      if (Own != Earlier.end())
+        return WriteResult<T>{Own->Result_, Shard->Stored_.ModRevision_, true};
       std::optional<T> Previous = Object;
       if (absl::Status Edited = Edit(Object); !Edited.ok())
-        return Edited;
+        return failure(Edited, !Earlier.empty());
       if (stored(Object) == Before)
         return WriteResult<T>{Object.value_or(T()), Shard->Stored_.ModRevision_,
                               false};
@@ -140,19 +151,43 @@
         return WriteResult<T>{Object ? *Object : *Previous,
                               Shard->Stored_.ModRevision_, true};
       writeInto(*Shard, Name, Object);
+      const T Result = Object ? *Object : *Previous;
+      bool Answered = true;
       absl::StatusOr<std::optional<Revision>> Done =
-          commit(Key, *Shard, Deadline, Guards);
+          commit(Key, *Shard, Deadline, Guards, Answered);
       if (!Done.ok())
         return Done.status();
       if (*Done)
-        return WriteResult<T>{Object ? *Object : *Previous, **Done, true};
+        return WriteResult<T>{Result, **Done, true};
+      if (!Answered)
+        Earlier.push_back({stored(Object), Result});
     }
-    return absl::UnavailableError("not written: too many concurrent writers");
+    return failure(
+        absl::UnavailableError("not written: too many concurrent writers"),
+        !Earlier.empty());
   }
 
 private:
   using Generation = fleet::Generation;
 
+  /// An attempt of a change that the store has not answered. It may have been
+  /// carried out, or may be until the stored value changes.
+  template <typename T> struct Unanswered {
+    /// What the object is if the attempt was carried out.
+    boost::json::value Written_;
+    T Result_;
+  };
+
+  /// Returns the error of a change, or Unknown if an unanswered attempt of it
+  /// may have been carried out.
+  static absl::Status failure(const absl::Status &Error, bool Unanswered) {
+    if (!Unanswered)
+      return Error;
+    return absl::UnknownError("the store did not answer; the change may have "
+                              "taken effect: " +
+                              std::string(Error.message()));
+  }
+
   template <typename T>
   static absl::Status checkMatch(const std::optional<T> &Object,
                                  std::optional<Revision> IfMatch) {
@@ -193,11 +228,11 @@
   }
 
   /// Returns the revision of the write, or nullopt if a concurrent write came
-  /// first.
+  /// first or the store did not answer; \p Answered tells which.
   absl::StatusOr<std::optional<Revision>>
   commit(const std::string &Key, const LoadedShard &Shard,
          framework::clock::TimePoint Deadline,
-         const std::vector<store::Compare> &Guards) {
+         const std::vector<store::Compare> &Guards, bool &Answered) {
     const std::string Text = serializeShard(Shard);
     store::Transaction Txn;
     Txn.Compares_ = Guards;
@@ -209,6 +244,7 @@
       return std::optional<Revision>(Result->StoreRevision_);
     if (Result.ok())
       return std::optional<Revision>();
+    Answered = false;
     return readBack(Key, Text, Deadline, Result.status());
   }
 
--- a/src/config/tests/objectwritertest.cpp
+++ b/src/config/tests/objectwritertest.cpp
@@ -6,6 +6,7 @@
 
 using namespace laburnumspread::config;
 using laburnumspread::fleet::Generation;
+using laburnumspread::fleet::Kind;
 using laburnumspread::fleet::PoolName;
 using laburnumspread::fleet::Revision;
 using laburnumspread::fleet::Team;
@@ -41,6 +42,17 @@
   }
 };
 
+/// Returns a team whose object lies in the same stored value as teamWithLimit.
+Team neighbour() {
+  Team Result = teamWithLimit(7);
+  const std::string Key = shardKey("/l/", Kind::Teams, "orders");
+  for (int I = 0; shardKey("/l/", Kind::Teams, Result.Metadata_.Name_) != Key ||
+                  Result.Metadata_.Name_ == "orders";
+       ++I)
+    Result.Metadata_.Name_ = "team" + std::to_string(I);
+  return Result;
+}
+
 } // namespace
 
 BOOST_FIXTURE_TEST_CASE(UnchangedSpecWritesNothing, Fixture) {
@@ -123,3 +135,72 @@
       Writer_.putSpec(teamWithLimit(5), std::nullopt, true, Later).ok());
   BOOST_TEST(Store_.Commits_ == 0);
 }
+
+// Guards against a conflict with the writer's own change: its answer is lost,
+// and another object of the same stored value changes before it is read back.
+BOOST_FIXTURE_TEST_CASE(OwnWriteIsNoConflictAfterAnotherObjectsChange,
+                        Fixture) {
+  const auto First =
+      Writer_.putSpec(teamWithLimit(1), std::nullopt, false, Later);
+  const Revision Seen = First->Object_.Metadata_.ResourceVersion_;
+  Store_.LoseNextAnswer_ = true;
+  Store_.AfterLostAnswer_ = [&] {
+    BOOST_REQUIRE(
+        Writer_.putSpec(neighbour(), std::nullopt, false, Later).ok());
+  };
+  const auto Done = Writer_.putSpec(teamWithLimit(5), Seen, false, Later);
+  BOOST_TEST(Done.status().message() == "");
+  BOOST_TEST((Done.ok() && Done->Changed_));
+  BOOST_TEST(storedLimit() == 5u);
+}
+
+// Guards against the same where the write is carried out only after it was read
+// back.
+BOOST_FIXTURE_TEST_CASE(OwnWriteIsNoConflictIfItIsLate, Fixture) {
+  const auto First =
+      Writer_.putSpec(teamWithLimit(1), std::nullopt, false, Later);
+  const Revision Seen = First->Object_.Metadata_.ResourceVersion_;
+  Store_.DelayNextRequest_ = true;
+  const auto Done = Writer_.putSpec(teamWithLimit(5), Seen, false, Later);
+  BOOST_TEST(Done.status().message() == "");
+  BOOST_TEST((Done.ok() && Done->Changed_));
+  BOOST_TEST(storedLimit() == 5u);
+}
+
+// Guards against a removal that is reported as "no such object" although it was
+// this writer's own.
+BOOST_FIXTURE_TEST_CASE(OwnRemovalIsFoundIfItIsLate, Fixture) {
+  BOOST_REQUIRE(
+      Writer_.putSpec(teamWithLimit(1), std::nullopt, false, Later).ok());
+  Store_.DelayNextRequest_ = true;
+  const auto Done = Writer_.remove<Team>("orders", std::nullopt, false, Later);
+  BOOST_TEST(Done.status().message() == "");
+  BOOST_TEST((Done.ok() && Done->Object_.Spec_.Limit_ == 1u));
+}
+
+// Guards against "nothing was written" while an unanswered write may yet be
+// carried out.
+BOOST_FIXTURE_TEST_CASE(OutageAfterAnUnansweredWriteLeavesItUnknown, Fixture) {
+  Store_.DelayNextRequest_ = true;
+  Store_.ReadsUntilDown_ = 2;
+  BOOST_TEST(Writer_.putSpec(teamWithLimit(5), std::nullopt, false, Later)
+                 .status()
+                 .code() == absl::StatusCode::kUnknown);
+}
+
+// Guards against a conflict that is reported for certain although the writer's
+// own change may have been in force before the other one.
+BOOST_FIXTURE_TEST_CASE(ChangeAfterAnUnansweredWriteLeavesItUnknown, Fixture) {
+  const auto First =
+      Writer_.putSpec(teamWithLimit(1), std::nullopt, false, Later);
+  const Revision Seen = First->Object_.Metadata_.ResourceVersion_;
+  Store_.LoseNextAnswer_ = true;
+  Store_.AfterLostAnswer_ = [&] {
+    BOOST_REQUIRE(
+        Writer_.putSpec(teamWithLimit(9), std::nullopt, false, Later).ok());
+  };
+  BOOST_TEST(
+      Writer_.putSpec(teamWithLimit(5), Seen, false, Later).status().code() ==
+      absl::StatusCode::kUnknown);
+  BOOST_TEST(storedLimit() == 9u);
+}
