An operator hears that the outcome of an unanswered change is not known

What callers saw: "Request-Outcome: not-run" with a 503 whose detail says that the change may have taken effect.

Cause: each error of a write got the outcome not-run, also Unknown, which ObjectWriter returns when the store does not tell.

Evidence, before the fix (api; the mapping moved out of replyStatus() with its behaviour unchanged): UnansweredChangeHasNoKnownOutcome: check Unanswered.Outcome_ == fleet::Outcome::Unknown has failed

Why the fix works: problemOf() takes the outcome from the kind of error; the status and code stay 503 store-unavailable.

--- a/src/api/apicontext.h
+++ b/src/api/apicontext.h
@@ -34,5 +34,8 @@
 /// a placement decision to the decision log.
 void replyProblem(framework::http::Exchange &Call, entry::ProblemCode Code,
                   const std::string &Detail);
+/// The same with the outcome of the request.
+void replyProblem(framework::http::Exchange &Call,
+                  const entry::Problem &Reason);
 
 } // namespace laburnumspread::api
--- a/src/api/internal/httpapi.cpp
+++ b/src/api/internal/httpapi.cpp
@@ -20,21 +20,29 @@
   return Answer;
 }
 
-Response problemResponse(ProblemCode Code, const std::string &Detail) {
+Response problemResponse(const entry::Problem &Reason) {
+  const ProblemCode Code = Reason.Code_;
   Response Answer;
   Answer.Status_ = entry::statusOf(Code);
   Answer.Headers_.add("Content-Type", "application/problem+json");
-  Answer.Headers_.add("Request-Outcome", fleet::nameOf(fleet::Outcome::NotRun));
+  Answer.Headers_.add("Request-Outcome", fleet::nameOf(Reason.Outcome_));
   Answer.Body_ = json::serialize(
       json::object{{"type", "about:blank"},
                    {"title", entry::nameOf(Code)},
                    {"status", entry::statusOf(Code)},
                    {"code", entry::nameOf(Code)},
-                   {"detail", Detail},
-                   {"outcome", fleet::nameOf(fleet::Outcome::NotRun)}});
+                   {"detail", Reason.Detail_},
+                   {"outcome", fleet::nameOf(Reason.Outcome_)}});
   return Answer;
 }
 
+Response problemResponse(ProblemCode Code, const std::string &Detail) {
+  entry::Problem Reason;
+  Reason.Code_ = Code;
+  Reason.Detail_ = Detail;
+  return problemResponse(Reason);
+}
+
 json::array dumpMembers(const entry::EntryState &State) {
   json::array Rows;
   for (const auto &Member : State.View_.Members_)
@@ -121,6 +129,10 @@
   Call.reply(problemResponse(Code, Detail));
 }
 
+void replyProblem(Exchange &Call, const entry::Problem &Reason) {
+  Call.reply(problemResponse(Reason));
+}
+
 Response errorResponse(int Status, const std::string &Reason) {
   switch (Status) {
   case 431:
--- a/src/api/internal/operatorapi.cpp
+++ b/src/api/internal/operatorapi.cpp
@@ -251,15 +251,19 @@
   return false;
 }
 
-void OperatorApi::replyStatus(Exchange &Call, const absl::Status &Error) {
-  ProblemCode Code = ProblemCode::StoreUnavailable;
+entry::Problem problemOf(const absl::Status &Error) {
+  entry::Problem Result;
+  Result.Code_ = ProblemCode::StoreUnavailable;
   if (absl::IsAborted(Error))
-    Code = ProblemCode::Conflict;
+    Result.Code_ = ProblemCode::Conflict;
   if (absl::IsNotFound(Error))
-    Code = ProblemCode::NotFound;
+    Result.Code_ = ProblemCode::NotFound;
   if (absl::IsInvalidArgument(Error))
-    Code = ProblemCode::Invalid;
-  replyProblem(Call, Code, std::string(Error.message()));
+    Result.Code_ = ProblemCode::Invalid;
+  if (absl::IsUnknown(Error))
+    Result.Outcome_ = fleet::Outcome::Unknown;
+  Result.Detail_ = std::string(Error.message());
+  return Result;
 }
 
 template <typename T>
@@ -305,7 +309,7 @@
   const auto Done = Context_.Writer_.putSpec(
       Wanted, IfMatch, isDryRun(Path), Context_.State_.now() + WriteTimeout);
   if (!Done.ok())
-    return replyStatus(Call, Done.status());
+    return replyProblem(Call, problemOf(Done.status()));
   replyWritten(Call, *Done, isDryRun(Path));
 }
 
@@ -335,7 +339,7 @@
   const auto Done = Context_.Writer_.template remove<T>(
       Name, IfMatch, isDryRun(Path), Context_.State_.now() + WriteTimeout);
   if (!Done.ok())
-    return replyStatus(Call, Done.status());
+    return replyProblem(Call, problemOf(Done.status()));
   replyWritten(Call, *Done, isDryRun(Path));
 }
 
@@ -376,7 +380,7 @@
         const absl::Status Done = Context_.Membership_.declareStopped(
             Member.Id_, "declared stopped by an operator");
         if (!Done.ok())
-          return replyStatus(Call, Done);
+          return replyProblem(Call, problemOf(Done));
         return replyJson(Call, 200,
                          json::object{{"removed", Path.Segments_[2]}});
       }
--- a/src/api/operatorapi.h
+++ b/src/api/operatorapi.h
@@ -8,6 +8,10 @@
 
 namespace laburnumspread::api {
 
+/// Returns what an operator is told about a change that failed with an error of
+/// config::ObjectWriter.
+entry::Problem problemOf(const absl::Status &Error);
+
 /// Handles the resource interface: `/v1/{kind}` and `/v1/{kind}/{name}`.
 class OperatorApi {
 public:
@@ -57,7 +61,6 @@
   /// Returns whether this entry may change the configuration; sends an error
   /// response if not.
   bool acceptsWrites(framework::http::Exchange &Call);
-  void replyStatus(framework::http::Exchange &Call, const absl::Status &Error);
 
   /// A response of JSON lines that ends when the caller disconnects or the
   /// entry stops.
