Removed queues outlast a takeover while they have jobs

What callers saw: a job whose queue was removed by a new configuration did not go on after the next takeover. Its running tasks ended, no further one started, and nothing was said about it.

Cause: a term kept removed queues by comparing the new configuration with the one it had before.

Changed settings are recorded again at the next job, or at once while jobs are open; so the record is what was last in force when the queue is removed. A term's configuration is the one in force plus the recorded queues that it lacks and that have open jobs (cell/termconfig.h, taken out of CellService). A record goes when its queue has no open job and is not in force. Before the first configuration nothing is added, since the limits of workspaces are unknown then. Readers of earlier releases skip the event; jobs of an earlier release get their record at the first takeover, if their queue is still in force.

The fixture of JobCallHandlerTest kept a reply's place on the stack, and crashed when a reply came after submit() had returned; the place is shared now, its checks are unchanged.

--- a/src/cell/cellservice.h
+++ b/src/cell/cellservice.h
@@ -4,6 +4,7 @@
 #include "cell/jobcallhandler.h"
 #include "cell/leaderelector.h"
 #include "cell/taskplanner.h"
+#include "cell/termconfig.h"
 #include "cell/workerfollower.h"
 
 namespace laburnumspread::cell {
@@ -77,8 +78,9 @@
   /// Sets the configuration in force.
   void setConfig(const CellConfig &Config) {
     Config_ = Config;
-    if (Term_)
-      adoptConfig(*Term_);
+    // A term adopts it once its journal is loaded.
+    if (serving())
+      adoptConfig(*Term_, Config_);
   }
 
   /// Adds or updates a wave of machine upkeep.
@@ -197,7 +199,8 @@
     const TimePoint StartedAt = now();
     if (!load(*T))
       return;
-    adoptConfig(*T);
+    recordQueues(*T);
+    adoptConfig(*T, Config_);
     T->JournalLoaded_ = true;
     Metrics_.histogram("takeover_seconds")
         .record(std::chrono::duration<double>(now() - StartedAt).count());
@@ -238,7 +241,7 @@
   bool load(Term<Store> &T) {
     while (!T.ended()) {
       T.Table_ = emptyTable(T);
-      adoptConfig(T);
+      T.Config_ = Config_;
       const absl::Status Read = T.Log_.load(T.Table_, now());
       if (Read.ok()) {
         T.Table_.restoreAcceptTimes(
@@ -264,19 +267,6 @@
     return Count;
   }
 
-  /// Keeps removed queues in the term's configuration, so that jobs accepted
-  /// before can finish.
-  void adoptConfig(Term<Store> &T) {
-    std::vector<QueueConfig> Removed;
-    for (const QueueConfig &Old : T.Config_.Queues_)
-      if (!Config_.find(Old.Name_))
-        Removed.push_back(Old);
-    T.Config_ = Config_;
-    for (QueueConfig &Old : Removed)
-      T.Config_.Queues_.push_back(std::move(Old));
-    T.Commits_.wake();
-  }
-
   // Periodic work.
 
   void tickLoop() {
@@ -299,6 +289,7 @@
       if (Sessions_)
         Sessions_->maintain();
       T->Table_.forgetEnded(now() - Bounds_.StatusRetention_);
+      forgetRemovedQueues(*T, Config_);
       loseRunsOnUnknownWorkers(*T);
       if (Planner_)
         Planner_->runOutagePass();
--- a/src/cell/jobcallhandler.h
+++ b/src/cell/jobcallhandler.h
@@ -4,6 +4,7 @@
 #include "cell/callrules.h"
 #include "cell/refusedjobs.h"
 #include "cell/workersessions.h"
+#include "jobs/queuerecords.h"
 #include "peers/messages.h"
 
 namespace laburnumspread::cell {
@@ -113,9 +114,19 @@
     logAccepted(Spec, Call);
     Term_->Metrics_.counter("jobs_accepted_total").add();
     Term_->Admission_.add(Spec, Term_->Config_, Term_->Estimates_);
+    recordQueue(Spec.Queue_);
     Term_->Commits_.stage(Accepted, Answer);
   }
 
+  /// Records the queue's configuration. Guards against a job that is never
+  /// finished because its queue was removed before a takeover; the record is
+  /// stored no later than the job.
+  void recordQueue(const QueueName &Name) {
+    const QueueConfig *Queue = Term_->Config_.find(Name);
+    if (Queue && jobs::needsRecord(*Queue, Term_->Table_))
+      Term_->Commits_.stage(jobs::QueueRecorded{*Queue});
+  }
+
   /// A refusal of a new job. The times are those of the projection, if the pool
   /// is full.
   struct Refusal {
--- a/src/cell/tests/jobcallfixture.h
+++ b/src/cell/tests/jobcallfixture.h
@@ -62,10 +62,17 @@
     Call.Kind_ = peers::JobCallKind::Submit;
     Call.Job_ = Spec.Id_.str();
     Call.Spec_ = jobs::encodeGroup({jobs::JobAccepted{Spec}});
-    std::optional<peers::JobReply> Result;
-    Handler_->handle(Call, Leaving,
-                     [&](const peers::JobReply &Reply) { Result = Reply; });
-    return Result;
+    return handle(Call, Leaving);
+  }
+
+  /// Returns the reply, or nullopt if it comes later.
+  std::optional<peers::JobReply> handle(const peers::JobCall &Call,
+                                        bool Leaving) const {
+    const auto Result = std::make_shared<std::optional<peers::JobReply>>();
+    Handler_->handle(Call, Leaving, [Result](const peers::JobReply &Reply) {
+      *Result = Reply;
+    });
+    return *Result;
   }
 
   /// Handles an attempt of the numbered call of an entry.
@@ -77,10 +84,7 @@
     Call.Kind_ = Kind;
     Call.Job_ = Spec.Id_.str();
     Call.Spec_ = jobs::encodeGroup({jobs::JobAccepted{Spec}});
-    std::optional<peers::JobReply> Result;
-    Handler_->handle(Call, false,
-                     [&](const peers::JobReply &Reply) { Result = Reply; });
-    return Result;
+    return handle(Call, false);
   }
 
   bool known(const jobs::JobSpec &Spec) const {
--- a/src/cell/tests/jobcallhandlertest.cpp
+++ b/src/cell/tests/jobcallhandlertest.cpp
@@ -160,6 +160,32 @@
   BOOST_TEST(!Handler_->refusalUnder(InForce, Cancel).has_value());
 }
 
+// Guards against a stored job whose queue a later leader does not know: the
+// record of the queue is no later than its first job, also after a change.
+BOOST_AUTO_TEST_CASE(QueueIsRecordedBeforeItsFirstJob) {
+  submit(job("0000000000000001"));
+  submit(job("0000000000000002"));
+  Term_->Config_.Queues_.back().MaxAttempts_ = 7;
+  submit(job("0000000000000003"));
+  Term_->Commits_.whenStored([&](CommitOutcome) { Term_->Commits_.stop(); });
+  Term_->Commits_.run([] {});
+  const auto Log = Store_.range(Keys.logPrefix(), fleet::Revision(0),
+                                framework::clock::wallDeadline(1ms));
+  BOOST_REQUIRE(Log->Items_.size() == 1u);
+  const auto Group = jobs::decodeGroup(Log->Items_.front().Value_);
+  BOOST_REQUIRE(Group.ok());
+  std::vector<std::uint32_t> Attempts;
+  std::string Kinds;
+  for (const jobs::Event &Item : Group->Events_) {
+    const auto *Record = std::get_if<jobs::QueueRecorded>(&Item);
+    Kinds += Record ? 'q' : 'j';
+    if (Record)
+      Attempts.push_back(Record->Queue_.MaxAttempts_);
+  }
+  BOOST_TEST(Kinds == "qjjqj");
+  BOOST_TEST((Attempts == std::vector<std::uint32_t>{3, 7}));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace laburnumspread::cell
--- a/src/jobs/cellconfig.h
+++ b/src/jobs/cellconfig.h
@@ -6,6 +6,8 @@
 #include <map>
 #include <string_view>
 
+#include <absl/container/flat_hash_set.h>
+
 namespace laburnumspread::jobs {
 
 using fleet::PoolName;
@@ -20,6 +22,8 @@
   Duration TimePerWorker_{};
   /// Lifetime of an answer.
   Duration ValidFor_{};
+
+  bool operator==(const AdviceTerms &) const = default;
 };
 
 /// Configuration of a queue.
@@ -37,6 +41,8 @@
   Duration TargetLatency_{};
   bool Public_ = false;
   std::optional<AdviceTerms> Advice_;
+
+  bool operator==(const QueueConfig &) const = default;
 };
 
 /// Configuration of a pool.
@@ -69,6 +75,7 @@
 
   /// Returns the queue, or nullptr if it does not exist.
   const QueueConfig *find(const QueueName &Name) const;
+  absl::flat_hash_set<QueueName> queueNames() const;
   /// Returns the queue of the host with the longest matching path prefix, or
   /// nullptr if none matches.
   const QueueConfig *route(std::string_view Host, std::string_view Path) const;
--- a/src/jobs/celltable.h
+++ b/src/jobs/celltable.h
@@ -171,6 +171,18 @@
   /// Number of open jobs of the queue of which no task has been started yet.
   std::uint64_t waiting(const QueueName &Queue) const;
 
+  /// Number of open jobs by queue; only queues that have any.
+  const std::map<QueueName, std::uint64_t> &openByQueue() const {
+    return OpenByQueue_;
+  }
+
+  /// The recorded configurations of queues, by name.
+  const std::map<QueueName, QueueConfig> &queueRecords() const {
+    return QueueRecords_;
+  }
+  /// Removes the records of queues that have no open job and are not in force.
+  void forgetQueues(const CellConfig &InForce);
+
   /// Machines whose upkeep has started, by wave.
   const std::map<WaveNumber, std::set<MachineId>> &upkeep() const {
     return Upkeep_;
@@ -207,6 +219,7 @@
   void applyEvent(const JobCancelled &Item, TimePoint Now);
   void applyEvent(const UpkeepBegun &Item, TimePoint Now);
   void applyEvent(const MachineOrdered &Item, TimePoint Now);
+  void applyEvent(const QueueRecorded &Item, TimePoint Now);
   void addLive(JobRow &Job, const RunName &Run, LiveRun Live);
   void taskDone(JobRow &Job, const TaskName &Task, TimePoint Now);
   void gangDone(JobRow &Job, const RunName &Run, TimePoint Now);
@@ -234,6 +247,8 @@
   FiniteUsage FiniteUsage_;
   std::set<RunName> Copies_;
   absl::flat_hash_map<QueueName, std::uint64_t> Waiting_;
+  std::map<QueueName, std::uint64_t> OpenByQueue_;
+  std::map<QueueName, QueueConfig> QueueRecords_;
   std::deque<std::pair<TimePoint, JobId>> Ended_;
   std::map<WaveNumber, std::set<MachineId>> Upkeep_;
   std::map<MachineId, MachineOrderRow> MachineOrders_;
--- a/src/jobs/eventcodec.h
+++ b/src/jobs/eventcodec.h
@@ -18,8 +18,8 @@
 absl::StatusOr<EventGroup> decodeGroup(std::string_view Bytes);
 
 /// Encodes the table in parts of about \p PartBytes bytes each. A part ends
-/// with the job that reaches this size. Ended jobs without live runs are stored
-/// without their steps and tasks.
+/// with the job or queue that reaches this size. Ended jobs without live runs
+/// are stored without their steps and tasks.
 std::vector<std::string> encodeSnapshot(const CellTable &Table,
                                         std::size_t PartBytes);
 /// Adds the content of one part to \p Into. Returns DataLoss if the bytes are
--- a/src/jobs/events.h
+++ b/src/jobs/events.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "jobs/jobtypes.h"
+#include "jobs/cellconfig.h"
 
 #include <variant>
 
@@ -47,10 +47,17 @@
   fleet::PoolName From_;
 };
 
+/// The configuration of a queue that has jobs. Written before the first job
+/// that is accepted under it, so that a leader which takes over after the queue
+/// was removed can finish its jobs.
+struct QueueRecorded {
+  QueueConfig Queue_;
+};
+
 /// A change of a cell's state. The state results from applying the cell's
 /// events in order.
 using Event = std::variant<JobAccepted, RunIntended, RunEnded, JobCancelled,
-                           UpkeepBegun, MachineOrdered>;
+                           UpkeepBegun, MachineOrdered, QueueRecorded>;
 
 /// When a group of events was written: the fencing token of the leader that
 /// wrote it, and the time since its takeover by its own steady clock.
--- a/src/jobs/internal/cellconfig.cpp
+++ b/src/jobs/internal/cellconfig.cpp
@@ -9,6 +9,14 @@
   return nullptr;
 }
 
+absl::flat_hash_set<QueueName> CellConfig::queueNames() const {
+  absl::flat_hash_set<QueueName> Names;
+  Names.reserve(Queues_.size());
+  for (const QueueConfig &Queue : Queues_)
+    Names.insert(Queue.Name_);
+  return Names;
+}
+
 const QueueConfig *CellConfig::route(std::string_view Host,
                                      std::string_view Path) const {
   const QueueConfig *Best = nullptr;
--- a/src/jobs/internal/celltable.cpp
+++ b/src/jobs/internal/celltable.cpp
@@ -160,6 +160,7 @@
   Open_[Order] = Item.Spec_.Id_;
   Order_[Item.Spec_.Id_] = Order;
   ++Waiting_[Item.Spec_.Queue_];
+  ++OpenByQueue_[Item.Spec_.Queue_];
   JobIndex_[Item.Spec_.Id_] =
       &Jobs_.emplace(Item.Spec_.Id_, std::move(Row)).first->second;
 }
@@ -296,6 +297,17 @@
   Row->second.SendUnconfirmed_ = true;
 }
 
+void CellTable::applyEvent(const QueueRecorded &Item, TimePoint) {
+  QueueRecords_.insert_or_assign(Item.Queue_.Name_, Item.Queue_);
+}
+
+void CellTable::forgetQueues(const CellConfig &InForce) {
+  const auto Known = InForce.queueNames();
+  std::erase_if(QueueRecords_, [&](const auto &Row) {
+    return !OpenByQueue_.contains(Row.first) && !Known.contains(Row.first);
+  });
+}
+
 void CellTable::advanceTime(Duration Passed) {
   for (auto &[Machine, Order] : MachineOrders_) {
     // An order is sent after its entry has been stored, which only the next
@@ -314,6 +326,9 @@
   const auto Order = Order_.find(Job.Spec_.Id_);
   if (Order != Order_.end())
     Open_.erase(Order->second);
+  const auto OfQueue = OpenByQueue_.find(Job.Spec_.Queue_);
+  if (--OfQueue->second == 0)
+    OpenByQueue_.erase(OfQueue);
   Ended_.emplace_back(Now, Job.Spec_.Id_);
   // No task of an ended job is started again, so the payload is not needed.
   Job.Spec_.Payload_.clear();
--- a/src/jobs/internal/eventcodec.cpp
+++ b/src/jobs/internal/eventcodec.cpp
@@ -147,6 +147,51 @@
   write(From, *To.mutable_machine_ordered());
 }
 
+void write(const AdviceTerms &From, wire::AdviceTerms &To) {
+  To.set_decision_micros(From.DecisionTime_.count());
+  To.set_per_worker_micros(From.TimePerWorker_.count());
+  To.set_valid_for_micros(From.ValidFor_.count());
+}
+
+AdviceTerms read(const wire::AdviceTerms &From) {
+  return {Duration(From.decision_micros()), Duration(From.per_worker_micros()),
+          Duration(From.valid_for_micros())};
+}
+
+void write(const QueueConfig &From, wire::Queue &To) {
+  To.set_name(From.Name_.str());
+  To.set_host(From.Host_);
+  To.set_path_prefix(From.PathPrefix_);
+  To.set_pool(From.Pool_.str());
+  To.set_priority(From.Priority_);
+  To.set_max_attempts(From.MaxAttempts_);
+  To.set_stretch(From.Stretch_);
+  To.set_target_latency_micros(From.TargetLatency_.count());
+  To.set_public_(From.Public_);
+  if (From.Advice_)
+    write(*From.Advice_, *To.mutable_advice());
+}
+
+QueueConfig read(const wire::Queue &From) {
+  QueueConfig To;
+  To.Name_ = QueueName(From.name());
+  To.Host_ = From.host();
+  To.PathPrefix_ = From.path_prefix();
+  To.Pool_ = fleet::PoolName(From.pool());
+  To.Priority_ = From.priority();
+  To.MaxAttempts_ = From.max_attempts();
+  To.Stretch_ = From.stretch();
+  To.TargetLatency_ = Duration(From.target_latency_micros());
+  To.Public_ = From.public_();
+  if (From.has_advice())
+    To.Advice_ = read(From.advice());
+  return To;
+}
+
+void write(const QueueRecorded &From, wire::Event &To) {
+  write(From.Queue_, *To.mutable_queue_recorded());
+}
+
 std::optional<Event> read(const wire::Event &From) {
   switch (From.kind_case()) {
   case wire::Event::kAccepted:
@@ -169,6 +214,8 @@
     return read(From.upkeep_begun());
   case wire::Event::kMachineOrdered:
     return read(From.machine_ordered());
+  case wire::Event::kQueueRecorded:
+    return QueueRecorded{read(From.queue_recorded())};
   case wire::Event::KIND_NOT_SET:
     return std::nullopt;
   }
@@ -282,15 +329,23 @@
   std::vector<std::string> Parts;
   wire::Snapshot Part;
   std::size_t Bytes = 0;
-  for (const auto &[Id, Job] : Table.jobs()) {
-    wire::JobRow &Row = *Part.add_jobs();
-    write(Job, Row);
-    Bytes += Row.ByteSizeLong();
+  const auto EndFullPart = [&](std::size_t RowBytes) {
+    Bytes += RowBytes;
     if (Bytes < PartBytes)
-      continue;
+      return;
     Parts.push_back(Part.SerializeAsString());
     Part.Clear();
     Bytes = 0;
+  };
+  for (const auto &[Id, Job] : Table.jobs()) {
+    wire::JobRow &Row = *Part.add_jobs();
+    write(Job, Row);
+    EndFullPart(Row.ByteSizeLong());
+  }
+  for (const auto &[Name, Queue] : Table.queueRecords()) {
+    wire::Queue &Row = *Part.add_queues();
+    write(Queue, Row);
+    EndFullPart(Row.ByteSizeLong());
   }
   for (const auto &[Wave, Machines] : Table.upkeep())
     for (const MachineId &Machine : Machines)
@@ -309,6 +364,8 @@
     return absl::DataLossError("snapshot cannot be read");
   for (const wire::JobRow &Row : Part.jobs())
     Into.restore(read(Row, Now), Now);
+  for (const wire::Queue &Row : Part.queues())
+    Into.apply(QueueRecorded{read(Row)}, Now);
   for (const wire::UpkeepBegun &Row : Part.upkeep())
     Into.apply(read(Row), Now);
   for (const wire::MachineOrdered &Row : Part.machine_orders())
