No two terms have the same fencing token

What a caller could see: 503, "never runs", and the job runs.

Cause: a process whose leadership had ended while its head key remained adopted that key and began another term under the same token. The new term did not know what the former had rejected, could not tell late attempts from its own, and a late write of the former term still met its condition after the new term had refused the job. So "the leader of a term knows what former ones stored" was not true.

Why the fix works: giving a leadership up ends the campaign that its head key names, so the key is removed like that of any earlier campaign, and the next term has a token of its own.

--- a/src/journal/leadership.h
+++ b/src/journal/leadership.h
@@ -16,7 +16,7 @@
 
 /// Number of a leadership term; distinguishes the terms of one process. A
 /// rewrite of the head key raises the fencing token but does not start a new
-/// term. A head key that is adopted after the leadership was given up does.
+/// term. No two terms have the same token.
 using TermNumber = framework::ids::StrongNumber<struct TermNumberTag>;
 
 /// Leadership of one cell: the head key, which is bound to a store lease. The
@@ -170,8 +170,14 @@
         .field("store", Written.ok() ? "acknowledged" : "no answer");
   }
 
-  /// Records that leadership is lost: no order may be sent any more.
-  void markLost() { Self_.Token_ = jobs::FencingToken(); }
+  /// Records that leadership is lost: no order may be sent any more. A head key
+  /// that remains is removed, not adopted. A second term under its token could
+  /// not be told from the first: late calls and writes of that would count as
+  /// its own, and a job that it refused could be stored.
+  void markLost() {
+    Self_.Token_ = jobs::FencingToken();
+    ++Self_.Attempt_;
+  }
 
   /// Whether no other process can lead at \p Now, because the lease was renewed
   /// so recently that it cannot have expired. A leader that is cut off from the
