A call is decided once, also if it was accepted

What callers could see: a job runs a second time, if an attempt of its submission is held up until the ended job is forgotten; and 401 or 404 for a cancel that another attempt confirms (nothing was done, but the entry logged call.contradicted).

Cause: only rejections were remembered. An accepted call was known by the tables alone, which forget an ended job after a while; and a cancel was taken as in effect only if the state was "cancelled", while the cancel of any ended job is confirmed.

--- a/src/cell/callattempts.h
+++ b/src/cell/callattempts.h
@@ -11,7 +11,7 @@
 ///
 /// A rejection counts for more than its own attempt: the leader gives each
 /// attempt of a call that was meant for its term the same answer
-/// (RejectedCalls), and no former leader can store a job once it leads. Only an
+/// (DecidedCalls), and no former leader can store a job once it leads. Only an
 /// attempt that was meant for a later leader remains open.
 class CallAttempts {
 public:
--- a/src/cell/callrules.h
+++ b/src/cell/callrules.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "cell/rejectedcalls.h"
+#include "cell/decidedcalls.h"
 #include "jobs/celltable.h"
 
 namespace laburnumspread::cell {
@@ -18,21 +18,26 @@
 bool isForAnotherTerm(const peers::JobCall &Call, const TermTokens &Own);
 
 /// Whether the tables hold what the call asks for: the job of a submission, or
-/// a cancelled job. An earlier attempt may have brought that about, so no
-/// attempt is rejected any more.
-bool isMade(const peers::JobCall &Call, const jobs::CellTable &Table);
-
-/// Returns the reply to a call of which an earlier attempt was rejected, or may
-/// have been; nullopt for any other.
-std::optional<peers::JobReply> earlierRejection(const peers::JobCall &Call,
-                                                const RejectedCalls &Rejected,
-                                                const jobs::CellTable &Table);
-
-/// Completes the reply that rejects a call, and remembers it for later
-/// attempts of a change. \p By is the token of the leader.
-peers::JobReply rejectCall(const peers::JobCall &Call,
-                           peers::JobReply Rejection, jobs::FencingToken By,
-                           RejectedCalls &Rejected,
-                           framework::clock::TimePoint Now);
+/// an ended job for a cancel. An earlier attempt may have brought that about,
+/// so no attempt is rejected any more.
+bool isInEffect(const peers::JobCall &Call, const jobs::CellTable &Table);
+
+/// Returns the reply to a call that an earlier attempt has decided, or may
+/// have; nullopt for any other, and for one that is in effect and accepted,
+/// which is answered once it is stored.
+std::optional<peers::JobReply> earlierReply(const peers::JobCall &Call,
+                                            const DecidedCalls &Decided,
+                                            const jobs::CellTable &Table);
+
+/// Records the rejection of a call, for its later attempts, and completes the
+/// reply. \p By is the token of the leader.
+peers::JobReply recordRejection(const peers::JobCall &Call,
+                                peers::JobReply Rejection,
+                                jobs::FencingToken By, DecidedCalls &Decided,
+                                framework::clock::TimePoint Now);
+
+/// Records that a call was accepted.
+void recordAcceptance(const peers::JobCall &Call, DecidedCalls &Decided,
+                      framework::clock::TimePoint Now);
 
 } // namespace laburnumspread::cell
--- a/src/cell/internal/callrules.cpp
+++ b/src/cell/internal/callrules.cpp
@@ -4,9 +4,19 @@
 
 namespace {
 
-/// Delay for a call that is too old to be remembered: its entry has had many
-/// rejected since.
-constexpr std::uint64_t ForgottenRetryAfterMs = 1000;
+/// Answer to a call whose decision is forgotten: its entry has had many others
+/// decided since.
+constexpr CallDecision Forgotten{peers::JobCallStatus::Refused,
+                                 peers::RefusalReason::LeaderBusy, 1000};
+
+peers::JobReply replyOf(const peers::JobCall &Call, const CallDecision &From) {
+  peers::JobReply Result;
+  Result.Sequence_ = Call.Sequence_;
+  Result.Status_ = From.Status_;
+  Result.Refusal_ = From.Reason_;
+  Result.RetryAfterMs_ = From.RetryAfterMs_;
+  return Result;
+}
 
 } // namespace
 
@@ -16,40 +26,50 @@
          (Meant < Own.First_ || Meant > Own.Latest_);
 }
 
-bool isMade(const peers::JobCall &Call, const jobs::CellTable &Table) {
+bool isInEffect(const peers::JobCall &Call, const jobs::CellTable &Table) {
   const jobs::JobRow *Job = Table.find(jobs::JobId(Call.Job_));
   if (!Job)
     return false;
   return Call.Kind_ == peers::JobCallKind::Submit ||
-         (Call.Kind_ == peers::JobCallKind::Cancel &&
-          Job->State_ == jobs::JobState::Cancelled);
+         (Call.Kind_ == peers::JobCallKind::Cancel && Job->ended());
 }
 
-std::optional<peers::JobReply> earlierRejection(const peers::JobCall &Call,
-                                                const RejectedCalls &Rejected,
-                                                const jobs::CellTable &Table) {
+std::optional<peers::JobReply> earlierReply(const peers::JobCall &Call,
+                                            const DecidedCalls &Decided,
+                                            const jobs::CellTable &Table) {
   if (!peers::changesJobs(Call.Kind_))
     return std::nullopt;
-  if (const auto Rejection = Rejected.find(Call))
-    return Rejection;
-  if (!Rejected.mayBeForgotten(Call) || isMade(Call, Table))
+  const std::optional<CallDecision> Decision = Decided.find(Call);
+  if (Decision && peers::isRejection(Decision->Status_))
+    return replyOf(Call, *Decision);
+  if (isInEffect(Call, Table))
     return std::nullopt;
-  peers::JobReply Result;
-  Result.Status_ = peers::JobCallStatus::Refused;
-  Result.Refusal_ = peers::RefusalReason::LeaderBusy;
-  Result.RetryAfterMs_ = ForgottenRetryAfterMs;
-  return Result;
+  if (Decision)
+    return replyOf(Call, *Decision);
+  if (Decided.isBelowBound(Call))
+    return replyOf(Call, Forgotten);
+  return std::nullopt;
 }
 
-peers::JobReply rejectCall(const peers::JobCall &Call,
-                           peers::JobReply Rejection, jobs::FencingToken By,
-                           RejectedCalls &Rejected,
-                           framework::clock::TimePoint Now) {
+peers::JobReply recordRejection(const peers::JobCall &Call,
+                                peers::JobReply Rejection,
+                                jobs::FencingToken By, DecidedCalls &Decided,
+                                framework::clock::TimePoint Now) {
   if (peers::changesJobs(Call.Kind_))
-    Rejected.add(Call, Rejection, Now);
+    Decided.add(Call,
+                {Rejection.Status_, Rejection.Refusal_,
+                 static_cast<std::uint32_t>(Rejection.RetryAfterMs_)},
+                Now);
   Rejection.Sequence_ = Call.Sequence_;
   Rejection.Token_ = By.value();
   return Rejection;
 }
 
+void recordAcceptance(const peers::JobCall &Call, DecidedCalls &Decided,
+                      framework::clock::TimePoint Now) {
+  CallDecision Accepted;
+  Accepted.Status_ = peers::JobCallStatus::Ok;
+  Decided.add(Call, Accepted, Now);
+}
+
 } // namespace laburnumspread::cell
--- a/src/cell/jobcallhandler.h
+++ b/src/cell/jobcallhandler.h
@@ -33,12 +33,12 @@
       : Term_(std::move(T)), Sessions_(std::move(S)) {}
 
   /// Serves a call. \p Reply is called once, possibly later. With \p Leaving,
-  /// no new jobs are accepted. A call of which an earlier attempt was rejected
-  /// is not decided anew.
+  /// no new jobs are accepted. A call that an earlier attempt has decided is
+  /// not decided anew.
   void handle(const peers::JobCall &Call, bool Leaving,
               const JobReplyFn &Reply) {
-    if (const auto Before = earlierRejection(Call))
-      return reject(Call, *Before, Reply);
+    if (const auto Before = earlierReply(Call))
+      return Reply(*Before);
     switch (Call.Kind_) {
     case peers::JobCallKind::Submit:
       return submit(Call, Leaving, Reply);
@@ -58,7 +58,7 @@
   std::optional<peers::JobCallStatus>
   refusalUnder(const CellConfig &InForce, const peers::JobCall &Call) const {
     const auto Refusal = refusalByNewerConfig(InForce, Call);
-    if (!Refusal || isMade(Call, Term_->Table_) || earlierRejection(Call))
+    if (!Refusal || isInEffect(Call, Term_->Table_) || earlierReply(Call))
       return std::nullopt;
     framework::log::info("call.refused_by_newer_config")
         .field("queue", Call.Queue_)
@@ -70,7 +70,8 @@
   /// Rejects a call, and each later attempt of it during this term.
   void reject(const peers::JobCall &Call, const peers::JobReply &Rejection,
               const JobReplyFn &Reply) {
-    Reply(rejectCall(Call, Rejection, Term_->Token_, Rejected_, Term_->now()));
+    Reply(recordRejection(Call, Rejection, Term_->Token_, Decided_,
+                          Term_->now()));
   }
   void reject(const peers::JobCall &Call, peers::JobCallStatus Status,
               const JobReplyFn &Reply) {
@@ -81,8 +82,15 @@
 
 private:
   std::optional<peers::JobReply>
-  earlierRejection(const peers::JobCall &Call) const {
-    return cell::earlierRejection(Call, Rejected_, Term_->Table_);
+  earlierReply(const peers::JobCall &Call) const {
+    auto Result = cell::earlierReply(Call, Decided_, Term_->Table_);
+    if (Result)
+      Result->Token_ = Term_->Token_.value();
+    return Result;
+  }
+
+  void accepted(const peers::JobCall &Call) {
+    recordAcceptance(Call, Decided_, Term_->now());
   }
 
   /// Whether the outcome of a commit would not be known in time. A job accepted
@@ -99,8 +107,10 @@
                                               : peers::JobCallStatus::Unknown,
              "", 0, 0});
     };
-    if (Term_->Table_.find(jobs::JobId(Call.Job_)))
+    if (Term_->Table_.find(jobs::JobId(Call.Job_))) {
+      accepted(Call);
       return Term_->Commits_.whenStored(Answer);
+    }
     const auto Group = jobs::decodeGroup(Call.Spec_);
     if (!Group.ok() || Group->Events_.size() != 1 ||
         !std::holds_alternative<jobs::JobAccepted>(Group->Events_.front()))
@@ -111,6 +121,7 @@
     countRetry(Spec.Id_, Refused.has_value());
     if (Refused)
       return refuse(Call, Spec.Id_, *Refused, Reply);
+    accepted(Call);
     logAccepted(Spec, Call);
     Term_->Metrics_.counter("jobs_accepted_total").add();
     Term_->Admission_.add(Spec, Term_->Config_, Term_->Estimates_);
@@ -313,6 +324,7 @@
                                               : peers::JobCallStatus::Unknown,
              "", 0, 0});
     };
+    accepted(Call);
     if (Job->ended()) {
       logCancel("job.cancel_repeated", *Job, Call);
       return Term_->Commits_.whenStored(Answer);
@@ -338,7 +350,7 @@
   TermPtr Term_;
   SessionsPtr Sessions_;
   RefusedJobs Refused_;
-  RejectedCalls Rejected_;
+  DecidedCalls Decided_;
 };
 
 } // namespace laburnumspread::cell
--- a/src/cell/tests/callmodel.h
+++ b/src/cell/tests/callmodel.h
@@ -14,7 +14,7 @@
 
 // Simulates callers' submissions and cancels, the entries that send them,
 // leaders and the journal in virtual time around the real rules (CallReplies,
-// CallAttempts, RejectedCalls, callrules.h). Attempts are sent again while
+// CallAttempts, DecidedCalls, callrules.h). Attempts are sent again while
 // unanswered; messages and replies are delayed, reordered, lost, or held by a
 // relay and delivered to a later leader than the one that was asked. Leaders
 // change, and a former one goes on with calls until it learns of its successor;
@@ -100,7 +100,7 @@
 
   TermTokens Tokens_;
   jobs::CellTable Table_;
-  RejectedCalls Rejected_{RememberedCalls};
+  DecidedCalls Decided_{RememberedCalls};
   std::vector<CausedEvent> Staged_;
   /// Attempts that are answered once everything staged is stored.
   std::vector<CallMessage> Unstored_;
@@ -390,12 +390,14 @@
     if (!Leader.Active_ || Other)
       return replyNotLeader(Item);
     if (const auto Before =
-            earlierRejection(Item.Call_, Leader.Rejected_, Leader.Table_)) {
+            earlierReply(Item.Call_, Leader.Decided_, Leader.Table_)) {
+      if (Before->Status_ == JobCallStatus::Ok)
+        return reply(Item, *Before);
       ++RepeatedRejections_;
       return reject(Leader, Item, *Before);
     }
     const bool Newer = Verdict % 7 == 0;
-    if (Newer && !isMade(Item.Call_, Leader.Table_))
+    if (Newer && !isInEffect(Item.Call_, Leader.Table_))
       return reject(Leader, Item, JobCallStatus::UnknownKey);
     if (Item.Call_.Kind_ == JobCallKind::Submit)
       return submit(Leader, Item, Verdict % 5 < 2);
@@ -432,6 +434,7 @@
   }
 
   void answerWhenStored(ModelLeader &Leader, const CallMessage &Item) {
+    recordAcceptance(Item.Call_, Leader.Decided_, Now_);
     if (Leader.Staged_.empty())
       return reply(Item, JobCallStatus::Ok);
     Leader.Unstored_.push_back(Item);
@@ -439,8 +442,8 @@
 
   void reject(ModelLeader &Leader, const CallMessage &Item,
               const JobReply &Rejection) {
-    reply(Item, rejectCall(Item.Call_, Rejection, Leader.Tokens_.Latest_,
-                           Leader.Rejected_, Now_));
+    reply(Item, recordRejection(Item.Call_, Rejection, Leader.Tokens_.Latest_,
+                                Leader.Decided_, Now_));
   }
 
   void reject(ModelLeader &Leader, const CallMessage &Item,
--- a/src/cell/tests/callmodeltest.cpp
+++ b/src/cell/tests/callmodeltest.cpp
@@ -12,7 +12,7 @@
 using Schedule = std::vector<std::pair<int, int>>;
 constexpr int MaxScheduleLength = 200;
 
-/// A whole schedule takes less than RejectedCalls::Retention.
+/// A whole schedule takes less than DecidedCalls::Retention.
 constexpr framework::clock::Duration ShortTime = std::chrono::milliseconds(50);
 /// Attempts are delayed for longer than that.
 constexpr framework::clock::Duration LongTime = std::chrono::minutes(1);
--- a/src/cell/tests/rejectedcallstest.cpp
+++ b/src/cell/tests/decidedcallstest.cpp
@@ -1,4 +1,4 @@
-#include "cell/rejectedcalls.h"
+#include "cell/decidedcalls.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -19,21 +19,21 @@
   return Result;
 }
 
-peers::JobReply reply(JobCallStatus Status) {
-  peers::JobReply Result;
+CallDecision decision(JobCallStatus Status) {
+  CallDecision Result;
   Result.Status_ = Status;
   return Result;
 }
 
 } // namespace
 
-BOOST_AUTO_TEST_SUITE(RejectedCallsTest)
+BOOST_AUTO_TEST_SUITE(DecidedCallsTest)
 
 // Guards against a further attempt of a rejected call that is accepted, and
 // against the answer to one call that is given to another.
 BOOST_AUTO_TEST_CASE(FurtherAttemptsGetTheSameAnswer) {
-  RejectedCalls Calls;
-  Calls.add(call(5), reply(JobCallStatus::Missing), Now);
+  DecidedCalls Calls;
+  Calls.add(call(5), decision(JobCallStatus::Missing), Now);
   BOOST_REQUIRE(Calls.find(call(5)));
   BOOST_TEST((Calls.find(call(5))->Status_ == JobCallStatus::Missing));
   BOOST_TEST(!Calls.find(call(4)));
@@ -45,44 +45,44 @@
 // Guards against a call that is decided anew once its rejection is forgotten,
 // and against memory that grows with the refusals of a term.
 BOOST_AUTO_TEST_CASE(ForgottenCallsAreToldFromNewOnes) {
-  RejectedCalls Calls;
-  constexpr std::uint64_t Count = 3 * RejectedCalls::MaxCallsPerEntry;
+  DecidedCalls Calls;
+  constexpr std::uint64_t Count = 3 * DecidedCalls::MaxCallsPerEntry;
   for (std::uint64_t I = 1; I <= Count; ++I)
-    Calls.add(call(2 * I), reply(JobCallStatus::Refused), Now);
-  Calls.add(call(2), reply(JobCallStatus::Refused), Now);
+    Calls.add(call(2 * I), decision(JobCallStatus::Refused), Now);
+  Calls.add(call(2), decision(JobCallStatus::Refused), Now);
   std::uint64_t Remembered = 0;
   for (std::uint64_t I = 1; I <= Count; ++I) {
     const bool Known = Calls.find(call(2 * I)).has_value();
-    BOOST_TEST(Known != Calls.mayBeForgotten(call(2 * I)));
+    BOOST_TEST(Known != Calls.isBelowBound(call(2 * I)));
     Remembered += Known ? 1 : 0;
   }
-  BOOST_TEST(Remembered == RejectedCalls::MaxCallsPerEntry);
-  BOOST_TEST(Calls.mayBeForgotten(call(1)));
-  BOOST_TEST(!Calls.mayBeForgotten(call(2 * Count - 1)));
+  BOOST_TEST(Remembered == DecidedCalls::MaxCallsPerEntry);
+  BOOST_TEST(Calls.isBelowBound(call(1)));
+  BOOST_TEST(!Calls.isBelowBound(call(2 * Count - 1)));
 }
 
 // Guards against entries of earlier releases and tests, whose calls have no
 // number, sharing one answer.
 BOOST_AUTO_TEST_CASE(CallsWithoutANumberAreNotRemembered) {
-  RejectedCalls Calls;
-  Calls.add(call(0), reply(JobCallStatus::Refused), Now);
+  DecidedCalls Calls;
+  Calls.add(call(0), decision(JobCallStatus::Refused), Now);
   BOOST_TEST(!Calls.find(call(0)));
-  BOOST_TEST(!Calls.mayBeForgotten(call(0)));
+  BOOST_TEST(!Calls.isBelowBound(call(0)));
 }
 
 // Guards against memory that grows with the restarts of entries, and against a
 // call that is accepted since its rejection was long ago.
 BOOST_AUTO_TEST_CASE(OnlyTheBoundOfASilentEntryIsKept) {
-  RejectedCalls Calls;
-  Calls.add(call(1, "e0"), reply(JobCallStatus::Refused), Now);
-  Calls.add(call(2, "e0"), reply(JobCallStatus::Refused), Now);
-  Calls.add(call(1, "e1"), reply(JobCallStatus::Refused), Now + 5min);
-  Calls.add(call(1, "e2"), reply(JobCallStatus::Refused),
-            Now + RejectedCalls::Retention + 1ms);
+  DecidedCalls Calls;
+  Calls.add(call(1, "e0"), decision(JobCallStatus::Refused), Now);
+  Calls.add(call(2, "e0"), decision(JobCallStatus::Refused), Now);
+  Calls.add(call(1, "e1"), decision(JobCallStatus::Refused), Now + 5min);
+  Calls.add(call(1, "e2"), decision(JobCallStatus::Refused),
+            Now + DecidedCalls::Retention + 1ms);
   BOOST_TEST(Calls.size() == 2u);
-  BOOST_TEST(Calls.mayBeForgotten(call(2, "e0")));
-  BOOST_TEST(!Calls.mayBeForgotten(call(3, "e0")));
-  BOOST_TEST(!Calls.mayBeForgotten(call(1, "e1")));
+  BOOST_TEST(Calls.isBelowBound(call(2, "e0")));
+  BOOST_TEST(!Calls.isBelowBound(call(3, "e0")));
+  BOOST_TEST(!Calls.isBelowBound(call(1, "e1")));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/cell/tests/jobcallfixture.h
+++ b/src/cell/tests/jobcallfixture.h
@@ -91,6 +91,14 @@
     return Term_->Table_.find(Spec.Id_) != nullptr;
   }
 
+  /// Runs the job's only task to its end.
+  void endJob(const jobs::JobSpec &Spec) const {
+    const jobs::RunName Run{{Spec.Id_, 0, 0, 0}, jobs::RunNumber(1)};
+    Term_->Commits_.stage(jobs::RunIntended{Run, {}});
+    Term_->Commits_.stage(jobs::RunEnded{Run, jobs::EndKind::Done, {}, 3});
+    BOOST_REQUIRE(Term_->Table_.find(Spec.Id_)->ended());
+  }
+
   void checkRefused(const std::optional<peers::JobReply> &Reply,
                     RefusalReason Reason) const {
     BOOST_REQUIRE(Reply);
--- a/src/cell/tests/jobcallhandlertest.cpp
+++ b/src/cell/tests/jobcallhandlertest.cpp
@@ -117,7 +117,7 @@
   const jobs::JobSpec Other = job("0000000000000002");
   handleNumbered(1, peers::JobCallKind::Submit, Accepted);
   fillPool();
-  for (std::uint64_t I = 2; I <= RejectedCalls::MaxCallsPerEntry + 3; ++I)
+  for (std::uint64_t I = 2; I <= DecidedCalls::MaxCallsPerEntry + 3; ++I)
     handleNumbered(I, peers::JobCallKind::Submit, Other);
   Term_->Admission_.rebuild({});
   BOOST_TEST(!handleNumbered(1, peers::JobCallKind::Submit, Accepted));
@@ -136,7 +136,7 @@
   const jobs::JobSpec Unknown = job("0000000000000002");
   submit(Job);
   handleNumbered(1, peers::JobCallKind::Cancel, Job);
-  for (std::uint64_t I = 2; I <= RejectedCalls::MaxCallsPerEntry + 3; ++I)
+  for (std::uint64_t I = 2; I <= DecidedCalls::MaxCallsPerEntry + 3; ++I)
     handleNumbered(I, peers::JobCallKind::Cancel, Unknown);
   const auto Reply = handleNumbered(1, peers::JobCallKind::Cancel, Job);
   BOOST_TEST((!Reply || Reply->Status_ == JobCallStatus::Ok));
@@ -186,6 +186,38 @@
   BOOST_TEST((Attempts == std::vector<std::uint32_t>{3, 7}));
 }
 
+// Guards against a cancel that is confirmed by one attempt and rejected by
+// another: its job has ended, and the key was withdrawn between the two.
+BOOST_AUTO_TEST_CASE(CancelOfAnEndedJobIsNotRefusedByANewerConfig) {
+  const jobs::JobSpec Job = job("0000000000000001");
+  submit(Job);
+  endJob(Job);
+  peers::JobCall Cancel;
+  Cancel.Sequence_ = 1;
+  Cancel.Kind_ = peers::JobCallKind::Cancel;
+  Cancel.Job_ = Job.Id_.str();
+  Cancel.Queue_ = Queue.str();
+  Cancel.Origin_ = {"", "/q/0000000000000001", "withdrawn"};
+  CellConfig InForce;
+  InForce.Version_ = ConfigVersion(1);
+  InForce.Queues_.emplace_back().Name_ = Queue;
+  InForce.Queues_.back().PathPrefix_ = "/q/";
+  Handler_->handle(Cancel, false, [](const peers::JobReply &) {});
+  BOOST_TEST(!Handler_->refusalUnder(InForce, Cancel).has_value());
+}
+
+// Guards against a job that runs twice: a late attempt of its call arrives once
+// the leader has forgotten that the job has ended.
+BOOST_AUTO_TEST_CASE(LateAttemptDoesNotSubmitAForgottenJobAgain) {
+  const jobs::JobSpec Job = job("0000000000000001");
+  handleNumbered(1, peers::JobCallKind::Submit, Job);
+  endJob(Job);
+  Term_->Table_.forgetEnded(Term_->now() + 1s);
+  BOOST_REQUIRE(!known(Job));
+  handleNumbered(1, peers::JobCallKind::Submit, Job);
+  BOOST_TEST(!known(Job));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace laburnumspread::cell
--- a/src/peers/messages.h
+++ b/src/peers/messages.h
@@ -156,7 +156,7 @@
 enum class JobCallStatus {
   /// The change is stored, or the reply holds the requested state or count.
   Ok,
-  /// Rejected. This attempt will not take effect later.
+  /// Rejected. No attempt of the call takes effect later.
   Refused,
   /// The job or queue does not exist.
   Missing,
