A key written after its removal is not reported as removed

What callers may see: a worker that is removed from the platform's list and added again stays unused, or a new leader ends its term because its predecessor's removal of the head key is reported with its own write.

Cause: a batch of a watch holds writes and deletions in two lists, and its readers (WorkerFollower, LeaderElector) apply the deletions last. A deletion that came before a write of the same key was applied after it. Both adapters filled the lists without regard to that.

A write now drops the earlier deletion of its key, so a key that is left in both lists was deleted last, as the readers assume. No other order matters to them. Weighed: deletions first in each reader, which is wrong for a key that is written and then removed.

That the leader's term ends is by reading; no run shows it.

--- a/src/store/internal/gatewayjson.cpp
+++ b/src/store/internal/gatewayjson.cpp
@@ -68,9 +68,9 @@
       continue;
     const json::value *Type = Event->if_contains("type");
     if (Type && Type->is_string() && Type->get_string() == "DELETE")
-      Batch.Deletes_.push_back(bytesAt(*Kv, "key"));
+      Batch.recordDelete(bytesAt(*Kv, "key"));
     else
-      Batch.Puts_.push_back(readKeyValue(*Kv));
+      Batch.recordPut(readKeyValue(*Kv));
   }
   return Batch;
 }
--- a/src/store/kvstore.h
+++ b/src/store/kvstore.h
@@ -54,8 +54,18 @@
   Revision StoreRevision_;
 };
 
-/// Writes reported by a watch, in order.
+/// Writes reported by a watch, in order. A key in both lists was written before
+/// it was deleted, so the deletions apply after the writes.
 struct WatchBatch {
+  /// Appends a write. A former deletion of its key is dropped: applied after
+  /// the writes, it would remove a key that exists.
+  void recordPut(KeyValue Item) {
+    std::erase(Deletes_, Item.Key_);
+    Puts_.push_back(std::move(Item));
+  }
+  /// Appends a deletion.
+  void recordDelete(std::string Key) { Deletes_.push_back(std::move(Key)); }
+
   std::vector<KeyValue> Puts_;
   std::vector<std::string> Deletes_;
   Revision StoreRevision_;
