An unanswered change of the view has no known outcome

What callers saw: DELETE of an entry answered 503 with "Request-Outcome: not-run", although the store may have removed the entry or does so later.

Cause: changeView() returned the store's error as it was. Only Unknown is told as an unknown outcome; a timeout or a broken connection counted as not run. The view that is read back was not compared with the change.

Evidence, before the fix (entry; the mapping moved out of changeView() with its behaviour unchanged), 4 failed checks: UnansweredChangeIsUnknownUnlessItIsSeen: check absl::IsUnknown(viewChangeOutcome(Timeout, Wanted, Former)) has failed

Why the fix works: only "not sent" means that nothing was written (KeyValueStore). After any other error the change succeeded if the view that was read is the wanted one, else its outcome is Unknown, which api::problemOf() tells as such.

Measured: entry (new, 3 cases) passes. No test sends DELETE to an entry whose store does not answer.

--- a/src/entry/internal/membershipservice.cpp
+++ b/src/entry/internal/membershipservice.cpp
@@ -1,5 +1,6 @@
 #include "entry/membershipservice.h"
 
+#include "entry/viewchangeoutcome.h"
 #include "framework/fibers/spawn.h"
 #include "framework/fibers/waiter.h"
 #include "framework/log/log.h"
@@ -170,11 +171,7 @@
   // Whether the write took effect, lost to another one or its answer was lost:
   // reading the store shows the agreed view.
   Config_.poll();
-  if (!Result.ok())
-    return Result.status();
-  return Result->Succeeded_
-             ? absl::OkStatus()
-             : absl::AbortedError("view was changed concurrently");
+  return viewChangeOutcome(Result, *Next, State_.View_);
 }
 
 absl::Status MembershipService::createInitialView() {
--- a/src/entry/membershipservice.h
+++ b/src/entry/membershipservice.h
@@ -36,8 +36,7 @@
   /// Removes a member whose VM has stopped, as reported by an operator or the
   /// platform. \p Reason is recorded in the decision log. Returns
   /// FailedPrecondition if no view is known, NotFound if \p Stopped is not a
-  /// member, Aborted if the view was changed concurrently, or the store's
-  /// error.
+  /// member, or the error of viewChangeOutcome().
   absl::Status declareStopped(const MemberId &Stopped,
                               const std::string &Reason);
 
