Starts during an outage count the ends that are to come

A task that a leader starts while the store is away, behind a task that has just ended on the same worker, could run to its end twice after a takeover.

Cause: such a start is safe because the successor reads the end and the start in one report of the worker. A report holds 500 ends. The leader left out workers with more than 250 unacknowledged ends, but not those where many tasks run: with their ends the report is cut between the two, the successor learns of the first end alone and starts the task again.

Change: a worker gets such a start only while its unacknowledged ends, what runs there and the new run fit into one report; checked again for each start of a pass.

TaskPlanner's use of the bound has no test of its own; EndsOfRunningTasksTakeRoomInTheReport tests the bound.

--- a/src/cell/taskplanner.h
+++ b/src/cell/taskplanner.h
@@ -58,6 +58,8 @@
     for (const jobs::RunIntended &Item : Starts) {
       if (Sessions_->unansweredStarts() >= startsAllowed())
         break;
+      if (!oneMoreEndFits(Item.Worker_))
+        continue;
       Sessions_->runStaged(Item.Run_);
       Term_->Commits_.stageSentStart(Item);
       Sessions_->start(Item);
@@ -152,12 +154,17 @@
   std::vector<scheduling::Candidate> outageCandidates() const {
     std::vector<scheduling::Candidate> Result = candidates();
     std::erase_if(Result, [&](const scheduling::Candidate &Item) {
-      const WorkerRow &Row = *Term_->Workers_.at(Item.Worker_->Incarnation_);
-      return Row.EndsStaged_ - Row.EndsAcknowledged_ > MaxUnacknowledgedEnds;
+      return !oneMoreEndFits(Item.Worker_->Incarnation_);
     });
     return Result;
   }
 
+  bool oneMoreEndFits(const WorkerIncarnation &Worker) const {
+    const jobs::WorkerUsage *Use = Term_->Table_.usageOf(Worker);
+    return Term_->Workers_.at(Worker)->oneMoreEndFits(
+        Use ? Use->Runs_.size() : 0, MaxEndsPerReport);
+  }
+
   scheduling::PlanTime planTime() const {
     return {now(),
             framework::clock::toMillis(framework::clock::SystemClock().now()),
@@ -229,8 +236,6 @@
   /// most urgent then. Starts that are repeated do not count, as workers that
   /// are cut off would stop all others.
   static constexpr std::size_t MaxUnansweredStarts = 512;
-  /// Leaves room in a report for the ends of what runs on the worker.
-  static constexpr std::uint64_t MaxUnacknowledgedEnds = MaxEndsPerReport / 2;
   /// Lower failure scores count as zero, so that workers whose failures are
   /// long past are equal again.
   static constexpr double MinFailureScore = 0.1;
--- a/src/cell/tests/workertabletest.cpp
+++ b/src/cell/tests/workertabletest.cpp
@@ -105,6 +105,18 @@
   BOOST_TEST(Row.acceptsTasks());
 }
 
+// Guards against a successor that learns of an end and not of the start that
+// followed it, as the worker's report was cut between the two.
+BOOST_AUTO_TEST_CASE(EndsOfRunningTasksTakeRoomInTheReport) {
+  WorkerRow Row;
+  Row.EndsStaged_ = 300;
+  Row.EndsAcknowledged_ = 100;
+  BOOST_TEST(Row.oneMoreEndFits(299, 500));
+  BOOST_TEST(!Row.oneMoreEndFits(300, 500));
+  Row.EndsAcknowledged_ = 300;
+  BOOST_TEST(Row.oneMoreEndFits(300, 500));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace laburnumspread::cell
--- a/src/cell/workertable.h
+++ b/src/cell/workertable.h
@@ -206,6 +206,12 @@
            Unanswered_ <= MaxUnansweredInUse;
   }
 
+  /// Whether the end of one more run would fit into a report, beside the ends
+  /// that have not been acknowledged and those of \p LiveRuns runs.
+  bool oneMoreEndFits(std::size_t LiveRuns, std::uint64_t EndsPerReport) const {
+    return EndsStaged_ - EndsAcknowledged_ + LiveRuns < EndsPerReport;
+  }
+
   /// Lets the starts continue that wait for the worker's first reply: it has
   /// come, or is no longer expected.
   void endFirstReplyWaits() {
