Only a whole report can show that a run is lost

Cause: a worker returns 500 ends at a time, the others once these are acknowledged. RunTracker::processReport took a run that an answer does not name as lost (an earlier leader's at once, this leader's after a settled start), also when the answer held 500 ends and more were to come. The same for runs of a former incarnation, and without a takeover when the store is away while more than 500 tasks end on a worker.

Change: a report with as many ends as fit loses no run. Its worker keeps its session, and the next hold is sent without a wait once the ends are stored, as they are acknowledged only then. While they are not stored, the same ends come back at once, so they are asked for every 150 ms: before, each repeated report was followed by the next hold without any pause.

In a report with fewer ends than fit, a run that is not named neither runs there nor has an unread end.

The model's workers return 2 ends at a time, and workers may have room for four tasks, in a test of its own; the tracker is given the model's limit. It now also checks that no task starts again after an end `done` that is acknowledged later, unless the lease lapsed between.

--- a/src/cell/internal/runtracker.cpp
+++ b/src/cell/internal/runtracker.cpp
@@ -128,6 +128,7 @@
                                              TimePoint SentAt,
                                              std::uint64_t EndsStaged) {
   Report Result;
+  Result.Whole_ = Reply.Ends_.size() < EndsPerReport_;
   RunSet Listed;
   Listed.reserve(Reply.Ends_.size() + Reply.Running_.size());
   for (const EndReport &Item : Reply.Ends_) {
@@ -151,13 +152,23 @@
       Table_.findTask(Item.Run_.Task_)->Saved_ = Item.Saved_;
   }
   settleFormerIncarnations(Worker, Listed, SentAt, Result);
+  loseUnlisted(Worker, Listed, Reply.ClockMs_, SentAt, Result);
+  return Result;
+}
+
+void RunTracker::loseUnlisted(const WorkerIncarnation &Worker,
+                              const RunSet &Listed, std::int64_t ClockMs,
+                              TimePoint SentAt, Report &Into) const {
   const jobs::WorkerUsage *Use = Table_.usageOf(Worker);
-  if (!Use)
-    return Result;
+  // A run that is missing in a cut report may have ended as done. Taken as
+  // lost, its task would be started again, and the next report would show it
+  // done twice. The ends are numbered, so the whole report comes once those
+  // before have been acknowledged.
+  if (!Use || !Into.Whole_)
+    return;
   for (const RunName &Run : Use->Runs_)
-    if (!Listed.contains(Run) && cannotStart(Run, Reply.ClockMs_, SentAt))
-      Result.Ended_.push_back({Run, EndKind::Lost, Checkpoint(), "not listed"});
-  return Result;
+    if (!Listed.contains(Run) && cannotStart(Run, ClockMs, SentAt))
+      Into.Ended_.push_back({Run, EndKind::Lost, Checkpoint(), "not listed"});
 }
 
 void RunTracker::settleFormerIncarnations(const WorkerIncarnation &Worker,
@@ -170,7 +181,7 @@
     for (const RunName &Run : Incarnation->second.Runs_) {
       if (Listed.contains(Run))
         continue;
-      if (cannotStartOnLaterIncarnation(Run, SentAt))
+      if (Into.Whole_ && cannotStartOnLaterIncarnation(Run, SentAt))
         Into.Ended_.push_back({Run, EndKind::Lost, Checkpoint(),
                                "the incarnation of its worker has ended"});
       else
--- a/src/cell/runtracker.h
+++ b/src/cell/runtracker.h
@@ -27,6 +27,9 @@
 ///    hold the worker refuses that leader's token, or
 ///  - the worker refuses the first and only attempt to start it.
 ///
+/// Only a whole report can leave out a run that has ended for good. In one with
+/// as many ends as fit, the end of the run may be among those that follow.
+///
 /// A restarted worker process may keep its id and execute a start that was sent
 /// to its former incarnation. Its clock starts anew, so the deadline does not
 /// prevent that. A run of a former incarnation has ended only when the new
@@ -51,13 +54,18 @@
     /// Runs of former incarnations that may still start on this one and have to
     /// be stopped here.
     std::vector<jobs::RunName> StaleStarts_;
+    /// Whether all ends that the worker keeps were in the report.
+    bool Whole_ = false;
   };
 
   /// A run is gone at most this long after its stop was answered. The platform
   /// specifies 200 ms; the worker's clock may run slow.
   static constexpr Duration MaxStopDuration = std::chrono::milliseconds(300);
 
-  explicit RunTracker(jobs::CellTable &Table) : Table_(Table) {}
+  /// \p EndsPerReport is the number of ends that fit into a report.
+  explicit RunTracker(jobs::CellTable &Table,
+                      std::uint64_t EndsPerReport = MaxEndsPerReport)
+      : Table_(Table), EndsPerReport_(EndsPerReport) {}
 
   /// Records that this leader has staged the intent of a run.
   void runStaged(const jobs::RunName &Run) { Staged_.insert(Run); }
@@ -128,6 +136,8 @@
   void settleFormerIncarnations(const WorkerIncarnation &Worker,
                                 const RunSet &Listed, TimePoint SentAt,
                                 Report &Into) const;
+  void loseUnlisted(const WorkerIncarnation &Worker, const RunSet &Listed,
+                    std::int64_t ClockMs, TimePoint SentAt, Report &Into) const;
   bool stopMayBeInProgress(const jobs::RunName &Run, TimePoint AsOf) const;
   bool cannotStartOnLaterIncarnation(const jobs::RunName &Run,
                                      TimePoint SentAt) const;
@@ -135,6 +145,7 @@
                    TimePoint SentAt) const;
 
   jobs::CellTable &Table_;
+  const std::uint64_t EndsPerReport_;
   absl::flat_hash_map<jobs::RunName, StartState> Starts_;
   absl::flat_hash_set<jobs::RunName> Staged_;
 };
--- a/src/cell/tests/modelworker.h
+++ b/src/cell/tests/modelworker.h
@@ -15,8 +15,13 @@
 
 constexpr auto Lease = 6000ms;
 
+/// Number of ends in one report of a model worker. It is small, so that reports
+/// are often cut.
+constexpr std::size_t ModelEndsPerReport = 2;
+
 /// A worker that behaves as the platform specifies.
 struct ModelWorker {
+  std::size_t EndsPerReport_ = ModelEndsPerReport;
   WorkerId Id_;
   std::int64_t StartedMs_ = 1;
   TimePoint StartedAt_{};
@@ -26,9 +31,17 @@
   std::set<RunName> Running_;
   std::vector<EndReport> Ends_;
   std::uint64_t NextEnd_ = 1;
+  /// Ends up to this number were there when the lease last expired.
+  std::uint64_t LastLapsedEnd_ = 0;
+  /// Runs that ended as done here and whose ends were acknowledged with the
+  /// lease held from one to the other. Acknowledgements meant for a former
+  /// incarnation do not count: they drop ends that no leader has seen.
+  std::vector<RunName> AcknowledgedDone_;
   /// For each task, the highest run number that can no longer start.
   std::map<TaskName, RunNumber> Blocked_;
 
+  WorkerIncarnation incarnation() const { return {Id_, StartedMs_}; }
+
   std::int64_t clockMs(TimePoint Now) const {
     return 1000 + static_cast<std::int64_t>(
                       Rate_ * static_cast<double>((Now - StartedAt_).count()) /
@@ -51,6 +64,15 @@
     const auto All = Running_;
     for (const RunName &Run : All)
       end(Run, EndKind::LeaseExpired);
+    LastLapsedEnd_ = NextEnd_ - 1;
+  }
+  void acknowledge(std::uint64_t Last, bool MeantForThis) {
+    for (const EndReport &Row : Ends_)
+      if (MeantForThis && Row.Number_ <= Last && Row.Number_ > LastLapsedEnd_ &&
+          Row.Kind_ == EndKind::Done)
+        AcknowledgedDone_.push_back(Row.Run_);
+    std::erase_if(Ends_,
+                  [&](const EndReport &Row) { return Row.Number_ <= Last; });
   }
   void extend(std::int64_t DeadlineMs, TimePoint Now) {
     const std::int64_t Most = clockMs(Now) + Lease.count();
@@ -100,17 +122,18 @@
       extend(Order.DeadlineMs_, Now);
     Reply.Result_ = StartedMs == StartedMs_ ? OrderResult::Done
                                             : OrderResult::OtherIncarnation;
-    std::erase_if(Ends_, [&](const EndReport &Row) {
-      return Row.Number_ <= Order.AcknowledgedEnds_;
-    });
+    acknowledge(Order.AcknowledgedEnds_, StartedMs == StartedMs_);
     for (const RunName &Run : Running_)
       Reply.Running_.push_back({Run, jobs::Checkpoint(), 100, 0});
-    Reply.Ends_ = Ends_;
+    const auto Listed = std::min(Ends_.size(), EndsPerReport_);
+    Reply.Ends_.assign(Ends_.begin(),
+                       Ends_.begin() + static_cast<std::ptrdiff_t>(Listed));
     return Reply;
   }
 
   void restart(TimePoint Now) {
     ModelWorker Fresh;
+    Fresh.EndsPerReport_ = EndsPerReport_;
     Fresh.Id_ = Id_;
     Fresh.StartedMs_ = StartedMs_ + 1;
     Fresh.StartedAt_ = Now;
--- a/src/cell/tests/runmodel.h
+++ b/src/cell/tests/runmodel.h
@@ -52,8 +52,7 @@
 constexpr int MaxTicksToList = 20;
 /// The limit of a table for which none is set.
 constexpr std::uint32_t AttemptLimit = 3;
-/// Each task takes a whole worker.
-const Resources WorkerCapacity{1000, 0, 0};
+const Resources TaskDemand{1000, 0, 0};
 
 struct Journal {
   FencingToken Head_;
@@ -63,7 +62,8 @@
 /// An entry that leads, or assumes that it does.
 struct ModelLeader : std::enable_shared_from_this<ModelLeader> {
   explicit ModelLeader(FencingToken Token, TimePoint Now)
-      : Token_(Token), ConfirmedAt_(Now), StartedAt_(Now), Tracker_(Table_) {}
+      : Token_(Token), ConfirmedAt_(Now), StartedAt_(Now),
+        Tracker_(Table_, ModelEndsPerReport) {}
 
   const FencingToken Token_;
   TimePoint ConfirmedAt_;
@@ -130,7 +130,9 @@
 
 class Model {
 public:
-  Model() {
+  /// Workers have room for \p TasksPerWorker tasks.
+  explicit Model(std::size_t TasksPerWorker = 1)
+      : TasksPerWorker_(TasksPerWorker) {
     for (std::size_t I = 0; I < WorkerCount; ++I) {
       Workers_[I].Id_ = WorkerId("w" + std::to_string(I));
       Workers_[I].Rate_ = I == 0 ? MinClockRate : 1;
@@ -269,10 +271,19 @@
   /// Number of runs of tasks that were done, in jobs that continued, when the
   /// adversary stopped.
   std::uint64_t copiesToStop() const { return CopiesToStop_; }
+  /// Number of reports into which not all ends of their worker fitted.
+  std::uint64_t cutReports() const { return CutReports_; }
 
 private:
   static constexpr int AllWorkers = (1 << WorkerCount) - 1;
 
+  Resources workerCapacity() const {
+    Resources Result;
+    for (std::size_t I = 0; I < TasksPerWorker_; ++I)
+      Result += TaskDemand;
+    return Result;
+  }
+
   static std::size_t pick(int Detail, std::size_t Size) {
     return static_cast<std::size_t>(Detail) % Size;
   }
@@ -443,11 +454,13 @@
       if (Row && Row->acceptsTasks() && Row->Synced_) {
         const auto *Use = Leader->Table_.usageOf(Row->Record_.Incarnation_);
         Candidates.push_back(
-            {&Row->Record_, Use ? WorkerCapacity - Use->Used_ : WorkerCapacity,
-             0});
+            {&Row->Record_,
+             Use ? workerCapacity() - Use->Used_ : workerCapacity(), 0});
       }
     for (const jobs::RunIntended &Item : scheduling::planOutageStarts(
              Leader->Table_, config(), Leader->Unsent_, Candidates)) {
+      if (!fitsReport(*Leader, Item.Worker_))
+        continue;
       ++OutageStarts_;
       Leader->Tracker_.runStaged(Item.Run_);
       Leader->Table_.apply(Item, Now_);
@@ -459,6 +472,16 @@
     }
   }
 
+  static bool fitsReport(const ModelLeader &Leader,
+                         const WorkerIncarnation &Worker) {
+    const auto *Use = Leader.Table_.usageOf(Worker);
+    for (const WorkerRowPtr &Row : Leader.Rows_)
+      if (Row && Row->Record_.Incarnation_ == Worker)
+        return Row->oneMoreEndFits(Use ? Use->Runs_.size() : 0,
+                                   ModelEndsPerReport);
+    return false;
+  }
+
   void continueInOutage(int Detail) {
     const LeaderPtr Leader = Leaders_.back();
     if (!Leader->Active_)
@@ -501,7 +524,7 @@
       return;
     const jobs::WorkerUsage *Use =
         Leader->Table_.usageOf(Row->Record_.Incarnation_);
-    if (Use && !(Use->Used_ + WorkerCapacity).fitsInto(WorkerCapacity))
+    if (Use && !(Use->Used_ + TaskDemand).fitsInto(workerCapacity()))
       return;
     if (Use && !Row->Synced_)
       return;
@@ -582,7 +605,7 @@
     Item.Spec_.Steps_.resize(StepCount);
     for (jobs::StepSpec &Step : Item.Spec_.Steps_) {
       Step.Count_ = TaskCount;
-      Step.PerTask_ = WorkerCapacity;
+      Step.PerTask_ = TaskDemand;
       Step.Speculative_ = Leader.Table_.jobs().size() % 2 == 0;
     }
     Item.Spec_.Steps_[1].After_ = {0};
@@ -716,7 +739,7 @@
     if (Worker.Running_.empty())
       return;
     if (Detail % 5 != 0)
-      DoneTasks_.insert(Worker.Running_.begin()->Task_);
+      recordDone(Worker, *Worker.Running_.begin());
     Worker.end(*Worker.Running_.begin(),
                Detail % 5 == 0 ? EndKind::Failed : EndKind::Done);
   }
@@ -732,7 +755,7 @@
         Here.begin()->Task_ != There.begin()->Task_)
       return;
     if (Detail % 7 != 0)
-      DoneTasks_.insert(Here.begin()->Task_);
+      recordDone(Workers_[I], *Here.begin());
     Workers_[I].end(*Here.begin(),
                     Detail % 7 == 0 ? EndKind::Failed : EndKind::Done);
     if (!Leaders_.back()->maySendOrders(Now_))
@@ -765,6 +788,8 @@
     ModelWorker &Worker = Workers_[Item.To_];
     if (Item.Kind_ == Message::Kind::Hold) {
       Item.Report_ = Worker.hold(Item.Hold_, Item.StartedMs_, Now_);
+      checkAcknowledged(Worker);
+      CutReports_ += Worker.Ends_.size() > Item.Report_.Ends_.size();
       return;
     }
     if (Item.Kind_ != Message::Kind::Start) {
@@ -784,7 +809,7 @@
       Worker.expireLease(Now_);
       for (const RunName &Other : Worker.Running_)
         ActiveRuns += Other.Task_ == Run.Task_;
-      RC_ASSERT(Worker.Running_.size() <= 1u);
+      RC_ASSERT(Worker.Running_.size() <= TasksPerWorker_);
     }
     if (Run.Task_.Step_ > 0)
       for (std::uint32_t T = 0; T < TaskCount; ++T)
@@ -795,8 +820,23 @@
         Leaders_.back()->Table_.specOf(Run.Task_)->Speculative_;
     RC_ASSERT(ActiveRuns <= (Speculative ? 2u : 1u));
     // The start of a copy may be executed after the end of the other run.
-    if (!Speculative)
-      RC_ASSERT(!endOfTask(Run.Task_));
+    if (Speculative)
+      return;
+    RC_ASSERT(!endOfTask(Run.Task_));
+    if (const auto Done = DoneRuns_.find(Run.Task_); Done != DoneRuns_.end())
+      StartedAgain_.insert(Done->second.begin(), Done->second.end());
+  }
+
+  /// Checks that no task was started again after a run that has ended as done,
+  /// where the worker held its lease until that end was acknowledged.
+  void checkAcknowledged(const ModelWorker &Worker) const {
+    for (const RunName &Run : Worker.AcknowledgedDone_)
+      RC_ASSERT(!StartedAgain_.contains({Worker.incarnation(), Run}));
+  }
+
+  void recordDone(const ModelWorker &Worker, const RunName &Run) {
+    DoneTasks_.insert(Run.Task_);
+    DoneRuns_[Run.Task_].insert({Worker.incarnation(), Run});
   }
 
   /// Returns the place in the journal at which the task was done.
@@ -1076,6 +1116,7 @@
     return Count;
   }
 
+  const std::size_t TasksPerWorker_;
   TimePoint Now_{std::chrono::hours(1)};
   std::uint64_t Revision_ = 0;
   Journal Journal_;
@@ -1084,12 +1125,19 @@
   std::vector<MessagePtr> Messages_;
   /// Tasks of which a run has ended as done.
   std::set<TaskName> DoneTasks_;
+  /// A run on a worker: a successor that does not know of a start may give its
+  /// number to another run.
+  using RunOnWorker = std::pair<WorkerIncarnation, RunName>;
+  std::map<TaskName, std::set<RunOnWorker>> DoneRuns_;
+  /// Runs that had ended as done when their task was started once more.
+  std::set<RunOnWorker> StartedAgain_;
   std::uint64_t Starts_ = 0;
   std::uint64_t OutageStarts_ = 0;
   std::uint64_t AdoptedStarts_ = 0;
   std::uint64_t RunsToStop_ = 0;
   std::uint64_t Copies_ = 0;
   std::uint64_t CopiesToStop_ = 0;
+  std::uint64_t CutReports_ = 0;
 };
 
 } // namespace laburnumspread::cell::model
--- a/src/cell/tests/runmodeltest.cpp
+++ b/src/cell/tests/runmodeltest.cpp
@@ -11,6 +11,8 @@
 /// Steps of the adversary: choices with their details.
 using Schedule = std::vector<std::pair<int, int>>;
 constexpr int MaxScheduleLength = 400;
+/// With it, more tasks of a worker may end than fit into a report.
+constexpr std::size_t SmallTasksPerWorker = 4;
 
 rc::Gen<int> anyDetail() {
   return rc::gen::resize(MaxScheduleLength,
@@ -61,6 +63,23 @@
                                << ", adopted " << AdoptedStarts);
 }
 
+// Guards against a finished task that is started again: its end did not fit
+// into its worker's report, and the run was taken as lost.
+BOOST_AUTO_TEST_CASE(NoTaskRunsTwiceThoughReportsAreCut) {
+  std::uint64_t CutReports = 0;
+  const auto Property = [&] {
+    Model Simulation(SmallTasksPerWorker);
+    const Schedule Steps = *anySchedule();
+    for (const auto &[Choice, Detail] : Steps)
+      Simulation.step(Choice, Detail);
+    Simulation.settle(*anyDetail());
+    CutReports += Simulation.cutReports();
+  };
+  BOOST_TEST(rc::check("one place at a time, with cut reports", Property));
+  BOOST_TEST(CutReports > 100u);
+  BOOST_TEST_MESSAGE("cut reports " << CutReports);
+}
+
 // Guards against two runs of one task on a worker that restarts twice under its
 // id: the second restart forgets the fencing token, and a former leader that
 // does not know its successor yet repeats a start there.
--- a/src/cell/tests/runtrackertest.cpp
+++ b/src/cell/tests/runtrackertest.cpp
@@ -49,6 +49,62 @@
     return Tracker_.unwanted(Worker, SentAt);
   }
 
+  void acceptLarge(const std::string &Id, std::uint32_t Tasks) {
+    jobs::JobAccepted Item;
+    Item.Spec_.Id_ = JobId(Id);
+    Item.Spec_.Steps_.resize(1);
+    Item.Spec_.Steps_[0].Count_ = Tasks;
+    Table_.apply(Item, Now);
+  }
+
+  /// Starts one task more than a report has room for ends, on one worker.
+  std::vector<RunName> startMoreThanAReportHolds() {
+    acceptLarge("large", MaxEndsPerReport + 1);
+    std::vector<RunName> Runs;
+    for (std::uint32_t Task = 0; Task <= MaxEndsPerReport; ++Task)
+      Runs.push_back(startRun("large", Task, ThisIncarnation));
+    return Runs;
+  }
+
+  /// The report of \p Count ends from number \p First on, where the runs have
+  /// ended in their order.
+  static HoldReply reportOfEnds(const std::vector<RunName> &Runs,
+                                std::size_t First, std::size_t Count) {
+    HoldReply Reply;
+    Reply.Result_ = OrderResult::Done;
+    for (std::size_t Number = First; Number < First + Count; ++Number)
+      Reply.Ends_.push_back(
+          {Number, Runs[Number - 1], jobs::EndKind::Done, jobs::Checkpoint()});
+    return Reply;
+  }
+
+  /// Processes two reports, the second one asked for after the ends of the
+  /// first one were stored. Checks that each run ends as done.
+  void checkAllEndAsDone(const std::vector<RunName> &Runs) {
+    const auto First = Tracker_.processReport(
+        ThisIncarnation, reportOfEnds(Runs, 1, MaxEndsPerReport), Now, 0);
+    BOOST_TEST(!First.Whole_);
+    BOOST_TEST(First.Ended_.size() == MaxEndsPerReport);
+    end(First.Ended_);
+    const auto Second = Tracker_.processReport(
+        ThisIncarnation, reportOfEnds(Runs, MaxEndsPerReport + 1, 1), Now,
+        MaxEndsPerReport);
+    BOOST_TEST(Second.Whole_);
+    BOOST_TEST(Second.Ended_.size() == 1u);
+    end(Second.Ended_);
+  }
+
+  void end(const std::vector<RunTracker::EndedRun> &Runs) {
+    for (const RunTracker::EndedRun &Item : Runs) {
+      BOOST_TEST((Item.Kind_ == jobs::EndKind::Done));
+      jobs::RunEnded End;
+      End.Run_ = Item.Run_;
+      End.Kind_ = Item.Kind_;
+      Table_.apply(End, Now);
+      Tracker_.forget(Item.Run_);
+    }
+  }
+
   /// Whether the run ends after some holds that do not report it. Each hold is
   /// sent right after the previous report; \p StopAnswered is called 1 ms
   /// later.
@@ -164,6 +220,48 @@
       Run, [&](TimePoint At) { Tracker_.stopAnswered(Run, At); }));
 }
 
+// Guards against finished tasks that are started again after a takeover.
+BOOST_AUTO_TEST_CASE(CutReportLosesNoRunOfAnEarlierLeader) {
+  checkAllEndAsDone(startMoreThanAReportHolds());
+}
+
+// Guards against the same in one term, after an outage of the store.
+BOOST_AUTO_TEST_CASE(CutReportLosesNoRunOfThisLeader) {
+  const std::vector<RunName> Runs = startMoreThanAReportHolds();
+  for (const RunName &Run : Runs) {
+    Tracker_.runStaged(Run);
+    Tracker_.startSent(Run, 1000);
+    Tracker_.startAnswered(Run, OrderResult::Done, 0,
+                           Now - std::chrono::milliseconds(1));
+    Tracker_.noMoreStarts(Run);
+  }
+  checkAllEndAsDone(Runs);
+}
+
+// Guards against the same for a start that a restarted worker executed late.
+BOOST_AUTO_TEST_CASE(CutReportLosesNoRunOfAFormerIncarnation) {
+  acceptLarge("large", MaxEndsPerReport + 1);
+  std::vector<RunName> Runs;
+  for (std::uint32_t Task = 0; Task < MaxEndsPerReport; ++Task)
+    Runs.push_back(startRun("large", Task, ThisIncarnation));
+  Runs.push_back(startRun("large", MaxEndsPerReport, FormerIncarnation));
+  checkAllEndAsDone(Runs);
+}
+
+// Guards against a run that is never given up because some report was cut.
+BOOST_AUTO_TEST_CASE(RunMissingInAWholeReportAfterACutOneIsLost) {
+  std::vector<RunName> Runs = startMoreThanAReportHolds();
+  const auto First = Tracker_.processReport(
+      ThisIncarnation, reportOfEnds(Runs, 1, MaxEndsPerReport), Now, 0);
+  end(First.Ended_);
+  const auto Second = Tracker_.processReport(
+      ThisIncarnation, reportOfEnds(Runs, MaxEndsPerReport + 1, 0), Now,
+      MaxEndsPerReport);
+  BOOST_REQUIRE(Second.Ended_.size() == 1u);
+  BOOST_TEST((Second.Ended_[0].Run_ == Runs.back()));
+  BOOST_TEST((Second.Ended_[0].Kind_ == jobs::EndKind::Lost));
+}
+
 BOOST_AUTO_TEST_CASE(RunBeingStoppedIsUnwantedThoughItsJobContinues) {
   const RunName Run = startRun("kept", 0, ThisIncarnation);
   startRun("kept", 1, ThisIncarnation);
--- a/src/cell/tests/workersessionstest.cpp
+++ b/src/cell/tests/workersessionstest.cpp
@@ -32,14 +32,19 @@
     Stops_.push_back(Stopped);
     return {OrderResult::Done, 1};
   }
-  HoldReply hold(const WorkerRecord &, const HoldOrder &, Duration) {
-    return std::exchange(Report_, HoldReply());
+  HoldReply hold(const WorkerRecord &, const HoldOrder &Order, Duration) {
+    Holds_.push_back(Order);
+    framework::fibers::sleepFor(HoldTime_);
+    return RepeatsReport_ ? Report_ : std::exchange(Report_, HoldReply());
   }
 
   std::uint32_t Starts_ = 0;
   std::uint32_t Unanswered_ = 0;
   std::vector<jobs::RunName> Stops_;
   HoldReply Report_;
+  bool RepeatsReport_ = false;
+  std::vector<HoldOrder> Holds_;
+  Duration HoldTime_{};
   std::function<void()> AfterStart_;
 };
 
@@ -122,6 +127,19 @@
     framework::fibers::sleepFor(std::chrono::milliseconds(5));
   }
 
+  /// Lets an unused worker report \p Count ends of unknown runs.
+  void reportUnknownEnds(std::uint64_t Count) {
+    Client_.Report_.Result_ = OrderResult::Done;
+    for (std::uint64_t Number = 1; Number <= Count; ++Number)
+      Client_.Report_.Ends_.push_back(
+          {Number, {Run.Task_, jobs::RunNumber(9)}, jobs::EndKind::Done, {}});
+    const auto Row = std::make_shared<WorkerRow>();
+    Row->Record_.Incarnation_ = {WorkerId("w9"), 1};
+    Term_->Workers_[Row->Record_.Incarnation_] = Row;
+    Client_.HoldTime_ = std::chrono::milliseconds(1);
+    Sessions_->prepareStart(Row->Record_.Incarnation_);
+  }
+
   std::uint64_t counter(const std::string &Name) {
     return Metrics_.counter(Name).value();
   }
@@ -166,6 +184,26 @@
   BOOST_TEST(Term_->Table_.find(Run) != nullptr);
 }
 
+// Guards against ends on an unused worker that are never read, as the report
+// before them was full.
+BOOST_AUTO_TEST_CASE(FullReportIsFollowedByTheNext) {
+  reportUnknownEnds(MaxEndsPerReport);
+  for (int Waits = 0; Waits < 2000 && Client_.Holds_.size() < 2; ++Waits)
+    framework::fibers::sleepFor(std::chrono::milliseconds(1));
+  BOOST_REQUIRE(Client_.Holds_.size() >= 2u);
+  BOOST_TEST((Client_.Holds_[1].Wait_ == Duration::zero()));
+}
+
+// Guards against reports that are asked for without a pause while ends that
+// the worker returns at once are not stored.
+BOOST_AUTO_TEST_CASE(UnstoredEndsAreAskedForAtIntervals) {
+  Client_.RepeatsReport_ = true;
+  reportUnknownEnds(MaxEndsPerReport);
+  framework::fibers::sleepFor(std::chrono::milliseconds(1200));
+  BOOST_TEST(Client_.Holds_.size() >= 2u);
+  BOOST_TEST(Client_.Holds_.size() <= 6u);
+}
+
 // Guards against a task that starts in a zone evacuated after the start was
 // planned, or that an earlier leader planned there.
 BOOST_AUTO_TEST_CASE(IntentIsNotSentToAnEvacuatedZone) {
--- a/src/cell/workersessions.h
+++ b/src/cell/workersessions.h
@@ -204,7 +204,7 @@
 
   /// Whether the worker runs something, or may, or has ends to acknowledge.
   bool needsSession(const WorkerRow &Row) const {
-    return Row.MayRunStaleStarts_ || Row.HasUnknownRuns_ ||
+    return Row.MayRunStaleStarts_ || Row.HasUnknownRuns_ || Row.HasMoreEnds_ ||
            Row.EndsStored_ > Row.EndsAcknowledged_ || inUse(Row);
   }
 
@@ -255,12 +255,14 @@
   HoldOrder nextHold(WorkerRow &Row) const {
     if (Row.HasUnknownRuns_ && !inUse(Row))
       return Row.nextPoll(Term_->Token_, BusyHoldWait);
-    const bool Busy = Row.HasUnknownRuns_ || hasFiniteRuns(Row);
     return Row.nextRenewal(now(), Term_->Token_, Term_->Bounds_.MaxLease_,
-                           holdWait(Busy));
+                           holdWait(Row));
   }
 
-  Duration holdWait(bool Busy) const {
+  Duration holdWait(const WorkerRow &Row) const {
+    const bool Busy = Row.HasUnknownRuns_ || hasFiniteRuns(Row);
+    if (Row.HasMoreEnds_)
+      return Duration::zero();
     if (Term_->Load_.late())
       return LateHoldWait;
     return Busy ? BusyHoldWait : HoldWait;
@@ -312,6 +314,7 @@
     Row.MayRunStaleStarts_ =
         Tracker_->mayRunStaleStarts(Row.Record_.Incarnation_);
     Row.HasUnknownRuns_ = !Report.Unknown_.empty();
+    Row.HasMoreEnds_ = !Report.Whole_;
     Fillers_.handleReport(Row, Reply);
     if (!Row.Synced_) {
       Row.markSynced(now(), Term_->Bounds_.MaxLease_);
@@ -341,8 +344,10 @@
     std::uint64_t Last = Row.EndsStaged_;
     for (const EndReport &Item : Reply.Ends_)
       Last = std::max(Last, Item.Number_);
-    if (Last == Row.EndsStaged_)
+    if (Last <= Row.EndsStored_)
       return;
+    // The worker returns ends that were not acknowledged at once.
+    const bool Repeated = Last == Row.EndsStaged_;
     Row.EndsStaged_ = Last;
     const WorkerRowPtr Shared = Term_->Workers_.at(Row.Record_.Incarnation_);
     auto Ready = std::make_shared<framework::fibers::Waiter>();
@@ -352,7 +357,8 @@
       Ready->signal();
     });
     Ready->waitUntil(framework::clock::wallDeadline(
-        Term_->Commits_.stalled() ? OutageReportInterval : HoldWait));
+        Repeated || Term_->Commits_.stalled() ? OutageReportInterval
+                                              : HoldWait));
   }
 
   /// Updates the run time estimates and the worker's failure score from the end
--- a/src/cell/workertable.h
+++ b/src/cell/workertable.h
@@ -68,6 +68,8 @@
   /// The worker reports runs that the journal does not show on it. It is polled
   /// until they are gone, so that a lost stop is sent again.
   bool HasUnknownRuns_ = false;
+  /// Its last report did not hold all its ends.
+  bool HasMoreEnds_ = false;
   /// The incarnation has ended, and all runs on it are gone.
   bool Ended_ = false;
   /// Latest known reading of the worker's clock, and the local time at which it
