--- a/bench/micro/recoverybench.cpp
+++ b/bench/micro/recoverybench.cpp
@@ -53,7 +53,8 @@
 void recoverJobs(benchmark::State &State) {
   const jobs::CellTable Table = makeTable(static_cast<int>(State.range(0)));
   const auto Parts = jobs::encodeSnapshot(
-      Table, journal::Journal<journal::FakeStore>::SnapshotPartBytes);
+      Table, journal::Journal<journal::FakeStore>::SnapshotPartBytes,
+      store::DefaultMaxValueBytes);
   std::size_t Bytes = 0;
   for (const std::string &Part : Parts)
     Bytes += Part.size();
--- a/src/app/internal/cellapp.cpp
+++ b/src/app/internal/cellapp.cpp
@@ -120,7 +120,9 @@
             platform::errorResponse),
         MetricsServer_(
             Io, {}, [this](Exchange &Call) { serveMetrics(Call); },
-            platform::errorResponse) {}
+            platform::errorResponse) {
+    Gateway_.setMaxValueBytes(Settings_.Bounds_.MaxValueBytes_);
+  }
 
   void serveCaller(Exchange &Call) {
     ++InFlight_;
@@ -368,6 +370,7 @@
   CellSettings &Current = Impl_->Settings_;
   framework::log::setLevel(Settings.LogLevel_);
   Impl_->Cell_.setBounds(Settings.Bounds_);
+  Impl_->Gateway_.setMaxValueBytes(Settings.Bounds_.MaxValueBytes_);
   framework::log::info("settings.reloaded")
       .field("entry", Current.Name_.str())
       .field("bounds_changed",
--- a/src/app/laburnumspreadd.cpp
+++ b/src/app/laburnumspreadd.cpp
@@ -115,7 +115,28 @@
                           [&App] { return App.stop(); });
 }
 
-int serveCell(const cell::CellSettings &Settings, const std::string &File,
+using ReadCellSettings = std::function<absl::StatusOr<cell::CellSettings>()>;
+
+/// Returns a reader of the settings file. \p MaxValueBytes, if given, is used
+/// in place of the file's own limit on the store's values.
+ReadCellSettings cellSettingsReader(const std::string &File,
+                                    std::optional<std::int64_t> MaxValueBytes) {
+  return [File, MaxValueBytes]() -> absl::StatusOr<cell::CellSettings> {
+    if (MaxValueBytes && (*MaxValueBytes < cell::LeastMaxValueBytes ||
+                          *MaxValueBytes > cell::MostMaxValueBytes))
+      return absl::InvalidArgumentError(
+          "--store-value-bytes: must be " +
+          std::to_string(cell::LeastMaxValueBytes) + " to " +
+          std::to_string(cell::MostMaxValueBytes));
+    auto Settings = cell::loadCellSettings(File);
+    if (Settings.ok() && MaxValueBytes)
+      Settings->Bounds_.MaxValueBytes_ =
+          static_cast<std::size_t>(*MaxValueBytes);
+    return Settings;
+  };
+}
+
+int serveCell(const cell::CellSettings &Settings, const ReadCellSettings &Read,
               const SettingsWatchPtr &Watch) {
   framework::log::configure(Settings.LogFormat_, Settings.LogLevel_);
   boost::asio::io_context Io(1);
@@ -127,8 +148,8 @@
   framework::log::info("entry.listening")
       .field("entry", Settings.Name_.str())
       .field("callers", Settings.CallerAddress_.str());
-  const auto Reload = [File, &App] {
-    const auto NewSettings = cell::loadCellSettings(File);
+  const auto Reload = [Read, &App] {
+    const auto NewSettings = Read();
     if (!NewSettings.ok())
       return reportRejectedSettings(NewSettings.status());
     App.reload(*NewSettings);
@@ -172,7 +193,11 @@
                            "Entry server of a laburnumspread fleet");
   Options.add_options()("config", "settings file, JSON with comments",
                         cxxopts::value<std::string>())(
-      "check", "only check the settings")("help", "help");
+      "store-value-bytes",
+      "largest value of the store, in place of store.valueBytes in the "
+      "settings file of a cell",
+      cxxopts::value<std::int64_t>())("check", "only check the settings")(
+      "help", "help");
   try {
     const auto Parsed = Options.parse(ArgumentCount, Arguments);
     if (Parsed.count("help")) {
@@ -188,11 +213,16 @@
     // Created before the settings are read, so that no change is missed.
     const auto Watch =
         std::make_shared<framework::settings::SettingsWatch>(File);
-    if (isCell(File))
+    if (isCell(File)) {
+      std::optional<std::int64_t> MaxValueBytes;
+      if (Parsed.count("store-value-bytes"))
+        MaxValueBytes = Parsed["store-value-bytes"].as<std::int64_t>();
+      const auto Read = cellSettingsReader(File, MaxValueBytes);
       return checkOrServe<cell::CellSettings>(
-          cell::loadCellSettings(File), OnlyCheck, [&](const auto &Settings) {
-            return serveCell(Settings, File, Watch);
+          Read(), OnlyCheck, [&](const auto &Settings) {
+            return serveCell(Settings, Read, Watch);
           });
+    }
     return checkOrServe<entry::EntrySettings>(
         entry::loadSettings(File), OnlyCheck,
         [&](const auto &Settings) { return serve(Settings, File, Watch); });
--- a/src/cell/callergateway.h
+++ b/src/cell/callergateway.h
@@ -34,6 +34,8 @@
   NoSuchJob,
   UnknownKey,
   Malformed,
+  /// The job is larger than the store can hold.
+  TooLarge,
   /// The request was not accepted, nor will it be later; RetryAfter_ tells when
   /// to try again.
   TryLater,
@@ -86,6 +88,9 @@
   void setConfig(const CellConfig &Config) { Config_ = Config; }
   const CellConfig &config() const { return Config_; }
 
+  /// Sets the largest value that the store accepts.
+  void setMaxValueBytes(std::size_t Bytes) { MaxValueBytes_ = Bytes; }
+
   /// Records that the store has just confirmed the configuration in force.
   void confirmConfig() { ConfirmedAt_ = framework::clock::SteadyClock().now(); }
   /// Records a configuration version reported by a peer; older ones are
@@ -123,6 +128,7 @@
   ReadJob ReadJob_;
   framework::metrics::Registry &Metrics_;
   CellConfig Config_;
+  std::size_t MaxValueBytes_ = store::DefaultMaxValueBytes;
   TimePoint ConfirmedAt_{};
   /// Newest configuration version reported by a peer.
   ConfigVersion NewestPeerVersion_;
--- a/src/cell/cellsettings.h
+++ b/src/cell/cellsettings.h
@@ -40,6 +40,11 @@
   framework::log::Level LogLevel_ = framework::log::Level::Info;
 };
 
+/// Smallest and largest limit on the values of the store that settings may
+/// name, in bytes.
+inline constexpr std::int64_t LeastMaxValueBytes = 4096;
+inline constexpr std::int64_t MostMaxValueBytes = 1024 * 1024 * 1024;
+
 /// Reads and validates a settings file. The error message has one line per
 /// fault, with file, line if known, field and reason.
 absl::StatusOr<CellSettings> loadCellSettings(const std::string &File);
--- a/src/cell/celltypes.h
+++ b/src/cell/celltypes.h
@@ -2,6 +2,7 @@
 
 #include "framework/http/httptypes.h"
 #include "jobs/cellconfig.h"
+#include "store/kvstore.h"
 #include "workers/workertypes.h"
 
 #include <map>
@@ -61,6 +62,8 @@
   Duration EvacuationDelay_{};
   /// Time that the platform gives an entry to stop.
   Duration GracePeriod_ = std::chrono::seconds(6);
+  /// Largest value that the store accepts.
+  std::size_t MaxValueBytes_ = store::DefaultMaxValueBytes;
 
   bool operator==(const CellBounds &) const = default;
 };
--- a/src/cell/commitqueue.h
+++ b/src/cell/commitqueue.h
@@ -17,7 +17,8 @@
 
 /// Collects events and commits them in groups: events staged while one group is
 /// being written form the next. One write carries all jobs, starts and ends of
-/// some milliseconds, so the number of writes does not grow with the load.
+/// some milliseconds, so the number of writes does not grow with the load. A
+/// group that is larger than a value of the store takes several writes.
 ///
 /// Events are applied to the table when they are staged, so that scheduling
 /// decisions include them. Nothing that depends on them is sent out before they
@@ -35,7 +36,8 @@
               framework::metrics::Registry &Metrics)
       : Table_(Table), Log_(Log),
         CommitSeconds_(Metrics.histogram("journal_commit_seconds")),
-        EventsCommitted_(Metrics.counter("journal_events_total")) {}
+        EventsCommitted_(Metrics.counter("journal_events_total")),
+        RefusedWrites_(Metrics.counter("journal_writes_refused_total")) {}
 
   /// Applies and stages one event. \p Done is called when the outcome of its
   /// commit is known.
@@ -56,6 +58,9 @@
     Table_.apply(Item, framework::clock::SteadyClock().now());
     Events_.insert(
         Events_.begin() + static_cast<std::ptrdiff_t>(PossiblyStored_), Item);
+    for (WaitingCallback &Each : Callbacks_)
+      if (Each.Events_ > PossiblyStored_)
+        ++Each.Events_;
     Unsent_.Starts_.push_back(Item);
     wake();
   }
@@ -70,7 +75,7 @@
     if (Events_.empty() && !Committing_)
       return Done(CommitOutcome::Stored);
     if (Events_.empty())
-      InFlight_.push_back(std::move(Done));
+      InFlight_.push_back({GroupSize_, std::move(Done)});
     else
       addCallback(std::move(Done));
   }
@@ -81,9 +86,10 @@
     framework::clock::TimePoint Next{};
     while (true) {
       waitForWork();
-      framework::fibers::sleepFor(
-          std::max(framework::clock::Duration::zero(),
-                   Next - framework::clock::SteadyClock().now()));
+      if (!Stopped_)
+        framework::fibers::sleepFor(
+            std::max(framework::clock::Duration::zero(),
+                     Next - framework::clock::SteadyClock().now()));
       if (Stopped_)
         break;
       BeforeGroup();
@@ -119,11 +125,18 @@
   bool idle() const { return Events_.empty() && !Committing_; }
 
 private:
+  /// A callback and how many events of its group have to be stored before it is
+  /// called.
+  struct WaitingCallback {
+    std::size_t Events_ = 0;
+    Callback Done_;
+  };
+
   /// After run() has returned, nothing is written any more.
   void addCallback(Callback Done) {
     if (Finished_)
       return Done(CommitOutcome::Unknown);
-    Callbacks_.push_back(std::move(Done));
+    Callbacks_.push_back({Events_.size(), std::move(Done)});
   }
 
   void waitForWork() {
@@ -147,7 +160,7 @@
   bool writeSnapshot() {
     PossiblyStored_ = Events_.size();
     Unsent_ = {};
-    return Log_.writeSnapshot(Table_).ok();
+    return succeeded(Log_.writeSnapshot(Table_));
   }
 
   bool commitGroup() {
@@ -158,44 +171,68 @@
     Events_.clear();
     Callbacks_.clear();
     Committing_ = true;
+    GroupSize_ = Group.size();
     const auto SentAt = framework::clock::SteadyClock().now();
-    const absl::Status Written = Log_.append(Group);
+    const absl::Status Written =
+        Log_.append(Group, [this](std::size_t Stored) { complete(Stored); });
     Committing_ = false;
     CommitSeconds_.record(std::chrono::duration<double>(
                               framework::clock::SteadyClock().now() - SentAt)
                               .count());
     EventsCommitted_.add(Group.size());
-    const auto Outcome =
-        Written.ok() ? CommitOutcome::Stored : CommitOutcome::Unknown;
-    const auto Waiting = std::move(InFlight_);
-    InFlight_.clear();
-    for (const Callback &Done : Waiting)
-      Done(Outcome);
-    if (!Written.ok())
-      framework::log::warning("journal.leadership_over")
-          .field("reason", std::string(Written.message()));
-    return Written.ok();
+    answer(std::exchange(InFlight_, {}),
+           Written.ok() ? CommitOutcome::Stored : CommitOutcome::Unknown);
+    return succeeded(Written);
+  }
+
+  /// Calls back for the first \p Stored events of the group that is being
+  /// written. The callbacks of the whole group follow once no write is pending.
+  void complete(std::size_t Stored) {
+    if (Stored == GroupSize_)
+      return;
+    std::vector<WaitingCallback> Complete, Left;
+    for (WaitingCallback &Each : InFlight_)
+      (Each.Events_ <= Stored ? Complete : Left).push_back(std::move(Each));
+    InFlight_ = std::move(Left);
+    answer(Complete, CommitOutcome::Stored);
+  }
+
+  static void answer(const std::vector<WaitingCallback> &Waiting,
+                     CommitOutcome Outcome) {
+    for (const WaitingCallback &Each : Waiting)
+      Each.Done_(Outcome);
+  }
+
+  /// Logs and counts the error of a write, which ends the term.
+  bool succeeded(const absl::Status &Written) {
+    if (Written.ok())
+      return true;
+    if (absl::IsInvalidArgument(Written))
+      RefusedWrites_.add();
+    framework::log::warning("journal.leadership_over")
+        .field("reason", std::string(Written.message()));
+    return false;
   }
 
   void finish(CommitOutcome Outcome) {
     Stopped_ = true;
     Finished_ = true;
-    const auto Waiting = std::move(Callbacks_);
-    Callbacks_.clear();
-    for (const Callback &Done : Waiting)
-      Done(Outcome);
+    answer(std::exchange(Callbacks_, {}), Outcome);
   }
 
   jobs::CellTable &Table_;
   journal::Journal<Store> &Log_;
   framework::metrics::Histogram &CommitSeconds_;
   framework::metrics::Counter &EventsCommitted_;
+  framework::metrics::Counter &RefusedWrites_;
   std::vector<jobs::Event> Events_;
   /// Number of events at the front of Events_ that a snapshot may have stored.
   std::size_t PossiblyStored_ = 0;
   scheduling::UnsentEvents Unsent_;
-  std::vector<Callback> Callbacks_;
-  std::vector<Callback> InFlight_;
+  std::vector<WaitingCallback> Callbacks_;
+  std::vector<WaitingCallback> InFlight_;
+  /// Number of events of the group that is being written.
+  std::size_t GroupSize_ = 0;
   framework::fibers::WaiterPtr Wake_;
   bool WorkPending_ = false;
   bool Committing_ = false;
--- a/src/cell/internal/callergateway.cpp
+++ b/src/cell/internal/callergateway.cpp
@@ -46,10 +46,23 @@
     return "the leader of the cell is leaving";
   case peers::RefusalReason::LeaderBusy:
     return "the leader of the cell has too much to do";
+  case peers::RefusalReason::TooLarge:
+    return "steps: the job is larger than the leader of the cell can store";
   }
   return "";
 }
 
+/// Names the field that makes the job too large, and the limit.
+std::string tooLargeDetail(const jobs::JobSpec &Spec, std::size_t EncodedBytes,
+                           std::size_t MaxValueBytes) {
+  const std::size_t PayloadBytes = Spec.Payload_.size();
+  const std::string Field =
+      PayloadBytes > EncodedBytes - PayloadBytes ? "spec" : "steps";
+  return Field + ": the job takes " + std::to_string(EncodedBytes) +
+         " bytes in the store, more than the limit of " +
+         std::to_string(MaxValueBytes - jobs::ValueOverheadBytes);
+}
+
 JobCallKind kindOf(CallerRequest::Verb Verb) {
   return Verb == CallerRequest::Verb::Cancel ? JobCallKind::Cancel
                                              : JobCallKind::State;
@@ -73,6 +86,8 @@
     return "unknown_key";
   case CallerStatus::Malformed:
     return "malformed";
+  case CallerStatus::TooLarge:
+    return "too_large";
   case CallerStatus::TryLater:
     return "not_now";
   case CallerStatus::Unknown:
@@ -143,7 +158,10 @@
   Call.Kind_ = JobCallKind::Submit;
   Call.Job_ = Job;
   Call.Queue_ = Queue.Name_.str();
-  Call.Spec_ = jobs::encodeGroup({jobs::JobAccepted{std::move(*Spec)}});
+  Call.Spec_ = jobs::encodeGroup({jobs::JobAccepted{*Spec}});
+  if (!jobs::fitsIntoValue(Call.Spec_.size(), MaxValueBytes_))
+    return answer(CallerStatus::TooLarge,
+                  tooLargeDetail(*Spec, Call.Spec_.size(), MaxValueBytes_));
   return forward(Request, std::move(Call));
 }
 
@@ -161,7 +179,7 @@
   recordPeerVersion(ConfigVersion(Called.Reply_.ConfigVersion_));
   CallerAnswer Result = answerFor(Called.Reply_, Kind);
   // No leader was reached that could have told when to return.
-  if (Called.Reply_.Status_ == JobCallStatus::Refused &&
+  if (Result.Status_ == CallerStatus::TryLater &&
       Called.Reply_.RetryAfterMs_ == 0)
     Result.RetryAfter_ = scheduling::spreadDelay(Job, RetryAfter, RetryAfter);
   Result.Leader_ = Called.Asked_;
@@ -188,6 +206,9 @@
   case JobCallStatus::Missing:
     return answer(CallerStatus::NoSuchJob, "no such job");
   case JobCallStatus::Refused:
+    if (Reply.Refusal_ == peers::RefusalReason::TooLarge)
+      return answer(CallerStatus::TooLarge,
+                    std::string(detailOf(Reply.Refusal_)));
     Result = tryLater(std::string(detailOf(Reply.Refusal_)));
     if (Reply.RetryAfterMs_ > 0)
       Result.RetryAfter_ = std::chrono::milliseconds(Reply.RetryAfterMs_);
--- a/src/cell/internal/cellsettings.cpp
+++ b/src/cell/internal/cellsettings.cpp
@@ -84,6 +84,9 @@
   Result.StorePrefix_ = Store.optionalString("prefix", "laburnumspread/");
   if (!Result.StorePrefix_.ends_with('/'))
     Store.addError("prefix", "must end with '/'");
+  Result.Bounds_.MaxValueBytes_ = static_cast<std::size_t>(Store.optionalInt(
+      "valueBytes", static_cast<std::int64_t>(store::DefaultMaxValueBytes),
+      {LeastMaxValueBytes, MostMaxValueBytes}));
   Store.finish();
   JsonReader Services = Reader.child("services", false);
   Result.MachineApiAddress_ = readAddress(Services, "machines", false);
--- a/src/cell/internal/runtracker.cpp
+++ b/src/cell/internal/runtracker.cpp
@@ -1,5 +1,7 @@
 #include "cell/runtracker.h"
 
+#include "framework/log/log.h"
+
 namespace laburnumspread::cell {
 
 using jobs::Checkpoint;
@@ -123,6 +125,17 @@
   return Result;
 }
 
+Checkpoint RunTracker::storable(const RunName &Run,
+                                const Checkpoint &Saved) const {
+  if (Saved.str().size() <= MaxCheckpointBytes_)
+    return Saved;
+  framework::log::warning("run.checkpoint_left_out")
+      .field("task", Run.Task_.str())
+      .field("bytes", static_cast<std::uint64_t>(Saved.str().size()))
+      .field("max_bytes", static_cast<std::uint64_t>(MaxCheckpointBytes_));
+  return Checkpoint();
+}
+
 RunTracker::Report RunTracker::processReport(const WorkerIncarnation &Worker,
                                              const HoldReply &Reply,
                                              TimePoint SentAt,
@@ -137,7 +150,8 @@
     const bool Here = Live && Live->Worker_.Id_ == Worker.Id_ &&
                       Live->Worker_.StartedMs_ <= Worker.StartedMs_;
     if (Item.Number_ > EndsStaged && Here)
-      Result.Ended_.push_back({Item.Run_, Item.Kind_, Item.Saved_, "listed"});
+      Result.Ended_.push_back(
+          {Item.Run_, Item.Kind_, storable(Item.Run_, Item.Saved_), "listed"});
   }
   for (const RunningReport &Item : Reply.Running_) {
     Listed.insert(Item.Run_);
@@ -148,8 +162,8 @@
     }
     Live->Confirmed_ = true;
     Live->Percent_ = Item.Percent_;
-    if (!Item.Saved_.empty())
-      Table_.findTask(Item.Run_.Task_)->Saved_ = Item.Saved_;
+    if (Checkpoint Saved = storable(Item.Run_, Item.Saved_); !Saved.empty())
+      Table_.findTask(Item.Run_.Task_)->Saved_ = std::move(Saved);
   }
   settleFormerIncarnations(Worker, Listed, SentAt, Result);
   loseUnlisted(Worker, Listed, Reply.ClockMs_, SentAt, Result);
--- a/src/cell/jobcallhandler.h
+++ b/src/cell/jobcallhandler.h
@@ -117,7 +117,10 @@
       return reject(Call, peers::JobCallStatus::Missing, Reply);
     const jobs::Event &Accepted = Group->Events_.front();
     const auto &Spec = std::get<jobs::JobAccepted>(Accepted).Spec_;
-    const auto Refused = refusalOf(Spec, Leaving);
+    const auto Refused =
+        jobs::fitsIntoValue(Call.Spec_.size(), Term_->Bounds_.MaxValueBytes_)
+            ? refusalOf(Spec, Leaving)
+            : Refusal{peers::RefusalReason::TooLarge, {}};
     countRetry(Spec.Id_, Refused.has_value());
     if (Refused)
       return refuse(Call, Spec.Id_, *Refused, Reply);
@@ -239,6 +242,8 @@
       return "the entry is leaving";
     case peers::RefusalReason::LeaderBusy:
       return "the leader has too little processor time";
+    case peers::RefusalReason::TooLarge:
+      return "the job is larger than a value of the store";
     }
     return "";
   }
@@ -253,6 +258,8 @@
       return "leaving";
     case peers::RefusalReason::LeaderBusy:
       return "leader_busy";
+    case peers::RefusalReason::TooLarge:
+      return "too_large";
     }
     return "";
   }
--- a/src/cell/runtracker.h
+++ b/src/cell/runtracker.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "cell/celltypes.h"
-#include "jobs/celltable.h"
+#include "jobs/eventcodec.h"
 
 #include <map>
 #include <set>
@@ -62,10 +62,14 @@
   /// specifies 200 ms; the worker's clock may run slow.
   static constexpr Duration MaxStopDuration = std::chrono::milliseconds(300);
 
-  /// \p EndsPerReport is the number of ends that fit into a report.
+  /// \p EndsPerReport is the number of ends that fit into a report. Checkpoints
+  /// of more than \p MaxCheckpointBytes are left out.
   explicit RunTracker(jobs::CellTable &Table,
-                      std::uint64_t EndsPerReport = MaxEndsPerReport)
-      : Table_(Table), EndsPerReport_(EndsPerReport) {}
+                      std::uint64_t EndsPerReport = MaxEndsPerReport,
+                      std::size_t MaxCheckpointBytes =
+                          jobs::maxCheckpointBytes(store::DefaultMaxValueBytes))
+      : Table_(Table), EndsPerReport_(EndsPerReport),
+        MaxCheckpointBytes_(MaxCheckpointBytes) {}
 
   /// Records that this leader has staged the intent of a run.
   void runStaged(const jobs::RunName &Run) { Staged_.insert(Run); }
@@ -138,6 +142,9 @@
                                 Report &Into) const;
   void loseUnlisted(const WorkerIncarnation &Worker, const RunSet &Listed,
                     std::int64_t ClockMs, TimePoint SentAt, Report &Into) const;
+  /// Returns the checkpoint, or none if it is larger than the store can hold.
+  jobs::Checkpoint storable(const jobs::RunName &Run,
+                            const jobs::Checkpoint &Saved) const;
   bool stopMayBeInProgress(const jobs::RunName &Run, TimePoint AsOf) const;
   bool cannotStartOnLaterIncarnation(const jobs::RunName &Run,
                                      TimePoint SentAt) const;
@@ -146,6 +153,7 @@
 
   jobs::CellTable &Table_;
   const std::uint64_t EndsPerReport_;
+  const std::size_t MaxCheckpointBytes_;
   absl::flat_hash_map<jobs::RunName, StartState> Starts_;
   absl::flat_hash_set<jobs::RunName> Staged_;
 };
--- a/src/cell/term.h
+++ b/src/cell/term.h
@@ -26,9 +26,9 @@
        const ZoneEvacuations &Evacuations)
       : Leadership_(Leadership), TermNumber_(Leadership.term()),
         FirstToken_(Leadership.token()), Token_(FirstToken_),
-        Log_(S, Keys, Leadership), Commits_(Table_, Log_, Metrics),
-        Evacuations_(Evacuations), Metrics_(Metrics), Bounds_(Bounds),
-        StartedAt_(now()) {}
+        Log_(S, Keys, Leadership, Bounds.MaxValueBytes_),
+        Commits_(Table_, Log_, Metrics), Evacuations_(Evacuations),
+        Metrics_(Metrics), Bounds_(Bounds), StartedAt_(now()) {}
 
   static TimePoint now() { return framework::clock::SteadyClock().now(); }
 
--- a/src/cell/tests/callergatewaytest.cpp
+++ b/src/cell/tests/callergatewaytest.cpp
@@ -29,12 +29,16 @@
     return Gateway_.serve(Request);
   }
 
-  static absl::StatusOr<jobs::JobSpec> readJob(std::string_view) {
+  absl::StatusOr<jobs::JobSpec> readJob(std::string_view) const {
     jobs::JobSpec Spec;
     Spec.Steps_.resize(1);
+    Spec.Payload_ = Payload_;
+    Spec.Steps_[0].Image_ = jobs::ImageName(Image_);
     return Spec;
   }
 
+  std::string Payload_;
+  std::string Image_;
   bool HasLeader_ = true;
   peers::JobReply Reply_;
   framework::metrics::Registry Metrics_;
@@ -47,7 +51,9 @@
        [](const journal::Leader &) { return false; },
        [](const journal::Leader &, const peers::JobCall &,
           const CallAttempt &) {}}};
-  CallerGateway Gateway_{Router_, readJob, Metrics_};
+  CallerGateway Gateway_{
+      Router_, [this](std::string_view Body) { return readJob(Body); },
+      Metrics_};
 };
 
 } // namespace
@@ -89,6 +95,34 @@
   BOOST_TEST(Delays.size() > 2u);
 }
 
+// Guards against an accepted job that can never be stored.
+BOOST_AUTO_TEST_CASE(JobLargerThanAValueIsRefusedByNameOfItsField) {
+  Reply_.Status_ = peers::JobCallStatus::Ok;
+  Gateway_.setMaxValueBytes(5000);
+  Payload_ = std::string(4000, 'x');
+  BOOST_TEST((submit("0123456789abcdef").Status_ == CallerStatus::Accepted));
+  Payload_ = std::string(5000, 'x');
+  const CallerAnswer Spec = submit("0123456789abcdef");
+  BOOST_TEST((Spec.Status_ == CallerStatus::TooLarge));
+  BOOST_TEST(Spec.Detail_.starts_with("spec: "));
+  BOOST_TEST(Spec.Detail_.find("4936") != std::string::npos);
+  Payload_.clear();
+  Image_ = std::string(5000, 'x');
+  const CallerAnswer Steps = submit("0123456789abcdef");
+  BOOST_TEST((Steps.Status_ == CallerStatus::TooLarge));
+  BOOST_TEST(Steps.Detail_.starts_with("steps: "));
+}
+
+// Guards against a caller that sends a job again for ever whose size a leader
+// with a lower limit refuses.
+BOOST_AUTO_TEST_CASE(JobTooLargeForTheLeaderIsRefusedForGood) {
+  Reply_.Status_ = peers::JobCallStatus::Refused;
+  Reply_.Refusal_ = peers::RefusalReason::TooLarge;
+  const CallerAnswer Answer = submit("0123456789abcdef");
+  BOOST_TEST((Answer.Status_ == CallerStatus::TooLarge));
+  BOOST_TEST((Answer.RetryAfter_ == Duration::zero()));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace laburnumspread::cell
--- a/src/cell/tests/cellsettingstest.cpp
+++ b/src/cell/tests/cellsettingstest.cpp
@@ -52,6 +52,17 @@
   BOOST_TEST(Read->PeerAddress_.str() == "127.0.0.1:3");
 }
 
+BOOST_AUTO_TEST_CASE(LimitOfTheStoresValuesIsRead) {
+  std::string Text = settings();
+  const std::string At = R"("address": "127.0.0.1:5")";
+  BOOST_TEST(readCellSettings(Text, "file")->Bounds_.MaxValueBytes_ ==
+             1'048'576u);
+  Text.replace(Text.find(At), At.size(), At + R"(, "valueBytes": 8192)");
+  BOOST_TEST(readCellSettings(Text, "file")->Bounds_.MaxValueBytes_ == 8192u);
+  Text.replace(Text.find("8192"), 4, "4095");
+  BOOST_TEST(errorOf(Text).find("store.valueBytes") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(FaultsNameTheField) {
   BOOST_TEST(errorOf("{").find("file") != std::string::npos);
   BOOST_TEST(errorOf(R"({"kind": "cell"})").find("listen") !=
--- a/src/cell/tests/jobcallhandlertest.cpp
+++ b/src/cell/tests/jobcallhandlertest.cpp
@@ -20,6 +20,16 @@
       1u);
 }
 
+// Guards against an accepted job that can never be stored, when the entry that
+// was called knows another limit than the leader.
+BOOST_AUTO_TEST_CASE(JobLargerThanAValueIsRefusedByTheLeader) {
+  Term_->Bounds_.MaxValueBytes_ = 5000;
+  jobs::JobSpec Large = job("0000000000000001");
+  Large.Payload_ = std::string(5000, 'x');
+  checkRefused(submit(Large), RefusalReason::TooLarge);
+  BOOST_TEST(!known(Large));
+}
+
 // Guards against refusing a job that was accepted: a caller that lost the
 // answer sends it again.
 BOOST_AUTO_TEST_CASE(KnownJobIsNeverRefused) {
--- a/src/cell/workersessions.h
+++ b/src/cell/workersessions.h
@@ -52,7 +52,9 @@
 
   WorkerSessions(TermPtr T, Client &C)
       : Term_(std::move(T)), Client_(C),
-        Tracker_(std::make_shared<RunTracker>(Term_->Table_)),
+        Tracker_(std::make_shared<RunTracker>(
+            Term_->Table_, MaxEndsPerReport,
+            jobs::maxCheckpointBytes(Term_->Bounds_.MaxValueBytes_))),
         Stopper_(
             std::make_shared<RunStopper<Store, Client>>(Term_, C, Tracker_)),
         Fillers_(Term_, Client_), CopyReporter_(Term_->Metrics_),
--- a/src/jobs/celltable.h
+++ b/src/jobs/celltable.h
@@ -203,6 +203,10 @@
   /// Adds one job from a snapshot. Has no effect if the job is known.
   void restore(JobRow Row, TimePoint Now);
 
+  /// Adds a further task of a job from a snapshot, after restore(). Has no
+  /// effect if the job or the task is unknown.
+  void restoreTask(const TaskName &Task, TaskRow Row, TimePoint Now);
+
   /// Sets the reported speed of the worker's runs to 0, because its last report
   /// is outdated: the worker does not respond.
   void resetProgress(const WorkerIncarnation &Worker);
--- a/src/jobs/internal/celltable.cpp
+++ b/src/jobs/internal/celltable.cpp
@@ -391,6 +391,12 @@
   --Waiting_[Restored.Spec_.Queue_];
 }
 
+void CellTable::restoreTask(const TaskName &Task, TaskRow Row, TimePoint Now) {
+  JobRow *Job = mutableJob(Task.Job_);
+  if (Job && findTask(Task))
+    restoreTask(*Job, Task, std::move(Row), Now);
+}
+
 void CellTable::resetProgress(const WorkerIncarnation &Worker) {
   const WorkerUsage *Use = usageOf(Worker);
   if (!Use)
--- a/src/jobs/internal/eventcodec.cpp
+++ b/src/jobs/internal/eventcodec.cpp
@@ -6,6 +6,9 @@
 
 namespace {
 
+/// Upper limit on the bytes of an event's tag and length.
+constexpr std::size_t EventOverheadBytes = 8;
+
 void write(const StepSpec &From, wire::Step &To) {
   To.set_count(From.Count_);
   To.set_milli_cpus(From.PerTask_.MilliCpus_);
@@ -298,6 +301,115 @@
   return To;
 }
 
+/// Whether the row holds further tasks of a job that an earlier part contains.
+/// A job has steps, or has ended and is stored without tasks.
+bool continuesJob(const wire::JobRow &Row) {
+  return Row.job().steps().empty() && !Row.tasks().empty();
+}
+
+void restoreRow(const wire::JobRow &Row, TimePoint Now, CellTable &Into) {
+  if (!continuesJob(Row))
+    return Into.restore(read(Row, Now), Now);
+  const JobId Job(Row.job().id());
+  for (const wire::TaskRow &Task : Row.tasks())
+    Into.restoreTask({Job, Task.occurrence(), Task.step(), Task.index()},
+                     read(Task, Now), Now);
+}
+
+/// Collects the rows of a snapshot in parts.
+class SnapshotWriter {
+public:
+  SnapshotWriter(std::size_t PartBytes, std::size_t MaxBytes)
+      : PartBytes_(PartBytes), MaxBytes_(MaxBytes) {}
+
+  void add(wire::JobRow Row) {
+    if (sizeOf(Row) > MaxBytes_)
+      split(std::move(Row));
+    else
+      addWhole(std::move(Row));
+  }
+  void add(const QueueConfig &Queue) {
+    wire::Queue Row;
+    write(Queue, Row);
+    reserve(sizeOf(Row));
+    *Part_.add_queues() = std::move(Row);
+    if (Bytes_ >= PartBytes_)
+      endPart();
+  }
+  void add(const UpkeepBegun &Item) {
+    wire::UpkeepBegun Row;
+    write(Item, Row);
+    reserve(sizeOf(Row));
+    *Part_.add_upkeep() = std::move(Row);
+  }
+  void add(const MachineOrdered &Item) {
+    wire::MachineOrdered Row;
+    write(Item, Row);
+    reserve(sizeOf(Row));
+    *Part_.add_machine_orders() = std::move(Row);
+  }
+
+  std::vector<std::string> finish() {
+    if (Bytes_ > 0)
+      endPart();
+    return std::move(Parts_);
+  }
+
+private:
+  /// Upper limit on the bytes of a row's tag and length.
+  static constexpr std::size_t RowOverheadBytes = 8;
+
+  template <typename Row> static std::size_t sizeOf(const Row &Item) {
+    return Item.ByteSizeLong() + RowOverheadBytes;
+  }
+
+  /// Ends the part if another row of \p Bytes does not fit.
+  void reserve(std::size_t Bytes) {
+    if (Bytes_ > 0 && Bytes_ + Bytes > MaxBytes_)
+      endPart();
+    Bytes_ += Bytes;
+  }
+
+  void endPart() {
+    Parts_.push_back(Part_.SerializeAsString());
+    Part_.Clear();
+    Bytes_ = 0;
+  }
+
+  void addWhole(wire::JobRow Row) {
+    reserve(sizeOf(Row));
+    *Part_.add_jobs() = std::move(Row);
+    if (Bytes_ >= PartBytes_)
+      endPart();
+  }
+
+  /// Adds the job in rows that each fit into a part; all but the first hold
+  /// only the job's id and tasks.
+  void split(wire::JobRow Whole) {
+    const std::string Id = Whole.job().id();
+    auto Tasks = std::move(*Whole.mutable_tasks());
+    wire::JobRow Row = std::move(Whole);
+    Row.clear_tasks();
+    std::size_t Bytes = sizeOf(Row);
+    for (wire::TaskRow &Task : Tasks) {
+      if (Bytes + sizeOf(Task) > MaxBytes_) {
+        addWhole(std::exchange(Row, {}));
+        Row.mutable_job()->set_id(Id);
+        Bytes = sizeOf(Row);
+      }
+      Bytes += sizeOf(Task);
+      *Row.add_tasks() = std::move(Task);
+    }
+    addWhole(std::move(Row));
+  }
+
+  std::size_t PartBytes_;
+  std::size_t MaxBytes_;
+  wire::Snapshot Part_;
+  std::size_t Bytes_ = 0;
+  std::vector<std::string> Parts_;
+};
+
 } // namespace
 
 std::string encodeGroup(const std::vector<Event> &Events,
@@ -311,6 +423,27 @@
   return Group.SerializeAsString();
 }
 
+EncodedGroup encodeFirst(std::span<const Event> Events, const GroupStamp &Stamp,
+                         std::size_t MaxBytes) {
+  wire::Group Group;
+  Group.set_token(Stamp.Token_.value());
+  Group.set_since_takeover_micros(Stamp.SinceTakeover_.count());
+  std::size_t Bytes = Group.ByteSizeLong();
+  EncodedGroup Result;
+  for (const Event &Item : Events) {
+    wire::Event &Row = *Group.add_events();
+    std::visit([&](const auto &Body) { write(Body, Row); }, Item);
+    Bytes += Row.ByteSizeLong() + EventOverheadBytes;
+    if (Bytes > MaxBytes) {
+      Group.mutable_events()->RemoveLast();
+      break;
+    }
+    ++Result.Events_;
+  }
+  Result.Bytes_ = Group.SerializeAsString();
+  return Result;
+}
+
 absl::StatusOr<EventGroup> decodeGroup(std::string_view Bytes) {
   wire::Group Group;
   if (!Group.ParseFromArray(Bytes.data(), static_cast<int>(Bytes.size())))
@@ -325,36 +458,22 @@
 }
 
 std::vector<std::string> encodeSnapshot(const CellTable &Table,
-                                        std::size_t PartBytes) {
-  std::vector<std::string> Parts;
-  wire::Snapshot Part;
-  std::size_t Bytes = 0;
-  const auto EndFullPart = [&](std::size_t RowBytes) {
-    Bytes += RowBytes;
-    if (Bytes < PartBytes)
-      return;
-    Parts.push_back(Part.SerializeAsString());
-    Part.Clear();
-    Bytes = 0;
-  };
+                                        std::size_t PartBytes,
+                                        std::size_t MaxBytes) {
+  SnapshotWriter Writer(PartBytes, MaxBytes);
   for (const auto &[Id, Job] : Table.jobs()) {
-    wire::JobRow &Row = *Part.add_jobs();
+    wire::JobRow Row;
     write(Job, Row);
-    EndFullPart(Row.ByteSizeLong());
-  }
-  for (const auto &[Name, Queue] : Table.queueRecords()) {
-    wire::Queue &Row = *Part.add_queues();
-    write(Queue, Row);
-    EndFullPart(Row.ByteSizeLong());
+    Writer.add(std::move(Row));
   }
+  for (const auto &[Name, Queue] : Table.queueRecords())
+    Writer.add(Queue);
   for (const auto &[Wave, Machines] : Table.upkeep())
     for (const MachineId &Machine : Machines)
-      write({Wave, Machine}, *Part.add_upkeep());
+      Writer.add(UpkeepBegun{Wave, Machine});
   for (const auto &[Machine, Order] : Table.machineOrders())
-    write(MachineOrdered{Machine, Order.HomePool_}, *Part.add_machine_orders());
-  if (Part.ByteSizeLong() > 0)
-    Parts.push_back(Part.SerializeAsString());
-  return Parts;
+    Writer.add(MachineOrdered{Machine, Order.HomePool_});
+  return Writer.finish();
 }
 
 absl::Status decodeSnapshot(std::string_view Bytes, TimePoint Now,
@@ -363,7 +482,7 @@
   if (!Part.ParseFromArray(Bytes.data(), static_cast<int>(Bytes.size())))
     return absl::DataLossError("snapshot cannot be read");
   for (const wire::JobRow &Row : Part.jobs())
-    Into.restore(read(Row, Now), Now);
+    restoreRow(Row, Now, Into);
   for (const wire::Queue &Row : Part.queues())
     Into.apply(QueueRecorded{read(Row)}, Now);
   for (const wire::UpkeepBegun &Row : Part.upkeep())
--- a/src/jobs/tests/celltabletest.cpp
+++ b/src/jobs/tests/celltabletest.cpp
@@ -64,7 +64,7 @@
   }
   CellTable restored() const {
     CellTable Result;
-    for (const std::string &Part : encodeSnapshot(Table_, 1 << 20))
+    for (const std::string &Part : encodeSnapshot(Table_, 1 << 20, 1 << 20))
       BOOST_REQUIRE(decodeSnapshot(Part, Start, Result).ok());
     return Result;
   }
@@ -163,7 +163,7 @@
   for (const Event &Item : Events)
     Table.apply(Item, Start);
   CellTable Restored;
-  for (const std::string &Part : encodeSnapshot(Table, 1 << 20))
+  for (const std::string &Part : encodeSnapshot(Table, 1 << 20, 1 << 20))
     BOOST_REQUIRE(decodeSnapshot(Part, Start, Restored).ok());
   const auto Log = decodeGroup(encodeGroup(Events));
   BOOST_REQUIRE(Log.ok());
@@ -182,7 +182,7 @@
   start(runOf(0, 0, 1));
   Table_.apply(JobCancelled{Job}, Start);
   CellTable Restored;
-  for (const std::string &Part : encodeSnapshot(Table_, 1 << 20))
+  for (const std::string &Part : encodeSnapshot(Table_, 1 << 20, 1 << 20))
     BOOST_REQUIRE(decodeSnapshot(Part, Start, Restored).ok());
   BOOST_TEST((Restored.find(Job)->State_ == JobState::Cancelled));
   BOOST_TEST(Restored.find(Job)->LiveRuns_ == 1u);
@@ -206,7 +206,7 @@
   Table_.apply(JobCancelled{Spec.Id_}, Start);
   end({One, RunNumber(1)}, EndKind::Done);
   CellTable Restored;
-  for (const std::string &Part : encodeSnapshot(Table_, 1 << 20))
+  for (const std::string &Part : encodeSnapshot(Table_, 1 << 20, 1 << 20))
     BOOST_REQUIRE(decodeSnapshot(Part, Start, Restored).ok());
   BOOST_TEST((Table_.find(Spec.Id_)->State_ == JobState::Cancelled));
   BOOST_TEST((Restored.find(Spec.Id_)->State_ == JobState::Cancelled));
--- a/src/jobs/tests/queuerecordstest.cpp
+++ b/src/jobs/tests/queuerecordstest.cpp
@@ -55,9 +55,11 @@
   void endJob() { Table_.apply(JobCancelled{Job}, Start); }
 
   /// Returns the table of a leader that reads a snapshot of this one.
-  CellTable restored(std::size_t PartBytes = 1 << 20) const {
+  static constexpr std::size_t MaxBytes = 1 << 20;
+
+  CellTable restored(std::size_t PartBytes = MaxBytes) const {
     CellTable Result;
-    for (const std::string &Part : encodeSnapshot(Table_, PartBytes))
+    for (const std::string &Part : encodeSnapshot(Table_, PartBytes, MaxBytes))
       BOOST_REQUIRE(decodeSnapshot(Part, Start, Result).ok());
     return Result;
   }
@@ -101,7 +103,7 @@
     More.Name_ = QueueName("more" + std::to_string(I));
     Table_.apply(QueueRecorded{More}, Start);
   }
-  for (const std::string &Part : encodeSnapshot(Table_, PartBytes))
+  for (const std::string &Part : encodeSnapshot(Table_, PartBytes, MaxBytes))
     BOOST_TEST(Part.size() < 2 * PartBytes);
   BOOST_TEST(restored(PartBytes).queueRecords().size() == 101u);
 }
--- a/src/journal/journal.h
+++ b/src/journal/journal.h
@@ -5,6 +5,8 @@
 #include "jobs/eventcodec.h"
 #include "journal/leadership.h"
 
+#include <span>
+
 namespace laburnumspread::journal {
 
 /// Counters of one journal, for metrics.
@@ -57,9 +59,11 @@
   /// would be refused as well.
   static constexpr Duration RetryPause = std::chrono::milliseconds(50);
 
-  Journal(Store &S, CellKeys Keys, Leadership<Store> &Lead)
+  /// \p MaxValueBytes is the largest value that the store accepts.
+  Journal(Store &S, CellKeys Keys, Leadership<Store> &Lead,
+          std::size_t MaxValueBytes = store::DefaultMaxValueBytes)
       : Store_(S), Keys_(std::move(Keys)), Leadership_(Lead),
-        Term_(Lead.term()) {}
+        Term_(Lead.term()), MaxValueBytes_(MaxValueBytes) {}
 
   /// Loads the snapshot and replays the journal into \p Into. Called once after
   /// a takeover, when no other process can write any more. Returns DataLoss if
@@ -84,22 +88,28 @@
     return loadLog(Into, Now);
   }
 
-  /// Appends one entry. Returns Ok once the store has persisted it, or Aborted
-  /// if the leadership was lost; it is then unknown whether it was written.
-  absl::Status append(const std::vector<jobs::Event> &Events) {
-    const std::string Bytes = jobs::encodeGroup(
-        Events,
-        {Leadership_.token(), SteadyClock().now() - Leadership_.startedAt()});
-    const std::string Key = Keys_.log(Next_);
-    store::Transaction Txn = fencedTransaction();
-    Txn.Compares_.push_back({Key, fleet::Revision(0)});
-    Txn.Puts_ = {{Key, Bytes, 0}};
-    const auto Written = commitExactlyOnce(Txn, Key, Bytes);
-    if (!Written.ok())
-      return Written.status();
-    ++Next_;
-    ++Counters_.Commits_;
-    Counters_.Bytes_ += Bytes.size();
+  /// Called with the number of events that the store holds, from the first.
+  using OnStored = std::function<void(std::size_t)>;
+
+  /// Appends the events in their order, in as many entries as needed. Returns
+  /// Ok once the store has persisted all of them, Aborted if the leadership was
+  /// lost, or InvalidArgument if the store refuses an entry for good. After an
+  /// error it is unknown whether the events were written of which \p Stored has
+  /// not been told.
+  absl::Status append(const std::vector<jobs::Event> &Events,
+                      const OnStored &Stored = nullptr) {
+    std::span<const jobs::Event> Left(Events);
+    while (!Left.empty()) {
+      const jobs::EncodedGroup Entry =
+          jobs::encodeFirst(Left, stamp(), MaxValueBytes_);
+      if (Entry.Events_ == 0)
+        return refuseEvent();
+      if (absl::Status Written = appendEntry(Entry.Bytes_); !Written.ok())
+        return Written;
+      Left = Left.subspan(Entry.Events_);
+      if (Stored)
+        Stored(Events.size() - Left.size());
+    }
     return absl::OkStatus();
   }
 
@@ -110,12 +120,13 @@
   /// Writes a snapshot of \p Table as the new base and compacts the log:
   /// removes the entries and the snapshot that it replaces. The table contains
   /// all committed entries and may contain later events, because replaying
-  /// these on top of the snapshot has no effect. Returns Aborted if the
-  /// leadership was lost.
+  /// these on top of the snapshot has no effect. Returns the errors of
+  /// append().
   absl::Status writeSnapshot(const jobs::CellTable &Table) {
     const Base Old = Base_;
     const std::uint64_t Index = Next_ - 1;
-    const auto Parts = jobs::encodeSnapshot(Table, SnapshotPartBytes);
+    const auto Parts = jobs::encodeSnapshot(
+        Table, std::min(SnapshotPartBytes, MaxValueBytes_), MaxValueBytes_);
     for (std::size_t I = 0; I < Parts.size(); ++I) {
       store::Transaction Txn = fencedTransaction();
       Txn.Puts_ = {{Keys_.snapshot(Index, I), Parts[I], 0}};
@@ -156,6 +167,44 @@
   static constexpr int CommitTimeSmoothing = 5;
   static constexpr Duration LoadTimeout = std::chrono::milliseconds(2000);
 
+  jobs::GroupStamp stamp() const {
+    return {Leadership_.token(), SteadyClock().now() - Leadership_.startedAt()};
+  }
+
+  absl::Status appendEntry(const std::string &Bytes) {
+    const std::string Key = Keys_.log(Next_);
+    store::Transaction Txn = fencedTransaction();
+    Txn.Compares_.push_back({Key, fleet::Revision(0)});
+    Txn.Puts_ = {{Key, Bytes, 0}};
+    const auto Written = commitExactlyOnce(Txn, Key, Bytes);
+    if (!Written.ok())
+      return Written.status();
+    ++Next_;
+    ++Counters_.Commits_;
+    Counters_.Bytes_ += Bytes.size();
+    return absl::OkStatus();
+  }
+
+  absl::Status refuseEvent() const {
+    framework::log::error("journal.event_too_large")
+        .field("key", Keys_.log(Next_))
+        .field("max_bytes", static_cast<std::uint64_t>(MaxValueBytes_));
+    return absl::InvalidArgumentError("an event is larger than a value may be");
+  }
+
+  /// Without this a leader repeats a write for ever that can never succeed, and
+  /// stores nothing more while it keeps its lease. Its successor knows only
+  /// what is stored, so it does not send the same write.
+  static absl::Status refusedForGood(const std::string &Key,
+                                     const std::string &Value,
+                                     const absl::Status &Why) {
+    framework::log::error("journal.write_refused")
+        .field("key", Key)
+        .field("bytes", static_cast<std::uint64_t>(Value.size()))
+        .field("reason", std::string(Why.message()));
+    return Why;
+  }
+
   /// Returns a transaction that applies only while the head key is this
   /// leader's.
   store::Transaction fencedTransaction() const {
@@ -210,8 +259,8 @@
     return absl::OkStatus();
   }
 
-  /// Repeats the commit until its outcome is known. Returns the revision of the
-  /// write.
+  /// Repeats the commit until its outcome is known, or it is refused for good.
+  /// Returns the revision of the write.
   absl::StatusOr<fleet::Revision>
   commitExactlyOnce(const store::Transaction &Txn, const std::string &Key,
                     const std::string &Value) {
@@ -249,6 +298,8 @@
         if (Resolved.ok() || LeadershipEnded)
           return Resolved;
       }
+      if (absl::IsInvalidArgument(Written.status()))
+        return refusedForGood(Key, Value, Written.status());
       ++Counters_.Retries_;
       Refused_ = absl::IsResourceExhausted(Written.status());
       if (absl::IsDeadlineExceeded(Written.status()))
@@ -300,6 +351,7 @@
   CellKeys Keys_;
   Leadership<Store> &Leadership_;
   TermNumber Term_;
+  std::size_t MaxValueBytes_;
   std::uint64_t Next_ = 1;
   Base Base_;
   fleet::Revision BaseRevision_;
--- a/src/journal/tests/fakestore.h
+++ b/src/journal/tests/fakestore.h
@@ -26,6 +26,8 @@
 
   absl::StatusOr<store::TransactionResult> commit(const store::Transaction &Txn,
                                                   store::TimePoint) {
+    if (hasTooLargeValue(Txn))
+      return refuseForGood();
     const bool Passes = PassFirst_ > 0;
     PassFirst_ -= Passes;
     const Fault Now = Passes ? Fault::None : std::exchange(Next_, Fault::None);
@@ -77,6 +79,12 @@
 
   bool has(const std::string &Key) const { return Items_.contains(Key); }
 
+  /// Largest value that is stored. A transaction with a larger one is refused
+  /// for good.
+  std::size_t MaxValueBytes_ = 1024 * 1024;
+  std::uint32_t RefusedForGood_ = 0;
+  /// Called when a transaction is refused for good.
+  std::function<void()> OnRefusedForGood_;
   /// Fault of the next write after PassFirst_ successful ones.
   Fault Next_ = Fault::None;
   std::uint32_t PassFirst_ = 0;
@@ -89,6 +97,20 @@
   std::function<absl::Status()> Renewal_;
 
 private:
+  bool hasTooLargeValue(const store::Transaction &Txn) const {
+    for (const store::Put &Item : Txn.Puts_)
+      if (Item.Value_.size() > MaxValueBytes_)
+        return true;
+    return false;
+  }
+
+  absl::Status refuseForGood() {
+    ++RefusedForGood_;
+    if (OnRefusedForGood_)
+      OnRefusedForGood_();
+    return absl::InvalidArgumentError("the value is too large");
+  }
+
   store::TransactionResult apply(const store::Transaction &Txn) {
     for (const store::Compare &Item : Txn.Compares_) {
       const auto Found = Items_.find(Item.Key_);
--- a/src/journal/tests/journaltest.cpp
+++ b/src/journal/tests/journaltest.cpp
@@ -360,6 +360,46 @@
   BOOST_TEST(Loaded.find(JobId("after")));
 }
 
+// Guards against a leader that repeats a write for ever that can never succeed.
+BOOST_AUTO_TEST_CASE(WriteThatIsRefusedForGoodIsNotRepeated) {
+  BOOST_REQUIRE(*First_.campaign());
+  Store_.MaxValueBytes_ = 10;
+  Store_.OnRefusedForGood_ = [this] {
+    if (Store_.RefusedForGood_ == 3)
+      First_.Leadership_.markLost();
+  };
+  BOOST_TEST(absl::IsInvalidArgument(First_.Log_->append({accepted("a")})));
+  BOOST_TEST(Store_.RefusedForGood_ == 1u);
+}
+
+// Guards against a snapshot that the store refuses, as a job has many tasks.
+BOOST_AUTO_TEST_CASE(JobLargerThanAValueIsStoredInSeveralParts) {
+  BOOST_REQUIRE(*First_.campaign());
+  Store_.OnRefusedForGood_ = [this] { First_.Leadership_.markLost(); };
+  jobs::JobAccepted Large;
+  Large.Spec_.Id_ = JobId("large");
+  Large.Spec_.Occurrences_ = 100'000;
+  Large.Spec_.Steps_.resize(1);
+  CellTable Table;
+  Table.apply(Large, TimePoint());
+  for (std::uint32_t K = 0; K < Large.Spec_.Occurrences_; ++K) {
+    const jobs::RunName Run{{Large.Spec_.Id_, K, 0, 0}, jobs::RunNumber(1)};
+    Table.apply(jobs::RunIntended{Run, {jobs::WorkerId("w"), 1}}, TimePoint());
+    if (K % 2 == 0)
+      Table.apply(jobs::RunEnded{Run, jobs::EndKind::Done, {}, 1}, TimePoint());
+  }
+  BOOST_REQUIRE(First_.Log_->append({Large}).ok());
+  BOOST_REQUIRE(First_.Log_->writeSnapshot(Table).ok());
+  First_.Leadership_.resign();
+  BOOST_REQUIRE(*Second_.campaign());
+  const CellTable Loaded = loadBy(Second_);
+  const jobs::JobRow *Job = Loaded.find(Large.Spec_.Id_);
+  BOOST_REQUIRE(Job);
+  BOOST_TEST(Job->LiveRuns_ == 50'000u);
+  BOOST_TEST(Job->OccurrencesDone_ == 50'000u);
+  BOOST_TEST((Job->State_ == jobs::JobState::Running));
+}
+
 // Guards against the loss of all jobs of a cell after a takeover: a delayed
 // write of an older base was applied over a newer one, although the entries
 // that follow the older base had been removed.
--- a/src/peers/messages.h
+++ b/src/peers/messages.h
@@ -188,6 +188,8 @@
   Leaving,
   /// The leader has too little processor time for more jobs.
   LeaderBusy,
+  /// The job is larger than a value of the store may be.
+  TooLarge,
 };
 
 struct JobReply {
--- a/src/store/kvstore.h
+++ b/src/store/kvstore.h
@@ -15,6 +15,9 @@
 using fleet::Revision;
 using framework::clock::TimePoint;
 
+/// Largest value of a key, in bytes, unless the settings name another limit.
+inline constexpr std::size_t DefaultMaxValueBytes = 1024 * 1024;
+
 struct KeyValue {
   std::string Key_;
   std::string Value_;
@@ -72,9 +75,10 @@
 };
 
 /// The platform's key-value service. Errors of commit(): Unavailable with "not
-/// sent" means that nothing was written; after any other error it is unknown
-/// whether the transaction took effect. Failed compares are not an error, see
-/// TransactionResult::Succeeded_.
+/// sent" means that nothing was written, and InvalidArgument that this
+/// transaction can never take effect, for example because of a value that is
+/// too large; after any other error it is unknown whether it took effect.
+/// Failed compares are not an error, see TransactionResult::Succeeded_.
 template <typename T>
 concept KeyValueStore = requires(
     T &S, const std::string &Prefix, Revision Since, const Transaction &Txn,
