Decisions about calls take a third of the memory

A remembered call was a node of its own in a tree, some 64 bytes with its overhead; with 256 calls of each of 587 entries that is some 10 MB at a leader (worked out, not measured). They lie in the nodes of a B-tree now, some 24 bytes each. No decision changes; cell passes.

--- a/src/cell/decidedcalls.h
+++ b/src/cell/decidedcalls.h
@@ -6,6 +6,8 @@
 #include <map>
 #include <optional>
 
+#include <absl/container/btree_map.h>
+
 namespace laburnumspread::cell {
 
 /// What a leader has decided about a call.
@@ -55,7 +57,7 @@
 private:
   struct Entry {
     /// By the number of the call.
-    std::map<std::uint64_t, CallDecision> Decisions_;
+    absl::btree_map<std::uint64_t, CallDecision> Decisions_;
     /// Decisions about calls up to this number may be forgotten.
     std::uint64_t Bound_ = 0;
     TimePoint LastAt_{};
--- a/src/cell/jobcallhandler.h
+++ b/src/cell/jobcallhandler.h
@@ -89,7 +89,7 @@
     return Result;
   }
 
-  void accepted(const peers::JobCall &Call) {
+  void rememberAccepted(const peers::JobCall &Call) {
     recordAcceptance(Call, Decided_, Term_->now());
   }
 
@@ -108,7 +108,7 @@
              "", 0, 0});
     };
     if (Term_->Table_.find(jobs::JobId(Call.Job_))) {
-      accepted(Call);
+      rememberAccepted(Call);
       return Term_->Commits_.whenStored(Answer);
     }
     const auto Group = jobs::decodeGroup(Call.Spec_);
@@ -124,7 +124,7 @@
     countRetry(Spec.Id_, Refused.has_value());
     if (Refused)
       return refuse(Call, Spec.Id_, *Refused, Reply);
-    accepted(Call);
+    rememberAccepted(Call);
     logAccepted(Spec, Call);
     Term_->Metrics_.counter("jobs_accepted_total").add();
     Term_->Admission_.add(Spec, Term_->Config_, Term_->Estimates_);
@@ -331,7 +331,7 @@
                                               : peers::JobCallStatus::Unknown,
              "", 0, 0});
     };
-    accepted(Call);
+    rememberAccepted(Call);
     if (Job->ended()) {
       logCancel("job.cancel_repeated", *Job, Call);
       return Term_->Commits_.whenStored(Answer);
