--- a/src/cell/internal/celltypes.cpp
+++ b/src/cell/internal/celltypes.cpp
@@ -22,8 +22,6 @@
     return "unhealthy";
   case OrderResult::OtherIncarnation:
     return "other_life";
-  case OrderResult::NotSent:
-    return "not_sent";
   case OrderResult::Unknown:
     return "unknown";
   }
