--- a/src/cell/celltypes.h
+++ b/src/cell/celltypes.h
@@ -90,6 +90,8 @@
   Unhealthy,
   /// The process at the worker's address is another incarnation of the worker.
   OtherIncarnation,
+  /// The order did not leave this process, so it is never executed.
+  NotSent,
   /// No reply: the order may have been executed, or may still be executed
   /// later.
   Unknown,
@@ -97,6 +99,11 @@
 /// Returns the name used in logs and metrics.
 std::string_view nameOf(OrderResult Result);
 
+/// Whether the worker gave no reply to an order.
+constexpr bool isUnanswered(OrderResult Result) {
+  return Result == OrderResult::Unknown || Result == OrderResult::NotSent;
+}
+
 /// Reply to a start, a stop or a change of pace.
 struct OrderReply {
   OrderResult Result_ = OrderResult::Unknown;
@@ -165,7 +172,7 @@
 };
 
 /// Sends orders to a worker. Each call waits at most the given time; if there
-/// was no reply, the result is Unknown.
+/// was no reply, the result is Unknown or NotSent.
 template <typename T>
 concept WorkerClient = requires(T &C, const WorkerRecord &To,
                                 const StartOrder &Start, const HoldOrder &Hold,
--- a/src/cell/internal/celltypes.cpp
+++ b/src/cell/internal/celltypes.cpp
@@ -22,6 +22,8 @@
     return "unhealthy";
   case OrderResult::OtherIncarnation:
     return "other_life";
+  case OrderResult::NotSent:
+    return "not_sent";
   case OrderResult::Unknown:
     return "unknown";
   }
--- a/src/cell/internal/runtracker.cpp
+++ b/src/cell/internal/runtracker.cpp
@@ -49,7 +49,8 @@
   }
   // A refusal applies to this attempt only. If an earlier attempt was not
   // answered, the run may be active or may have been; the next holds tell.
-  if (Result == OrderResult::Unknown || Attempt > 0)
+  const bool EarlierUnanswered = Attempt > 0 && Known->second.Unanswered_ > 0;
+  if (isUnanswered(Result) || EarlierUnanswered)
     return std::nullopt;
   return EndedRun{Run, EndKind::Refused, Checkpoint(), nameOf(Result)};
 }
@@ -59,6 +60,12 @@
     Known->second.NoMoreStarts_ = true;
 }
 
+bool RunTracker::cannotHaveArrived(const RunName &Run) const {
+  const auto Known = Starts_.find(Run);
+  return Known != Starts_.end() && Known->second.NoMoreStarts_ &&
+         Known->second.Unanswered_ == 0 && !Known->second.SettledAt_;
+}
+
 void RunTracker::stopAnswered(const RunName &Run, TimePoint Now) {
   // State recorded for an ended run would never be removed.
   if (!Table_.findLive(Run))
--- a/src/cell/runstopper.h
+++ b/src/cell/runstopper.h
@@ -69,7 +69,9 @@
   /// Repeats the stop until it is answered or the run has ended. Gives up if it
   /// cannot be sent; the worker's next report triggers it again.
   void stopRun(const jobs::RunName &Run) {
+    OrderAttempts Attempts;
     while (!Term_->ended()) {
+      Attempts.awaitNext();
       const jobs::LiveRun *Live = Term_->Table_.find(Run);
       if (!Live)
         return;
@@ -79,7 +81,6 @@
         return logStopWaits(Run, Listed);
       if (stopOnce(Worker->second, Run))
         return;
-      framework::fibers::sleepFor(OrderRetryPause);
     }
   }
 
@@ -98,7 +99,7 @@
     const auto Since = Term_->Table_.unwantedSince(Run);
     const OrderReply Reply =
         Client_.stop(Row->Record_, Run, Term_->Token_, Row->Answers_.timeout());
-    Row->recordAnswer(Reply.Result_, SentAt, now());
+    Row->recordOrderReply(Reply.Result_, SentAt, now());
     framework::log::info("run.stop")
         .field("task", Run.Task_.str())
         .field("run", Run.Run_.value())
@@ -166,6 +167,9 @@
   /// Returns true if it was executed.
   bool sendUntrackedStop(const WorkerRecord &Record, const jobs::RunName &Run,
                          std::string_view Reason) {
+    // A connection opened after the term would stay open.
+    if (Term_->ended())
+      return false;
     const OrderReply Reply =
         Client_.stop(Record, Run, Term_->Token_, MaxAnswerTimeout);
     framework::log::info("run.stop")
--- a/src/cell/runtracker.h
+++ b/src/cell/runtracker.h
@@ -84,6 +84,8 @@
                                         TimePoint Now);
   /// Records that no further attempt will be sent.
   void noMoreStarts(const jobs::RunName &Run);
+  /// Whether no attempt to start the run has left this process, and none will.
+  bool cannotHaveArrived(const jobs::RunName &Run) const;
   /// Records that a stop was executed: the run can no longer be reported as
   /// running.
   void stopAnswered(const jobs::RunName &Run, TimePoint Now);
--- a/src/cell/taskplanner.h
+++ b/src/cell/taskplanner.h
@@ -144,7 +144,7 @@
           {&Row->Record_,
            Use ? Row->Record_.Capacity_ - Use->Used_ : Row->Record_.Capacity_,
            Row->FailureScore_ < MinFailureScore ? 0 : Row->FailureScore_,
-           Slow_.contains(Incarnation), !Row->Synced_});
+           Slow_.contains(Incarnation), !Row->Synced_, Row->Orders_.onTrial()});
     }
     return Result;
   }
@@ -172,6 +172,9 @@
   }
 
   void stageStart(const jobs::RunIntended &Item) {
+    if (const auto Row = Term_->Workers_.find(Item.Worker_);
+        Row != Term_->Workers_.end())
+      Row->second->Orders_.recordPlanned(now());
     Sessions_->runStaged(Item.Run_);
     Term_->Commits_.stage(Item, [Item, S = Sessions_](CommitOutcome Outcome) {
       if (Outcome == CommitOutcome::Stored)
--- a/src/cell/term.h
+++ b/src/cell/term.h
@@ -87,6 +87,7 @@
   /// Whether new tasks may be planned on the worker.
   bool acceptsTasks(const WorkerRow &Row) const {
     return Row.acceptsTasks() && takesStarts(Row) &&
+           !Row.Orders_.avoided(now()) &&
            (Row.Synced_ || !Table_.usageOf(Row.Record_.Incarnation_));
   }
 
--- a/src/cell/tests/runtrackertest.cpp
+++ b/src/cell/tests/runtrackertest.cpp
@@ -42,6 +42,13 @@
     Table_.apply(jobs::JobCancelled{JobId(Job)}, Now);
   }
 
+  /// Sends an attempt to start the run, and gives the reply to it.
+  std::optional<RunTracker::EndedRun>
+  answerStart(const RunName &Run, OrderResult Result, int Attempt) {
+    Tracker_.startSent(Run, 1000);
+    return Tracker_.startAnswered(Run, Result, Attempt, Now);
+  }
+
   /// As of a report that answers a hold sent at \p SentAt.
   std::vector<RunName>
   unwanted(const WorkerIncarnation &Worker,
@@ -269,6 +276,37 @@
   BOOST_TEST((unwanted(ThisIncarnation) == std::vector{Run}));
 }
 
+// Guards against a task that waits for its start's deadline though no attempt
+// left the leader.
+BOOST_AUTO_TEST_CASE(StartThatWasNeverSentCannotHaveArrived) {
+  const RunName Run = startRun("kept", 0, ThisIncarnation);
+  Tracker_.runStaged(Run);
+  answerStart(Run, OrderResult::NotSent, 0);
+  BOOST_TEST(!Tracker_.cannotHaveArrived(Run));
+  Tracker_.noMoreStarts(Run);
+  BOOST_TEST(Tracker_.cannotHaveArrived(Run));
+}
+
+// Guards against a second run of a task whose start was reset after it had been
+// sent: it may have been executed.
+BOOST_AUTO_TEST_CASE(StartWithOneAttemptSentMayHaveArrived) {
+  const RunName Run = startRun("kept", 0, ThisIncarnation);
+  Tracker_.runStaged(Run);
+  answerStart(Run, OrderResult::Unknown, 0);
+  answerStart(Run, OrderResult::NotSent, 1);
+  Tracker_.noMoreStarts(Run);
+  BOOST_TEST(!Tracker_.cannotHaveArrived(Run));
+}
+
+// Guards against a refused start that is held for one that may be active,
+// because an attempt before it did not leave the leader.
+BOOST_AUTO_TEST_CASE(RefusalAfterAnAttemptThatWasNotSentEndsTheRun) {
+  const RunName Run = startRun("kept", 0, ThisIncarnation);
+  Tracker_.runStaged(Run);
+  answerStart(Run, OrderResult::NotSent, 0);
+  BOOST_TEST(answerStart(Run, OrderResult::NoRoom, 1).has_value());
+}
+
 // The later incarnation does not run the tasks of the former one; its reports
 // settle them.
 BOOST_AUTO_TEST_CASE(RunsOfAFormerIncarnationAreNotStoppedOnTheNext) {
--- a/src/cell/tests/workersessionstest.cpp
+++ b/src/cell/tests/workersessionstest.cpp
@@ -16,11 +16,17 @@
 
 const ZoneName Zone("z1");
 
+constexpr std::uint32_t NeverAnswers = 1000;
+
+/// For this long a worker may have no connection free: a hold that waits there.
+constexpr Duration LongestOutageOfConnections = std::chrono::milliseconds(250);
+
 /// Counts the starts, of which the first ones stay unanswered, and records the
 /// stops. Holds are answered by Report_, once.
 struct CountingClient : SilentClient {
   OrderReply start(const WorkerRecord &, const StartOrder &, Duration) {
     ++Starts_;
+    StartedAt_.push_back(framework::clock::SteadyClock().now());
     if (AfterStart_)
       AfterStart_();
     return Starts_ > Unanswered_ ? OrderReply{OrderResult::Done, 1}
@@ -30,6 +36,8 @@
   OrderReply stop(const WorkerRecord &, const jobs::RunName &Stopped,
                   jobs::FencingToken, Duration) {
     Stops_.push_back(Stopped);
+    if (Stops_.size() <= UnansweredStops_)
+      return {};
     return {OrderResult::Done, 1};
   }
   HoldReply hold(const WorkerRecord &, const HoldOrder &Order, Duration) {
@@ -40,6 +48,8 @@
 
   std::uint32_t Starts_ = 0;
   std::uint32_t Unanswered_ = 0;
+  std::uint32_t UnansweredStops_ = 0;
+  std::vector<TimePoint> StartedAt_;
   std::vector<jobs::RunName> Stops_;
   HoldReply Report_;
   bool RepeatsReport_ = false;
@@ -329,6 +339,35 @@
   BOOST_TEST(!Term_->Table_.find(Copy.Run_));
 }
 
+// Guards against attempts that are all spent within milliseconds on a worker
+// that resets them.
+BOOST_AUTO_TEST_CASE(RepeatedStartsAreSpacedApart) {
+  Client_.Unanswered_ = NeverAnswers;
+  startAndWait();
+  BOOST_REQUIRE(Client_.StartedAt_.size() > 1u);
+  const Duration Spent = Client_.StartedAt_.back() - Client_.StartedAt_.front();
+  BOOST_TEST((Spent > LongestOutageOfConnections));
+}
+
+// Guards against tasks that are planned again and again on a worker that
+// answers holds and resets starts.
+BOOST_AUTO_TEST_CASE(WorkerThatAnswersNoStartTakesNoNewTask) {
+  Client_.Unanswered_ = NeverAnswers;
+  startAndWait();
+  BOOST_TEST(!Term_->acceptsTasks(*Row_));
+}
+
+// Guards against a cancelled task that runs on at a worker that resets stops.
+BOOST_AUTO_TEST_CASE(StopsGoOnUntilOneIsAnswered) {
+  startAndWait();
+  Client_.UnansweredStops_ = 4;
+  Sessions_->stop(Run);
+  for (int Waits = 0; Waits < 3000 && Client_.Stops_.size() < 5; ++Waits)
+    framework::fibers::sleepFor(std::chrono::milliseconds(1));
+  framework::fibers::sleepFor(std::chrono::milliseconds(500));
+  BOOST_TEST(Client_.Stops_.size() == 5u);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace laburnumspread::cell
--- a/src/cell/workersessions.h
+++ b/src/cell/workersessions.h
@@ -553,7 +553,9 @@
     openSession(Row);
     // Reports may have settled the run meanwhile. Then another attempt is not
     // needed and could be executed by a restarted worker.
+    OrderAttempts Attempts;
     for (int Attempt = 0; Attempt < StartAttempts; ++Attempt) {
+      Attempts.awaitNext();
       const bool MaySend =
           Attempt == 0 ? Term_->maySendStarts() : Term_->mayRepeatStarts();
       if (!Term_->Table_.find(Run) || !MaySend || !Term_->takesStarts(*Row) ||
@@ -562,6 +564,8 @@
       Count.reset();
     }
     Tracker_->noMoreStarts(Run);
+    if (!Term_->ended() && Tracker_->cannotHaveArrived(Run))
+      endRun({Run, jobs::EndKind::Refused, jobs::Checkpoint(), "not sent"});
   }
 
   /// Polls a worker that has not replied to this leader, and waits for the
@@ -586,7 +590,7 @@
     const TimePoint SentAt = now();
     const OrderReply Reply =
         Client_.start(Row.Record_, Order, Row.Answers_.timeout());
-    Row.recordAnswer(Reply.Result_, SentAt, now());
+    Row.recordOrderReply(Reply.Result_, SentAt, now());
     Term_->Metrics_
         .counter("starts_total{result=\"" + std::string(nameOf(Reply.Result_)) +
                  "\"}")
@@ -614,7 +618,7 @@
       Row.FailureScore_ += FailureScoreIncrement;
     if (Ended)
       endRun(*Ended);
-    return Reply.Result_ != OrderResult::Unknown;
+    return !isUnanswered(Reply.Result_);
   }
 
   static void logStart(const WorkerRow &Row, const StartOrder &Order,
--- a/src/cell/workertable.h
+++ b/src/cell/workertable.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "cell/celltypes.h"
+#include "cell/orderattempts.h"
+#include "cell/orderhealth.h"
 #include "framework/clock/adaptivetimeout.h"
 #include "framework/clock/steadyclock.h"
 #include "framework/fibers/waiter.h"
@@ -91,6 +93,8 @@
   std::uint64_t EndsStored_ = 0;
   std::uint64_t EndsStaged_ = 0;
   std::uint64_t EndsAcknowledged_ = 0;
+  /// What the replies to starts and stops tell.
+  OrderHealth Orders_;
   /// Controls the pace of the filler tasks on this worker.
   scheduling::Pacer Pace_;
   /// Score of the runs that failed or hung on this worker; decays over time.
@@ -115,12 +119,18 @@
   /// received before \p Expected was triggered by the end of a run and is
   /// ignored.
   void recordAnswer(OrderResult Result, TimePoint Expected, TimePoint Now) {
-    if (Result == OrderResult::Unknown)
+    if (isUnanswered(Result))
       Answers_.recordTimeout();
     else if (Now >= Expected)
       Answers_.recordResponse(Now - Expected);
   }
 
+  /// Records the outcome of a start or a stop that was sent at \p SentAt.
+  void recordOrderReply(OrderResult Result, TimePoint SentAt, TimePoint Now) {
+    recordAnswer(Result, SentAt, Now);
+    Orders_.record(Result, Now, randomShare());
+  }
+
   /// Records a reading of the worker's clock, in milliseconds.
   void updateClock(std::int64_t ReportedMs, TimePoint Now) {
     // Replies on different connections may arrive out of order.
--- a/src/framework/http/httpclient.cpp
+++ b/src/framework/http/httpclient.cpp
@@ -1,5 +1,6 @@
 #include "framework/http/httpclient.h"
 
+#include "framework/clock/steadyclock.h"
 #include "framework/fibers/await.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -7,6 +8,9 @@
 #include <boost/beast/http.hpp>
 #include <netinet/tcp.h>
 
+#include <algorithm>
+#include <utility>
+
 namespace laburnumspread::framework::http {
 
 namespace beast = boost::beast;
@@ -29,6 +33,9 @@
 /// socket, which costs a system call for each request.
 constexpr clock::Duration ProvenAliveFor = std::chrono::milliseconds(100);
 
+/// Begins the message of an error before anything was sent.
+constexpr std::string_view NotSent = "not sent";
+
 std::chrono::steady_clock::time_point toSteady(clock::TimePoint Deadline) {
   return std::chrono::steady_clock::now() +
          (Deadline - clock::SystemClock().now());
@@ -248,14 +255,61 @@
   return std::make_shared<TcpConnection>(Io);
 }
 
-Client::Client(boost::asio::io_context &Io, Address To)
-    : Io_(Io), To_(std::move(To)) {}
+bool wasNotSent(const absl::Status &Error) {
+  const absl::string_view Text = Error.message();
+  return std::string_view(Text.data(), Text.size()).starts_with(NotSent);
+}
+
+/// The right to use one connection of a client, which is given back at the end.
+class Client::Lease {
+public:
+  Lease(Client &From, std::shared_ptr<Connection> Conn)
+      : From_(&From), Connection_(std::move(Conn)),
+        IsNew_(Connection_ == nullptr) {
+    if (IsNew_)
+      Connection_ = Connection::make(From.Io_);
+  }
+  Lease(Lease &&Other) noexcept
+      : From_(std::exchange(Other.From_, nullptr)),
+        Connection_(std::move(Other.Connection_)), IsNew_(Other.IsNew_) {}
+  Lease(const Lease &) = delete;
+  Lease &operator=(const Lease &) = delete;
+  Lease &operator=(Lease &&) = delete;
+  ~Lease() {
+    if (!From_)
+      return;
+    if (Answered_ && Connection_->reusable()) {
+      From_->release(std::move(Connection_));
+      return;
+    }
+    Connection_.reset();
+    From_->releaseClosed();
+  }
+
+  Connection &connection() { return *Connection_; }
+  /// Whether it has not been connected yet.
+  bool isNew() const { return IsNew_; }
+  /// Allows the connection to be used again.
+  void setAnswered() { Answered_ = true; }
+
+private:
+  Client *From_;
+  std::shared_ptr<Connection> Connection_;
+  bool IsNew_;
+  bool Answered_ = false;
+};
+
+Client::Client(boost::asio::io_context &Io, Address To, ClientBounds Bounds)
+    : Io_(Io), To_(std::move(To)), Bounds_(Bounds) {
+  if (Bounds.Connections_)
+    Limit_.emplace(*Bounds.Connections_);
+}
 
 Client::~Client() = default;
 
 std::shared_ptr<Connection> Client::takeIdle() {
   while (!Idle_.empty()) {
-    auto Candidate = std::move(Idle_.back());
+    auto Candidate = std::move(Idle_.back().Connection_);
     Idle_.pop_back();
     const clock::Duration Idle =
         clock::SystemClock().now() - Candidate->lastReceivedAt();
@@ -264,10 +318,80 @@
         Idle >= clock::Duration::zero() && Idle < ProvenAliveFor;
     if (ProvenAlive || !Candidate->stale())
       return Candidate;
+    --Open_;
   }
   return nullptr;
 }
 
+absl::StatusOr<Client::Lease> Client::lease(clock::TimePoint Deadline) {
+  if (auto Conn = takeIdle())
+    return Lease(*this, std::move(Conn));
+  if (!mayHaveOpen(Open_ + 1))
+    return waitForLease(Deadline);
+  ++Open_;
+  return Lease(*this, nullptr);
+}
+
+absl::StatusOr<Client::Lease> Client::waitForLease(clock::TimePoint Deadline) {
+  const auto Call = std::make_shared<WaitingCall>();
+  Waiting_.push_back(Call);
+  if (Call->Ready_.waitUntil(
+          std::min(Deadline, clock::wallDeadline(Bounds_.MaxWait_))))
+    return Lease(*this, std::move(Call->Given_));
+  std::erase(Waiting_, Call);
+  return absl::UnavailableError(std::string(NotSent) +
+                                ": no connection became free");
+}
+
+void Client::release(std::shared_ptr<Connection> Conn) {
+  if (Waiting_.empty()) {
+    Idle_.push_back({std::move(Conn), clock::SteadyClock().now()});
+    return;
+  }
+  const auto Next = std::move(Waiting_.front());
+  Waiting_.pop_front();
+  Next->Given_ = std::move(Conn);
+  Next->Ready_.signal();
+}
+
+void Client::releaseClosed() {
+  if (Waiting_.empty() || !mayHaveOpen(Open_)) {
+    --Open_;
+    return;
+  }
+  const auto Next = std::move(Waiting_.front());
+  Waiting_.pop_front();
+  Next->Ready_.signal();
+}
+
+void Client::closeIdle() {
+  const clock::TimePoint Until = clock::SteadyClock().now() - Bounds_.MaxIdle_;
+  Open_ -= std::erase_if(Idle_, [Until](const IdleConnection &Item) {
+    return Item.Since_ <= Until;
+  });
+}
+
+bool Client::mayHaveOpen(std::size_t Connections) const {
+  return !Limit_ || Connections <= Limit_->at(clock::SteadyClock().now());
+}
+
+void Client::recordFailure(const Lease &On, const absl::Status &Error) {
+  if (Limit_ && On.isNew() && absl::IsUnavailable(Error))
+    Limit_->recordReset(Open_ - 1, clock::SteadyClock().now());
+}
+
+absl::Status Client::send(Lease &On, const Request &Message,
+                          clock::TimePoint Deadline) {
+  Connection &Conn = On.connection();
+  if (On.isNew())
+    if (absl::Status Status = Conn.connect(To_, Deadline); !Status.ok()) {
+      recordFailure(On, Status);
+      return absl::UnavailableError(std::string(NotSent) + ": " +
+                                    std::string(Status.message()));
+    }
+  return Conn.send(Message, Message.Body_.size(), Deadline);
+}
+
 absl::StatusOr<Response> Client::exchange(const Request &Message,
                                           clock::TimePoint Deadline,
                                           std::size_t MaxBody) {
@@ -279,33 +403,38 @@
 Client::exchange(const Request &Message, clock::TimePoint HeadDeadline,
                  const std::function<clock::TimePoint()> &PartDeadline,
                  std::size_t MaxBody) {
-  auto Conn = takeIdle();
-  if (!Conn) {
-    Conn = Connection::make(Io_);
-    if (absl::Status Status = Conn->connect(To_, HeadDeadline); !Status.ok())
-      return absl::UnavailableError("not sent: " +
-                                    std::string(Status.message()));
-  }
-  if (absl::Status Status =
-          Conn->send(Message, Message.Body_.size(), HeadDeadline);
-      !Status.ok())
-    return Status;
-  absl::StatusOr<Response> Answer = Conn->readHead(HeadDeadline);
+  absl::StatusOr<Lease> On = lease(HeadDeadline);
+  if (!On.ok())
+    return On.status();
+  absl::Status Sent = send(*On, Message, HeadDeadline);
+  absl::StatusOr<Response> Answer =
+      Sent.ok() ? receive(On->connection(), HeadDeadline, PartDeadline, MaxBody)
+                : absl::StatusOr<Response>(std::move(Sent));
+  if (Answer.ok())
+    On->setAnswered();
+  else if (!wasNotSent(Answer.status()))
+    recordFailure(*On, Answer.status());
+  return Answer;
+}
+
+absl::StatusOr<Response>
+Client::receive(Connection &Conn, clock::TimePoint HeadDeadline,
+                const std::function<clock::TimePoint()> &PartDeadline,
+                std::size_t MaxBody) {
+  absl::StatusOr<Response> Answer = Conn.readHead(HeadDeadline);
   if (!Answer.ok())
     return Answer.status();
-  if (Conn->contentLength().value_or(0) > MaxBody)
+  if (Conn.contentLength().value_or(0) > MaxBody)
     return absl::ResourceExhaustedError("response is too large");
   for (bool More = true; More;) {
     if (Answer->Body_.size() > MaxBody)
       return absl::ResourceExhaustedError("response is too large");
     absl::StatusOr<bool> Next =
-        Conn->readSome(Answer->Body_, BodyPartBytes, PartDeadline());
+        Conn.readSome(Answer->Body_, BodyPartBytes, PartDeadline());
     if (!Next.ok())
       return bodyReadError(Next.status(), Answer->Body_.size());
     More = *Next;
   }
-  if (Conn->reusable())
-    Idle_.push_back(std::move(Conn));
   return Answer;
 }
 
--- a/src/framework/http/httpclient.h
+++ b/src/framework/http/httpclient.h
@@ -1,9 +1,13 @@
 #pragma once
 
+#include "framework/fibers/waiter.h"
+#include "framework/http/connectionlimit.h"
 #include "framework/http/httptypes.h"
 
+#include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 
 #include <absl/status/statusor.h>
 
@@ -62,15 +66,26 @@
   virtual void close() = 0;
 };
 
+/// Bounds of the connections of a Client; without any by default.
+struct ClientBounds {
+  /// Most connections for exchange(). Further calls wait for a free one.
+  std::optional<std::size_t> Connections_;
+  /// Longest time for which a call waits for a free connection.
+  clock::Duration MaxWait_ = std::chrono::hours(1);
+  /// Time after which closeIdle() closes an unused connection.
+  clock::Duration MaxIdle_ = std::chrono::hours(1);
+};
+
 /// HTTP client for one server with a pool of idle connections.
 class Client {
 public:
-  Client(boost::asio::io_context &Io, Address To);
+  Client(boost::asio::io_context &Io, Address To, ClientBounds Bounds = {});
   ~Client();
 
   /// Sends \p Message and reads the whole response. Returns ResourceExhausted
   /// if its body is larger than \p MaxBody bytes, and Unavailable with a
-  /// message that starts with "not sent" if the connection could not be made.
+  /// message for which wasNotSent() holds if no connection could be made or
+  /// none became free in time.
   /// Other errors are those of Connection, after which the request may have
   /// run.
   absl::StatusOr<Response> exchange(const Request &Message,
@@ -95,14 +110,60 @@
                       const std::function<bool(const Response &)> &OnHead,
                       const std::function<bool(std::string_view)> &OnPart);
 
+  /// Closes the connections that have been unused for MaxIdle_.
+  void closeIdle();
+
+  /// Number of connections for exchange() that are open or being opened.
+  std::size_t openConnections() const { return Open_; }
+
   const Address &address() const { return To_; }
 
 private:
+  class Lease;
+  struct IdleConnection {
+    std::shared_ptr<Connection> Connection_;
+    /// On the steady clock.
+    clock::TimePoint Since_;
+  };
+  /// A call that waits for a connection, or for the right to open one.
+  struct WaitingCall {
+    std::shared_ptr<Connection> Given_;
+    fibers::Waiter Ready_;
+  };
+
+  /// Returns an idle connection that is still usable, or null.
   std::shared_ptr<Connection> takeIdle();
+  /// Waits for a connection that is free, or may be opened, until \p Deadline.
+  absl::StatusOr<Lease> lease(clock::TimePoint Deadline);
+  absl::StatusOr<Lease> waitForLease(clock::TimePoint Deadline);
+  /// Passes a connection on to the first waiting call, or keeps it.
+  void release(std::shared_ptr<Connection> Conn);
+  /// The same for the right to open a connection in place of one that closed.
+  void releaseClosed();
+  bool mayHaveOpen(std::size_t Connections) const;
+  /// Lets later calls share the open connections if the server reset a new one.
+  void recordFailure(const Lease &On, const absl::Status &Error);
+  /// Connects the connection if it is new, and sends the request.
+  absl::Status send(Lease &On, const Request &Message,
+                    clock::TimePoint Deadline);
+  /// Reads the answer to a request that was sent.
+  absl::StatusOr<Response>
+  receive(Connection &Conn, clock::TimePoint HeadDeadline,
+          const std::function<clock::TimePoint()> &PartDeadline,
+          std::size_t MaxBody);
 
   boost::asio::io_context &Io_;
   Address To_;
-  std::vector<std::shared_ptr<Connection>> Idle_;
+  ClientBounds Bounds_;
+  std::optional<ConnectionLimit> Limit_;
+  std::size_t Open_ = 0;
+  /// The one that was used last is at the back.
+  std::vector<IdleConnection> Idle_;
+  std::deque<std::shared_ptr<WaitingCall>> Waiting_;
 };
 
+/// Whether an exchange failed before any byte of it was sent, so that it cannot
+/// have been executed.
+bool wasNotSent(const absl::Status &Error);
+
 } // namespace laburnumspread::framework::http
--- a/src/scheduling/internal/outagestarts.cpp
+++ b/src/scheduling/internal/outagestarts.cpp
@@ -126,11 +126,11 @@
       if (!Task.idle() || Task.LastRun_.value() > 0 || Planned_.contains(Name))
         continue;
       if ((Spec.AntiAffinity_ > 0 && Here >= Spec.AntiAffinity_) ||
-          !Spec.demand().fitsInto(On.Free_) ||
+          !On.fits(Spec.demand()) ||
           !Freed_.fits(Worker, Job.Spec_.Workspace_, Spec.demand()))
         return;
       ++Here;
-      On.Free_ -= Spec.demand();
+      On.take(Spec.demand());
       Freed_.take(Worker, Job.Spec_.Workspace_, Spec.demand());
       Planned_.insert(Name);
       Starts_.push_back({{Name, Task.LastRun_.next()}, Worker});
--- a/src/scheduling/internal/placement.cpp
+++ b/src/scheduling/internal/placement.cpp
@@ -61,7 +61,7 @@
       ++PlannedPerWorker_[{Task.Job_, Task.Occurrence_, Task.Step_,
                            Item.Worker_}];
     if (const auto Row = ByName.find(Item.Worker_); Row != ByName.end())
-      Row->second->Free_ -= Spec.demand();
+      Row->second->take(Spec.demand());
   }
 }
 
@@ -80,7 +80,7 @@
   Candidate *Best = nullptr;
   for (const std::size_t I : Pool->second.Members_) {
     Candidate &Worker = Workers_[I];
-    if (!Step.Spec_->demand().fitsInto(Worker.Free_) ||
+    if (!Worker.fits(Step.Spec_->demand()) ||
         Worker.Worker_->Incarnation_.Id_ == Beside.Incarnation_.Id_ ||
         !isAllowed(Step, Worker) || IsImpaired(*Worker.Worker_))
       continue;
@@ -145,7 +145,7 @@
 
 void Placement::assign(const ReadyStep &Step, std::uint32_t Index,
                        RunNumber Run, Candidate &On, Plan &Into) {
-  On.Free_ -= Step.Spec_->demand();
+  On.take(Step.Spec_->demand());
   PlannedUsage_[Step.Job_->Spec_.Workspace_] += Step.Spec_->PerTask_;
   if (Step.Spec_->AntiAffinity_ > 0)
     ++PlannedPerWorker_[keyOf(Step, On)];
@@ -166,7 +166,7 @@
   bool AnyFits = false;
   for (const std::size_t I : Pool.Members_) {
     Candidate &Worker = Workers_[I];
-    if (!Demand.fitsInto(Worker.Free_))
+    if (!Worker.fits(Demand))
       continue;
     AnyFits = true;
     if (!isAllowed(Step, Worker))
@@ -195,7 +195,7 @@
 bool Placement::isBetter(const ReadyStep &Step, const Candidate &A,
                          const Candidate &B) {
   const auto Rank = [&](const Candidate &C) {
-    return std::make_tuple(C.FailureScore_, isFarFromData(Step, C),
+    return std::make_tuple(C.OnTrial_, C.FailureScore_, isFarFromData(Step, C),
                            C.Slow_ && Step.Spec_->Speculative_, C.Unproven_,
                            C.Free_.MilliCpus_);
   };
--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -39,6 +39,21 @@
   /// Whether it has not replied to this leader yet, so that its first start
   /// takes one exchange more.
   bool Unproven_ = false;
+  /// Whether it gets one task only, because it did not reply to the last
+  /// orders.
+  bool OnTrial_ = false;
+  /// Whether it can take no further task, whatever its demand.
+  bool Full_ = false;
+
+  bool fits(const jobs::Resources &Demand) const {
+    return !Full_ && Demand.fitsInto(Free_);
+  }
+
+  /// Reserves the room of a task that is planned on it.
+  void take(const jobs::Resources &Demand) {
+    Free_ -= Demand;
+    Full_ = OnTrial_;
+  }
 };
 
 /// The time of a scheduling pass, by both clocks.
--- a/src/scheduling/tests/schedulertest.cpp
+++ b/src/scheduling/tests/schedulertest.cpp
@@ -59,7 +59,10 @@
   plan(TimePoint Now = Start, std::size_t MaxStarts = Scheduler::NoLimit) {
     std::vector<Candidate> Workers;
     for (const workers::WorkerRecord &Record : Records_)
-      Workers.push_back({&Record, Record.Capacity_, 0});
+      Workers.push_back(
+          {&Record, Record.Capacity_, 0, false, false,
+           std::find(OnTrial_.begin(), OnTrial_.end(),
+                     Record.Incarnation_.Id_.str()) != OnTrial_.end()});
     return Scheduler(Table_, Config_, Estimator_, Advised_, {})
         .plan(std::move(Workers), {Now, 1'000'000}, MaxStarts)
         .Starts_;
@@ -78,6 +81,8 @@
   RunTimeEstimator Estimator_;
   AdviceTable Advised_;
   std::deque<workers::WorkerRecord> Records_;
+  /// Ids of the workers that did not reply to the last orders.
+  std::vector<std::string> OnTrial_;
 };
 
 } // namespace
@@ -99,6 +104,25 @@
   BOOST_TEST(plan().size() == 3u);
 }
 
+// Guards against a step that is planned as a whole on a worker that replies to
+// no start.
+BOOST_AUTO_TEST_CASE(WorkerOnTrialGetsOneTask) {
+  worker("w", 1000);
+  OnTrial_ = {"w"};
+  job("a", {step(5, 100)});
+  BOOST_TEST(plan().size() == 1u);
+}
+
+// Guards against a trial while there is room elsewhere.
+BOOST_AUTO_TEST_CASE(WorkerOnTrialComesLast) {
+  worker("w", 1000);
+  worker("v", 1000);
+  OnTrial_ = {"w"};
+  job("a", {step(10, 100)});
+  for (const jobs::RunIntended &Item : plan())
+    BOOST_TEST(Item.Worker_.Id_.str() == "v");
+}
+
 // Guards against large jobs becoming late at the start of a peak while small
 // jobs that have just arrived, and could wait for machines being moved, run
 // first.
