A run is lost only by a report that names no end

Change: a run that a report leaves out is lost only if that report names no end. While it names some, those that are unread may follow; they come with the next report, which is asked for at once when a run waits for it.

Why it works: a worker repeats its ends until they are acknowledged. So a report without any comes from a worker whose ends have all been read.

--- a/src/cell/internal/runtracker.cpp
+++ b/src/cell/internal/runtracker.cpp
@@ -149,10 +149,13 @@
                                              std::uint64_t EndsStaged) {
   Report Result;
   Result.Whole_ = Reply.Ends_.size() < EndsPerReport_;
-  RunSet Listed;
-  Listed.reserve(Reply.Ends_.size() + Reply.Running_.size());
+  ReportFacts Facts;
+  Facts.EndsMayFollow_ = !Reply.Ends_.empty();
+  Facts.ClockMs_ = Reply.ClockMs_;
+  Facts.SentAt_ = SentAt;
+  Facts.Listed_.reserve(Reply.Ends_.size() + Reply.Running_.size());
   for (const EndReport &Item : Reply.Ends_) {
-    Listed.insert(Item.Run_);
+    Facts.Listed_.insert(Item.Run_);
     const LiveRun *Live = Table_.find(Item.Run_);
     const bool Here = Live && Live->Worker_.Id_ == Worker.Id_ &&
                       Live->Worker_.StartedMs_ <= Worker.StartedMs_;
@@ -161,7 +164,7 @@
           {Item.Run_, Item.Kind_, storable(Item.Run_, Item.Saved_), "listed"});
   }
   for (const RunningReport &Item : Reply.Running_) {
-    Listed.insert(Item.Run_);
+    Facts.Listed_.insert(Item.Run_);
     LiveRun *Live = Table_.findLive(Item.Run_);
     if (!Live || Live->Worker_ != Worker) {
       Result.Unknown_.push_back(Item.Run_);
@@ -172,44 +175,49 @@
     if (Checkpoint Saved = storable(Item.Run_, Item.Saved_); !Saved.empty())
       Table_.findTask(Item.Run_.Task_)->Saved_ = std::move(Saved);
   }
-  settleFormerIncarnations(Worker, Listed, SentAt, Result);
-  loseUnlisted(Worker, Listed, Reply.ClockMs_, SentAt, Result);
+  settleFormerIncarnations(Worker, Facts, Result);
+  loseUnlisted(Worker, Facts, Result);
   return Result;
 }
 
 void RunTracker::loseUnlisted(const WorkerIncarnation &Worker,
-                              const RunSet &Listed, std::int64_t ClockMs,
-                              TimePoint SentAt, Report &Into) const {
+                              const ReportFacts &Facts, Report &Into) const {
   const jobs::WorkerUsage *Use = Table_.usageOf(Worker);
-  // A run that is missing in a cut report may have ended as done. Taken as
-  // lost, its task would be started again, and the next report would show it
-  // done twice. The ends are numbered, so the whole report comes once those
-  // before have been acknowledged.
-  if (!Use || !Into.Whole_)
+  if (!Use)
     return;
   for (const RunName &Run : Use->Runs_)
-    if (!Listed.contains(Run) && cannotStart(Run, ClockMs, SentAt))
-      Into.Ended_.push_back({Run, EndKind::Lost, Checkpoint(), "not listed"});
+    if (!Facts.Listed_.contains(Run) &&
+        cannotStart(Run, Facts.ClockMs_, Facts.SentAt_))
+      lose(Run, "not listed", Facts, Into);
 }
 
 void RunTracker::settleFormerIncarnations(const WorkerIncarnation &Worker,
-                                          const RunSet &Listed,
-                                          TimePoint SentAt,
+                                          const ReportFacts &Facts,
                                           Report &Into) const {
   const auto &All = Table_.workers();
   for (auto Incarnation = All.lower_bound(WorkerIncarnation{Worker.Id_, 0});
        Incarnation != All.end() && Incarnation->first < Worker; ++Incarnation)
     for (const RunName &Run : Incarnation->second.Runs_) {
-      if (Listed.contains(Run))
+      if (Facts.Listed_.contains(Run))
         continue;
-      if (Into.Whole_ && cannotStartOnLaterIncarnation(Run, SentAt))
-        Into.Ended_.push_back({Run, EndKind::Lost, Checkpoint(),
-                               "the incarnation of its worker has ended"});
+      if (cannotStartOnLaterIncarnation(Run, Facts.SentAt_))
+        lose(Run, "the incarnation of its worker has ended", Facts, Into);
       else
         Into.StaleStarts_.push_back(Run);
     }
 }
 
+void RunTracker::lose(const RunName &Run, std::string_view Reason,
+                      const ReportFacts &Facts, Report &Into) {
+  // The run may have ended as done. Taken as lost, its task would be started
+  // again, and a later report would show it done twice. Each acknowledgement
+  // brings the next ends, so a report without any comes.
+  if (Facts.EndsMayFollow_)
+    Into.Whole_ = false;
+  else
+    Into.Ended_.push_back({Run, EndKind::Lost, Checkpoint(), Reason});
+}
+
 bool RunTracker::cannotStartOnLaterIncarnation(const RunName &Run,
                                                TimePoint SentAt) const {
   const auto Known = Starts_.find(Run);
--- a/src/cell/runtracker.h
+++ b/src/cell/runtracker.h
@@ -27,8 +27,9 @@
 ///    hold the worker refuses that leader's token, or
 ///  - the worker refuses the first and only attempt to start it.
 ///
-/// Only a whole report can leave out a run that has ended for good. In one with
-/// as many ends as fit, the end of the run may be among those that follow.
+/// Only a report that names no end can leave out a run that has ended for good.
+/// A worker returns its ends in parts, the next one once the last has been
+/// acknowledged. So while a report names ends, that of the run may follow.
 ///
 /// A restarted worker process may keep its id and execute a start that was sent
 /// to its former incarnation. Its clock starts anew, so the deadline does not
@@ -54,7 +55,8 @@
     /// Runs of former incarnations that may still start on this one and have to
     /// be stopped here.
     std::vector<jobs::RunName> StaleStarts_;
-    /// Whether all ends that the worker keeps were in the report.
+    /// Whether the report decides on all runs that can no longer start. If it
+    /// does not, or holds as many ends as fit, the next one is needed at once.
     bool Whole_ = false;
   };
 
@@ -62,8 +64,9 @@
   /// specifies 200 ms; the worker's clock may run slow.
   static constexpr Duration MaxStopDuration = std::chrono::milliseconds(300);
 
-  /// \p EndsPerReport is the number of ends that fit into a report. Checkpoints
-  /// of more than \p MaxCheckpointBytes are left out.
+  /// \p EndsPerReport is the number of ends that fit into a report; it only
+  /// tells when to ask for the next one. Checkpoints of more than \p
+  /// MaxCheckpointBytes are left out.
   explicit RunTracker(jobs::CellTable &Table,
                       std::uint64_t EndsPerReport = MaxEndsPerReport,
                       std::size_t MaxCheckpointBytes =
@@ -137,13 +140,23 @@
     std::optional<TimePoint> StoppedByLaterIncarnationAt_;
   };
 
-  using RunSet = absl::flat_hash_set<jobs::RunName>;
+  /// What a report names, and when it was requested.
+  struct ReportFacts {
+    absl::flat_hash_set<jobs::RunName> Listed_;
+    /// Ends that the worker keeps may be missing in it.
+    bool EndsMayFollow_ = false;
+    std::int64_t ClockMs_ = 0;
+    TimePoint SentAt_{};
+  };
 
   void settleFormerIncarnations(const WorkerIncarnation &Worker,
-                                const RunSet &Listed, TimePoint SentAt,
-                                Report &Into) const;
-  void loseUnlisted(const WorkerIncarnation &Worker, const RunSet &Listed,
-                    std::int64_t ClockMs, TimePoint SentAt, Report &Into) const;
+                                const ReportFacts &Facts, Report &Into) const;
+  void loseUnlisted(const WorkerIncarnation &Worker, const ReportFacts &Facts,
+                    Report &Into) const;
+  /// Ends a run that the report leaves out and that can no longer start, or
+  /// leaves it to the next report.
+  static void lose(const jobs::RunName &Run, std::string_view Reason,
+                   const ReportFacts &Facts, Report &Into);
   /// Returns the checkpoint, or none if it is larger than the store can hold.
   jobs::Checkpoint storable(const jobs::RunName &Run,
                             const jobs::Checkpoint &Saved) const;
--- a/src/cell/tests/modelworker.h
+++ b/src/cell/tests/modelworker.h
@@ -16,7 +16,7 @@
 constexpr auto Lease = 6000ms;
 
 /// Number of ends in one report of a model worker. It is small, so that reports
-/// are often cut.
+/// are often cut, and the leaders do not know it.
 constexpr std::size_t ModelEndsPerReport = 2;
 
 /// A worker that behaves as the platform specifies.
--- a/src/cell/tests/runmodel.h
+++ b/src/cell/tests/runmodel.h
@@ -62,8 +62,7 @@
 /// An entry that leads, or assumes that it does.
 struct ModelLeader : std::enable_shared_from_this<ModelLeader> {
   explicit ModelLeader(FencingToken Token, TimePoint Now)
-      : Token_(Token), ConfirmedAt_(Now), StartedAt_(Now),
-        Tracker_(Table_, ModelEndsPerReport) {}
+      : Token_(Token), ConfirmedAt_(Now), StartedAt_(Now), Tracker_(Table_) {}
 
   const FencingToken Token_;
   TimePoint ConfirmedAt_;
