A late hold to a former incarnation drops no unread end

What callers would see: a finished task is started again (TWICE).

Cause: a hold acknowledges ends by their numbers, which begin anew in each incarnation of a worker. Both incarnations have one id, which is all that the platform's call names. A hold that is executed late, after its worker has restarted under its id, so acknowledges ends there that no leader has read.

Holds of an earlier leader need no pause: the worker refuses their token.

Evidence: the model no longer leaves these acknowledgements out, except where the start, too, was meant for the former incarnation.

Open: an end of a late start that a late hold acknowledges. Nothing that a leader does after the restart can bring it back.

--- a/src/cell/cellservice.h
+++ b/src/cell/cellservice.h
@@ -288,6 +288,7 @@
         Sessions_->verifyFailedDomains();
       if (Sessions_)
         Sessions_->maintain();
+      T->forgetLateHolds();
       T->Table_.forgetEnded(now() - Bounds_.StatusRetention_);
       forgetRemovedQueues(*T, Config_);
       loseRunsOnUnknownWorkers(*T);
--- a/src/cell/term.h
+++ b/src/cell/term.h
@@ -44,6 +44,9 @@
     if (std::exchange(Row.Ended_, true))
       return;
     EndedIncarnations_.emplace(Row.Record_.Incarnation_, now());
+    if (Row.EndsStored_ > 0)
+      LateHoldsUntil_[Row.Record_.Incarnation_.Id_] =
+          now() + MaxStaleOrderDelay;
     Row.endFirstReplyWaits();
     framework::log::info("worker.over")
         .field("worker", Row.Record_.Incarnation_.Id_.str())
@@ -84,9 +87,24 @@
            !Evacuations_.contains(Row.Record_.Zone_);
   }
 
+  /// Whether a hold that was sent to a former incarnation of the worker may
+  /// still be executed. It acknowledges ends by their numbers, which begin anew
+  /// in each incarnation, so the end of a new task could be dropped unread, and
+  /// the task would be started again.
+  bool mayExecuteLateHold(const WorkerRow &Row) const {
+    const auto Until = LateHoldsUntil_.find(Row.Record_.Incarnation_.Id_);
+    return Until != LateHoldsUntil_.end() && now() < Until->second;
+  }
+
+  /// Forgets the workers for which mayExecuteLateHold() is no longer true.
+  void forgetLateHolds() {
+    absl::erase_if(LateHoldsUntil_,
+                   [](const auto &Item) { return Item.second <= now(); });
+  }
+
   /// Whether new tasks may be planned on the worker.
   bool acceptsTasks(const WorkerRow &Row) const {
-    return Row.acceptsTasks() && takesStarts(Row) &&
+    return Row.acceptsTasks() && takesStarts(Row) && !mayExecuteLateHold(Row) &&
            !Row.Orders_.avoided(now()) &&
            (Row.Synced_ || !Table_.usageOf(Row.Record_.Incarnation_));
   }
@@ -146,6 +164,9 @@
   /// Ended incarnations and when each ended. The platform's worker list may
   /// show them for some seconds more.
   absl::flat_hash_map<WorkerIncarnation, TimePoint> EndedIncarnations_;
+  /// Workers of which an incarnation has ended that was sent acknowledgements,
+  /// and until when such a hold may still arrive.
+  absl::flat_hash_map<WorkerId, TimePoint> LateHoldsUntil_;
   CellConfig Config_;
   const ZoneEvacuations &Evacuations_;
   scheduling::RunTimeEstimator Estimates_;
--- a/src/cell/tests/modelworker.h
+++ b/src/cell/tests/modelworker.h
@@ -34,9 +34,12 @@
   /// Ends up to this number were there when the lease last expired.
   std::uint64_t LastLapsedEnd_ = 0;
   /// Runs that ended as done here and whose ends were acknowledged with the
-  /// lease held from one to the other. Acknowledgements meant for a former
-  /// incarnation do not count: they drop ends that no leader has seen.
+  /// lease held from one to the other. If both the start and the acknowledgement
+  /// were meant for a former incarnation, the end does not count: no leader
+  /// could have seen it.
   std::vector<RunName> AcknowledgedDone_;
+  /// Runs whose starts were meant for a former incarnation.
+  std::set<RunName> StaleRuns_;
   /// For each task, the highest run number that can no longer start.
   std::map<TaskName, RunNumber> Blocked_;
 
@@ -68,8 +71,9 @@
   }
   void acknowledge(std::uint64_t Last, bool MeantForThis) {
     for (const EndReport &Row : Ends_)
-      if (MeantForThis && Row.Number_ <= Last && Row.Number_ > LastLapsedEnd_ &&
-          Row.Kind_ == EndKind::Done)
+      if (Row.Number_ <= Last && Row.Number_ > LastLapsedEnd_ &&
+          Row.Kind_ == EndKind::Done &&
+          (MeantForThis || !StaleRuns_.contains(Row.Run_)))
         AcknowledgedDone_.push_back(Row.Run_);
     std::erase_if(Ends_,
                   [&](const EndReport &Row) { return Row.Number_ <= Last; });
@@ -79,7 +83,8 @@
     LeaseEndMs_ = std::max(LeaseEndMs_, std::min(DeadlineMs, Most));
   }
 
-  OrderReply start(const StartOrder &Order, TimePoint Now) {
+  OrderReply start(const StartOrder &Order, std::int64_t StartedMs,
+                   TimePoint Now) {
     expireLease(Now);
     const std::int64_t Clock = clockMs(Now);
     if (Order.Token_ < Token_)
@@ -94,6 +99,8 @@
     if (Last != Blocked_.end() && Order.Run_.Run_ <= Last->second)
       return {OrderResult::OldRun, Clock};
     Running_.insert(Order.Run_);
+    if (StartedMs != StartedMs_)
+      StaleRuns_.insert(Order.Run_);
     return {OrderResult::Done, Clock};
   }
 
--- a/src/cell/tests/runmodel.h
+++ b/src/cell/tests/runmodel.h
@@ -72,6 +72,8 @@
   /// Null for workers that are not known.
   std::array<WorkerRowPtr, WorkerCount> Rows_;
   std::set<WorkerIncarnation> EndedIncarnations_;
+  /// Until when holds sent to former incarnations of a worker may arrive.
+  std::map<WorkerId, TimePoint> LateHoldsUntil_;
   /// Runs with a stop that was neither answered nor given up.
   std::set<RunName> StopsInFlight_;
   /// Runs that are sent when their worker replies to this leader for the first
@@ -363,6 +365,9 @@
   void endIncarnation(ModelLeader &Leader, const WorkerRowPtr &Row) {
     Row->Ended_ = true;
     Leader.EndedIncarnations_.insert(Row->Record_.Incarnation_);
+    if (Row->EndsStored_ > 0)
+      Leader.LateHoldsUntil_[Row->Record_.Incarnation_.Id_] =
+          Now_ + MaxStaleOrderDelay;
     endFirstReplyWait(Leader.shared_from_this(), Row);
   }
 
@@ -450,7 +455,7 @@
       return;
     std::vector<scheduling::Candidate> Candidates;
     for (const WorkerRowPtr &Row : Leader->Rows_)
-      if (Row && Row->acceptsTasks() && Row->Synced_) {
+      if (Row && acceptsTasks(*Leader, *Row) && Row->Synced_) {
         const auto *Use = Leader->Table_.usageOf(Row->Record_.Incarnation_);
         Candidates.push_back(
             {&Row->Record_,
@@ -513,13 +518,20 @@
     return Config;
   }
 
+  bool acceptsTasks(const ModelLeader &Leader, const WorkerRow &Row) const {
+    const auto Until =
+        Leader.LateHoldsUntil_.find(Row.Record_.Incarnation_.Id_);
+    return Row.acceptsTasks() && (Until == Leader.LateHoldsUntil_.end() ||
+                                  Now_ >= Until->second);
+  }
+
   void startTask(int Detail) {
     const LeaderPtr Leader = someLeader(Detail);
     if (!Leader->maySendOrders(Now_) || Leader->StoreDown_)
       return;
     const std::size_t I = pick(Detail, WorkerCount);
     const WorkerRowPtr Row = Leader->Rows_[I];
-    if (!Row || !Row->acceptsTasks())
+    if (!Row || !acceptsTasks(*Leader, *Row))
       return;
     const jobs::WorkerUsage *Use =
         Leader->Table_.usageOf(Row->Record_.Incarnation_);
@@ -571,7 +583,7 @@
     const std::size_t I = pick(Detail, WorkerCount);
     const WorkerRowPtr Row = Leader->Rows_[I];
     if (!Leader->maySendOrders(Now_) || Leader->StoreDown_ || !Row ||
-        !Row->acceptsTasks() || !Row->Synced_)
+        !acceptsTasks(*Leader, *Row) || !Row->Synced_)
       return;
     std::vector<TaskName> Running;
     for (const auto &[Incarnation, Use] : Leader->Table_.workers())
@@ -796,7 +808,7 @@
       return;
     }
     const bool Before = Worker.Running_.contains(Item.Start_.Run_);
-    Item.Reply_ = Worker.start(Item.Start_, Now_);
+    Item.Reply_ = Worker.start(Item.Start_, Item.StartedMs_, Now_);
     if (!Before && Worker.Running_.contains(Item.Start_.Run_))
       checkStart(Item.Start_.Run_);
   }
--- a/src/cell/tests/runmodeltest.cpp
+++ b/src/cell/tests/runmodeltest.cpp
@@ -94,6 +94,26 @@
   }));
 }
 
+// Guards against a finished task that is started again: a hold meant for a
+// former incarnation of its worker acknowledged its end, which nobody had read.
+BOOST_AUTO_TEST_CASE(LateAcknowledgementDropsNoUnreadEnd) {
+  const Schedule EndOneTask{{16, 0}, {15, 0}, {8, 2}, {16, 0}};
+  const Schedule KeepOneTaskRunning{{16, 2}, {15, 1}};
+  const Schedule RestartAndHoldTheFormer{{10, 0}, {0, 1}, {2, 0}, {13, 12}};
+  const Schedule EndOneTaskMore{{16, 0}, {15, 0}, {8, 2}};
+  const Schedule ExecuteTheHoldAndStartAgain{
+      {3, 0}, {0, 1}, {16, 0}, {15, 0}, {16, 0}};
+  BOOST_TEST(rc::check("one run of a task", [&] {
+    Model Simulation;
+    for (const Schedule &Part :
+         {EndOneTask, KeepOneTaskRunning, RestartAndHoldTheFormer,
+          EndOneTaskMore, ExecuteTheHoldAndStartAgain})
+      for (const auto &[Choice, Detail] : Part)
+        Simulation.step(Choice, Detail);
+    Simulation.settle(3);
+  }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace laburnumspread::cell
--- a/src/cell/tests/workersessionstest.cpp
+++ b/src/cell/tests/workersessionstest.cpp
@@ -204,6 +204,19 @@
   BOOST_TEST((Client_.Holds_[1].Wait_ == Duration::zero()));
 }
 
+// Guards against a finished task that is started again: a late hold to the
+// former incarnation of its worker acknowledged its end, which nobody had read.
+BOOST_AUTO_TEST_CASE(RestartedWorkerTakesNoTaskWhileLateHoldsMayArrive) {
+  Row_->EndsStored_ = 1;
+  Term_->markIncarnationEnded(*Row_, "restarted");
+  WorkerRow Restarted;
+  Restarted.Record_ = Row_->Record_;
+  ++Restarted.Record_.Incarnation_.StartedMs_;
+  BOOST_TEST(!Term_->acceptsTasks(Restarted));
+  framework::fibers::sleepFor(MaxStaleOrderDelay);
+  BOOST_TEST(Term_->acceptsTasks(Restarted));
+}
+
 // Guards against reports that are asked for without a pause while ends that
 // the worker returns at once are not stored.
 BOOST_AUTO_TEST_CASE(UnstoredEndsAreAskedForAtIntervals) {
