Orders wait for a connection before they are checked and timed

What callers would see: a task that runs twice, or that ends as lost and starts anew, at a worker with many orders at a time.

Cause: with the bound of three connections an order waited for its turn inside the call, for up to 300 ms. What allows it (the leadership is confirmed, no other entry can lead, the zone is not evacuated, the worker does not drain) had been checked before, and its timeout (120 to 300 ms) began with the wait. So an order could leave when it was no longer allowed, and one that waited long had no time left for its reply and counted as unanswered, though the worker was healthy.

Change: WorkerClient::awaitConnection() waits, up to 500 ms; the checks and the timeout follow, and a call leaves at once or not at all. A start that never finds a connection ends its run as refused. The tests' pace client now belongs to a leader, as paces, too, are sent only during a term.

--- a/bench/micro/leaderfixture.h
+++ b/bench/micro/leaderfixture.h
@@ -40,6 +40,9 @@
     return {cell::OrderResult::Done, 1};
   }
   void forget(const cell::WorkerRecord &) {}
+  bool awaitConnection(const cell::WorkerRecord &, cell::Duration) {
+    return true;
+  }
 
   /// Number of tasks that have run to their end.
   std::uint64_t ended() const { return Ended_; }
--- a/src/cell/celltypes.h
+++ b/src/cell/celltypes.h
@@ -171,14 +171,21 @@
   std::vector<EndReport> Ends_;
 };
 
+/// Longest time for which an order waits for a connection to its worker. A task
+/// that waits longer is better planned anew.
+constexpr Duration MaxConnectionWait = std::chrono::milliseconds(500);
+
 /// Sends orders to a worker. Each call waits at most the given time; if there
-/// was no reply, the result is Unknown or NotSent.
+/// was no reply, the result is Unknown or NotSent. Whether an order may be sent
+/// is checked after awaitConnection(), which can take MaxConnectionWait, and
+/// right before the call, which leaves at once or not at all.
 template <typename T>
 concept WorkerClient = requires(T &C, const WorkerRecord &To,
                                 const StartOrder &Start, const HoldOrder &Hold,
                                 const jobs::RunName &Run,
                                 jobs::FencingToken Token, Duration Time,
                                 int Percent) {
+  { C.awaitConnection(To, Time) } -> std::same_as<bool>;
   { C.start(To, Start, Time) } -> std::same_as<OrderReply>;
   { C.stop(To, Run, Token, Time) } -> std::same_as<OrderReply>;
   { C.hold(To, Hold, Time) } -> std::same_as<HoldReply>;
--- a/src/cell/fillerpacecontroller.h
+++ b/src/cell/fillerpacecontroller.h
@@ -57,6 +57,8 @@
     (*SentPaces_)[Run] = Percent;
     framework::fibers::spawn([T = Term_, &C = Client_, Paced = SentPaces_,
                               Record = Row.Record_, Run, Percent] {
+      if (!C.awaitConnection(Record, MaxConnectionWait) || T->ended())
+        return;
       const OrderReply Reply =
           C.pace(Record, Run, Percent, T->Token_, AnswerTimeout);
       framework::log::info("run.pace")
--- a/src/cell/internal/runtracker.cpp
+++ b/src/cell/internal/runtracker.cpp
@@ -62,8 +62,10 @@
 
 bool RunTracker::cannotHaveArrived(const RunName &Run) const {
   const auto Known = Starts_.find(Run);
-  return Known != Starts_.end() && Known->second.NoMoreStarts_ &&
-         Known->second.Unanswered_ == 0 && !Known->second.SettledAt_;
+  if (Known == Starts_.end())
+    return true;
+  return Known->second.NoMoreStarts_ && Known->second.Unanswered_ == 0 &&
+         !Known->second.SettledAt_;
 }
 
 void RunTracker::stopAnswered(const RunName &Run, TimePoint Now) {
--- a/src/cell/runstopper.h
+++ b/src/cell/runstopper.h
@@ -72,6 +72,8 @@
     OrderAttempts Attempts;
     while (!Term_->ended()) {
       Attempts.awaitNext();
+      if (!awaitConnection(Run))
+        continue;
       const jobs::LiveRun *Live = Term_->Table_.find(Run);
       if (!Live)
         return;
@@ -84,6 +86,21 @@
     }
   }
 
+  /// Returns false if no connection to the run's worker became free.
+  bool awaitConnection(const jobs::RunName &Run) {
+    const jobs::LiveRun *Live = Term_->Table_.find(Run);
+    const auto Worker = Live ? Term_->Workers_.find(Live->Worker_)
+                             : Term_->Workers_.end();
+    if (Worker == Term_->Workers_.end())
+      return true;
+    const WorkerRowPtr Row = Worker->second;
+    const TimePoint Since = now();
+    if (Client_.awaitConnection(Row->Record_, MaxConnectionWait))
+      return true;
+    Row->recordOrderReply(OrderResult::NotSent, Since, now());
+    return false;
+  }
+
   void logStopWaits(const jobs::RunName &Run, bool Listed) const {
     framework::log::info("run.stop_waits")
         .field("task", Run.Task_.str())
@@ -168,7 +185,7 @@
   bool sendUntrackedStop(const WorkerRecord &Record, const jobs::RunName &Run,
                          std::string_view Reason) {
     // A connection opened after the term would stay open.
-    if (Term_->ended())
+    if (!Client_.awaitConnection(Record, MaxConnectionWait) || Term_->ended())
       return false;
     const OrderReply Reply =
         Client_.stop(Record, Run, Term_->Token_, MaxAnswerTimeout);
--- a/src/cell/runtracker.h
+++ b/src/cell/runtracker.h
@@ -88,6 +88,7 @@
   /// Records that no further attempt will be sent.
   void noMoreStarts(const jobs::RunName &Run);
   /// Whether no attempt to start the run has left this process, and none will.
+  /// To be asked after the last attempt.
   bool cannotHaveArrived(const jobs::RunName &Run) const;
   /// Records that a stop was executed: the run can no longer be reported as
   /// running.
--- a/src/cell/tests/fillerpacecontrollertest.cpp
+++ b/src/cell/tests/fillerpacecontrollertest.cpp
@@ -35,6 +35,7 @@
     return {Answer_, 1};
   }
   void forget(const WorkerRecord &) {}
+  bool awaitConnection(const WorkerRecord &, Duration) { return true; }
 
   std::vector<int> Sent_;
   OrderResult Answer_ = OrderResult::Done;
@@ -45,9 +46,7 @@
 /// A leader with a worker that runs a filler task and a serving task.
 struct Fixture {
   Fixture()
-      : Leadership_(Store_, Keys, journal::Leader()),
-        Term_(std::make_shared<Term<FakeStore>>(
-            Store_, Keys, Leadership_, Metrics_, CellBounds(), Evacuations_)),
+      : Leadership_(Store_, Keys, journal::Leader()), Term_(beginTerm()),
         Fillers_(Term_, Client_) {
     jobs::JobAccepted Job;
     Job.Spec_.Id_ = Filler.Task_.Job_;
@@ -57,6 +56,12 @@
     Term_->Table_.apply(Job, TimePoint());
   }
 
+  std::shared_ptr<Term<FakeStore>> beginTerm() {
+    BOOST_REQUIRE(*Leadership_.campaign());
+    return std::make_shared<Term<FakeStore>>(
+        Store_, Keys, Leadership_, Metrics_, CellBounds(), Evacuations_);
+  }
+
   /// Delivers a report and lets the resulting orders be sent.
   void report(std::int64_t TailMs) {
     HoldReply Reply;
--- a/src/cell/tests/silentclient.h
+++ b/src/cell/tests/silentclient.h
@@ -21,6 +21,7 @@
     return {};
   }
   void forget(const WorkerRecord &) {}
+  bool awaitConnection(const WorkerRecord &, Duration) { return true; }
 };
 
 } // namespace laburnumspread::cell
--- a/src/cell/tests/workersessionstest.cpp
+++ b/src/cell/tests/workersessionstest.cpp
@@ -24,6 +24,12 @@
 /// Counts the starts, of which the first ones stay unanswered, and records the
 /// stops. Holds are answered by Report_, once.
 struct CountingClient : SilentClient {
+  bool awaitConnection(const WorkerRecord &, Duration) {
+    if (WhileWaiting_)
+      WhileWaiting_();
+    return Connected_;
+  }
+
   OrderReply start(const WorkerRecord &, const StartOrder &, Duration) {
     ++Starts_;
     StartedAt_.push_back(framework::clock::SteadyClock().now());
@@ -56,6 +62,10 @@
   std::vector<HoldOrder> Holds_;
   Duration HoldTime_{};
   std::function<void()> AfterStart_;
+  /// Called while an order waits for a connection.
+  std::function<void()> WhileWaiting_;
+  /// Whether a connection becomes free.
+  bool Connected_ = true;
 };
 
 /// A leader that has stored the intent of a run on a worker.
@@ -370,6 +380,25 @@
   BOOST_TEST(!Term_->acceptsTasks(*Row_));
 }
 
+// Guards against a start that is sent when it is no longer allowed, as it has
+// waited for a connection since that was checked.
+BOOST_AUTO_TEST_CASE(StartThatBecomesForbiddenWhileItWaitsIsNotSent) {
+  Row_->Record_.Zone_ = Zone;
+  Client_.WhileWaiting_ = [this] { Evacuations_.add(Zone); };
+  startAndWait();
+  BOOST_TEST(Client_.Starts_ == 0u);
+  BOOST_TEST(!Term_->Table_.find(Run));
+}
+
+// Guards against a task that is never started again because its start never
+// found a connection.
+BOOST_AUTO_TEST_CASE(StartWithoutAConnectionEndsItsRun) {
+  Client_.Connected_ = false;
+  startAndWait();
+  BOOST_TEST(Client_.Starts_ == 0u);
+  BOOST_TEST(!Term_->Table_.find(Run));
+}
+
 // Guards against a cancelled task that runs on at a worker that resets stops.
 BOOST_AUTO_TEST_CASE(StopsGoOnUntilOneIsAnswered) {
   startAndWait();
--- a/src/cell/workersessions.h
+++ b/src/cell/workersessions.h
@@ -230,6 +230,10 @@
   }
 
   void sendHold(WorkerRow &Row) {
+    if (!Client_.awaitConnection(Row.Record_, MaxConnectionWait))
+      return handleNoAnswer(Row, OrderResult::NotSent);
+    if (!Term_->maySendOrders() || Row.Ended_)
+      return;
     const HoldOrder Order = nextHold(Row);
     const TimePoint SentAt = now();
     const HoldReply Reply =
@@ -556,10 +560,11 @@
     OrderAttempts Attempts;
     for (int Attempt = 0; Attempt < StartAttempts; ++Attempt) {
       Attempts.awaitNext();
+      const bool Connected = awaitConnection(*Row);
       const bool MaySend =
           Attempt == 0 ? Term_->maySendStarts() : Term_->mayRepeatStarts();
       if (!Term_->Table_.find(Run) || !MaySend || !Term_->takesStarts(*Row) ||
-          attemptStart(*Row, Order, Attempt))
+          (Connected && attemptStart(*Row, Order, Attempt)))
         break;
       Count.reset();
     }
@@ -584,6 +589,15 @@
            Term_->maySendStarts() && Term_->takesStarts(Row);
   }
 
+  /// Returns false if no connection to the worker became free.
+  bool awaitConnection(WorkerRow &Row) {
+    const TimePoint Since = now();
+    if (Client_.awaitConnection(Row.Record_, MaxConnectionWait))
+      return true;
+    Row.recordOrderReply(OrderResult::NotSent, Since, now());
+    return false;
+  }
+
   /// Sends one start. Returns true if no further attempt is needed.
   bool attemptStart(WorkerRow &Row, const StartOrder &Order, int Attempt) {
     Tracker_->startSent(Order.Run_, Order.DeadlineMs_);
--- a/src/framework/http/httpclient.cpp
+++ b/src/framework/http/httpclient.cpp
@@ -323,45 +323,43 @@
   return nullptr;
 }
 
-absl::StatusOr<Client::Lease> Client::lease(clock::TimePoint Deadline) {
+absl::StatusOr<Client::Lease> Client::lease() {
   if (auto Conn = takeIdle())
     return Lease(*this, std::move(Conn));
   if (!mayHaveOpen(Open_ + 1))
-    return waitForLease(Deadline);
+    return absl::UnavailableError(std::string(NotSent) +
+                                  ": no connection is free");
   ++Open_;
   return Lease(*this, nullptr);
 }
 
-absl::StatusOr<Client::Lease> Client::waitForLease(clock::TimePoint Deadline) {
-  const auto Call = std::make_shared<WaitingCall>();
-  Waiting_.push_back(Call);
-  if (Call->Ready_.waitUntil(
-          std::min(Deadline, clock::wallDeadline(Bounds_.MaxWait_))))
-    return Lease(*this, std::move(Call->Given_));
-  std::erase(Waiting_, Call);
-  return absl::UnavailableError(std::string(NotSent) +
-                                ": no connection became free");
+bool Client::awaitFree(clock::TimePoint Deadline) {
+  while (!hasFree()) {
+    const auto Ready = std::make_shared<fibers::Waiter>();
+    Waiting_.push_back(Ready);
+    if (!Ready->waitUntil(Deadline)) {
+      std::erase(Waiting_, Ready);
+      return hasFree();
+    }
+  }
+  return true;
 }
 
 void Client::release(std::shared_ptr<Connection> Conn) {
-  if (Waiting_.empty()) {
-    Idle_.push_back({std::move(Conn), clock::SteadyClock().now()});
-    return;
-  }
-  const auto Next = std::move(Waiting_.front());
-  Waiting_.pop_front();
-  Next->Given_ = std::move(Conn);
-  Next->Ready_.signal();
+  Idle_.push_back({std::move(Conn), clock::SteadyClock().now()});
+  wakeWaiting();
 }
 
 void Client::releaseClosed() {
-  if (Waiting_.empty() || !mayHaveOpen(Open_)) {
-    --Open_;
-    return;
-  }
-  const auto Next = std::move(Waiting_.front());
-  Waiting_.pop_front();
-  Next->Ready_.signal();
+  --Open_;
+  wakeWaiting();
+}
+
+// A woken caller may have nothing to send any more, so all are woken: those
+// that come too late wait again, in their order.
+void Client::wakeWaiting() {
+  for (const fibers::WaiterPtr &Item : std::exchange(Waiting_, {}))
+    Item->signal();
 }
 
 void Client::closeIdle() {
@@ -403,7 +401,7 @@
 Client::exchange(const Request &Message, clock::TimePoint HeadDeadline,
                  const std::function<clock::TimePoint()> &PartDeadline,
                  std::size_t MaxBody) {
-  absl::StatusOr<Lease> On = lease(HeadDeadline);
+  absl::StatusOr<Lease> On = lease();
   if (!On.ok())
     return On.status();
   absl::Status Sent = send(*On, Message, HeadDeadline);
--- a/src/framework/http/httpclient.h
+++ b/src/framework/http/httpclient.h
@@ -68,10 +68,8 @@
 
 /// Bounds of the connections of a Client; without any by default.
 struct ClientBounds {
-  /// Most connections for exchange(). Further calls wait for a free one.
+  /// Most connections for exchange().
   std::optional<std::size_t> Connections_;
-  /// Longest time for which a call waits for a free connection.
-  clock::Duration MaxWait_ = std::chrono::hours(1);
   /// Time after which closeIdle() closes an unused connection.
   clock::Duration MaxIdle_ = std::chrono::hours(1);
 };
@@ -85,9 +83,8 @@
   /// Sends \p Message and reads the whole response. Returns ResourceExhausted
   /// if its body is larger than \p MaxBody bytes, and Unavailable with a
   /// message for which wasNotSent() holds if no connection could be made or
-  /// none became free in time.
-  /// Other errors are those of Connection, after which the request may have
-  /// run.
+  /// none is free, see awaitFree(). Other errors are those of Connection, after
+  /// which the request may have run.
   absl::StatusOr<Response> exchange(const Request &Message,
                                     clock::TimePoint Deadline,
                                     std::size_t MaxBody = 8 * 1024 * 1024);
@@ -110,6 +107,11 @@
                       const std::function<bool(const Response &)> &OnHead,
                       const std::function<bool(std::string_view)> &OnPart);
 
+  /// Waits until exchange() would send a request at once. Returns false if no
+  /// connection became free by \p Deadline. The caller then decides on what it
+  /// sends, and does so without waiting for anything else.
+  bool awaitFree(clock::TimePoint Deadline);
+
   /// Closes the connections that have been unused for MaxIdle_.
   void closeIdle();
 
@@ -125,21 +127,15 @@
     /// On the steady clock.
     clock::TimePoint Since_;
   };
-  /// A call that waits for a connection, or for the right to open one.
-  struct WaitingCall {
-    std::shared_ptr<Connection> Given_;
-    fibers::Waiter Ready_;
-  };
-
   /// Returns an idle connection that is still usable, or null.
   std::shared_ptr<Connection> takeIdle();
-  /// Waits for a connection that is free, or may be opened, until \p Deadline.
-  absl::StatusOr<Lease> lease(clock::TimePoint Deadline);
-  absl::StatusOr<Lease> waitForLease(clock::TimePoint Deadline);
-  /// Passes a connection on to the first waiting call, or keeps it.
+  /// Returns a connection that is free, or one to be opened.
+  absl::StatusOr<Lease> lease();
+  bool hasFree() const { return !Idle_.empty() || mayHaveOpen(Open_ + 1); }
+  /// Keeps a connection for later calls.
   void release(std::shared_ptr<Connection> Conn);
-  /// The same for the right to open a connection in place of one that closed.
   void releaseClosed();
+  void wakeWaiting();
   bool mayHaveOpen(std::size_t Connections) const;
   /// Lets later calls share the open connections if the server reset a new one.
   void recordFailure(const Lease &On, const absl::Status &Error);
@@ -159,7 +155,8 @@
   std::size_t Open_ = 0;
   /// The one that was used last is at the back.
   std::vector<IdleConnection> Idle_;
-  std::deque<std::shared_ptr<WaitingCall>> Waiting_;
+  /// Calls of awaitFree(), the one that has waited longest first.
+  std::deque<fibers::WaiterPtr> Waiting_;
 };
 
 /// Whether an exchange failed before any byte of it was sent, so that it cannot
