A repeated start extends the lease that is reckoned

What callers would see: a task that runs twice, on a worker that restarts under its id while a start is repeated and then goes silent.

Cause: the latest time at which a run can be active was reckoned from the first attempt.

Change: each attempt is reckoned when it is sent.

Evidence: WorkerSessionsTest/RepeatedStartExtendsTheLeaseThatIsReckoned, red with the first attempt alone reckoned: check (Row_->LeaseExpiry_ > AfterFirst) has failed.

--- a/src/cell/tests/workersessionstest.cpp
+++ b/src/cell/tests/workersessionstest.cpp
@@ -399,6 +399,21 @@
   BOOST_TEST(!Term_->Table_.find(Run));
 }
 
+// Guards against a lease that is reckoned too short: a repeated start reaches a
+// restarted worker, whose lease begins with it.
+BOOST_AUTO_TEST_CASE(RepeatedStartExtendsTheLeaseThatIsReckoned) {
+  Client_.Unanswered_ = 1;
+  Row_->updateClock(1000, Term_->now());
+  TimePoint AfterFirst{};
+  Client_.AfterStart_ = [&] {
+    if (AfterFirst == TimePoint())
+      AfterFirst = Row_->LeaseExpiry_;
+  };
+  startAndWait();
+  BOOST_TEST(Client_.Starts_ == 2u);
+  BOOST_TEST((Row_->LeaseExpiry_ > AfterFirst));
+}
+
 // Guards against a cancelled task that runs on at a worker that resets stops.
 BOOST_AUTO_TEST_CASE(StopsGoOnUntilOneIsAnswered) {
   startAndWait();
--- a/src/cell/workersessions.h
+++ b/src/cell/workersessions.h
@@ -553,7 +553,6 @@
         Row->clockMs(now()) +
         std::chrono::duration_cast<std::chrono::milliseconds>(StartWindow)
             .count();
-    Row->recordOrder(Order.DeadlineMs_, now(), Term_->Bounds_.MaxLease_);
     openSession(Row);
     // Reports may have settled the run meanwhile. Then another attempt is not
     // needed and could be executed by a restarted worker.
@@ -600,8 +599,9 @@
 
   /// Sends one start. Returns true if no further attempt is needed.
   bool attemptStart(WorkerRow &Row, const StartOrder &Order, int Attempt) {
-    Tracker_->startSent(Order.Run_, Order.DeadlineMs_);
     const TimePoint SentAt = now();
+    Row.recordOrder(Order.DeadlineMs_, SentAt, Term_->Bounds_.MaxLease_);
+    Tracker_->startSent(Order.Run_, Order.DeadlineMs_);
     const OrderReply Reply =
         Client_.start(Row.Record_, Order, Row.Answers_.timeout());
     Row.recordOrderReply(Reply.Result_, SentAt, now());
