A worker that leaves a start unanswered gets a pause each time

Cause: two gaps in OrderHealth. A reply to a stop cleared what unanswered starts had shown, so a worker that executes stops and lets starts hang got new tasks all the time. And a failure within a pause did not extend it, so a task could be planned there in the same moment.

Evidence: OrderHealthTest/AnsweredStopsTellNothingOfStarts and EachFailureIsFollowedByAPause.

--- a/src/cell/runstopper.h
+++ b/src/cell/runstopper.h
@@ -97,7 +97,7 @@
     const TimePoint Since = now();
     if (Client_.awaitConnection(Row->Record_, MaxConnectionWait))
       return true;
-    Row->recordOrderReply(OrderResult::NotSent, Since, now());
+    Row->recordStopReply(OrderResult::NotSent, Since, now());
     return false;
   }
 
@@ -116,7 +116,7 @@
     const auto Since = Term_->Table_.unwantedSince(Run);
     const OrderReply Reply =
         Client_.stop(Row->Record_, Run, Term_->Token_, Row->Answers_.timeout());
-    Row->recordOrderReply(Reply.Result_, SentAt, now());
+    Row->recordStopReply(Reply.Result_, SentAt, now());
     framework::log::info("run.stop")
         .field("task", Run.Task_.str())
         .field("run", Run.Run_.value())
--- a/src/cell/tests/orderhealthtest.cpp
+++ b/src/cell/tests/orderhealthtest.cpp
@@ -11,7 +11,7 @@
 struct Fixture {
   void failOrders(std::uint32_t Count) {
     for (std::uint32_t I = 0; I < Count; ++I)
-      Orders_.record(OrderResult::Unknown, Now_, 1);
+      Orders_.recordStart(OrderResult::Unknown, Now_, 1);
   }
 
   /// Fails one order after each pause; returns the last pause.
@@ -39,7 +39,7 @@
 BOOST_AUTO_TEST_CASE(SingleLostRepliesDoNotCount) {
   failOrders(OrderHealth::MaxUnanswered - 1);
   BOOST_TEST(!Orders_.avoided(Now_));
-  Orders_.record(OrderResult::Done, Now_, 1);
+  Orders_.recordStart(OrderResult::Done, Now_, 1);
   failOrders(OrderHealth::MaxUnanswered - 1);
   BOOST_TEST(!Orders_.avoided(Now_));
 }
@@ -59,7 +59,7 @@
   Now_ += OrderHealth::FirstPause;
   Orders_.recordPlanned(Now_);
   BOOST_TEST(Orders_.avoided(Now_));
-  Orders_.record(OrderResult::Done, Now_, 1);
+  Orders_.recordStart(OrderResult::Done, Now_, 1);
   BOOST_TEST(!Orders_.avoided(Now_));
   BOOST_TEST(!Orders_.onTrial());
 }
@@ -75,10 +75,29 @@
 // Guards against a worker avoided because it refuses a task for a good reason.
 BOOST_AUTO_TEST_CASE(RefusalsAreReplies) {
   failOrders(OrderHealth::MaxUnanswered);
-  Orders_.record(OrderResult::NoRoom, Now_, 1);
+  Orders_.recordStart(OrderResult::NoRoom, Now_, 1);
   BOOST_TEST(!Orders_.onTrial());
 }
 
+// Guards against a worker that gets tasks all the time as it answers stops and
+// no start.
+BOOST_AUTO_TEST_CASE(AnsweredStopsTellNothingOfStarts) {
+  failOrders(OrderHealth::MaxUnanswered);
+  Orders_.recordStop(OrderResult::Done, Now_, 1);
+  BOOST_TEST(Orders_.onTrial());
+  BOOST_TEST(Orders_.avoided(Now_));
+}
+
+// Guards against a task that is planned on a worker right after it failed, as
+// the pause for an earlier failure ends.
+BOOST_AUTO_TEST_CASE(EachFailureIsFollowedByAPause) {
+  failOrders(OrderHealth::MaxUnanswered);
+  Now_ += OrderHealth::FirstPause - std::chrono::milliseconds(1);
+  failOrders(1);
+  Now_ += std::chrono::milliseconds(2);
+  BOOST_TEST(Orders_.avoided(Now_));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace laburnumspread::cell
--- a/src/cell/workersessions.h
+++ b/src/cell/workersessions.h
@@ -593,7 +593,7 @@
     const TimePoint Since = now();
     if (Client_.awaitConnection(Row.Record_, MaxConnectionWait))
       return true;
-    Row.recordOrderReply(OrderResult::NotSent, Since, now());
+    Row.recordStartReply(OrderResult::NotSent, Since, now());
     return false;
   }
 
@@ -604,7 +604,7 @@
     Tracker_->startSent(Order.Run_, Order.DeadlineMs_);
     const OrderReply Reply =
         Client_.start(Row.Record_, Order, Row.Answers_.timeout());
-    Row.recordOrderReply(Reply.Result_, SentAt, now());
+    Row.recordStartReply(Reply.Result_, SentAt, now());
     Term_->Metrics_
         .counter("starts_total{result=\"" + std::string(nameOf(Reply.Result_)) +
                  "\"}")
--- a/src/cell/workertable.h
+++ b/src/cell/workertable.h
@@ -125,10 +125,16 @@
       Answers_.recordResponse(Now - Expected);
   }
 
-  /// Records the outcome of a start or a stop that was sent at \p SentAt.
-  void recordOrderReply(OrderResult Result, TimePoint SentAt, TimePoint Now) {
+  /// Records the outcome of a start that was sent at \p SentAt.
+  void recordStartReply(OrderResult Result, TimePoint SentAt, TimePoint Now) {
     recordAnswer(Result, SentAt, Now);
-    Orders_.record(Result, Now, randomShare());
+    Orders_.recordStart(Result, Now, randomShare());
+  }
+
+  /// Records the outcome of a stop that was sent at \p SentAt.
+  void recordStopReply(OrderResult Result, TimePoint SentAt, TimePoint Now) {
+    recordAnswer(Result, SentAt, Now);
+    Orders_.recordStop(Result, Now, randomShare());
   }
 
   /// Records a reading of the worker's clock, in milliseconds.
