Soak: leaders lose power, and workers have 64 connections

At most 19 leaders are killed so in a run: nothing gives the places back, and three for each must leave some.

--- a/soak/faultinjector.cpp
+++ b/soak/faultinjector.cpp
@@ -23,6 +23,12 @@
 constexpr auto MinBriefPause = 150ms;
 constexpr auto MaxBriefPause = 400ms;
 constexpr auto MaxBetweenBriefPauses = 300ms;
+/// Time in which another entry takes over and sends orders.
+constexpr auto MinBetweenPowerLosses = 700ms;
+constexpr auto MaxBetweenPowerLosses = 1500ms;
+/// Most leaders that lose power in a run. A worker has 64 connections, which it
+/// never gets back from them, so three for each still leave some.
+constexpr std::size_t MaxPowerLosses = 19;
 /// Callers that submit more than the pool can do.
 constexpr std::size_t CrowdSize = 10;
 constexpr auto PollInterval = 20ms;
@@ -58,6 +64,7 @@
     {"late-starts", &FaultInjector::lateStarts},
     {"wave", &FaultInjector::wave},
     {"crowd", &FaultInjector::crowd},
+    {"lose-power", &FaultInjector::losePower},
 };
 
 FaultInjector::FaultInjector(CellPlatform &Platform, EntryProcesses &Entries,
@@ -169,15 +176,39 @@
   --Active_;
 }
 
-std::size_t FaultInjector::leaderOrRandomEntry() {
+std::optional<std::size_t> FaultInjector::leader() const {
   const auto Head = Platform_.read(EntryProcesses::cellKeys().head());
   const auto Leader =
       Head ? journal::decodeLeader(*Head, fleet::Revision(0)) : std::nullopt;
   const std::size_t Index =
       Leader ? Entries_.indexOf(Leader->Entry_.str()) : Entries_.count();
+  return Index < Entries_.count() ? std::optional(Index) : std::nullopt;
+}
+
+std::size_t FaultInjector::leaderOrRandomEntry() {
+  const auto Leader = leader();
   const std::size_t Other = randomEntry();
   const bool AskLeader = Random_.oneIn(2);
-  return AskLeader && Index < Entries_.count() ? Index : Other;
+  return AskLeader ? Leader.value_or(Other) : Other;
+}
+
+FaultInjector::Revert FaultInjector::losePower() {
+  const auto Over = std::make_shared<bool>(false);
+  framework::fibers::spawn([this, Over] { losePowerInSeries(Over); });
+  return [Over] { *Over = true; };
+}
+
+void FaultInjector::losePowerInSeries(const std::shared_ptr<bool> &Over) {
+  ++Active_;
+  while (!*Over && PowerLosses_ < MaxPowerLosses) {
+    if (const auto Leader = leader()) {
+      ++PowerLosses_;
+      Platform_.leaveWorkerConnections();
+      Entries_.signal(*Leader, Entries_.processId(*Leader), SIGKILL);
+    }
+    sleepFor(Random_.between(MinBetweenPowerLosses, MaxBetweenPowerLosses));
+  }
+  --Active_;
 }
 
 FaultInjector::Revert FaultInjector::stopProcess(std::size_t Entry) {
--- a/soak/faultinjector.h
+++ b/soak/faultinjector.h
@@ -51,7 +51,9 @@
   /// \p What begins, and with false when the last of them is reverted.
   Revert applyShared(const std::string &What,
                      const std::function<void(bool)> &Set);
-  /// The entry that the store names as the leader, or a random one.
+  /// The entry that the store names as the leader, if there is one.
+  std::optional<std::size_t> leader() const;
+  /// That entry or a random one.
   std::size_t leaderOrRandomEntry();
   std::size_t randomEntry() { return Random_.below(Entries_.count()); }
   /// Calls applyShared for the platform port of a random entry.
@@ -68,6 +70,10 @@
   void pauseInSeries(const std::shared_ptr<bool> &Over);
   /// Overlaps with other faults that stop the process.
   Revert stopProcess(std::size_t Entry);
+  Revert losePower();
+  /// Kills the leaders one after the other until \p Over is true. Their
+  /// connections to workers stay open there.
+  void losePowerInSeries(const std::shared_ptr<bool> &Over);
   Revert changeSettings();
   // Requests through an entry's platform port.
   Revert blockStoreAccess();
@@ -112,6 +118,7 @@
   std::map<std::string, int> ActiveByName_;
   std::size_t Active_ = 0;
   std::size_t Count_ = 0;
+  std::size_t PowerLosses_ = 0;
   std::uint64_t NextWave_ = 1;
 };
 
--- a/src/framework/http/httpserver.cpp
+++ b/src/framework/http/httpserver.cpp
@@ -453,4 +453,8 @@
 
 std::size_t Server::openConnections() const { return State_->Sessions_.size(); }
 
+void Server::limitConnections(std::size_t Most) {
+  State_->Limits_.Connections_ = Most;
+}
+
 } // namespace laburnumspread::framework::http
--- a/src/framework/http/httpserver.h
+++ b/src/framework/http/httpserver.h
@@ -91,6 +91,9 @@
 
   std::size_t openConnections() const;
 
+  /// Accepts no further connection while \p Most are open.
+  void limitConnections(std::size_t Most);
+
 private:
   struct State;
   std::shared_ptr<State> State_;
