--- a/src/cell/runstopper.h
+++ b/src/cell/runstopper.h
@@ -89,8 +89,8 @@
   /// Returns false if no connection to the run's worker became free.
   bool awaitConnection(const jobs::RunName &Run) {
     const jobs::LiveRun *Live = Term_->Table_.find(Run);
-    const auto Worker = Live ? Term_->Workers_.find(Live->Worker_)
-                             : Term_->Workers_.end();
+    const auto Worker =
+        Live ? Term_->Workers_.find(Live->Worker_) : Term_->Workers_.end();
     if (Worker == Term_->Workers_.end())
       return true;
     const WorkerRowPtr Row = Worker->second;
--- a/src/cell/tests/modelworker.h
+++ b/src/cell/tests/modelworker.h
@@ -34,9 +34,9 @@
   /// Ends up to this number were there when the lease last expired.
   std::uint64_t LastLapsedEnd_ = 0;
   /// Runs that ended as done here and whose ends were acknowledged with the
-  /// lease held from one to the other. If both the start and the acknowledgement
-  /// were meant for a former incarnation, the end does not count: no leader
-  /// could have seen it.
+  /// lease held from one to the other. If both the start and the
+  /// acknowledgement were meant for a former incarnation, the end does not
+  /// count: no leader could have seen it.
   std::vector<RunName> AcknowledgedDone_;
   /// Runs whose starts were meant for a former incarnation.
   std::set<RunName> StaleRuns_;
--- a/src/cell/tests/runmodel.h
+++ b/src/cell/tests/runmodel.h
@@ -521,8 +521,8 @@
   bool acceptsTasks(const ModelLeader &Leader, const WorkerRow &Row) const {
     const auto Until =
         Leader.LateHoldsUntil_.find(Row.Record_.Incarnation_.Id_);
-    return Row.acceptsTasks() && (Until == Leader.LateHoldsUntil_.end() ||
-                                  Now_ >= Until->second);
+    return Row.acceptsTasks() &&
+           (Until == Leader.LateHoldsUntil_.end() || Now_ >= Until->second);
   }
 
   void startTask(int Detail) {
--- a/src/cell/tests/runtrackertest.cpp
+++ b/src/cell/tests/runtrackertest.cpp
@@ -274,13 +274,13 @@
 BOOST_AUTO_TEST_CASE(ReportWithFewEndsLosesNoRun) {
   const std::vector<RunName> Runs{startRun("kept", 0, ThisIncarnation),
                                   startRun("kept", 1, ThisIncarnation)};
-  const auto First = Tracker_.processReport(ThisIncarnation,
-                                            reportOfEnds(Runs, 1, 1), Now, 0);
+  const auto First =
+      Tracker_.processReport(ThisIncarnation, reportOfEnds(Runs, 1, 1), Now, 0);
   BOOST_TEST(!First.Whole_);
   BOOST_TEST(First.Ended_.size() == 1u);
   end(First.Ended_);
-  const auto Second = Tracker_.processReport(ThisIncarnation,
-                                             reportOfEnds(Runs, 2, 1), Now, 1);
+  const auto Second =
+      Tracker_.processReport(ThisIncarnation, reportOfEnds(Runs, 2, 1), Now, 1);
   BOOST_TEST(Second.Whole_);
   BOOST_TEST(Second.Ended_.size() == 1u);
   end(Second.Ended_);
