A gang that lasts is not done when a member ends

What callers would see: a standing job is shown as done and never restarted.

Cause: the end `done` of one gang member made the whole step done, also where its tasks last. Such tasks are to be restarted however they end; without a gang they were. Doubtful in the review, by reading.

Change: ends of tasks that last change neither the step nor the count of failures.

Evidence: CellTableTest/GangThatLastsIsNotDoneWhenOneMemberEnds, red before: state is not Running, the task is not idle.

--- a/src/jobs/internal/celltable.cpp
+++ b/src/jobs/internal/celltable.cpp
@@ -235,11 +235,14 @@
     --Job->Occurrences_[Name.Occurrence_].Steps_[Name.Step_].LiveCount_;
   if (!Item.Saved_.empty() && !Task->Done_)
     Task->Saved_ = Item.Saved_;
+  // Tasks that last are started again however they end.
+  if (Spec.LongRunning_)
+    return;
   if (Item.Kind_ == EndKind::Done && Spec.Gang_)
     gangDone(*Job, Item.Run_, Now);
-  else if (Item.Kind_ == EndKind::Done && !Spec.LongRunning_)
+  else if (Item.Kind_ == EndKind::Done)
     taskDone(*Job, Name, Now);
-  else if (Item.Kind_ == EndKind::Failed && !Spec.LongRunning_)
+  else if (Item.Kind_ == EndKind::Failed)
     taskFailed(*Job, *Task,
                Item.AttemptLimit_ > 0 ? Item.AttemptLimit_
                                       : attemptLimit(Job->Spec_.Queue_),
--- a/src/jobs/tests/celltabletest.cpp
+++ b/src/jobs/tests/celltabletest.cpp
@@ -213,6 +213,22 @@
   BOOST_TEST(Restored.find(Spec.Id_)->LiveRuns_ == 1u);
 }
 
+// Guards against a standing job that is shown as done, and never restarted,
+// because a member of its gang ended so.
+BOOST_AUTO_TEST_CASE(GangThatLastsIsNotDoneWhenOneMemberEnds) {
+  JobSpec Spec = twoSteps();
+  Spec.Id_ = Copied;
+  Spec.Steps_.resize(1);
+  Spec.Steps_[0].Gang_ = true;
+  Spec.Steps_[0].LongRunning_ = true;
+  Table_.apply(JobAccepted{Spec}, Start);
+  const RunName First{{Copied, 0, 0, 0}, RunNumber(1)};
+  start(First);
+  end(First, EndKind::Done);
+  BOOST_TEST((Table_.find(Copied)->State_ == JobState::Running));
+  BOOST_TEST(Table_.find(First.Task_)->idle());
+}
+
 BOOST_AUTO_TEST_CASE(GangIsDoneWhenOneMemberSucceeds) {
   JobSpec Spec = twoSteps();
   Spec.Id_ = JobId("fedcba9876543210");
