Members of a gang resume from one checkpoint

Cause: each member was started with the checkpoint of its own task. A stop or a lost worker leaves different ones, or none, while all members of a run must carry the same value; that of any member is valid. Doubtful in the review, by reading.

Change: CellTable::resumePoint gives all members the checkpoint of the first one that has one. Nothing of a gang works before all of a run are there, so that value stays the same while they are started.

Evidence: WorkerSessionsTest/GangMemberStartsFromTheCheckpointOfItsGang, red before ([ != a]); CellTableTest/MembersOfAGangResumeFromOneCheckpoint.

--- a/src/cell/tests/workersessionstest.cpp
+++ b/src/cell/tests/workersessionstest.cpp
@@ -30,8 +30,9 @@
     return Connected_;
   }
 
-  OrderReply start(const WorkerRecord &, const StartOrder &, Duration) {
+  OrderReply start(const WorkerRecord &, const StartOrder &Order, Duration) {
     ++Starts_;
+    ResumedFrom_.push_back(Order.ResumeFrom_);
     StartedAt_.push_back(framework::clock::SteadyClock().now());
     if (AfterStart_)
       AfterStart_();
@@ -56,6 +57,7 @@
   std::uint32_t Unanswered_ = 0;
   std::uint32_t UnansweredStops_ = 0;
   std::vector<TimePoint> StartedAt_;
+  std::vector<jobs::Checkpoint> ResumedFrom_;
   std::vector<jobs::RunName> Stops_;
   HoldReply Report_;
   bool RepeatsReport_ = false;
@@ -362,6 +364,25 @@
   BOOST_TEST(!Term_->Table_.find(Copy.Run_));
 }
 
+// Guards against a gang whose members start from different checkpoints, which
+// its workers do not accept.
+BOOST_AUTO_TEST_CASE(GangMemberStartsFromTheCheckpointOfItsGang) {
+  const jobs::JobId Gang("fedcba9876543210");
+  jobs::JobAccepted Job;
+  Job.Spec_.Id_ = Gang;
+  Job.Spec_.Steps_.resize(1);
+  Job.Spec_.Steps_[0].Count_ = 2;
+  Job.Spec_.Steps_[0].Gang_ = true;
+  Term_->Commits_.stage(Job);
+  Term_->Table_.findTask({Gang, 0, 0, 1})->Saved_ = jobs::Checkpoint("a");
+  Intent_.Run_ = {{Gang, 0, 0, 0}, jobs::RunNumber(1)};
+  Sessions_->runStaged(Intent_.Run_);
+  Term_->Commits_.stage(Intent_);
+  startAndWait();
+  BOOST_REQUIRE(Client_.ResumedFrom_.size() == 1u);
+  BOOST_TEST(Client_.ResumedFrom_[0].str() == "a");
+}
+
 // Guards against attempts that are all spent within milliseconds on a worker
 // that resets them.
 BOOST_AUTO_TEST_CASE(RepeatedStartsAreSpacedApart) {
--- a/src/cell/workersessions.h
+++ b/src/cell/workersessions.h
@@ -379,7 +379,7 @@
     const jobs::LiveRun *Live = Term_->Table_.find(Item.Run_);
     const jobs::TaskRow *Task = Term_->Table_.find(Item.Run_.Task_);
     if (!Job || !Step || !Live || !Task || Step->LongRunning_ ||
-        !Task->Saved_.empty())
+        !Term_->Table_.resumePoint(Item.Run_.Task_).empty())
       return;
     // Without the time that the start took to arrive: while the leader is short
     // of processor that would make all tasks look longer, and late jobs in
@@ -540,7 +540,7 @@
     Order.Run_ = Run;
     Order.Payload_ = Payload;
     Order.Token_ = Term_->Token_;
-    Order.ResumeFrom_ = Term_->Table_.find(Run.Task_)->Saved_;
+    Order.ResumeFrom_ = Term_->Table_.resumePoint(Run.Task_);
     Order.Ticket_ =
         Term_->Advice_
             .ticket({Run.Task_.Job_, Run.Task_.Occurrence_, Run.Task_.Step_},
--- a/src/jobs/celltable.h
+++ b/src/jobs/celltable.h
@@ -146,6 +146,10 @@
   LiveRun *findLive(const RunName &Run);
   TaskRow *findTask(const TaskName &Task);
   const StepSpec *specOf(const TaskName &Task) const;
+  /// Returns the checkpoint from which the next run of a known task resumes, or
+  /// an empty one. A checkpoint of any member of a gang is valid for all, and
+  /// all must resume from the same, so it is that of the first which has one.
+  const Checkpoint &resumePoint(const TaskName &Task) const;
 
   /// Jobs that have not ended, in the order of their acceptance.
   const std::map<std::uint64_t, JobId> &open() const { return Open_; }
--- a/src/jobs/internal/celltable.cpp
+++ b/src/jobs/internal/celltable.cpp
@@ -120,6 +120,19 @@
     FiniteUsage_.erase(Row);
 }
 
+const Checkpoint &CellTable::resumePoint(const TaskName &Task) const {
+  const Checkpoint &Own = find(Task)->Saved_;
+  if (!specOf(Task)->Gang_)
+    return Own;
+  const JobRow &Job = *find(Task.Job_);
+  const auto &Members =
+      Job.Occurrences_[Task.Occurrence_].Steps_[Task.Step_].Tasks_;
+  const auto First = std::find_if(
+      Members.begin(), Members.end(),
+      [](const TaskRow &Member) { return !Member.Saved_.empty(); });
+  return First == Members.end() ? Own : First->Saved_;
+}
+
 std::optional<TimePoint> CellTable::unwantedSince(const RunName &Run) const {
   const LiveRun *Live = find(Run);
   if (!Live)
--- a/src/jobs/tests/celltabletest.cpp
+++ b/src/jobs/tests/celltabletest.cpp
@@ -229,6 +229,31 @@
   BOOST_TEST(Table_.find(First.Task_)->idle());
 }
 
+// Guards against members of a gang that resume from different checkpoints, as a
+// stop or a lost worker left them behind.
+BOOST_AUTO_TEST_CASE(MembersOfAGangResumeFromOneCheckpoint) {
+  JobSpec Spec = twoSteps();
+  Spec.Id_ = Copied;
+  Spec.Steps_.resize(1);
+  Spec.Steps_[0].Count_ = 3;
+  Spec.Steps_[0].Gang_ = true;
+  Table_.apply(JobAccepted{Spec}, Start);
+  const auto Member = [](std::uint32_t Index) {
+    return TaskName{Copied, 0, 0, Index};
+  };
+  BOOST_TEST(Table_.resumePoint(Member(0)).empty());
+  Table_.findTask(Member(1))->Saved_ = Checkpoint("a");
+  Table_.findTask(Member(2))->Saved_ = Checkpoint("b");
+  for (std::uint32_t Index = 0; Index < 3; ++Index)
+    BOOST_TEST(Table_.resumePoint(Member(Index)).str() == "a");
+}
+
+BOOST_AUTO_TEST_CASE(TaskResumesFromItsOwnCheckpoint) {
+  Table_.findTask(runOf(0, 1, 1).Task_)->Saved_ = Checkpoint("a");
+  BOOST_TEST(Table_.resumePoint(runOf(0, 0, 1).Task_).empty());
+  BOOST_TEST(Table_.resumePoint(runOf(0, 1, 1).Task_).str() == "a");
+}
+
 BOOST_AUTO_TEST_CASE(GangIsDoneWhenOneMemberSucceeds) {
   JobSpec Spec = twoSteps();
   Spec.Id_ = JobId("fedcba9876543210");
