A term that ends while a hold waits decides on no run

Found on reading the diff: a hold that found no connection counted as unanswered also when the leadership had ended meanwhile, and could then stage ends for a term that is over. Now it is checked first, as after a reply.

--- a/src/cell/workersessions.h
+++ b/src/cell/workersessions.h
@@ -230,10 +230,12 @@
   }
 
   void sendHold(WorkerRow &Row) {
-    if (!Client_.awaitConnection(Row.Record_, MaxConnectionWait))
-      return handleNoAnswer(Row, OrderResult::NotSent);
+    const bool Connected =
+        Client_.awaitConnection(Row.Record_, MaxConnectionWait);
     if (!Term_->maySendOrders() || Row.Ended_)
       return;
+    if (!Connected)
+      return handleNoAnswer(Row, OrderResult::NotSent);
     const HoldOrder Order = nextHold(Row);
     const TimePoint SentAt = now();
     const HoldReply Reply =
