--- a/src/jobs/internal/celltable.cpp
+++ b/src/jobs/internal/celltable.cpp
@@ -127,9 +127,10 @@
   const JobRow &Job = *find(Task.Job_);
   const auto &Members =
       Job.Occurrences_[Task.Occurrence_].Steps_[Task.Step_].Tasks_;
-  const auto First = std::find_if(
-      Members.begin(), Members.end(),
-      [](const TaskRow &Member) { return !Member.Saved_.empty(); });
+  const auto First =
+      std::find_if(Members.begin(), Members.end(), [](const TaskRow &Member) {
+        return !Member.Saved_.empty();
+      });
   return First == Members.end() ? Own : First->Saved_;
 }
 
