The leader logs once a second what bounds its work

Lines on single starts and workers are left out under load (500 to 5,000 a second), so a missing one proves nothing.

Change: leader.pace, with processor time, passes, starts, tasks that wait and those that fit nowhere, delays, the age of both lists and the machines with an open order. A warning while tasks wait, so that it is not left out.

--- a/src/cell/cellservice.h
+++ b/src/cell/cellservice.h
@@ -294,11 +294,26 @@
       loseRunsOnUnknownWorkers(*T);
       if (Planner_)
         Planner_->runOutagePass();
+      if (T->Pace_.due(now()))
+        reportPace(*T);
       if (!T->Table_.open().empty())
         T->Commits_.wake();
     }
   }
 
+  void reportPace(Term<Store> &T) const {
+    PaceSample Sample;
+    Sample.ProcessorTime_ = processorTime();
+    Sample.FiberDelay_ = T.Load_.delay();
+    Sample.StartDelay_ = T.StartDelay_.expected();
+    Sample.WorkersAge_ = now() - T.WorkersSeenAt_;
+    if (Sessions_)
+      Sample.UnansweredStarts_ = Sessions_->unansweredStarts();
+    if (Machines_)
+      Machines_->describePace(Sample);
+    T.Pace_.report(Sample, now());
+  }
+
   /// Ends runs on workers that no list contains once their leases have expired.
   void loseRunsOnUnknownWorkers(Term<Store> &T) {
     if (!Sessions_)
--- /dev/null
+++ b/src/cell/internal/pacereporter.cpp
@@ -0,0 +1,53 @@
+#include "cell/pacereporter.h"
+
+#include "framework/log/log.h"
+
+#include <ctime>
+
+namespace laburnumspread::cell {
+
+namespace {
+
+std::int64_t toMs(framework::clock::Duration Time) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(Time).count();
+}
+
+} // namespace
+
+void PaceReporter::report(const PaceSample &Sample, TimePoint Now) {
+  const bool First = ReportedAt_ == TimePoint();
+  // Tasks that wait are worth a line that is not left out under load.
+  framework::log::Event Line(Waiting_ > 0 ? framework::log::Level::Warning
+                                          : framework::log::Level::Info,
+                             "leader.pace");
+  Line.field("interval_ms", First ? 0 : toMs(Now - ReportedAt_))
+      .field("processor_ms",
+             First ? 0 : toMs(Sample.ProcessorTime_ - ProcessorTimeBefore_))
+      .field("passes", Passes_)
+      .field("planning_ms", toMs(Planning_))
+      .field("starts", Starts_)
+      .field("waiting", static_cast<std::uint64_t>(Waiting_))
+      .field("unplaced", static_cast<std::uint64_t>(Unplaced_))
+      .field("unanswered_starts",
+             static_cast<std::uint64_t>(Sample.UnansweredStarts_))
+      .field("fiber_delay_ms", toMs(Sample.FiberDelay_))
+      .field("start_delay_ms", toMs(Sample.StartDelay_))
+      .field("workers_age_ms", toMs(Sample.WorkersAge_))
+      .field("machines_age_ms", toMs(Sample.MachinesAge_))
+      .field("machines_ordered",
+             static_cast<std::uint64_t>(Sample.MachinesOrdered_));
+  NextReportAt_ = Now + ReportInterval;
+  ReportedAt_ = Now;
+  ProcessorTimeBefore_ = Sample.ProcessorTime_;
+  Passes_ = 0;
+  Planning_ = Duration::zero();
+  Starts_ = 0;
+}
+
+framework::clock::Duration processorTime() {
+  return std::chrono::duration_cast<framework::clock::Duration>(
+      std::chrono::duration<double>(static_cast<double>(std::clock()) /
+                                    CLOCKS_PER_SEC));
+}
+
+} // namespace laburnumspread::cell
--- a/src/cell/machinemanager.h
+++ b/src/cell/machinemanager.h
@@ -97,6 +97,12 @@
     return Table_->arrivals(now());
   }
 
+  /// Adds the machines to a sample of the leader's pace.
+  void describePace(PaceSample &Into) const {
+    Into.MachinesAge_ = now() - ListedAt_;
+    Into.MachinesOrdered_ = Table_->ordersOpen();
+  }
+
 private:
   static TimePoint now() { return Term<Store>::now(); }
 
@@ -114,11 +120,13 @@
       const auto Read = Api_.list();
       if (Term_->ended())
         return;
-      if (Read.ok())
+      if (Read.ok()) {
         updateFromList(*Read, RequestedAt);
-      else
+        ListedAt_ = RequestedAt;
+      } else {
         framework::log::warning("machines.list_failed")
             .field("reason", std::string(Read.status().message()));
+      }
       waitForNextList();
     }
   }
@@ -377,6 +385,8 @@
   std::shared_ptr<MachineOrders<Store, Service>> Orders_;
   std::map<WaveNumber, capacity::WaveRow> Waves_;
   TimePoint NextProgressAt_{};
+  /// When the latest list that was read was requested.
+  TimePoint ListedAt_{};
 };
 
 } // namespace laburnumspread::cell
--- a/src/cell/machinetable.h
+++ b/src/cell/machinetable.h
@@ -68,6 +68,8 @@
            Found->second.Kind_ == MachineOrderKind::Upkeep;
   }
   bool anyBusy() const { return !Orders_.empty(); }
+  /// Number of machines with an open order.
+  std::size_t ordersOpen() const { return Orders_.size(); }
   /// Returns the capacity that acknowledged moves bring to pools, and when.
   std::vector<scheduling::CapacityArrival> arrivals(TimePoint Now) const;
   /// Sets the home pool of the machine, as recorded by an earlier leader.
--- /dev/null
+++ b/src/cell/pacereporter.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "framework/clock/clock.h"
+
+#include <algorithm>
+#include <cstddef>
+#include <cstdint>
+
+namespace laburnumspread::cell {
+
+/// What bounds the work of a leader, at one moment. A leader that starts too
+/// little may lack processor time, room on the workers, or a current view of
+/// them; the starts themselves look the same in all three cases.
+struct PaceSample {
+  using Duration = framework::clock::Duration;
+
+  /// Processor time that this process has used since it started.
+  Duration ProcessorTime_{};
+  /// How late fibers run, and how long a start takes to reach its worker.
+  Duration FiberDelay_{};
+  Duration StartDelay_{};
+  /// Starts whose first attempt waits to be sent or answered.
+  std::size_t UnansweredStarts_ = 0;
+  /// Time since the list of workers, and that of machines, was last brought up
+  /// to date.
+  Duration WorkersAge_{};
+  Duration MachinesAge_{};
+  /// Machines with an open order.
+  std::size_t MachinesOrdered_ = 0;
+};
+
+/// Writes a line a second on the pace of one term.
+class PaceReporter {
+public:
+  using Duration = framework::clock::Duration;
+  using TimePoint = framework::clock::TimePoint;
+
+  static constexpr Duration ReportInterval = std::chrono::seconds(1);
+
+  /// Adds a scheduling pass that took \p Took.
+  void passRun(Duration Took) {
+    ++Passes_;
+    Planning_ += Took;
+  }
+  /// Adds what a pass planned, the finite tasks that were ready before, and
+  /// those that fit on no worker.
+  void planned(std::size_t Starts, std::size_t Ready, std::size_t Unplaced) {
+    Starts_ += Starts;
+    Waiting_ = Ready - std::min(Starts, Ready);
+    Unplaced_ = Unplaced;
+  }
+
+  bool due(TimePoint Now) const { return Now >= NextReportAt_; }
+  /// Logs what was added since the last report.
+  void report(const PaceSample &Sample, TimePoint Now);
+
+private:
+  TimePoint NextReportAt_{};
+  TimePoint ReportedAt_{};
+  Duration ProcessorTimeBefore_{};
+  std::uint64_t Passes_ = 0;
+  Duration Planning_{};
+  std::uint64_t Starts_ = 0;
+  std::size_t Waiting_ = 0;
+  std::size_t Unplaced_ = 0;
+};
+
+/// Returns the processor time that this process has used since it started.
+framework::clock::Duration processorTime();
+
+} // namespace laburnumspread::cell
--- a/src/cell/taskplanner.h
+++ b/src/cell/taskplanner.h
@@ -40,6 +40,7 @@
       return;
     planStarts();
     const TimePoint EndedAt = now();
+    Term_->Pace_.passRun(EndedAt - StartedAt);
     NextPassAt_ =
         EndedAt + Duration(static_cast<std::int64_t>(
                       static_cast<double>((EndedAt - StartedAt).count()) *
@@ -96,6 +97,7 @@
     const std::size_t Planned = Plan.Starts_.size();
     Term_->Load_.recordPass(
         Planned, Plan.ReadyTasks_ - std::min(Planned, Plan.ReadyTasks_), now());
+    Term_->Pace_.planned(Planned, Plan.ReadyTasks_, Plan.UnplacedTasks_);
     std::vector<scheduling::Copy> Copies;
     if (CopiesDue && Plan.Starts_.size() < MaxStarts)
       Copies = planCopies(Workers, Plan, MaxStarts - Plan.Starts_.size());
--- a/src/cell/term.h
+++ b/src/cell/term.h
@@ -3,6 +3,7 @@
 #include "cell/callrules.h"
 #include "cell/commitqueue.h"
 #include "cell/leaderload.h"
+#include "cell/pacereporter.h"
 #include "cell/termgauges.h"
 #include "cell/workertable.h"
 #include "cell/zoneevacuations.h"
@@ -172,6 +173,9 @@
   scheduling::RunTimeEstimator Estimates_;
   scheduling::StartDelay StartDelay_;
   LeaderLoad Load_;
+  PaceReporter Pace_;
+  /// When the list of workers was last read, or a change of it arrived.
+  TimePoint WorkersSeenAt_{};
   scheduling::AdviceTable Advice_;
   scheduling::WorkspaceShares Shares_;
   scheduling::WorkerSpeeds Speeds_;
--- a/src/cell/workerfollower.h
+++ b/src/cell/workerfollower.h
@@ -56,11 +56,13 @@
         continue;
       }
       applyFullList(*T, Read->Items_);
+      T->WorkersSeenAt_ = now();
       const absl::Status Ended =
           Store_.watch(Directory_.Prefix_, Read->StoreRevision_.next(),
                        [&](const store::WatchBatch &Batch) {
                          if (T->ended())
                            return false;
+                         T->WorkersSeenAt_ = now();
                          for (const store::KeyValue &Item : Batch.Puts_)
                            recordWorker(*T, Item);
                          for (const std::string &Key : Batch.Deletes_)
