Large answers are read in large parts

From 19 s on half of the machines stay out of use: their moves are done, but the leader does not see their new workers.

Cause: a read takes as much as the buffer has room for, and Beast's buffer has 512 bytes at first and never grows, as each part is taken out of it. An answer of 64 KB takes 130 reads. Each one waits for all fibers that are ready, so on a full processor the list of workers, which changes by some hundred KB a second, arrives more slowly than it changes, and the leader falls ever further behind.

Evidence: leader.pace shows the entries 3.0, 4.3 and 7.5 s late (0.03 s before the load), 520 to 620 machines with an open order, and up to 8,200 ready tasks that fit on no worker; a successor that reads the list anew works it off.

Fix: the buffer has room for a usual answer at once, and for what a part asks for while a body is read; connections with small answers keep 2 KB. A part of 64 KB is then one read.

--- a/src/framework/http/httpclient.cpp
+++ b/src/framework/http/httpclient.cpp
@@ -22,7 +22,11 @@
 namespace {
 
 constexpr std::size_t MaxResponseHeaderBytes = 16 * 1024;
-constexpr std::size_t BodyPartBytes = 16 * 1024;
+/// Room for the head and the body of a usual response, so that one read takes
+/// both.
+constexpr std::size_t HeadBufferBytes = 2 * 1024;
+/// Most bytes of a body that one read takes.
+constexpr std::size_t BodyPartBytes = 64 * 1024;
 
 /// TCP_USER_TIMEOUT: closes a connection whose data stays unacknowledged for
 /// this long. A network path that silently drops packets reports no error, and
@@ -108,6 +112,7 @@
   }
 
   absl::StatusOr<Response> readHead(clock::TimePoint Deadline) override {
+    Buffer_.reserve(HeadBufferBytes);
     Stream_.expires_at(toSteady(Deadline));
     const IoOutcome Outcome = await([&](auto Done) {
       bhttp::async_read_header(Stream_, Buffer_, *Parser_, Done);
@@ -140,6 +145,9 @@
     Body.more = true;
     IoOutcome Outcome;
     if (!parseBuffered(Outcome.Error_)) {
+      // A read takes no more than the buffer has room for, 512 bytes at first,
+      // and each read waits for all fibers that are ready.
+      Buffer_.reserve(Part);
       Stream_.expires_at(toSteady(Deadline));
       Outcome = await([&](auto Done) {
         bhttp::async_read_some(Stream_, Buffer_, *Parser_, Done);
@@ -150,6 +158,8 @@
       return toStatus(Outcome.Error_, "read response body");
     noteReceived();
     Finished_ = Parser_->is_done();
+    if (Finished_)
+      releaseLargeBuffer();
     return !Finished_;
   }
 
@@ -229,6 +239,12 @@
     return Parsed > 0 || Error;
   }
 
+  /// A leader has thousands of connections, most of them with small responses.
+  void releaseLargeBuffer() {
+    if (Buffer_.size() == 0 && Buffer_.capacity() > HeadBufferBytes)
+      Buffer_.shrink_to_fit();
+  }
+
   void setOptions() {
     beast::error_code Ignored;
     Stream_.socket().non_blocking(true, Ignored);
