Streamed bodies are read in parts of 16 KB again

A stream whose length is not known asks for the largest part, so an entry with hundreds of streams at a time would hold 64 KB for each, in the part and in the buffer.

Change: a limit of its own for streams, as before.

--- a/src/framework/http/httpclient.cpp
+++ b/src/framework/http/httpclient.cpp
@@ -25,8 +25,10 @@
 /// Room for the head and the body of a usual response, so that one read takes
 /// both.
 constexpr std::size_t HeadBufferBytes = 2 * 1024;
-/// Most bytes of a body that one read takes.
+/// Most bytes that one read takes of a body that is read whole, and of one that
+/// is streamed: an entry may stream thousands at a time.
 constexpr std::size_t BodyPartBytes = 64 * 1024;
+constexpr std::size_t StreamPartBytes = 16 * 1024;
 
 /// TCP_USER_TIMEOUT: closes a connection whose data stays unacknowledged for
 /// this long. A network path that silently drops packets reports no error, and
@@ -473,7 +475,7 @@
   for (bool More = true; More;) {
     Part.clear();
     absl::StatusOr<bool> Next =
-        Conn->readSome(Part, BodyPartBytes, PartDeadline());
+        Conn->readSome(Part, StreamPartBytes, PartDeadline());
     if (!Next.ok())
       return Next.status();
     if (!Part.empty() && !OnPart(Part))
