--- a/src/app/internal/cellapp.cpp
+++ b/src/app/internal/cellapp.cpp
@@ -273,7 +273,9 @@
       Cell_.evacuate(*Zone);
     if (Item.Key_ != platform::ConfigKey)
       return;
+    const TimePoint ReceivedAt = SteadyClock().now();
     const auto Next = platform::readConfig(Item.Value_);
+    const TimePoint ParsedAt = SteadyClock().now();
     if (!Next.ok()) {
       framework::log::error("config.unreadable")
           .field("revision", Item.ModRevision_.value())
@@ -282,12 +284,16 @@
     }
     if (Next->Version_ <= Gateway_.config().Version_)
       return;
-    framework::log::info("config.in_force")
-        .field("version", Next->Version_.value())
-        .field("before", Gateway_.config().Version_.value())
-        .field("queues", static_cast<std::uint64_t>(Next->Queues_.size()));
+    const jobs::ConfigVersion Before = Gateway_.config().Version_;
     Gateway_.setConfig(*Next);
     Cell_.setConfig(*Next);
+    framework::log::info("config.in_force")
+        .field("version", Next->Version_.value())
+        .field("before", Before.value())
+        .field("revision", Item.ModRevision_.value())
+        .field("queues", static_cast<std::uint64_t>(Next->Queues_.size()))
+        .field("parse_us", (ParsedAt - ReceivedAt).count())
+        .field("adopt_us", (SteadyClock().now() - ParsedAt).count());
   }
 
   CellSettings Settings_;
--- a/src/cell/configfollower.h
+++ b/src/cell/configfollower.h
@@ -74,6 +74,7 @@
     bool Deleted = false;
     const absl::Status Ended = Store_.watch(
         Prefix_, Through.next(), [&](const store::WatchBatch &Batch) {
+          logBatch(Batch, now() - RequestedAt);
           for (const store::KeyValue &Item : Batch.Puts_)
             Events_.Received_(Item);
           Deleted = !Batch.Deletes_.empty();
@@ -98,13 +99,26 @@
     framework::log::info("config.read")
         .field("result", Result)
         .field("took_ms", Took.count() / 1000)
-        .field("value_bytes", Read.ok() ? valueBytes(*Read) : 0)
+        .field("value_bytes", Read.ok() ? valueBytes(Read->Items_) : 0)
         .field("reason", std::string(Read.status().message()));
   }
 
-  static std::uint64_t valueBytes(const store::RangeResult &Read) {
+  /// Tells how long changes took from the request for them to their arrival,
+  /// and how much arrived with them.
+  static void logBatch(const store::WatchBatch &Batch, Duration Took) {
+    if (Batch.Puts_.empty() && Batch.Deletes_.empty())
+      return;
+    framework::log::info("config.changes")
+        .field("through", Batch.StoreRevision_.value())
+        .field("written", static_cast<std::uint64_t>(Batch.Puts_.size()))
+        .field("deleted", static_cast<std::uint64_t>(Batch.Deletes_.size()))
+        .field("took_ms", Took.count() / 1000)
+        .field("value_bytes", valueBytes(Batch.Puts_));
+  }
+
+  static std::uint64_t valueBytes(const std::vector<store::KeyValue> &Items) {
     std::uint64_t Sum = 0;
-    for (const store::KeyValue &Item : Read.Items_)
+    for (const store::KeyValue &Item : Items)
       Sum += Item.Value_.size();
     return Sum;
   }
