Only an answer of the store confirms a configuration

What callers saw: answers by an old version with a fresh age (config=11 config_age_ms=955, version 11 replaced 3.2 s before).

Change: an answer states through when it is complete: the time of its request, and for an empty one the end of the wait that it asked for, as the store answers at the first change.

--- a/src/app/internal/cellapp.cpp
+++ b/src/app/internal/cellapp.cpp
@@ -98,9 +98,9 @@
                Cell_.replaceEvacuations(platform::readEvacuations(Read),
                                         RequestedAt);
              },
-             [this](TimePoint RequestedAt) {
-               Gateway_.confirmConfig();
-               Cell_.confirmEvacuations(RequestedAt);
+             [this](TimePoint CompleteThrough) {
+               Gateway_.confirmConfig(CompleteThrough);
+               Cell_.confirmEvacuations(CompleteThrough);
              },
              [this] { return Gateway_.outdated(); }},
             Metrics_),
--- a/src/cell/callergateway.h
+++ b/src/cell/callergateway.h
@@ -91,8 +91,11 @@
   /// Sets the largest value that the store accepts.
   void setMaxValueBytes(std::size_t Bytes) { MaxValueBytes_ = Bytes; }
 
-  /// Records that the store has just confirmed the configuration in force.
-  void confirmConfig() { ConfirmedAt_ = framework::clock::SteadyClock().now(); }
+  /// Records that the configuration in force is the newest of those that were
+  /// written before \p CompleteThrough, a time on the steady clock.
+  void confirmConfig(TimePoint CompleteThrough) {
+    ConfirmedAt_ = std::max(ConfirmedAt_, CompleteThrough);
+  }
   /// Records a configuration version reported by a peer; older ones are
   /// ignored.
   void recordPeerVersion(ConfigVersion Version) {
--- a/src/cell/configfollower.h
+++ b/src/cell/configfollower.h
@@ -25,9 +25,10 @@
     std::function<void(const store::RangeResult &, TimePoint RequestedAt)>
         ReadAll_;
     /// Called after the pairs of a full read or of a watch batch: everything
-    /// that was written before \p RequestedAt has been received. Earlier items
-    /// that these do not replace remain current.
-    std::function<void(TimePoint RequestedAt)> Confirmed_;
+    /// that was written before \p CompleteThrough, a time on the steady clock,
+    /// has been received. Earlier items that these do not replace remain
+    /// current.
+    std::function<void(TimePoint CompleteThrough)> Confirmed_;
     /// Returns whether a peer has a newer configuration than the one received;
     /// checked after each watch batch to trigger a full read.
     std::function<bool()> Outdated_;
@@ -79,7 +80,7 @@
             Events_.Received_(Item);
           Deleted = !Batch.Deletes_.empty();
           if (!Deleted)
-            Events_.Confirmed_(RequestedAt);
+            Events_.Confirmed_(Batch.CompleteThrough_);
           // The next request is sent as soon as this batch is handled.
           RequestedAt = now();
           return !Deleted && !Events_.Outdated_();
--- a/src/cell/tests/callergatewaytest.cpp
+++ b/src/cell/tests/callergatewaytest.cpp
@@ -18,7 +18,7 @@
     Config.Queues_.back().PathPrefix_ = "/q/";
     Config.Queues_.back().Public_ = true;
     Gateway_.setConfig(Config);
-    Gateway_.confirmConfig();
+    Gateway_.confirmConfig(framework::clock::SteadyClock().now());
   }
 
   CallerAnswer submit(const std::string &Id) {
--- a/src/store/kvstore.h
+++ b/src/store/kvstore.h
@@ -72,6 +72,9 @@
   std::vector<KeyValue> Puts_;
   std::vector<std::string> Deletes_;
   Revision StoreRevision_;
+  /// Every write that was acknowledged before this time is in this batch or in
+  /// an earlier one. On the steady clock; the epoch if it is not known.
+  TimePoint CompleteThrough_{};
 };
 
 /// The platform's key-value service. Errors of commit(): Unavailable with "not
