A denied read is refused though one of its attempts was lost

What callers saw: a read that waits for its whole time and is told "unknown" (504), where every leader that answered had said that it does not answer the call.

Cause: an attempt without a reply may have been accepted, so the answer was unknown; a read changes nothing, so there is nothing that may have been accepted.

Change: once an entry has denied a read, lost attempts do not hold it. Changes are decided as before.

--- a/src/cell/callreplies.h
+++ b/src/cell/callreplies.h
@@ -22,8 +22,11 @@
   const CallAttempts &attempts() const { return Attempts_; }
   /// The answer to the caller; nullopt while an attempt may yet be accepted.
   const std::optional<peers::JobReply> &answer() const { return Answer_; }
-  /// The answer to a caller that waits no longer: Unknown if an attempt may
-  /// have been accepted.
+  /// Whether waiting for replies may still change the answer: an attempt may
+  /// have been accepted, or, for a call that changes nothing, no entry has said
+  /// that it does not answer it.
+  bool mayBeDecided() const;
+  /// The answer to a caller that waits no longer: Unknown while mayBeDecided().
   peers::JobReply answerAtDeadline() const;
 
 private:
@@ -31,8 +34,8 @@
   CallAttempts Attempts_;
   /// The latest rejection. It is the answer once no attempt can be accepted.
   std::optional<peers::JobReply> Rejection_;
-  /// What the latest entry that does not lead said about it.
-  peers::RefusalReason DeniedBecause_ = peers::RefusalReason::StoreUnavailable;
+  /// Why the latest entry did not process an attempt; nullopt if all did.
+  std::optional<peers::RefusalReason> DeniedBecause_;
   std::optional<peers::JobReply> Answer_;
 };
 
--- a/src/cell/internal/callreplies.cpp
+++ b/src/cell/internal/callreplies.cpp
@@ -27,11 +27,17 @@
   if (Answer_)
     return *Answer_;
   JobReply Result;
-  if (Attempts_.mayHaveBeenAccepted())
+  if (mayBeDecided())
     return Result;
   Result.Status_ = JobCallStatus::Refused;
-  Result.Refusal_ = DeniedBecause_;
+  Result.Refusal_ =
+      DeniedBecause_.value_or(peers::RefusalReason::StoreUnavailable);
   return Result;
 }
 
+bool CallReplies::mayBeDecided() const {
+  const bool Denied = DeniedBecause_ && !peers::changesJobs(Kind_);
+  return !Denied && Attempts_.mayHaveBeenAccepted();
+}
+
 } // namespace laburnumspread::cell
--- a/src/cell/internal/callrouter.cpp
+++ b/src/cell/internal/callrouter.cpp
@@ -18,8 +18,7 @@
     waitForReply(*Own, Deadline);
     if (Own->LeaderDenied_)
       pauseAfterDenial(*Own);
-    if (!Own->Replies_.attempts().mayHaveBeenAccepted() &&
-        !mayFindLeader(LeaderDeadline))
+    if (!Own->Replies_.mayBeDecided() && !mayFindLeader(LeaderDeadline))
       break;
   }
   Pending_.erase(Own->Call_.Sequence_);
--- a/src/cell/tests/callroutertest.cpp
+++ b/src/cell/tests/callroutertest.cpp
@@ -27,8 +27,12 @@
   static constexpr std::uint64_t FirstToken = 1;
 
   CallResult submit(Duration Timeout) {
+    return call(peers::JobCallKind::Submit, Timeout);
+  }
+
+  CallResult call(peers::JobCallKind Kind, Duration Timeout) {
     peers::JobCall Call;
-    Call.Kind_ = peers::JobCallKind::Submit;
+    Call.Kind_ = Kind;
     Call.Job_ = "0000000000000001";
     const TimePoint Now = framework::clock::SteadyClock().now();
     return Router_.call(std::move(Call), Now + LeaderWait, Now + Timeout);
@@ -52,6 +56,10 @@
 
   void send(const journal::Leader &To, const peers::JobCall &Call) {
     ++Sent_;
+    if (LostFirst_ > 0) {
+      --LostFirst_;
+      return;
+    }
     peers::JobReply Reply;
     Reply.Sequence_ = Call.Sequence_;
     Reply.Attempt_ = Call.Attempt_;
@@ -65,6 +73,8 @@
   static constexpr Duration LeaderWait = 20ms;
   journal::Leader Known_ = leaderWith(FirstToken);
   std::size_t Sent_ = 0;
+  /// Number of further attempts that are lost.
+  std::size_t LostFirst_ = 0;
   bool Elected_ = false;
   CallRouter Router_{
       {[](const peers::JobCall &, const CallRouter::ReplyFn &) {},
@@ -106,6 +116,18 @@
   BOOST_TEST(Sent_ <= 8u);
 }
 
+// Guards against a caller that waits for its deadline and is told "unknown"
+// about a read, because one of several attempts was lost.
+BOOST_AUTO_TEST_CASE(DeniedReadIsRefusedThoughAnAttemptWasLost) {
+  LostFirst_ = 1;
+  const CallResult Read = call(peers::JobCallKind::Waiting, 2s);
+  BOOST_TEST((Read.Reply_.Status_ == JobCallStatus::Refused));
+  BOOST_TEST((Read.Reply_.Refusal_ == RefusalReason::Leaving));
+  BOOST_TEST(Read.Attempts_ <= 8u);
+  LostFirst_ = 1;
+  BOOST_TEST((submit(500ms).Reply_.Status_ == JobCallStatus::Unknown));
+}
+
 // Guards against callers that are held up each time while no leader can be
 // elected.
 BOOST_AUTO_TEST_CASE(CallIsRefusedAtOnceAfterALongTimeWithoutALeader) {
