A leader that may lack a due change of the configuration answers no call

Cause: all answers come from the leader, and it rechecks what an older configuration admitted, but nothing bounded how old its own is. Class: an authority that answers from state whose age nobody bounds.

Change: ConfigInForce holds the configuration of an entry and the time through which it is complete. A leader for which that is longer ago than the operator's bound (bounds.configMs, from config_apply_ms) denies calls, and the entry asks again while its caller waits, then says 503. 401 and 404 of an entry follow the same bound; before it was 3 s whatever the operator's. A version that can't be read makes the entry outdated, so it refuses nothing for good. A path without a job id is refused in the same way: a newer version may route it.

Why it is enough: an answer while current() holds lacks only versions acknowledged less than the bound before it, so also before its request, whatever is slow.

--- a/bench/micro/leaderfixture.cpp
+++ b/bench/micro/leaderfixture.cpp
@@ -152,14 +152,14 @@
         return absl::UnavailableError("no advisor");
       },
       cell::Candidacy(1), journal::CellKeys("cell/0/"), Self,
-      cell::CellBounds(), Metrics_);
+      cell::CellBounds(), InForce_, Metrics_);
 }
 
 LeaderFixture::LeaderFixture(int Workers)
     : Workers_(RunTime), Leader_(makeLeader()) {
   framework::log::setLevel(framework::log::Level::Error);
   listWorkers(Workers);
-  Leader_.setConfig(makeConfig());
+  InForce_.replace(makeConfig());
   Leader_.start("127.0.0.1:1");
   const TimePoint Until =
       framework::clock::SteadyClock().now() + ElectionTimeout;
--- a/bench/micro/leaderfixture.h
+++ b/bench/micro/leaderfixture.h
@@ -112,6 +112,7 @@
   MemoryWorkers Workers_;
   IdleMachines Machines_;
   framework::metrics::Registry Metrics_;
+  cell::ConfigInForce InForce_{framework::clock::Duration::zero()};
   Service Leader_;
   std::uint64_t Submitted_ = 0;
 };
--- a/src/app/internal/cellapp.cpp
+++ b/src/app/internal/cellapp.cpp
@@ -59,6 +59,7 @@
 
   Impl(boost::asio::io_context &Io, CellSettings Settings)
       : Settings_(std::move(Settings)), Self_(makeMemberId(Settings_)),
+        InForce_(Settings_.Bounds_.ConfigDelay_),
         Store_(Io, Settings_.StoreAddress_), Workers_(Io),
         Machines_(Io, Settings_.MachineApiAddress_, Settings_.Name_.str()),
         Advisor_(Io, Settings_.AdvisorAddress_),
@@ -73,7 +74,7 @@
             cell::Candidacy(cell::Candidacy::weightOf(Settings_.Cores_,
                                                       Settings_.LinkMbps_)),
             journal::CellKeys(Settings_.StorePrefix_ + "cell/0/"),
-            makeLeader(Self_), Settings_.Bounds_, Metrics_),
+            makeLeader(Self_), Settings_.Bounds_, InForce_, Metrics_),
         Router_({[this](const peers::JobCall &Call,
                         const cell::CallRouter::ReplyFn &Reply) {
                    peers::JobCall Own = Call;
@@ -90,7 +91,7 @@
                         const cell::CallAttempt &Attempt) {
                    sendCall(To, Call, Attempt);
                  }}),
-        Gateway_(Router_, platform::readJob, Metrics_),
+        Gateway_(Router_, InForce_, platform::readJob, Metrics_),
         Follower_(
             Store_, std::string(platform::OperatorPrefix),
             {[this](const store::KeyValue &Item) { applyConfigItem(Item); },
@@ -99,10 +100,10 @@
                                         RequestedAt);
              },
              [this](TimePoint CompleteThrough) {
-               Gateway_.confirmConfig(CompleteThrough);
+               InForce_.confirm(CompleteThrough, SteadyClock().now());
                Cell_.confirmEvacuations(CompleteThrough);
              },
-             [this] { return Gateway_.outdated(); }},
+             [this] { return InForce_.outdated(); }},
             Metrics_),
         Api_(Gateway_),
         Mesh_(Io, Self_, Settings_.PeerKeys_,
@@ -143,11 +144,12 @@
 
   void refreshGauges() {
     Metrics_.gauge("config_version")
-        .set(static_cast<double>(Gateway_.config().Version_.value()));
+        .set(static_cast<double>(InForce_.version().value()));
     Metrics_.gauge("config_newest_known_version")
-        .set(static_cast<double>(Gateway_.newestKnownVersion().value()));
+        .set(static_cast<double>(InForce_.newestKnown().value()));
     Metrics_.gauge("config_confirmed_age_seconds")
-        .set(std::chrono::duration<double>(Gateway_.configAge()).count());
+        .set(std::chrono::duration<double>(InForce_.age(SteadyClock().now()))
+                 .count());
     Metrics_.gauge("ready").set(ready() ? 1 : 0);
     Metrics_.gauge("leads").set(Cell_.leads() ? 1 : 0);
     Metrics_.gauge("store_calls").set(static_cast<double>(Store_.calls()));
@@ -159,8 +161,8 @@
   }
 
   bool ready() const {
-    return !Leaving_ && Gateway_.config().Version_.value() > 0 &&
-           Gateway_.recentlyConfirmed();
+    return !Leaving_ && InForce_.known() &&
+           InForce_.heardOf(SteadyClock().now());
   }
 
   template <typename Message> void sendToCallers(const Message &Body) {
@@ -231,7 +233,7 @@
 
   /// Serves a call if this entry leads.
   void handleCall(const peers::Sender &From, const peers::JobCall &Call) {
-    Gateway_.recordPeerVersion(jobs::ConfigVersion(Call.ConfigVersion_));
+    InForce_.recordPeerVersion(jobs::ConfigVersion(Call.ConfigVersion_));
     Cell_.handle(Call,
                  [this, From, ReplyTo = Call.ReplyTo_](peers::JobReply Reply) {
                    Reply.ReplyTo_ = ReplyTo;
@@ -274,30 +276,32 @@
     if (Item.Key_ != platform::ConfigKey)
       return;
     const TimePoint ReceivedAt = SteadyClock().now();
-    const auto Next = platform::readConfig(Item.Value_);
+    auto Next = platform::readConfig(Item.Value_);
     const TimePoint ParsedAt = SteadyClock().now();
     if (!Next.ok()) {
+      InForce_.recordUnreadable();
       framework::log::error("config.unreadable")
           .field("revision", Item.ModRevision_.value())
           .field("reason", std::string(Next.status().message()));
       return;
     }
-    if (Next->Version_ <= Gateway_.config().Version_)
+    const jobs::ConfigVersion Before = InForce_.version();
+    if (!InForce_.replace(*std::move(Next)))
       return;
-    const jobs::ConfigVersion Before = Gateway_.config().Version_;
-    Gateway_.setConfig(*Next);
-    Cell_.setConfig(*Next);
+    Cell_.adoptNewConfig();
     framework::log::info("config.in_force")
-        .field("version", Next->Version_.value())
+        .field("version", InForce_.version().value())
         .field("before", Before.value())
         .field("revision", Item.ModRevision_.value())
-        .field("queues", static_cast<std::uint64_t>(Next->Queues_.size()))
+        .field("queues",
+               static_cast<std::uint64_t>(InForce_.config().Queues_.size()))
         .field("parse_us", (ParsedAt - ReceivedAt).count())
         .field("adopt_us", (SteadyClock().now() - ParsedAt).count());
   }
 
   CellSettings Settings_;
   membership::MemberId Self_;
+  cell::ConfigInForce InForce_;
   framework::metrics::Registry Metrics_;
   platform::KvStore Store_;
   platform::WorkerClient Workers_;
@@ -376,6 +380,7 @@
   CellSettings &Current = Impl_->Settings_;
   framework::log::setLevel(Settings.LogLevel_);
   Impl_->Cell_.setBounds(Settings.Bounds_);
+  Impl_->InForce_.setBound(Settings.Bounds_.ConfigDelay_);
   Impl_->Gateway_.setMaxValueBytes(Settings.Bounds_.MaxValueBytes_);
   framework::log::info("settings.reloaded")
       .field("entry", Current.Name_.str())
@@ -388,12 +393,11 @@
 
 std::string CellApp::dump() const {
   const Impl &App = *Impl_;
-  boost::json::object Into{
-      {"entry", App.Settings_.Name_.str()},
-      {"configVersion", App.Gateway_.config().Version_.value()},
-      {"leads", App.Cell_.leads()},
-      {"holder", App.Cell_.leader().Entry_.str()},
-      {"storeCalls", App.Store_.calls()}};
+  boost::json::object Into{{"entry", App.Settings_.Name_.str()},
+                           {"configVersion", App.InForce_.version().value()},
+                           {"leads", App.Cell_.leads()},
+                           {"holder", App.Cell_.leader().Entry_.str()},
+                           {"storeCalls", App.Store_.calls()}};
   if (const auto &Term = App.Cell_.term()) {
     Into["token"] = Term->Token_.value();
     Into["jobsOpen"] = Term->Table_.open().size();
--- a/src/cell/callergateway.h
+++ b/src/cell/callergateway.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "cell/callrouter.h"
-#include "cell/celltypes.h"
+#include "cell/configinforce.h"
 #include "framework/metrics/metrics.h"
 
 #include <absl/status/statusor.h>
@@ -77,42 +77,17 @@
   /// Part of the caller's timeout that is reserved for sending the answer.
   static constexpr Duration AnswerMargin = std::chrono::milliseconds(100);
   static constexpr Duration RetryAfter = std::chrono::seconds(1);
-  /// A configuration that was not confirmed for this long may be outdated: keys
-  /// may have been revoked or queues added since.
-  static constexpr Duration MaxConfigAge = std::chrono::seconds(3);
 
-  CallerGateway(CallRouter &Router, ReadJob Read,
+  CallerGateway(CallRouter &Router, ConfigInForce &InForce, ReadJob Read,
                 framework::metrics::Registry &Metrics)
-      : Router_(Router), ReadJob_(std::move(Read)), Metrics_(Metrics) {}
+      : Router_(Router), InForce_(InForce), ReadJob_(std::move(Read)),
+        Metrics_(Metrics) {}
 
-  void setConfig(const CellConfig &Config) { Config_ = Config; }
-  const CellConfig &config() const { return Config_; }
+  const ConfigInForce &inForce() const { return InForce_; }
 
   /// Sets the largest value that the store accepts.
   void setMaxValueBytes(std::size_t Bytes) { MaxValueBytes_ = Bytes; }
 
-  /// Records that the configuration in force is the newest of those that were
-  /// written before \p CompleteThrough, a time on the steady clock.
-  void confirmConfig(TimePoint CompleteThrough) {
-    ConfirmedAt_ = std::max(ConfirmedAt_, CompleteThrough);
-  }
-  /// Records a configuration version reported by a peer; older ones are
-  /// ignored.
-  void recordPeerVersion(ConfigVersion Version) {
-    NewestPeerVersion_ = std::max(NewestPeerVersion_, Version);
-  }
-  ConfigVersion newestKnownVersion() const {
-    return std::max(NewestPeerVersion_, Config_.Version_);
-  }
-  /// Whether a peer has a newer configuration than this entry.
-  bool outdated() const { return newestKnownVersion() > Config_.Version_; }
-  /// Whether the store confirmed the configuration within MaxConfigAge.
-  bool recentlyConfirmed() const { return configAge() < MaxConfigAge; }
-  /// Time since the configuration in force was last confirmed.
-  Duration configAge() const {
-    return framework::clock::SteadyClock().now() - ConfirmedAt_;
-  }
-
   /// Answers a request, and records the answer and its duration as metrics.
   CallerAnswer serve(const CallerRequest &Request);
 
@@ -128,13 +103,10 @@
   CallerAnswer refuse(CallerStatus Status, std::string Detail) const;
 
   CallRouter &Router_;
+  ConfigInForce &InForce_;
   ReadJob ReadJob_;
   framework::metrics::Registry &Metrics_;
-  CellConfig Config_;
   std::size_t MaxValueBytes_ = store::DefaultMaxValueBytes;
-  TimePoint ConfirmedAt_{};
-  /// Newest configuration version reported by a peer.
-  ConfigVersion NewestPeerVersion_;
 };
 
 } // namespace laburnumspread::cell
--- a/src/cell/cellservice.h
+++ b/src/cell/cellservice.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cell/callcheck.h"
+#include "cell/configinforce.h"
 #include "cell/jobcallhandler.h"
 #include "cell/leaderelector.h"
 #include "cell/taskplanner.h"
@@ -31,10 +32,11 @@
   CellService(Store &S, Client &C, Service &Api, WorkerDirectory Directory,
               WaveStatusCodec WaveStatus, AskAdvisor Ask, Candidacy Own,
               const journal::CellKeys &Keys, journal::Leader Self,
-              CellBounds Bounds, framework::metrics::Registry &Metrics)
+              CellBounds Bounds, const ConfigInForce &InForce,
+              framework::metrics::Registry &Metrics)
       : Store_(S), Client_(C), Api_(Api), Directory_(std::move(Directory)),
         WaveStatus_(std::move(WaveStatus)), AskAdvisor_(std::move(Ask)),
-        Keys_(Keys), Bounds_(Bounds), Metrics_(Metrics),
+        Keys_(Keys), Bounds_(Bounds), InForce_(InForce), Metrics_(Metrics),
         Evacuations_(Bounds.EvacuationDelay_),
         Elector_(S, Keys, std::move(Self), std::move(Own), leaderCallbacks()) {}
 
@@ -81,12 +83,11 @@
     Evacuations_.setBound(Bounds.EvacuationDelay_);
   }
 
-  /// Sets the configuration in force.
-  void setConfig(const CellConfig &Config) {
-    Config_ = Config;
+  /// The configuration in force has changed.
+  void adoptNewConfig() {
     // A term adopts it once its journal is loaded.
     if (serving())
-      adoptConfig(*Term_, Config_);
+      adoptConfig(*Term_, InForce_.config());
   }
 
   /// Adds or updates a wave of machine upkeep.
@@ -135,17 +136,24 @@
   /// Serves a call if this entry leads and the call was not meant for another
   /// term, else replies NotLeader and the latest leader known. \p Reply is
   /// called once, possibly later.
+  ///
+  /// All answers about jobs come from here, so a leader that may lack a change
+  /// that must be in force gives none: it would serve removed queues and
+  /// withdrawn keys for entries that lack the change too. The entry asks again
+  /// while its caller waits.
   void handle(const peers::JobCall &Call, const JobReplyFn &Reply) {
     const auto Complete =
         [Reply, Attempt = Call.Attempt_,
-         Version = Config_.Version_.value()](peers::JobReply Answer) {
+         Version = InForce_.version().value()](peers::JobReply Answer) {
           Answer.Attempt_ = Attempt;
           Answer.ConfigVersion_ = Version;
           Reply(Answer);
         };
     if (!leads() || isForAnotherTerm(Call, Term_->tokens()))
       return Complete(denial(Call));
-    if (const auto Refusal = Calls_->refusalUnder(Config_, Call))
+    if (!InForce_.current(now()))
+      return Complete(denialWithoutConfig(Call));
+    if (const auto Refusal = Calls_->refusalUnder(InForce_.config(), Call))
       return Calls_->reject(Call, *Refusal, Complete);
     Calls_->handle(Call, Complete);
   }
@@ -175,6 +183,14 @@
     return Result;
   }
 
+  /// Returns the reply of a leader whose configuration is not current.
+  peers::JobReply denialWithoutConfig(const peers::JobCall &Call) {
+    Metrics_.counter("calls_denied_total{reason=\"config_not_current\"}").add();
+    peers::JobReply Result = denial(Call);
+    Result.Refusal_ = peers::RefusalReason::ConfigNotCurrent;
+    return Result;
+  }
+
   /// Whether there is a term that has replayed the journal.
   bool serving() const { return Term_ && Term_->JournalLoaded_; }
 
@@ -228,7 +244,7 @@
     if (!load(*T))
       return;
     recordQueues(*T);
-    adoptConfig(*T, Config_);
+    adoptConfig(*T, InForce_.config());
     T->JournalLoaded_ = true;
     Metrics_.histogram("takeover_seconds")
         .record(std::chrono::duration<double>(now() - StartedAt).count());
@@ -269,7 +285,7 @@
   bool load(Term<Store> &T) {
     while (!T.ended()) {
       T.Table_ = emptyTable(T);
-      T.Config_ = Config_;
+      T.Config_ = InForce_.config();
       const absl::Status Read = T.Log_.load(T.Table_, now());
       if (Read.ok()) {
         T.Table_.restoreAcceptTimes(
@@ -318,7 +334,7 @@
         Sessions_->maintain();
       T->forgetLateHolds();
       T->Table_.forgetEnded(now() - Bounds_.StatusRetention_);
-      forgetRemovedQueues(*T, Config_);
+      forgetRemovedQueues(*T, InForce_.config());
       loseRunsOnUnknownWorkers(*T);
       if (Planner_ && !T->Commits_.closing())
         Planner_->runOutagePass();
@@ -386,10 +402,10 @@
   AskAdvisor AskAdvisor_;
   journal::CellKeys Keys_;
   CellBounds Bounds_;
+  const ConfigInForce &InForce_;
   framework::metrics::Registry &Metrics_;
   ZoneEvacuations Evacuations_;
   LeaderElector<Store> Elector_;
-  CellConfig Config_;
   TermPtr Term_;
   SessionsPtr Sessions_;
   MachinesPtr Machines_;
--- a/src/cell/celltypes.h
+++ b/src/cell/celltypes.h
@@ -60,6 +60,9 @@
   /// Time within which an evacuation of an availability zone must be obeyed;
   /// zero if the platform sets none.
   Duration EvacuationDelay_{};
+  /// Time within which a change of the configuration must be in force at every
+  /// entry; zero if the platform sets none.
+  Duration ConfigDelay_ = std::chrono::milliseconds(3000);
   /// Time that the platform gives an entry to stop.
   Duration GracePeriod_ = std::chrono::seconds(6);
   /// Largest value that the store accepts.
--- a/src/cell/internal/callergateway.cpp
+++ b/src/cell/internal/callergateway.cpp
@@ -48,6 +48,8 @@
     return "the leader of the cell has too much to do";
   case peers::RefusalReason::TooLarge:
     return "steps: the job is larger than the leader of the cell can store";
+  case peers::RefusalReason::ConfigNotCurrent:
+    return "the leader of the cell waits for the current configuration";
   }
   return "";
 }
@@ -98,7 +100,7 @@
 
 CallerAnswer CallerGateway::refuse(CallerStatus Status,
                                    std::string Detail) const {
-  if (outdated() || !recentlyConfirmed())
+  if (InForce_.outdated() || !InForce_.current(SteadyClock().now()))
     return tryLater("the configuration of this entry is not current");
   return answer(Status, std::move(Detail));
 }
@@ -117,12 +119,13 @@
 }
 
 CallerAnswer CallerGateway::handle(const CallerRequest &Request) {
-  if (Config_.Version_.value() == 0)
+  if (!InForce_.known())
     return tryLater("no configuration yet");
-  const QueueConfig *Queue = Config_.route(Request.Host_, Request.Path_);
+  const CellConfig &Config = InForce_.config();
+  const QueueConfig *Queue = Config.route(Request.Host_, Request.Path_);
   if (!Queue)
     return refuse(CallerStatus::NoSuchQueue, "no queue at this path");
-  if (!Config_.workspaceOf(Request.Key_, *Queue))
+  if (!Config.workspaceOf(Request.Key_, *Queue))
     return refuse(CallerStatus::UnknownKey, "key is not known");
   const std::string Job = Request.Path_.substr(Queue->PathPrefix_.size());
   if (Job.empty() && Request.Verb_ == CallerRequest::Verb::Read) {
@@ -132,7 +135,7 @@
     return forward(Request, std::move(Call));
   }
   if (!isJobId(Job) || Request.Verb_ == CallerRequest::Verb::Other)
-    return answer(CallerStatus::NoSuchQueue, "no job id at this path");
+    return refuse(CallerStatus::NoSuchQueue, "no job id at this path");
   if (Request.Verb_ == CallerRequest::Verb::Submit)
     return submit(Request, *Queue, Job);
   peers::JobCall Call;
@@ -151,7 +154,7 @@
                   std::string(Spec.status().message()));
   Spec->Id_ = jobs::JobId(Job);
   Spec->Queue_ = Queue.Name_;
-  Spec->Workspace_ = *Config_.workspaceOf(Request.Key_, Queue);
+  Spec->Workspace_ = *InForce_.config().workspaceOf(Request.Key_, Queue);
   Spec->AcceptedMs_ =
       framework::clock::toMillis(framework::clock::SystemClock().now());
   peers::JobCall Call;
@@ -167,7 +170,7 @@
 
 CallerAnswer CallerGateway::forward(const CallerRequest &Request,
                                     peers::JobCall Call) {
-  Call.ConfigVersion_ = Config_.Version_.value();
+  Call.ConfigVersion_ = InForce_.version().value();
   Call.Origin_ = {Request.Host_, Request.Path_, Request.Key_};
   const JobCallKind Kind = Call.Kind_;
   const jobs::JobId Job(Call.Job_);
@@ -176,7 +179,7 @@
       std::min(ReplyTimeout, Request.Timeout_ - AnswerMargin);
   const CallResult Called =
       Router_.call(std::move(Call), Now + LeaderWait, Now + Timeout);
-  recordPeerVersion(ConfigVersion(Called.Reply_.ConfigVersion_));
+  InForce_.recordPeerVersion(ConfigVersion(Called.Reply_.ConfigVersion_));
   CallerAnswer Result = answerFor(Called.Reply_, Kind);
   // No leader was reached that could have told when to return.
   if (Result.Status_ == CallerStatus::TryLater &&
--- a/src/cell/internal/cellsettings.cpp
+++ b/src/cell/internal/cellsettings.cpp
@@ -13,6 +13,8 @@
 constexpr double MaxSeconds = 86'400;
 constexpr double MaxFactor = 1000;
 constexpr double MaxCores = 1024;
+/// The store confirms an unchanged configuration each 0.9 s.
+constexpr Duration LeastConfigDelay = std::chrono::milliseconds(1500);
 constexpr double MaxLinkMbps = 1e6;
 
 Address readAddress(JsonReader &Reader, std::string_view Field, bool Required) {
@@ -47,6 +49,10 @@
   readSeconds(Reader, "moveSeconds", Into.MoveDuration_);
   readSeconds(Reader, "upkeepSeconds", Into.UpkeepDuration_);
   readMillis(Reader, "evacuationMs", Into.EvacuationDelay_);
+  readMillis(Reader, "configMs", Into.ConfigDelay_);
+  if (Into.ConfigDelay_ != Duration::zero() &&
+      Into.ConfigDelay_ < LeastConfigDelay)
+    Reader.addError("configMs", "must be 0 or at least 1500");
   readSeconds(Reader, "graceSeconds", Into.GracePeriod_);
   Reader.finish();
 }
--- a/src/cell/jobcallhandler.h
+++ b/src/cell/jobcallhandler.h
@@ -232,6 +232,8 @@
       return "the leader has too little processor time";
     case peers::RefusalReason::TooLarge:
       return "the job is larger than a value of the store";
+    case peers::RefusalReason::ConfigNotCurrent:
+      return "the configuration is not current";
     }
     return "";
   }
@@ -248,6 +250,8 @@
       return "leader_busy";
     case peers::RefusalReason::TooLarge:
       return "too_large";
+    case peers::RefusalReason::ConfigNotCurrent:
+      return "config_not_current";
     }
     return "";
   }
--- a/src/cell/tests/callergatewaytest.cpp
+++ b/src/cell/tests/callergatewaytest.cpp
@@ -17,8 +17,9 @@
     Config.Queues_.emplace_back().Name_ = QueueName("q");
     Config.Queues_.back().PathPrefix_ = "/q/";
     Config.Queues_.back().Public_ = true;
-    Gateway_.setConfig(Config);
-    Gateway_.confirmConfig(framework::clock::SteadyClock().now());
+    InForce_.replace(Config);
+    const TimePoint Now = framework::clock::SteadyClock().now();
+    InForce_.confirm(Now, Now);
   }
 
   CallerAnswer submit(const std::string &Id) {
@@ -51,9 +52,10 @@
        [](const journal::Leader &) { return false; },
        [](const journal::Leader &, const peers::JobCall &,
           const CallAttempt &) {}}};
+  ConfigInForce InForce_;
   CallerGateway Gateway_{
-      Router_, [this](std::string_view Body) { return readJob(Body); },
-      Metrics_};
+      Router_, InForce_,
+      [this](std::string_view Body) { return readJob(Body); }, Metrics_};
 };
 
 } // namespace
--- a/src/cell/tests/cellsettingstest.cpp
+++ b/src/cell/tests/cellsettingstest.cpp
@@ -40,6 +40,18 @@
   BOOST_TEST((Read->Bounds_.MoveDuration_ == std::chrono::milliseconds(2500)));
 }
 
+// Guards against a leader that is never current, as the store confirms an
+// unchanged configuration less often than the bound asks for.
+BOOST_AUTO_TEST_CASE(BoundOfTheConfigurationIsChecked) {
+  const auto Read =
+      readCellSettings(settings(R"(, "bounds": {"configMs": 2000})"), "file");
+  BOOST_REQUIRE(Read.ok());
+  BOOST_TEST((Read->Bounds_.ConfigDelay_ == std::chrono::seconds(2)));
+  BOOST_TEST(errorOf(settings(R"(, "bounds": {"configMs": 0})")).empty());
+  BOOST_TEST(errorOf(settings(R"(, "bounds": {"configMs": 1499})"))
+                 .find("bounds.configMs") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(AdvertisedPeerAddressIsOptional) {
   BOOST_TEST(!readCellSettings(settings(), "file")->AdvertisedPeerAddress_);
   std::string Text = settings();
--- a/src/cell/tests/handovertest.cpp
+++ b/src/cell/tests/handovertest.cpp
@@ -58,7 +58,7 @@
     CellConfig Config;
     Config.Version_ = ConfigVersion(1);
     Config.Queues_.emplace_back().Name_ = Queue;
-    Leader_.setConfig(Config);
+    InForce_.replace(Config);
     Leader_.start("127.0.0.1:1");
     while (!Leader_.leads())
       framework::fibers::sleepFor(1ms);
@@ -100,6 +100,7 @@
   SilentClient Workers_;
   NoMachines Machines_;
   framework::metrics::Registry Metrics_;
+  ConfigInForce InForce_{Duration::zero()};
   CellService<BusyStore, SilentClient, NoMachines> Leader_{
       Store_,
       Workers_,
@@ -119,6 +120,7 @@
       Keys,
       journal::Leader(),
       CellBounds(),
+      InForce_,
       Metrics_};
   std::map<peers::JobCallStatus, std::size_t> Replies_;
   std::size_t SaidLeaving_ = 0;
--- a/src/peers/messages.h
+++ b/src/peers/messages.h
@@ -190,6 +190,8 @@
   LeaderBusy,
   /// The job is larger than a value of the store may be.
   TooLarge,
+  /// The leader may lack changes of the configuration that must be in force.
+  ConfigNotCurrent,
 };
 
 struct JobReply {
@@ -204,7 +206,7 @@
   /// With NotLeader, the leader that the sender knows of.
   std::optional<LeaderNotice> Leader_ = std::nullopt;
   /// With Refused, the reason; with NotLeader, Leaving if the sender hands
-  /// over.
+  /// over, and ConfigNotCurrent if it leads but must not answer.
   RefusalReason Refusal_ = RefusalReason::StoreUnavailable;
   /// Set if the call was forwarded: the entry that the reply is for.
   std::optional<PeerAddress> ReplyTo_ = std::nullopt;
