The configuration is read ahead of other work, in its newest version, and by two paths

What callers saw: a leader that goes by a version replaced up to 9.2 s before.

Cause: the configuration was followed by an ordinary fiber. A large value arrives in many parts, and each waited for all fibers that are ready. Evidence, the same leader at the same time: config.changes took_ms=7781 for 409 KB, and workers_age_ms=10 to 41 for the list of workers, which an urgent fiber follows; parsing took 0.03 to 0.05 s a version. Besides, each version of a storm was received and parsed, and a change on a silent connection waited for the watch's timeout.

Change: urgent fibers; of several writes of a key only the newest is parsed; a watch whose answer holds over two versions' bytes is replaced by a full read; ConfigReads reads beside the watch when a peer has a newer version that does not come, and when a leader's confirmation is late, with growing pauses; a full read now and then, at 4 KB a second at most, finds what a watch has left out and says so (config.change_missed).

Trials without one part each: VersionIsReadAheadOfOrdinaryFibers has 100 turns of other fibers for 55 parts with an ordinary fiber; StormOfVersionsIsNotReceivedOneByOne receives all 25 versions without the bound. Both pass with the change.

--- a/src/app/internal/cellapp.cpp
+++ b/src/app/internal/cellapp.cpp
@@ -103,7 +103,7 @@
                InForce_.confirm(CompleteThrough, SteadyClock().now());
                Cell_.confirmEvacuations(CompleteThrough);
              },
-             [this] { return InForce_.outdated(); }},
+             [this] { return configNeed(); }},
             Metrics_),
         Api_(Gateway_),
         Mesh_(Io, Self_, Settings_.PeerKeys_,
@@ -165,6 +165,16 @@
            InForce_.heardOf(SteadyClock().now());
   }
 
+  /// A leader that loses its confirmation answers no call, so it does not wait
+  /// for the watch to find out that its connection is silent.
+  cell::ConfigNeed configNeed() const {
+    if (InForce_.outdated())
+      return cell::ConfigNeed::Newer;
+    return Cell_.leads() && InForce_.confirmationLate(SteadyClock().now())
+               ? cell::ConfigNeed::Confirmation
+               : cell::ConfigNeed::None;
+  }
+
   template <typename Message> void sendToCallers(const Message &Body) {
     for (const auto &[Name, Peer] : KnownPeers_)
       Mesh_.send(Peer.Id_, Peer.Address_, Body);
@@ -346,7 +356,7 @@
       return Bound;
   App.Cell_.setPeerLinks(App.peerLinks());
   App.Cell_.start(App.Mesh_.advertised().str());
-  framework::fibers::spawn([&App] { App.Follower_.follow(); });
+  App.Follower_.start();
   return absl::OkStatus();
 }
 
--- a/src/store/kvstore.h
+++ b/src/store/kvstore.h
@@ -107,4 +107,16 @@
   { S.keepLease(Lease, Deadline) } -> std::same_as<absl::StatusOr<bool>>;
 };
 
+/// A store whose watches can be bounded. A watch ends with ResourceExhausted
+/// when an answer has more than the given number of bytes as transferred.
+template <typename T>
+concept BoundedWatchStore = KeyValueStore<T> &&
+    requires(T &S, const std::string &Prefix, Revision Since,
+             const std::function<bool(const WatchBatch &)> &OnBatch,
+             std::size_t MaxAnswerBytes) {
+  {
+    S.watch(Prefix, Since, OnBatch, MaxAnswerBytes)
+    } -> std::same_as<absl::Status>;
+};
+
 } // namespace laburnumspread::store
