--- a/soak/entryprocesses.cpp
+++ b/soak/entryprocesses.cpp
@@ -27,6 +27,7 @@
 /// Longer than any run, so that the states of ended jobs can be read until the
 /// run is over.
 constexpr int StatusKeptSeconds = 36000;
+constexpr int ConfigBoundMs = 2000;
 /// Shells report a process killed by signal N as exit code 128 + N.
 constexpr int SignalExitBase = 128;
 
@@ -116,7 +117,8 @@
       {"peerKeys",
        json::object{{"public", PublicKey_}, {"secret", SecretKey_}}},
       {"bounds", json::object{{"statusKeptSeconds", StatusKeptSeconds},
-                              {"moveSeconds", MoveSeconds}}},
+                              {"moveSeconds", MoveSeconds},
+                              {"configMs", ConfigBoundMs}}},
       {"log",
        json::object{{"format", "kv"}, {"level", Debug ? "debug" : "info"}}}};
   const std::string Name = filePath(Index, "json");
--- a/soak/faultinjector.cpp
+++ b/soak/faultinjector.cpp
@@ -31,6 +31,10 @@
 constexpr std::size_t MaxPowerLosses = 19;
 /// Callers that submit more than the pool can do.
 constexpr std::size_t CrowdSize = 10;
+/// Changes of the configuration that follow each other at once, and some that
+/// an entry has time for.
+constexpr auto MaxBetweenStormChanges = 120ms;
+constexpr auto MaxBetweenChanges = 900ms;
 constexpr auto PollInterval = 20ms;
 
 void noRevert() {}
@@ -65,16 +69,18 @@
     {"wave", &FaultInjector::wave},
     {"crowd", &FaultInjector::crowd},
     {"lose-power", &FaultInjector::losePower},
+    {"change-config", &FaultInjector::changeConfig},
 };
 
 FaultInjector::FaultInjector(CellPlatform &Platform, EntryProcesses &Entries,
-                             Callers &Workload,
+                             Callers &Workload, ConfigChanges &Changes,
                              std::vector<std::uint16_t> PlatformPorts,
                              ProxySet &Proxies, std::size_t MachineCount,
                              std::uint64_t Seed)
     : Platform_(Platform), Entries_(Entries), Callers_(Workload),
-      Proxies_(Proxies), PlatformPorts_(std::move(PlatformPorts)),
-      MachineCount_(MachineCount), Random_(Seed) {}
+      ConfigChanges_(Changes), Proxies_(Proxies),
+      PlatformPorts_(std::move(PlatformPorts)), MachineCount_(MachineCount),
+      Random_(Seed) {}
 
 bool FaultInjector::isKind(std::string_view Name) {
   return std::ranges::find(Kinds, Name, &Kind::Name_) != Kinds.end();
@@ -397,4 +403,21 @@
   return Callers_.startCrowd(CrowdSize, Random_.split());
 }
 
+FaultInjector::Revert FaultInjector::changeConfig() {
+  const auto Over = std::make_shared<bool>(false);
+  framework::fibers::spawn([this, Over] { changeConfigInSeries(Over); });
+  return [Over] { *Over = true; };
+}
+
+void FaultInjector::changeConfigInSeries(const std::shared_ptr<bool> &Over) {
+  ++Active_;
+  const milliseconds MaxPause =
+      Random_.oneIn(2) ? MaxBetweenStormChanges : MaxBetweenChanges;
+  while (!*Over) {
+    ConfigChanges_.change();
+    sleepFor(Random_.between(0ms, MaxPause));
+  }
+  --Active_;
+}
+
 } // namespace laburnumspread::soak
--- a/soak/faultinjector.h
+++ b/soak/faultinjector.h
@@ -2,6 +2,7 @@
 
 #include "platform/standin/cellplatform.h"
 #include "soak/callers.h"
+#include "soak/configchanges.h"
 #include "soak/faultproxy.h"
 #include "soak/random.h"
 
@@ -24,9 +25,9 @@
   /// \p PlatformPorts holds the platform's port for each entry, behind the
   /// proxy; \p Seed determines all random choices.
   FaultInjector(CellPlatform &Platform, EntryProcesses &Entries,
-                Callers &Workload, std::vector<std::uint16_t> PlatformPorts,
-                ProxySet &Proxies, std::size_t MachineCount,
-                std::uint64_t Seed);
+                Callers &Workload, ConfigChanges &Changes,
+                std::vector<std::uint16_t> PlatformPorts, ProxySet &Proxies,
+                std::size_t MachineCount, std::uint64_t Seed);
 
   /// Whether there is a kind of fault with this name.
   static bool isKind(std::string_view Name);
@@ -98,8 +99,11 @@
   Revert loseStartAnswers();
   Revert lateStarts();
   Revert wave();
-  // Callers.
+  // Callers and the operator.
   Revert crowd();
+  Revert changeConfig();
+  /// Changes the configuration again and again until \p Over is true.
+  void changeConfigInSeries(const std::shared_ptr<bool> &Over);
 
   /// Blocks one entry's proxy upstream, downstream or both.
   Revert cut(const std::string &What, std::deque<FaultProxy> &Proxies);
@@ -110,6 +114,7 @@
   CellPlatform &Platform_;
   EntryProcesses &Entries_;
   Callers &Callers_;
+  ConfigChanges &ConfigChanges_;
   ProxySet &Proxies_;
   std::vector<std::uint16_t> PlatformPorts_;
   std::size_t MachineCount_;
--- a/soak/soak.cpp
+++ b/soak/soak.cpp
@@ -5,6 +5,7 @@
 #include "framework/log/log.h"
 #include "platform/standin/testrequests.h"
 #include "soak/callers.h"
+#include "soak/configprobes.h"
 #include "soak/entrylogs.h"
 #include "soak/faultinjector.h"
 
@@ -44,6 +45,8 @@
   std::string Folder_;
   std::uint64_t Seed_ = 1;
   std::size_t Entries_ = 3;
+  /// Queues that make the configuration large.
+  std::size_t Queues_ = 0;
   /// Kinds of faults to inject; empty for all.
   std::vector<std::string> Faults_;
   milliseconds FaultTime_{};
@@ -55,7 +58,9 @@
   SoakRun(boost::asio::io_context &Io, const Options &RunOptions)
       : Options_(RunOptions), Random_(RunOptions.Seed_), Platform_(Io),
         Entries_(RunOptions.Folder_, RunOptions.Entries_), EntryLogs_(Entries_),
-        Callers_(Io, Entries_, Jobs_, FindingLog_), Io_(Io) {}
+        Callers_(Io, Entries_, Jobs_, FindingLog_),
+        ConfigChanges_(Platform_, RunOptions.Queues_, RunOptions.Seed_),
+        Io_(Io) {}
 
   absl::Status prepare();
   void run();
@@ -91,6 +96,8 @@
   FindingLog FindingLog_;
   EntryLogs EntryLogs_;
   Callers Callers_;
+  ConfigChanges ConfigChanges_;
+  std::optional<ConfigProbes> Probes_;
   std::vector<std::uint16_t> PlatformPorts_;
   boost::asio::io_context &Io_;
   FaultInjector::ProxySet Proxies_;
@@ -111,7 +118,6 @@
       return Port.status();
     PlatformPorts_.push_back(*Port);
   }
-  platform::standin::writeConfig(Platform_);
   if (absl::Status Chosen = Entries_.choosePorts(); !Chosen.ok())
     return Chosen;
   const auto Platform = startProxies(PlatformPorts_, Proxies_.ToPlatform_);
@@ -186,6 +192,7 @@
     return Callers_.allEntriesServe() ? Findings()
                                       : Findings{"an entry does not serve"};
   });
+  waitUntilClean("config", [this] { return Probes_->findEntriesBehind(); });
   // Jobs cancelled during the check itself may still be running, so only jobs
   // known before it are checked.
   const JobRecords Before = Jobs_;
@@ -226,8 +233,11 @@
     return Callers_.allEntriesServe() ? Findings()
                                       : Findings{"an entry does not serve"};
   });
-  FaultInjector Injector(Platform_, Entries_, Callers_, PlatformPorts_,
-                         Proxies_, MachineCount, Random_.split());
+  Probes_.emplace(Io_, Entries_, ConfigChanges_, FindingLog_);
+  Probes_->start(Options_.Seed_);
+  FaultInjector Injector(Platform_, Entries_, Callers_, ConfigChanges_,
+                         PlatformPorts_, Proxies_, MachineCount,
+                         Random_.split());
   if (!Options_.Faults_.empty())
     Injector.limitTo(Options_.Faults_);
   Callers_.start(CallerCount, Random_.split());
@@ -245,7 +255,9 @@
 int SoakRun::writeVerdict() const {
   std::ofstream Out(Options_.Folder_ + "/verdict");
   Out << "seed " << Options_.Seed_ << " jobs " << Jobs_.size() << " cancels "
-      << Callers_.acknowledgedCancels() << " faults " << FaultCount_ << " "
+      << Callers_.acknowledgedCancels() << " faults " << FaultCount_
+      << " versions " << ConfigChanges_.count() << " counts "
+      << (Probes_ ? Probes_->answered() : 0) << " "
       << (FindingLog_.hasFindings() ? "RED" : "green") << '\n';
   std::size_t Printed = 0;
   for (const std::string &What : FindingLog_.findings())
@@ -289,6 +301,8 @@
       cxxopts::value<int>()->default_value("20"))(
       "entries", "number of entries",
       cxxopts::value<std::size_t>()->default_value("3"))(
+      "queues", "unused queues that make the configuration large, up to 4000",
+      cxxopts::value<std::size_t>()->default_value("0"))(
       "faults", "kinds of faults to inject, separated by commas; default: all",
       cxxopts::value<std::vector<std::string>>())("help", "print this help");
   try {
@@ -305,10 +319,10 @@
         std::cerr << "laburnum-soak: --faults: no such kind: " << Name << '\n';
         return BadUsage;
       }
-    return serve({Given["folder"].as<std::string>(),
-                  Given["seed"].as<std::uint64_t>(),
-                  Given["entries"].as<std::size_t>(), Faults,
-                  std::chrono::seconds(Given["seconds"].as<int>())});
+    return serve(
+        {Given["folder"].as<std::string>(), Given["seed"].as<std::uint64_t>(),
+         Given["entries"].as<std::size_t>(), Given["queues"].as<std::size_t>(),
+         Faults, std::chrono::seconds(Given["seconds"].as<int>())});
   } catch (const cxxopts::exceptions::exception &Error) {
     std::cerr << "laburnum-soak: " << Error.what() << '\n';
     return BadUsage;
