The soak judges a count by what the operator had declared when it was answered

Trace: the count was sent at 08.1 s, entry 0 was stopped by the soak from 08.103 to 08.458 s, the operator removed r7 at 08.307 s, the entry took that version at 08.459 s and answered 404 at 08.460 s, as it should. The check had a copy of the queue from before the request, without its removal.

Change: the queue and the key are looked at after the answer. The check and its bound stay.

--- a/soak/configchanges.h
+++ b/soak/configchanges.h
@@ -35,6 +35,7 @@
   /// Adds a queue or a key, or removes one that was added before.
   void change();
 
+  /// References to items remain valid.
   const std::deque<DeclaredItem> &queues() const { return Queues_; }
   const std::deque<DeclaredItem> &keys() const { return Keys_; }
   std::size_t count() const { return Count_; }
--- a/soak/configprobes.cpp
+++ b/soak/configprobes.cpp
@@ -20,10 +20,14 @@
 constexpr std::size_t RecentItems = 4;
 
 /// The queue and the key of the callers' jobs, which always exist.
-DeclaredItem permanent(const char *Name) {
-  DeclaredItem Result;
-  Result.Name_ = Name;
-  Result.AddedAt_ = TimePoint();
+const DeclaredItem &permanentQueue() {
+  static const DeclaredItem Result{platform::standin::PermanentQueue,
+                                   TimePoint(), std::nullopt};
+  return Result;
+}
+const DeclaredItem &permanentKey() {
+  static const DeclaredItem Result{platform::standin::PermanentKey, TimePoint(),
+                                   std::nullopt};
   return Result;
 }
 
@@ -78,25 +82,19 @@
   Random Choices(Seed);
   while (true) {
     sleepFor(Choices.between(MinPause, MaxPause));
-    ConfigProbe Probe;
-    Probe.Entry_ = Entry;
-    Probe.Queue_ = permanent(platform::standin::PermanentQueue);
-    Probe.Key_ = permanent(platform::standin::PermanentKey);
-    if (Choices.oneIn(3))
-      Probe.Key_ = choose(Changes_.keys(), Choices, "nokey");
-    else
-      Probe.Queue_ = choose(Changes_.queues(), Choices, "none");
-    ask(Probe);
-    if (const auto Violation = findConfigViolation(Probe))
+    const bool AskKey = Choices.oneIn(3);
+    const DeclaredItem &Queue =
+        AskKey ? permanentQueue() : choose(Changes_.queues(), Choices);
+    const DeclaredItem &Key =
+        AskKey ? choose(Changes_.keys(), Choices) : permanentKey();
+    if (const auto Violation = findConfigViolation(ask(Entry, Queue, Key)))
       FindingLog_.report(*Violation);
   }
 }
 
-DeclaredItem ConfigProbes::choose(const std::deque<DeclaredItem> &From,
-                                  Random &Choices,
-                                  const std::string &NeverName) {
-  DeclaredItem Never;
-  Never.Name_ = NeverName;
+const DeclaredItem &ConfigProbes::choose(const std::deque<DeclaredItem> &From,
+                                         Random &Choices) {
+  static const DeclaredItem Never{"none", std::nullopt, std::nullopt};
   if (From.empty() || Choices.oneIn(8))
     return Never;
   const std::size_t Span =
@@ -104,31 +102,32 @@
   return From[From.size() - 1 - Choices.below(Span)];
 }
 
-void ConfigProbes::ask(ConfigProbe &Probe) {
-  Probe.SentAt_ = SteadyClock().now();
-  const auto Response = Clients_[Probe.Entry_]->exchange(
-      platform::standin::makeCountRequest(Probe.Queue_.Name_, Probe.Key_.Name_),
+ConfigProbe ConfigProbes::ask(std::size_t Entry, const DeclaredItem &Queue,
+                              const DeclaredItem &Key) {
+  ConfigProbe Result;
+  Result.Entry_ = Entry;
+  Result.SentAt_ = SteadyClock().now();
+  const auto Response = Clients_[Entry]->exchange(
+      platform::standin::makeCountRequest(Queue.Name_, Key.Name_),
       framework::clock::wallDeadline(RequestTimeout));
-  Probe.AnsweredAt_ = SteadyClock().now();
-  Probe.Status_ = Response.ok() ? Response->Status_ : 0;
+  Result.AnsweredAt_ = SteadyClock().now();
+  Result.Status_ = Response.ok() ? Response->Status_ : 0;
+  Result.Queue_ = Queue;
+  Result.Key_ = Key;
   Answered_ += Response.ok();
+  return Result;
 }
 
 std::vector<std::string> ConfigProbes::findEntriesBehind() {
-  std::vector<std::string> Result;
-  ConfigProbe Probe;
-  Probe.Queue_ = permanent(platform::standin::PermanentQueue);
+  const DeclaredItem *Newest = &permanentQueue();
   for (const DeclaredItem &Queue : Changes_.queues())
     if (Queue.declared())
-      Probe.Queue_ = Queue;
-  Probe.Key_ = permanent(platform::standin::PermanentKey);
-  for (Probe.Entry_ = 0; Probe.Entry_ < Entries_.count(); ++Probe.Entry_) {
-    ask(Probe);
-    if (Probe.Status_ != 200)
-      Result.push_back("entry " + std::to_string(Probe.Entry_) +
-                       " does not serve the newest queue " +
-                       Probe.Queue_.Name_);
-  }
+      Newest = &Queue;
+  std::vector<std::string> Result;
+  for (std::size_t I = 0; I < Entries_.count(); ++I)
+    if (ask(I, *Newest, permanentKey()).Status_ != 200)
+      Result.push_back("entry " + std::to_string(I) +
+                       " does not serve the newest queue " + Newest->Name_);
   return Result;
 }
 
--- a/soak/configprobes.h
+++ b/soak/configprobes.h
@@ -43,11 +43,14 @@
 
 private:
   void askLoop(std::size_t Entry, std::uint64_t Seed);
-  /// Returns the item that changed last or a random one, or one that was never
+  /// Returns one of the last changes or a random item, or one that was never
   /// declared.
-  static DeclaredItem choose(const std::deque<DeclaredItem> &From,
-                             Random &Choices, const std::string &NeverName);
-  void ask(ConfigProbe &Probe);
+  static const DeclaredItem &choose(const std::deque<DeclaredItem> &From,
+                                    Random &Choices);
+  /// Asks an entry. The items are those as of the answer: they may be removed
+  /// while it is under way.
+  ConfigProbe ask(std::size_t Entry, const DeclaredItem &Queue,
+                  const DeclaredItem &Key);
 
   const EntryProcesses &Entries_;
   const ConfigChanges &Changes_;
