A read that is older than the watch is logged; a version is applied by a function of its own

Reading the change as a newcomer: a store that has lost writes would make an entry ignore its reads without a line. No decision changes.

--- a/src/app/internal/cellapp.cpp
+++ b/src/app/internal/cellapp.cpp
@@ -283,8 +283,12 @@
       Cell_.setWave(*Wave);
     if (const auto Zone = platform::readEvacuation(Item))
       Cell_.evacuate(*Zone);
-    if (Item.Key_ != platform::ConfigKey)
-      return;
+    if (Item.Key_ == platform::ConfigKey)
+      applyConfig(Item);
+  }
+
+  /// Takes a version of the configuration if it is newer than the one in force.
+  void applyConfig(const store::KeyValue &Item) {
     const TimePoint ReceivedAt = SteadyClock().now();
     auto Next = platform::readConfig(Item.Value_);
     const TimePoint ParsedAt = SteadyClock().now();
--- a/src/cell/configfollower.h
+++ b/src/cell/configfollower.h
@@ -85,8 +85,11 @@
     if (!Read.ok())
       return std::nullopt;
     // The watch may have brought later changes while this read was under way.
-    if (Watched_.isOlder(Read->StoreRevision_))
+    if (Watched_.isOlder(Read->StoreRevision_)) {
+      framework::log::info("config.read_ignored")
+          .field("revision", Read->StoreRevision_.value());
       return Read->StoreRevision_;
+    }
     for (const store::KeyValue &Item : Read->Items_)
       receive(Item, true);
     Watched_.recordThrough(Read->StoreRevision_);
