--- a/src/app/laburnumspreadd.cpp
+++ b/src/app/laburnumspreadd.cpp
@@ -11,6 +11,8 @@
 #include <functional>
 #include <iostream>
 
+// A value may contain commas; cxxopts would split it there.
+#define CXXOPTS_VECTOR_DELIMITER '\0'
 #include <cxxopts.hpp>
 
 // laburnumspreadd: the entry server process.
@@ -19,7 +21,12 @@
 
 using namespace laburnumspread;
 
-using SettingsWatchPtr = std::shared_ptr<framework::settings::SettingsWatch>;
+/// Where the settings come from, at the start and at each reload.
+struct SettingsSource {
+  std::string File_;
+  framework::settings::FieldOverrides Overrides_;
+  std::shared_ptr<framework::settings::SettingsWatch> Watch_;
+};
 
 constexpr int BadSettings = 2;
 constexpr int StartFailure = 1;
@@ -36,9 +43,9 @@
 }
 
 /// Polls the settings file and calls \p Reload when it has changed.
-void reloadOnChange(const SettingsWatchPtr &Watch,
+void reloadOnChange(const SettingsSource &Source,
                     const std::function<void()> &Reload) {
-  framework::fibers::spawn([Watch, Reload] {
+  framework::fibers::spawn([Watch = Source.Watch_, Reload] {
     while (true) {
       framework::fibers::sleepFor(SettingsPollInterval);
       if (Watch->changed())
@@ -51,7 +58,7 @@
 /// returns true, with 1 otherwise.
 template <typename App>
 int serveUntilSignal(app::ProcessSignals &Signals, App &Served,
-                     const SettingsWatchPtr &Watch,
+                     const SettingsSource &Source,
                      const std::function<void()> &Reload,
                      const std::function<bool()> &Stop) {
   framework::fibers::spawn([] {
@@ -64,13 +71,13 @@
     framework::fibers::spawn(
         [&Served] { std::cout << Served.dump() << std::endl; });
   });
-  Signals.onHangup([Watch, Reload] {
+  Signals.onHangup([Watch = Source.Watch_, Reload] {
     framework::fibers::spawn([Watch, Reload] {
       Watch->changed();
       Reload();
     });
   });
-  reloadOnChange(Watch, Reload);
+  reloadOnChange(Source, Reload);
   framework::fibers::Waiter StopSignal;
   Signals.onStop([&StopSignal] { StopSignal.signal(); });
   while (!StopSignal.signalled())
@@ -91,8 +98,7 @@
   return StartFailure;
 }
 
-int serve(const entry::EntrySettings &Settings, const std::string &File,
-          const SettingsWatchPtr &Watch) {
+int serve(const entry::EntrySettings &Settings, const SettingsSource &Source) {
   framework::log::configure(Settings.LogFormat_, Settings.LogLevel_);
   boost::asio::io_context Io(1);
   app::ProcessSignals Signals(Io);
@@ -104,40 +110,20 @@
       .field("entry", Settings.Name_.str())
       .field("http_port", App.httpPort())
       .field("peer_port", App.peerPort());
-  const auto Reload = [File] {
-    const auto NewSettings = entry::loadSettings(File);
+  const auto Reload = [Source] {
+    const auto NewSettings =
+        entry::loadSettings(Source.File_, Source.Overrides_);
     if (!NewSettings.ok())
       return reportRejectedSettings(NewSettings.status());
     framework::log::setLevel(NewSettings->LogLevel_);
-    framework::log::info("settings.reloaded").field("file", File);
+    framework::log::info("settings.reloaded").field("file", Source.File_);
   };
-  return serveUntilSignal(Signals, App, Watch, Reload,
+  return serveUntilSignal(Signals, App, Source, Reload,
                           [&App] { return App.stop(); });
 }
 
-using ReadCellSettings = std::function<absl::StatusOr<cell::CellSettings>()>;
-
-/// Returns a reader of the settings file. \p MaxValueBytes, if given, is used
-/// in place of the file's own limit on the store's values.
-ReadCellSettings cellSettingsReader(const std::string &File,
-                                    std::optional<std::int64_t> MaxValueBytes) {
-  return [File, MaxValueBytes]() -> absl::StatusOr<cell::CellSettings> {
-    if (MaxValueBytes && (*MaxValueBytes < cell::LeastMaxValueBytes ||
-                          *MaxValueBytes > cell::MostMaxValueBytes))
-      return absl::InvalidArgumentError(
-          "--store-value-bytes: must be " +
-          std::to_string(cell::LeastMaxValueBytes) + " to " +
-          std::to_string(cell::MostMaxValueBytes));
-    auto Settings = cell::loadCellSettings(File);
-    if (Settings.ok() && MaxValueBytes)
-      Settings->Bounds_.MaxValueBytes_ =
-          static_cast<std::size_t>(*MaxValueBytes);
-    return Settings;
-  };
-}
-
-int serveCell(const cell::CellSettings &Settings, const ReadCellSettings &Read,
-              const SettingsWatchPtr &Watch) {
+int serveCell(const cell::CellSettings &Settings,
+              const SettingsSource &Source) {
   framework::log::configure(Settings.LogFormat_, Settings.LogLevel_);
   boost::asio::io_context Io(1);
   app::ProcessSignals Signals(Io);
@@ -148,13 +134,14 @@
   framework::log::info("entry.listening")
       .field("entry", Settings.Name_.str())
       .field("callers", Settings.CallerAddress_.str());
-  const auto Reload = [Read, &App] {
-    const auto NewSettings = Read();
+  const auto Reload = [Source, &App] {
+    const auto NewSettings =
+        cell::loadCellSettings(Source.File_, Source.Overrides_);
     if (!NewSettings.ok())
       return reportRejectedSettings(NewSettings.status());
     App.reload(*NewSettings);
   };
-  return serveUntilSignal(Signals, App, Watch, Reload, [&App] {
+  return serveUntilSignal(Signals, App, Source, Reload, [&App] {
     App.stop();
     return true;
   });
@@ -173,7 +160,8 @@
 
 template <typename Settings>
 int checkOrServe(const absl::StatusOr<Settings> &Read, bool OnlyCheck,
-                 const std::function<int(const Settings &)> &Serve) {
+                 int (*Serve)(const Settings &, const SettingsSource &),
+                 const SettingsSource &Source) {
   if (!Read.ok()) {
     std::cerr << Read.status().message() << '\n';
     return BadSettings;
@@ -182,7 +170,26 @@
     std::cout << "settings are valid\n";
     return 0;
   }
-  return Serve(*Read);
+  return Serve(*Read, Source);
+}
+
+/// Fields that the command line sets in place of the settings file.
+/// InvalidArgument if one is malformed.
+absl::StatusOr<framework::settings::FieldOverrides>
+overridesOf(const cxxopts::ParseResult &Parsed) {
+  framework::settings::FieldOverrides Result;
+  if (Parsed.count("store-value-bytes"))
+    Result.push_back(
+        {"store.valueBytes", Parsed["store-value-bytes"].as<std::int64_t>()});
+  if (!Parsed.count("set"))
+    return Result;
+  for (const std::string &Text : Parsed["set"].as<std::vector<std::string>>()) {
+    auto Override = framework::settings::parseOverride(Text);
+    if (!Override.ok())
+      return Override.status();
+    Result.push_back(std::move(*Override));
+  }
+  return Result;
 }
 
 } // namespace
@@ -194,10 +201,13 @@
   Options.add_options()("config", "settings file, JSON with comments",
                         cxxopts::value<std::string>())(
       "store-value-bytes",
-      "largest value of the store, in place of store.valueBytes in the "
-      "settings file of a cell",
-      cxxopts::value<std::int64_t>())("check", "only check the settings")(
-      "help", "help");
+      "largest value of the store; the same as --set store.valueBytes=N",
+      cxxopts::value<std::int64_t>())(
+      "set",
+      "FIELD=VALUE: a field of the settings file by its path, such as "
+      "bounds.configMs=2000, in place of the file's own; may be repeated",
+      cxxopts::value<std::vector<std::string>>())(
+      "check", "only check the settings")("help", "help");
   try {
     const auto Parsed = Options.parse(ArgumentCount, Arguments);
     if (Parsed.count("help")) {
@@ -210,22 +220,22 @@
     }
     const std::string File = Parsed["config"].as<std::string>();
     const bool OnlyCheck = Parsed.count("check") > 0;
-    // Created before the settings are read, so that no change is missed.
-    const auto Watch =
-        std::make_shared<framework::settings::SettingsWatch>(File);
-    if (isCell(File)) {
-      std::optional<std::int64_t> MaxValueBytes;
-      if (Parsed.count("store-value-bytes"))
-        MaxValueBytes = Parsed["store-value-bytes"].as<std::int64_t>();
-      const auto Read = cellSettingsReader(File, MaxValueBytes);
-      return checkOrServe<cell::CellSettings>(
-          Read(), OnlyCheck, [&](const auto &Settings) {
-            return serveCell(Settings, Read, Watch);
-          });
+    auto Overrides = overridesOf(Parsed);
+    if (!Overrides.ok()) {
+      std::cerr << "laburnumspreadd: --set " << Overrides.status().message()
+                << '\n';
+      return BadSettings;
     }
-    return checkOrServe<entry::EntrySettings>(
-        entry::loadSettings(File), OnlyCheck,
-        [&](const auto &Settings) { return serve(Settings, File, Watch); });
+    // The watch is created before the settings are read, so that no change is
+    // missed.
+    const SettingsSource Source{
+        File, std::move(*Overrides),
+        std::make_shared<framework::settings::SettingsWatch>(File)};
+    if (isCell(File))
+      return checkOrServe(cell::loadCellSettings(File, Source.Overrides_),
+                          OnlyCheck, serveCell, Source);
+    return checkOrServe(entry::loadSettings(File, Source.Overrides_), OnlyCheck,
+                        serve, Source);
   } catch (const cxxopts::exceptions::exception &Error) {
     std::cerr << "laburnumspreadd: " << Error.what() << '\n';
     return BadSettings;
--- a/src/cell/cellsettings.h
+++ b/src/cell/cellsettings.h
@@ -2,6 +2,7 @@
 
 #include "cell/celltypes.h"
 #include "framework/log/log.h"
+#include "framework/settings/fieldoverride.h"
 #include "peers/peermesh.h"
 
 #include <optional>
@@ -40,16 +41,15 @@
   framework::log::Level LogLevel_ = framework::log::Level::Info;
 };
 
-/// Smallest and largest limit on the values of the store that settings may
-/// name, in bytes.
-inline constexpr std::int64_t LeastMaxValueBytes = 4096;
-inline constexpr std::int64_t MostMaxValueBytes = 1024 * 1024 * 1024;
-
-/// Reads and validates a settings file. The error message has one line per
-/// fault, with file, line if known, field and reason.
-absl::StatusOr<CellSettings> loadCellSettings(const std::string &File);
-absl::StatusOr<CellSettings> readCellSettings(std::string_view Text,
-                                              const std::string &File);
+/// Reads and validates a settings file, with \p Overrides in place of its own
+/// fields. The error message has one line per fault, with file, line if known,
+/// field and reason.
+absl::StatusOr<CellSettings>
+loadCellSettings(const std::string &File,
+                 const framework::settings::FieldOverrides &Overrides = {});
+absl::StatusOr<CellSettings>
+readCellSettings(std::string_view Text, const std::string &File,
+                 const framework::settings::FieldOverrides &Overrides = {});
 
 /// Returns the comma-separated names of the settings groups in which \p Updated
 /// differs and that take effect only after a restart; empty if there are none.
--- a/src/cell/internal/cellsettings.cpp
+++ b/src/cell/internal/cellsettings.cpp
@@ -16,6 +16,10 @@
 /// The store confirms an unchanged configuration each 0.9 s.
 constexpr Duration LeastConfigDelay = std::chrono::milliseconds(1500);
 constexpr double MaxLinkMbps = 1e6;
+/// Smallest and largest limit on the values of the store that settings may
+/// name, in bytes.
+constexpr std::int64_t LeastMaxValueBytes = 4096;
+constexpr std::int64_t MostMaxValueBytes = 1024 * 1024 * 1024;
 
 Address readAddress(JsonReader &Reader, std::string_view Field, bool Required) {
   const std::string Text = Required ? Reader.requiredString(Field)
@@ -115,17 +119,20 @@
 
 } // namespace
 
-absl::StatusOr<CellSettings> readCellSettings(std::string_view Text,
-                                              const std::string &File) {
-  return framework::settings::readSettingsText<CellSettings>(Text, File,
-                                                             readFields);
+absl::StatusOr<CellSettings>
+readCellSettings(std::string_view Text, const std::string &File,
+                 const framework::settings::FieldOverrides &Overrides) {
+  return framework::settings::readSettingsText<CellSettings>(
+      Text, File, Overrides, readFields);
 }
 
-absl::StatusOr<CellSettings> loadCellSettings(const std::string &File) {
+absl::StatusOr<CellSettings>
+loadCellSettings(const std::string &File,
+                 const framework::settings::FieldOverrides &Overrides) {
   const auto Text = framework::settings::readSettingsFile(File);
   if (!Text.ok())
     return Text.status();
-  return readCellSettings(*Text, File);
+  return readCellSettings(*Text, File, Overrides);
 }
 
 std::string settingsNeedingRestart(const CellSettings &InForce,
--- a/src/entry/entrysettings.h
+++ b/src/entry/entrysettings.h
@@ -3,6 +3,7 @@
 #include "framework/http/httpserver.h"
 #include "framework/log/log.h"
 #include "framework/settings/fielderror.h"
+#include "framework/settings/fieldoverride.h"
 #include "membership/membershiptypes.h"
 #include "peers/peermesh.h"
 
@@ -48,10 +49,14 @@
   double WeightBuffer_ = 1;
 };
 
-/// Reads and validates a settings file. The error has one line for each fault:
-/// file, line number if known, field, reason.
-absl::StatusOr<EntrySettings> loadSettings(const std::string &File);
-absl::StatusOr<EntrySettings> readSettings(std::string_view Text,
-                                           const std::string &File);
+/// Reads and validates a settings file, with \p Overrides in place of its own
+/// fields. The error has one line for each fault: file, line number if known,
+/// field, reason.
+absl::StatusOr<EntrySettings>
+loadSettings(const std::string &File,
+             const framework::settings::FieldOverrides &Overrides = {});
+absl::StatusOr<EntrySettings>
+readSettings(std::string_view Text, const std::string &File,
+             const framework::settings::FieldOverrides &Overrides = {});
 
 } // namespace laburnumspread::entry
--- a/src/entry/internal/entrysettings.cpp
+++ b/src/entry/internal/entrysettings.cpp
@@ -129,17 +129,20 @@
 
 } // namespace
 
-absl::StatusOr<EntrySettings> readSettings(std::string_view Text,
-                                           const std::string &File) {
-  return framework::settings::readSettingsText<EntrySettings>(Text, File,
-                                                              readFields);
+absl::StatusOr<EntrySettings>
+readSettings(std::string_view Text, const std::string &File,
+             const framework::settings::FieldOverrides &Overrides) {
+  return framework::settings::readSettingsText<EntrySettings>(
+      Text, File, Overrides, readFields);
 }
 
-absl::StatusOr<EntrySettings> loadSettings(const std::string &File) {
+absl::StatusOr<EntrySettings>
+loadSettings(const std::string &File,
+             const framework::settings::FieldOverrides &Overrides) {
   const auto Text = framework::settings::readSettingsFile(File);
   if (!Text.ok())
     return Text.status();
-  return readSettings(*Text, File);
+  return readSettings(*Text, File, Overrides);
 }
 
 } // namespace laburnumspread::entry
--- a/src/framework/settings/settingsfile.cpp
+++ b/src/framework/settings/settingsfile.cpp
@@ -1,23 +1,39 @@
 #include "framework/settings/settingsfile.h"
 
+#include <algorithm>
 #include <fstream>
 #include <sstream>
 
 namespace laburnumspread::framework::settings {
 
 namespace {
+
 constexpr std::size_t CurveKeyLength = 40;
+
+/// Where the field of an error was given: "file", "file:line" or "command
+/// line".
+std::string placeOf(const FieldError &Error, std::string_view Text,
+                    const std::string &File, const FieldOverrides &Overrides) {
+  const bool Overridden = std::any_of(Overrides.begin(), Overrides.end(),
+                                      [&](const FieldOverride &Override) {
+                                        return Override.Path_ == Error.Path_;
+                                      });
+  if (Overridden)
+    return "command line";
+  const int Line = lineOfField(Text, Error.Path_);
+  return Line > 0 ? File + ":" + std::to_string(Line) : File;
+}
+
 } // namespace
 
 std::string formatErrors(const FieldErrors &Errors, std::string_view Text,
-                         const std::string &File) {
+                         const std::string &File,
+                         const FieldOverrides &Overrides) {
   std::string Lines;
   for (const auto &Error : Errors) {
     if (!Lines.empty())
       Lines += '\n';
-    Lines += File;
-    if (const int Line = lineOfField(Text, Error.Path_); Line > 0)
-      Lines += ":" + std::to_string(Line);
+    Lines += placeOf(Error, Text, File, Overrides);
     Lines += ": " + Error.Path_ + ": " + Error.Reason_;
   }
   return Lines;
--- a/src/framework/settings/settingsfile.h
+++ b/src/framework/settings/settingsfile.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "framework/settings/fieldoverride.h"
 #include "framework/settings/jsonreader.h"
 
 #include <string>
@@ -7,26 +8,32 @@
 namespace laburnumspread::framework::settings {
 
 /// Formats each error on a line of its own, as "file:line: field: reason". The
-/// line number is left out if the field does not occur in \p Text.
+/// line number is left out if the field does not occur in \p Text. A field that
+/// is in \p Overrides is reported as one of the command line.
 std::string formatErrors(const FieldErrors &Errors, std::string_view Text,
-                         const std::string &File);
+                         const std::string &File,
+                         const FieldOverrides &Overrides);
 
-/// Parses settings from \p Text. \p ReadFields is called with a reader for the
-/// whole document and returns the settings. Returns InvalidArgument with all
-/// validation errors.
+/// Parses settings from \p Text, with \p Overrides in place of its own fields.
+/// \p ReadFields is called with a reader for the whole document and returns the
+/// settings. Returns InvalidArgument with all validation errors.
 template <typename Settings, typename ReadFieldsFn>
-absl::StatusOr<Settings> readSettingsText(std::string_view Text,
-                                          const std::string &File,
-                                          ReadFieldsFn &&ReadFields) {
-  const auto Document = parseJson(Text);
+absl::StatusOr<Settings>
+readSettingsText(std::string_view Text, const std::string &File,
+                 const FieldOverrides &Overrides, ReadFieldsFn &&ReadFields) {
+  auto Document = parseJson(Text);
   if (!Document.ok())
     return absl::InvalidArgumentError(File + ": " +
                                       std::string(Document.status().message()));
+  if (absl::Status Applied = applyOverrides(Overrides, *Document);
+      !Applied.ok())
+    return Applied;
   FieldErrors Errors;
   JsonReader Reader(*Document, "", Errors);
   Settings Result = ReadFields(Reader);
   if (!Errors.empty())
-    return absl::InvalidArgumentError(formatErrors(Errors, Text, File));
+    return absl::InvalidArgumentError(
+        formatErrors(Errors, Text, File, Overrides));
   return Result;
 }
 
