A list is read to its end whatever key or token ends a page (LOST)

What callers see: jobs are accepted and stay pending; no worker is ever listed, and no line says why.

Cause: KvStore::range put the key after which the next page begins into the query as it is. A key is any text of another writer's choice. A space or a line break makes the request malformed (400), '&' and '#' cut the key, '+' and '%20' are read as another one, so that the first page comes again, for ever. The reader knew an empty next key, but not one that leads back. Class: text of others in a request line or a header field. MachineClient had the same for page_token and never ended; KvStore's prefixes went in as they are; header fields took any bytes, a worker's id with a line break among them.

Change: formatTarget (Boost.URL) encodes query values; the client sends no request whose target or header fields HTTP doesn't allow ("not sent"). A list that isn't read for longer than its bound writes list.lost, counts list_reads_failed_total, and workers_list_age_seconds grows.

The stand-in kept none of this, so nothing showed it.

--- a/src/cell/internal/termgauges.cpp
+++ b/src/cell/internal/termgauges.cpp
@@ -18,6 +18,8 @@
   Set("workers_silent", static_cast<double>(WorkersSilent_));
   Set("workers_evacuated", static_cast<double>(WorkersEvacuated_));
   Set("runs_evacuated", static_cast<double>(RunsEvacuated_));
+  Set("workers_list_age_seconds",
+      std::chrono::duration<double>(WorkersListAge_).count());
   Set("store_stalled", StoreStalled_ ? 1 : 0);
   Set("start_delay_seconds",
       std::chrono::duration<double>(StartDelay_).count());
--- a/src/cell/machinemanager.h
+++ b/src/cell/machinemanager.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "capacity/upkeepplanner.h"
+#include "cell/listreads.h"
 #include "cell/machineorders.h"
 #include "cell/pooldemand.h"
 #include "cell/workersessions.h"
@@ -33,6 +34,9 @@
   /// otherwise the longer one applies, since each read is billed.
   static constexpr Duration ListIntervalBusy = std::chrono::milliseconds(1000);
   static constexpr Duration ListIntervalIdle = std::chrono::milliseconds(10000);
+  /// Time without a read after which the list counts as lost.
+  static constexpr Duration LongestUnread =
+      ListIntervalIdle + std::chrono::seconds(3);
   /// The list may be this old when it is requested. What it says about a worker
   /// that replied later is ignored.
   static constexpr Duration MaxListLag = std::chrono::milliseconds(1000);
@@ -123,7 +127,9 @@
       if (Read.ok()) {
         updateFromList(*Read, RequestedAt);
         ListedAt_ = RequestedAt;
+        Reads_.recordRead(now());
       } else {
+        Reads_.recordFailure(Read.status(), now());
         framework::log::warning("machines.list_failed")
             .field("reason", std::string(Read.status().message()));
       }
@@ -387,6 +393,7 @@
   TimePoint NextProgressAt_{};
   /// When the latest list that was read was requested.
   TimePoint ListedAt_ = now();
+  ListReads Reads_{"machines", LongestUnread, Term_->Metrics_, now()};
 };
 
 } // namespace laburnumspread::cell
--- a/src/cell/term.h
+++ b/src/cell/term.h
@@ -123,6 +123,7 @@
     Result.JobsOpen_ = Table_.open().size();
     Result.JobsKnown_ = Table_.jobs().size();
     Result.Workers_ = Workers_.size();
+    Result.WorkersListAge_ = now() - WorkersSeenAt_;
     Result.StoreStalled_ = Commits_.stalled();
     Result.StartDelay_ = StartDelay_.expected();
     Result.FiberDelay_ = Load_.delay();
--- a/src/cell/termgauges.h
+++ b/src/cell/termgauges.h
@@ -23,6 +23,8 @@
   /// Workers in evacuated zones, and the runs that continue there.
   std::size_t WorkersEvacuated_ = 0;
   std::size_t RunsEvacuated_ = 0;
+  /// Time since the list of workers was last read or its watch answered.
+  framework::clock::Duration WorkersListAge_{};
   bool StoreStalled_ = false;
   /// Expected time from planning a start until its worker has it.
   framework::clock::Duration StartDelay_{};
--- a/src/cell/workerfollower.h
+++ b/src/cell/workerfollower.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "cell/listreads.h"
 #include "cell/machinemanager.h"
 
 #include <algorithm>
@@ -30,6 +31,9 @@
 
   static constexpr Duration RetryPause = std::chrono::milliseconds(100);
   static constexpr Duration ListTimeout = std::chrono::milliseconds(1500);
+  /// Time without a read or an answer of the watch after which the list counts
+  /// as lost. A new store, or one that is slow, takes less.
+  static constexpr Duration LongestUnread = std::chrono::seconds(3);
   /// Number of workers of a full list that are taken in at a time. After each
   /// batch the other fibers run: a new leader opens a connection to each
   /// worker, and with thousands of them at once its renewals would wait for
@@ -40,7 +44,8 @@
   WorkerFollower(Store &S, WorkerDirectory Where, TermPtr T,
                  SessionsPtr Sessions, MachinesPtr M)
       : Store_(S), Directory_(std::move(Where)), Term_(std::move(T)),
-        Sessions_(std::move(Sessions)), Machines_(std::move(M)) {}
+        Sessions_(std::move(Sessions)), Machines_(std::move(M)),
+        Reads_("workers", LongestUnread, Term_->Metrics_, now()) {}
 
   /// Reads and watches the list until the term ends.
   void follow() {
@@ -52,9 +57,11 @@
       if (T->ended())
         return;
       if (!Read.ok()) {
+        Reads_.recordFailure(Read.status(), now());
         framework::fibers::sleepFor(RetryPause);
         continue;
       }
+      Reads_.recordRead(now());
       applyFullList(*T, Read->Items_);
       T->WorkersSeenAt_ = now();
       const absl::Status Ended =
@@ -63,6 +70,7 @@
                          if (T->ended())
                            return false;
                          T->WorkersSeenAt_ = now();
+                         Reads_.recordRead(now());
                          for (const store::KeyValue &Item : Batch.Puts_)
                            recordWorker(*T, Item);
                          for (const std::string &Key : Batch.Deletes_)
@@ -198,6 +206,7 @@
   TermPtr Term_;
   SessionsPtr Sessions_;
   MachinesPtr Machines_;
+  ListReads Reads_;
   /// Incarnations that were listed on each machine.
   absl::flat_hash_map<MachineId, std::vector<WorkerIncarnation>> OnMachine_;
 };
--- a/src/framework/http/httpclient.cpp
+++ b/src/framework/http/httpclient.cpp
@@ -398,6 +398,10 @@
 
 absl::Status Client::send(Lease &On, const Request &Message,
                           clock::TimePoint Deadline) {
+  if (!isSendable(Message))
+    return absl::UnavailableError(std::string(NotSent) +
+                                  ": the target or a header field holds a "
+                                  "character that HTTP does not allow");
   Connection &Conn = On.connection();
   if (On.isNew())
     if (absl::Status Status = Conn.connect(To_, Deadline); !Status.ok()) {
--- a/src/framework/http/httptypes.cpp
+++ b/src/framework/http/httptypes.cpp
@@ -4,6 +4,9 @@
 #include <charconv>
 
 #include <boost/asio/ip/address.hpp>
+#include <boost/url/encode.hpp>
+#include <boost/url/grammar/lut_chars.hpp>
+#include <boost/url/rfc/unreserved_chars.hpp>
 
 namespace laburnumspread::framework::http {
 
@@ -41,6 +44,21 @@
   return Result;
 }
 
+std::string percentEncoded(std::string_view Text) {
+  constexpr auto Unencoded =
+      boost::urls::unreserved_chars + boost::urls::grammar::lut_chars("/");
+  const boost::urls::string_view Source(Text.data(), Text.size());
+  std::string Result(boost::urls::encoded_size(Source, Unencoded), '\0');
+  boost::urls::encode(Result.data(), Result.size(), Source, Unencoded);
+  return Result;
+}
+
+bool isVisibleAscii(char C) { return C > ' ' && C < '\x7f'; }
+
+bool isControl(char C) {
+  return (static_cast<unsigned char>(C) < ' ' && C != '\t') || C == '\x7f';
+}
+
 template <typename Visitor>
 void splitAt(std::string_view Text, char Separator, Visitor &&Visit) {
   while (!Text.empty()) {
@@ -106,4 +124,28 @@
   return Result;
 }
 
+std::string formatTarget(std::string_view Path,
+                         const std::vector<Header> &Query) {
+  std::string Result(Path);
+  char Separator = '?';
+  for (const Header &Parameter : Query) {
+    Result += Separator;
+    Result += percentEncoded(Parameter.Name_);
+    Result += '=';
+    Result += percentEncoded(Parameter.Value_);
+    Separator = '&';
+  }
+  return Result;
+}
+
+bool isSendable(const Request &Message) {
+  return std::all_of(Message.Target_.begin(), Message.Target_.end(),
+                     isVisibleAscii) &&
+         std::all_of(Message.Headers_.all().begin(),
+                     Message.Headers_.all().end(), [](const Header &Field) {
+                       return std::none_of(Field.Value_.begin(),
+                                           Field.Value_.end(), isControl);
+                     });
+}
+
 } // namespace laburnumspread::framework::http
--- a/src/framework/http/httptypes.h
+++ b/src/framework/http/httptypes.h
@@ -64,4 +64,17 @@
 /// parameters. Empty segments and parameters are skipped.
 Target parseTarget(std::string_view Text);
 
+/// Returns the request target of \p Path with the query parameters \p Query.
+/// Their names and values may hold any bytes: all but letters, digits, "-._~"
+/// and "/" are percent-encoded. Otherwise a value with '&' or '#' would be cut,
+/// one with '+' or '%' be read as another, and one with a space or a line break
+/// make the request malformed.
+std::string formatTarget(std::string_view Path,
+                         const std::vector<Header> &Query);
+
+/// Whether \p Message can be sent as HTTP: the target is visible ASCII, and no
+/// header value holds a control character other than a tab. A line break would
+/// end the line and let the rest pass for further header fields.
+bool isSendable(const Request &Message);
+
 } // namespace laburnumspread::framework::http
--- a/standin/kvstate.h
+++ b/standin/kvstate.h
@@ -56,6 +56,7 @@
   /// Renews a lease. Returns its time to live in seconds, or 0 if it does not
   /// exist.
   std::int64_t keepLease(std::int64_t Id, TimePoint Now);
+  bool hasLease(std::int64_t Id) const { return Leases_.contains(Id); }
   /// Ends a lease and deletes its keys.
   void revokeLease(std::int64_t Id);
   void expireLeases(TimePoint Now);
