--- a/src/cell/workerfollower.h
+++ b/src/cell/workerfollower.h
@@ -72,7 +72,7 @@
                          T->WorkersSeenAt_ = now();
                          Reads_.recordRead(now());
                          for (const store::KeyValue &Item : Batch.Puts_)
-                           recordWorker(*T, Item);
+                           recordEntry(*T, Item);
                          for (const std::string &Key : Batch.Deletes_)
                            markUnlisted(*T, Key);
                          return true;
@@ -93,7 +93,7 @@
         framework::fibers::sleepFor(BatchPause);
       if (T.ended())
         return;
-      if (const auto Incarnation = recordWorker(T, Items[I]))
+      if (const auto Incarnation = recordEntry(T, Items[I]))
         Listed.insert(*Incarnation);
     }
     for (const auto &[Incarnation, Row] : T.Workers_)
@@ -118,25 +118,36 @@
                           });
   }
 
+  /// Records the worker that an item names. An item that names none is another
+  /// writer's: a worker that had the key gets no new task until it has written
+  /// its own item again, as after a full list.
+  std::optional<WorkerIncarnation> recordEntry(Term<Store> &T,
+                                               const store::KeyValue &Item) {
+    if (const auto Record = Directory_.Read_(Item))
+      return recordWorker(T, *Record);
+    T.Metrics_.counter("worker_entries_unreadable_total").add();
+    markUnlisted(T, Item.Key_);
+    return std::nullopt;
+  }
+
   std::optional<WorkerIncarnation> recordWorker(Term<Store> &T,
-                                                const store::KeyValue &Item) {
-    const auto Record = Directory_.Read_(Item);
-    if (!Record || T.EndedIncarnations_.contains(Record->Incarnation_))
+                                                const WorkerRecord &Record) {
+    if (T.EndedIncarnations_.contains(Record.Incarnation_))
       return std::nullopt;
-    const auto Known = T.Workers_.find(Record->Incarnation_);
+    const auto Known = T.Workers_.find(Record.Incarnation_);
     if (Known != T.Workers_.end()) {
-      if (Record->Draining_ != Known->second->Record_.Draining_)
+      if (Record.Draining_ != Known->second->Record_.Draining_)
         framework::log::info("worker.changed")
-            .field("worker", Record->Incarnation_.Id_.str())
-            .field("draining", Record->Draining_ ? "yes" : "no");
-      Known->second->Record_ = *Record;
+            .field("worker", Record.Incarnation_.Id_.str())
+            .field("draining", Record.Draining_ ? "yes" : "no");
+      Known->second->Record_ = Record;
       Known->second->Listed_ = true;
     } else {
-      addWorker(T, *Record);
+      addWorker(T, Record);
     }
-    Machines_->recordWorker(*Record);
+    Machines_->recordWorker(Record);
     T.Commits_.wake();
-    return Record->Incarnation_;
+    return Record.Incarnation_;
   }
 
   /// Returns the workers that a newly listed one replaces: a worker is one
