A damaged value of the store doesn't end the entry

What is seen: the process ends at a stored base or head with a negative number, and at a shard whose items are a list.

Change: they are unreadable, as other damaged values are.

Tests, with the two sources as before: StoredValueWithANumberOutOfRangeIsUnreadable (uncaught system_error) and DamagedStoredValueIsAnError (uncaught invalid_argument) red; green now.

--- a/src/config/internal/objectwriter.cpp
+++ b/src/config/internal/objectwriter.cpp
@@ -34,10 +34,11 @@
   Shard.Stored_ = *Found;
   absl::StatusOr<json::value> Document =
       framework::settings::parseJson(Found->Value_);
-  if (!Document.ok() || !Document->is_object() ||
-      !Document->get_object().contains("items"))
+  const json::object *Fields = Document.ok() ? Document->if_object() : nullptr;
+  const json::value *Items = Fields ? Fields->if_contains("items") : nullptr;
+  if (!Items || !Items->is_object())
     return absl::DataLossError("stored value " + Key + " is malformed");
-  Shard.Items_ = std::move(Document->get_object()["items"].as_object());
+  Shard.Items_ = Items->get_object();
   if (Found->Value_.size() > MaxShardBytes)
     return absl::ResourceExhaustedError("stored value " + Key +
                                         " exceeds the size limit");
--- a/src/config/tests/objectwritertest.cpp
+++ b/src/config/tests/objectwritertest.cpp
@@ -204,3 +204,17 @@
       absl::StatusCode::kUnknown);
   BOOST_TEST(storedLimit() == 9u);
 }
+
+// Guards against an entry that ends at a stored value which another writer has
+// damaged.
+BOOST_FIXTURE_TEST_CASE(DamagedStoredValueIsAnError, Fixture) {
+  const std::string Key = shardKey("/l/", Kind::Teams, "orders");
+  for (const char *Value : {"", "[]", "{}", R"({"items":[]})"}) {
+    laburnumspread::store::Transaction Txn;
+    Txn.Puts_ = {{Key, Value, 0}};
+    BOOST_REQUIRE(Store_.commit(Txn, Later).ok());
+    const auto Done =
+        Writer_.putSpec(teamWithLimit(5), std::nullopt, false, Later);
+    BOOST_TEST(absl::IsDataLoss(Done.status()), Value);
+  }
+}
--- a/src/journal/internal/leader.cpp
+++ b/src/journal/internal/leader.cpp
@@ -32,7 +32,9 @@
   const json::value *Value = From.if_contains(Name);
   if (!Value || !(Value->is_int64() || Value->is_uint64()))
     return std::nullopt;
-  return Value->to_number<std::uint64_t>();
+  json::error_code Error;
+  const auto Read = Value->to_number<std::uint64_t>(Error);
+  return Error ? std::nullopt : std::optional(Read);
 }
 
 std::optional<std::string> text(const json::object &From,
--- a/src/journal/tests/journaltest.cpp
+++ b/src/journal/tests/journaltest.cpp
@@ -425,6 +425,16 @@
   BOOST_TEST(loadBy(Second_).jobs().size() == 3u);
 }
 
+// Guards against a process that ends at a stored number out of range.
+BOOST_AUTO_TEST_CASE(StoredValueWithANumberOutOfRangeIsUnreadable) {
+  BOOST_TEST(!decodeBase(R"({"index":-1,"parts":1})").has_value());
+  BOOST_TEST(!decodeBase(R"({"index":1,"parts":1e300})").has_value());
+  BOOST_TEST(!decodeLeader(R"({"entry":"e","peer":"","incarnation":-1,
+                               "attempt":1})",
+                           fleet::Revision(1))
+                  .has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace laburnumspread::journal
