--- a/fuzz/targets.cpp
+++ b/fuzz/targets.cpp
@@ -7,6 +7,7 @@
 #include "framework/http/httptypes.h"
 #include "membership/viewchanges.h"
 #include "peers/messagecodec.h"
+#include "platform/codecs.h"
 #include "store/internal/gatewayjson.h"
 
 #include <cstdlib>
@@ -84,4 +85,41 @@
                 fleet::Revision(1));
 }
 
+namespace {
+
+constexpr std::int64_t MaxAmount = 1'000'000'000;
+
+void requireInRange(const jobs::Resources &Amount) {
+  for (const std::int64_t Each :
+       {Amount.MilliCpus_, Amount.MemoryMb_, Amount.Accelerators_})
+    require(Each >= 0 && Each <= MaxAmount);
+}
+
+} // namespace
+
+void platform(std::string_view Bytes) {
+  namespace codecs = laburnumspread::platform;
+  const std::string Value(Bytes);
+  const auto Worker =
+      codecs::readWorker({std::string(codecs::WorkersPrefix) + "w", Value, {}});
+  if (Worker) {
+    requireInRange(Worker->Capacity_);
+    require(Worker->Incarnation_.StartedMs_ > 0);
+    require(Worker->Remaining_ >= jobs::Duration::zero());
+  }
+  if (const auto Job = codecs::readJob(Bytes); Job.ok())
+    for (const jobs::StepSpec &Step : Job->Steps_) {
+      requireInRange(Step.PerTask_);
+      require(Step.Estimate_ >= jobs::Duration::zero());
+    }
+  if (const auto Page = codecs::readMachines(Bytes); Page.ok())
+    for (const cell::MachineRecord &Machine : Page->Machines_)
+      requireInRange(Machine.Capacity_);
+  if (const auto Config = codecs::readConfig(Bytes); Config.ok())
+    for (const auto &[Name, Workspace] : Config->Workspaces_)
+      requireInRange(Workspace.MaxAllowed_);
+  codecs::readWave({std::string(codecs::WavePrefix) + "1", Value, {}});
+  codecs::readEvacuation({Value, "", {}});
+}
+
 } // namespace laburnumspread::fuzz
--- a/fuzz/targets.h
+++ b/fuzz/targets.h
@@ -20,4 +20,9 @@
 /// Responses and watch events of the store, configuration shards and views.
 void store(std::string_view Bytes);
 
+/// What the users' platform and its callers write: workers' entries, waves,
+/// evacuations, the configuration, the machine list and jobs. Amounts and times
+/// that are accepted must be in a range in which their sums stay.
+void platform(std::string_view Bytes);
+
 } // namespace laburnumspread::fuzz
--- a/fuzz/tests/corpustest.cpp
+++ b/fuzz/tests/corpustest.cpp
@@ -73,3 +73,4 @@
 BOOST_AUTO_TEST_CASE(Headers) { runCorpus("headers", fuzz::headers); }
 BOOST_AUTO_TEST_CASE(Peers) { runCorpus("peers", fuzz::peers); }
 BOOST_AUTO_TEST_CASE(Store) { runCorpus("store", fuzz::store); }
+BOOST_AUTO_TEST_CASE(Platform) { runCorpus("platform", fuzz::platform); }
