--- a/src/cell/internal/cellsettings.cpp
+++ b/src/cell/internal/cellsettings.cpp
@@ -2,6 +2,8 @@
 
 #include "framework/settings/settingsfile.h"
 
+#include <algorithm>
+
 namespace laburnumspread::cell {
 
 using framework::settings::JsonReader;
@@ -20,6 +22,10 @@
 /// name, in bytes.
 constexpr std::int64_t LeastMaxValueBytes = 4096;
 constexpr std::int64_t MostMaxValueBytes = 1024 * 1024 * 1024;
+/// Largest value that an entry writes, also to a store that takes larger ones.
+/// Guards against a leader that writes more than its successor reads in one
+/// answer, where a value is a third larger: no entry would lead again.
+constexpr std::int64_t MostWrittenValueBytes = 8 * 1024 * 1024;
 
 Address readAddress(JsonReader &Reader, std::string_view Field, bool Required) {
   const std::string Text = Required ? Reader.requiredString(Field)
@@ -94,9 +100,11 @@
   Result.StorePrefix_ = Store.optionalString("prefix", "laburnumspread/");
   if (!Result.StorePrefix_.ends_with('/'))
     Store.addError("prefix", "must end with '/'");
-  Result.Bounds_.MaxValueBytes_ = static_cast<std::size_t>(Store.optionalInt(
+  const std::int64_t MaxValueBytes = Store.optionalInt(
       "valueBytes", static_cast<std::int64_t>(store::DefaultMaxValueBytes),
-      {LeastMaxValueBytes, MostMaxValueBytes}));
+      {LeastMaxValueBytes, MostMaxValueBytes});
+  Result.Bounds_.MaxValueBytes_ =
+      static_cast<std::size_t>(std::min(MaxValueBytes, MostWrittenValueBytes));
   Store.finish();
   JsonReader Services = Reader.child("services", false);
   Result.MachineApiAddress_ = readAddress(Services, "machines", false);
--- a/src/cell/tests/cellsettingstest.cpp
+++ b/src/cell/tests/cellsettingstest.cpp
@@ -71,7 +71,10 @@
              1'048'576u);
   Text.replace(Text.find(At), At.size(), At + R"(, "valueBytes": 8192)");
   BOOST_TEST(readCellSettings(Text, "file")->Bounds_.MaxValueBytes_ == 8192u);
-  Text.replace(Text.find("8192"), 4, "4095");
+  Text.replace(Text.find("8192"), 4, "1073741824");
+  BOOST_TEST(readCellSettings(Text, "file")->Bounds_.MaxValueBytes_ ==
+             8u * 1024 * 1024);
+  Text.replace(Text.find("1073741824"), 10, "4095");
   BOOST_TEST(errorOf(Text).find("store.valueBytes") != std::string::npos);
 }
 
