--- a/soak/faultinjector.cpp
+++ b/soak/faultinjector.cpp
@@ -4,6 +4,7 @@
 #include "framework/fibers/spawn.h"
 #include "framework/fibers/waiter.h"
 #include "framework/log/log.h"
+#include "platform/standin/oddentries.h"
 #include "platform/standin/testrequests.h"
 
 namespace laburnumspread::soak {
@@ -29,6 +30,8 @@
 /// Most leaders that lose power in a run. A worker has 64 connections, which it
 /// never gets back from them, so three for each still leave some.
 constexpr std::size_t MaxPowerLosses = 19;
+/// So that any key, also an odd one, ends a page.
+constexpr std::size_t SmallPageItems = 1;
 /// Callers that submit more than the pool can do.
 constexpr std::size_t CrowdSize = 10;
 /// Changes of the configuration that follow each other at once, and some that
@@ -62,6 +65,8 @@
     {"late-answers", &FaultInjector::lateAnswers},
     {"pause-leases", &FaultInjector::pauseLeases},
     {"hide-workers", &FaultInjector::hideWorkers},
+    {"add-odd-entries", &FaultInjector::addOddEntries},
+    {"overwrite-worker", &FaultInjector::overwriteWorker},
     {"crash-worker", &FaultInjector::crashWorker},
     {"lose-stops", &FaultInjector::loseStops},
     {"lose-start-answers", &FaultInjector::loseStartAnswers},
@@ -358,6 +363,49 @@
   });
 }
 
+FaultInjector::Revert FaultInjector::addOddEntries() {
+  const std::string Prefix = "servers/odd-" + std::to_string(Count_);
+  std::vector<std::string> Keys;
+  for (const std::string &Ending : platform::standin::oddEndings()) {
+    Keys.push_back(Prefix + Ending);
+    Platform_.write(Keys.back(), randomOddEntry());
+  }
+  const Revert Repaged = applyShared("small-pages", [this](bool On) {
+    Platform_.limits().MaxPageItems_ =
+        On ? SmallPageItems : platform::standin::StoreLimits().MaxPageItems_;
+  });
+  return [this, Keys, Repaged] {
+    Repaged();
+    for (const std::string &Key : Keys)
+      Platform_.remove(Key);
+  };
+}
+
+FaultInjector::Revert FaultInjector::overwriteWorker() {
+  const std::vector<std::string> Keys = Platform_.workerKeys();
+  if (Keys.empty())
+    return noRevert;
+  const std::string Key = Keys[Random_.below(Keys.size())];
+  const std::string Own = Platform_.read(Key).value();
+  const std::string Odd = randomOddEntry();
+  Platform_.write(Key, Odd);
+  return [this, Key, Own, Odd] {
+    // The worker may have ended, or written its entry, meanwhile.
+    if (Platform_.read(Key) == Odd)
+      Platform_.write(Key, Own);
+  };
+}
+
+std::string FaultInjector::randomOddEntry() {
+  if (Random_.oneIn(2)) {
+    const std::vector<std::string> Values =
+        platform::standin::unreadableValues();
+    return Values[Random_.below(Values.size())];
+  }
+  const auto &Fields = platform::standin::oddFields();
+  return platform::standin::entryWith(Fields[Random_.below(Fields.size())]);
+}
+
 FaultInjector::Revert FaultInjector::crashWorker() {
   const std::string Machine =
       "m" + std::to_string(Random_.below(MachineCount_));
--- a/soak/faultinjector.h
+++ b/soak/faultinjector.h
@@ -93,6 +93,11 @@
   Revert lateAnswers();
   Revert pauseLeases();
   Revert hideWorkers();
+  /// Lets another writer add entries to the list of workers, which has small
+  /// pages meanwhile.
+  Revert addOddEntries();
+  /// Lets another writer write over a worker's entry.
+  Revert overwriteWorker();
   // Workers and machines.
   Revert crashWorker();
   Revert loseStops();
@@ -110,6 +115,7 @@
   Revert cutUpstream(const std::string &What, FaultProxy &Proxy);
   Revert cutDownstream(const std::string &What, FaultProxy &Proxy);
   FaultProxy &randomProxy();
+  std::string randomOddEntry();
 
   CellPlatform &Platform_;
   EntryProcesses &Entries_;
