--- a/soak/faultinjector.cpp
+++ b/soak/faultinjector.cpp
@@ -65,6 +65,7 @@
     {"late-answers", &FaultInjector::lateAnswers},
     {"pause-leases", &FaultInjector::pauseLeases},
     {"hide-workers", &FaultInjector::hideWorkers},
+    {"drop-history", &FaultInjector::dropHistory},
     {"add-odd-entries", &FaultInjector::addOddEntries},
     {"overwrite-worker", &FaultInjector::overwriteWorker},
     {"crash-worker", &FaultInjector::crashWorker},
@@ -363,6 +364,11 @@
   });
 }
 
+FaultInjector::Revert FaultInjector::dropHistory() {
+  Platform_.dropHistory();
+  return noRevert;
+}
+
 FaultInjector::Revert FaultInjector::addOddEntries() {
   const std::string Prefix = "servers/odd-" + std::to_string(Count_);
   std::vector<std::string> Keys;
--- a/soak/faultinjector.h
+++ b/soak/faultinjector.h
@@ -93,6 +93,7 @@
   Revert lateAnswers();
   Revert pauseLeases();
   Revert hideWorkers();
+  Revert dropHistory();
   /// Lets another writer add entries to the list of workers, which has small
   /// pages meanwhile.
   Revert addOddEntries();
