--- a/soak/faultinjector.cpp
+++ b/soak/faultinjector.cpp
@@ -391,7 +391,7 @@
   const std::vector<std::string> Keys = Platform_.workerKeys();
   if (Keys.empty())
     return noRevert;
-  const std::string Key = Keys[Random_.below(Keys.size())];
+  const std::string &Key = Keys[Random_.below(Keys.size())];
   const std::string Own = Platform_.read(Key).value();
   const std::string Odd = randomOddEntry();
   Platform_.write(Key, Odd);
