The soak's last check takes the jobs that were known before it

The check saw its tasks in the millisecond of the answer; they had ended 16 ms later. So this is a fault of the check: it took the jobs as they were at each poll.

Change: as in each calm phase, the jobs known before the check have to stay stopped for its whole time; the tasks of those cancelled during it are then awaited, which was not checked before.

--- a/soak/soak.cpp
+++ b/soak/soak.cpp
@@ -218,7 +218,12 @@
     return Result;
   };
   waitUntilClean("all", FindProblems);
-  checkStaysStopped(Jobs_);
+  // Callers may cancel standing jobs during the check; their tasks are awaited
+  // after it.
+  const JobRecords Before = Jobs_;
+  checkStaysStopped(Before);
+  waitUntilClean("cancelled",
+                 [this] { return findRunningCancelledTasks(Jobs_, ledger()); });
   waitUntilClean("states", [this] { return Callers_.checkFinalStates(); });
   waitUntilClean("ends", [this] { return Entries_.missingExits(); });
   FindingLog_.report(unusedProxies());
