--- a/review/common-2/entries.cpp
+++ b/review/common-2/entries.cpp
@@ -75,13 +75,12 @@
 }
 
 Entries::Entries(std::string Folder, const Platform &At, int Count,
-                 const std::string &Advisor,
-                 const std::vector<std::string> &Stores)
+                 const std::string &Advisor)
     : Folder_(std::move(Folder)) {
   for (int I = 0; I < Count; ++I) {
     Ports_.push_back({freePort(), freePort(), freePort(), freePort()});
     Pids_.push_back(0);
-    writeSettings(I, Stores.empty() ? At.address() : Stores[I], Advisor);
+    writeSettings(I, At.address(), Advisor);
   }
   for (int I = 0; I < Count; ++I)
     startOne(I);
@@ -208,23 +207,6 @@
   return true;
 }
 
-void Entries::signal(int Entry, int Signal) {
-  const std::lock_guard<std::mutex> Lock(Mutex_);
-  if (Pids_[Entry] != 0)
-    ::kill(Pids_[Entry], Signal);
-}
-
-std::vector<std::string> Entries::logLines(int Entry,
-                                           const std::string &Part) const {
-  std::ifstream In(Folder_ + "/entry-" + std::to_string(Entry + 1) + ".log");
-  std::vector<std::string> Result;
-  std::string Line;
-  while (std::getline(In, Line))
-    if (Line.find(Part) != std::string::npos)
-      Result.push_back(Line);
-  return Result;
-}
-
 void Entries::stop() {
   if (Stopping_.exchange(true))
     return;
--- a/review/common-2/http.cpp
+++ b/review/common-2/http.cpp
@@ -223,29 +223,14 @@
   ::close(Socket);
 }
 
-bool HttpConnection::open(int Port) {
-  close();
-  Socket_ = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  sockaddr_in At = loopback(Port);
-  if (::connect(Socket_, reinterpret_cast<sockaddr *>(&At), sizeof(At)) != 0)
-    close();
-  else
-    setNoDelay(Socket_);
-  return isOpen();
-}
-
-void HttpConnection::close() {
-  if (Socket_ >= 0)
-    ::close(Socket_);
-  Socket_ = -1;
-}
-
 std::optional<HttpAnswer>
-HttpConnection::exchange(const std::string &Method, const std::string &Target,
-                         const std::map<std::string, std::string> &Headers,
-                         const std::string &Body, std::int64_t TimeoutMs,
-                         bool &Ended) {
+httpCall(int Port, const std::string &Method, const std::string &Target,
+         const std::map<std::string, std::string> &Headers,
+         const std::string &Body, std::int64_t TimeoutMs) {
   const auto Until = Steady::now() + Millis(TimeoutMs);
+  const int Socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  sockaddr_in At = loopback(Port);
+  std::optional<HttpAnswer> Result;
   std::string Text = Method + " " + Target + " HTTP/1.1\r\n";
   for (const auto &[Name, Value] : Headers) {
     Text += Name;
@@ -254,31 +239,19 @@
     Text += "\r\n";
   }
   Text += "Content-Length: " + std::to_string(Body.size()) + "\r\n\r\n" + Body;
-  std::string First;
-  std::map<std::string, std::string> Fields;
-  HttpAnswer Answer;
-  Reader In(Socket_);
-  if (!sendAll(Socket_, Text) || !In.read(First, Fields, Answer.Body_, Until)) {
-    Ended = Steady::now() < Until;
-    close();
-    return std::nullopt;
+  if (::connect(Socket, reinterpret_cast<sockaddr *>(&At), sizeof(At)) == 0) {
+    setNoDelay(Socket);
+    std::string First;
+    std::map<std::string, std::string> Fields;
+    HttpAnswer Answer;
+    Reader In(Socket);
+    if (sendAll(Socket, Text) && In.read(First, Fields, Answer.Body_, Until)) {
+      Answer.Status_ = std::atoi(First.substr(First.find(' ') + 1).c_str());
+      Result = Answer;
+    }
   }
-  Ended = false;
-  Answer.Status_ = std::atoi(First.substr(First.find(' ') + 1).c_str());
-  if (lower(Fields["connection"]) == "close")
-    close();
-  return Answer;
-}
-
-std::optional<HttpAnswer>
-httpCall(int Port, const std::string &Method, const std::string &Target,
-         const std::map<std::string, std::string> &Headers,
-         const std::string &Body, std::int64_t TimeoutMs) {
-  HttpConnection Connection;
-  bool Ended = false;
-  if (!Connection.open(Port))
-    return std::nullopt;
-  return Connection.exchange(Method, Target, Headers, Body, TimeoutMs, Ended);
+  ::close(Socket);
+  return Result;
 }
 
 int freePort() {
--- a/review/common-2/sim.h
+++ b/review/common-2/sim.h
@@ -85,28 +85,6 @@
          const std::map<std::string, std::string> &Headers,
          const std::string &Body, std::int64_t TimeoutMs);
 
-/// A connection of a client that sends one request after the other.
-class HttpConnection {
-public:
-  HttpConnection() = default;
-  HttpConnection(const HttpConnection &) = delete;
-  HttpConnection &operator=(const HttpConnection &) = delete;
-  ~HttpConnection() { close(); }
-
-  bool open(int Port);
-  bool isOpen() const { return Socket_ >= 0; }
-  void close();
-  /// Returns the answer, or nullopt: without one in time the connection is
-  /// closed, and \p Ended says whether the other side ended it.
-  std::optional<HttpAnswer>
-  exchange(const std::string &Method, const std::string &Target,
-           const std::map<std::string, std::string> &Headers,
-           const std::string &Body, std::int64_t TimeoutMs, bool &Ended);
-
-private:
-  int Socket_ = -1;
-};
-
 /// Returns a port of 127.0.0.1 that is free at present.
 int freePort();
 
@@ -302,11 +280,9 @@
 /// again when they end.
 class Entries {
 public:
-  /// \p Folder is a temporary folder for settings and logs. \p Stores are the
-  /// addresses at which each entry meets the store; the store's own if empty.
+  /// \p Folder is a temporary folder for settings and logs.
   Entries(std::string Folder, const Platform &At, int Count,
-          const std::string &Advisor = "",
-          const std::vector<std::string> &Stores = {});
+          const std::string &Advisor = "");
   ~Entries();
 
   const EntryPorts &ports(int Entry) const { return Ports_[Entry]; }
@@ -323,11 +299,6 @@
   /// Number of processes that ended by themselves.
   int endedAlone() const { return EndedAlone_; }
 
-  /// Sends a signal to an entry's process.
-  void signal(int Entry, int Signal);
-  /// Lines of the entry's log that hold \p Part.
-  std::vector<std::string> logLines(int Entry, const std::string &Part) const;
-
   /// Ends all processes.
   void stop();
 
