--- a/review/common-2/entries.cpp
+++ b/review/common-2/entries.cpp
@@ -75,12 +75,13 @@
 }
 
 Entries::Entries(std::string Folder, const Platform &At, int Count,
-                 const std::string &Advisor)
+                 const std::string &Advisor,
+                 const std::vector<std::string> &Stores)
     : Folder_(std::move(Folder)) {
   for (int I = 0; I < Count; ++I) {
     Ports_.push_back({freePort(), freePort(), freePort(), freePort()});
     Pids_.push_back(0);
-    writeSettings(I, At.address(), Advisor);
+    writeSettings(I, Stores.empty() ? At.address() : Stores[I], Advisor);
   }
   for (int I = 0; I < Count; ++I)
     startOne(I);
--- a/review/common-2/sim.h
+++ b/review/common-2/sim.h
@@ -280,9 +280,11 @@
 /// again when they end.
 class Entries {
 public:
-  /// \p Folder is a temporary folder for settings and logs.
+  /// \p Folder is a temporary folder for settings and logs. \p Stores are the
+  /// addresses at which each entry meets the store; the store's own if empty.
   Entries(std::string Folder, const Platform &At, int Count,
-          const std::string &Advisor = "");
+          const std::string &Advisor = "",
+          const std::vector<std::string> &Stores = {});
   ~Entries();
 
   const EntryPorts &ports(int Entry) const { return Ports_[Entry]; }
