Each incarnation of a worker refuses the calls of the former ones

Cause: a call names a worker's id alone, and all incarnations of an id were held under one token. A start that is executed late reached the next process, which knows nothing of the run and whose clock is far before the deadline. A late hold dropped ends there that nobody had read, as ends are numbered anew. Time cannot tell such calls apart: they come 2 to 12 s late, and the guard of 1 s was the only one.

Change: each incarnation gets a higher token, and is sent no start before it has answered a hold under it. The token is the revision of the leader's latest write, so mostly no call is needed for it. Holds acknowledge ends only until the worker has forgotten them. Where such a hold has no answer, the worker gets no task for as long as it may wait there. This replaces the guard of 1 s.

Red before: RunModelTest now executes calls of former incarnations up to 12 s late and lets holds wait.

--- a/src/cell/cellservice.h
+++ b/src/cell/cellservice.h
@@ -25,9 +25,6 @@
   static constexpr Duration LoadRetryPause = std::chrono::milliseconds(100);
   /// How long a leader that hands over waits for its last write.
   static constexpr Duration MaxFinalWrite = std::chrono::seconds(1);
-  /// Longest time after which a sent order may still be executed. The platform
-  /// specifies only "seconds later".
-  static constexpr Duration MaxOrderDelay = std::chrono::seconds(12);
 
   CellService(Store &S, Client &C, Service &Api, WorkerDirectory Directory,
               WaveStatusCodec WaveStatus, AskAdvisor Ask, Candidacy Own,
@@ -288,6 +285,7 @@
       T.Config_ = InForce_.config();
       const absl::Status Read = T.Log_.load(T.Table_, now());
       if (Read.ok()) {
+        T.History_.setFormerLeader(T.Log_.hasFormerLeader());
         T.Table_.restoreAcceptTimes(
             framework::clock::toMillis(framework::clock::SystemClock().now()),
             now());
@@ -332,7 +330,7 @@
         Sessions_->verifyFailedDomains();
       if (Sessions_)
         Sessions_->maintain();
-      T->forgetLateHolds();
+      T->History_.forgetOldHolds(now());
       T->Table_.forgetEnded(now() - Bounds_.StatusRetention_);
       forgetRemovedQueues(*T, InForce_.config());
       loseRunsOnUnknownWorkers(*T);
--- a/src/cell/fillerpacecontroller.h
+++ b/src/cell/fillerpacecontroller.h
@@ -56,11 +56,12 @@
   void send(const WorkerRow &Row, const jobs::RunName &Run, int Percent) {
     (*SentPaces_)[Run] = Percent;
     framework::fibers::spawn([T = Term_, &C = Client_, Paced = SentPaces_,
-                              Record = Row.Record_, Run, Percent] {
+                              Record = Row.Record_, Token = Row.Token_, Run,
+                              Percent] {
       if (!C.awaitConnection(Record, MaxConnectionWait) || T->ended())
         return;
       const OrderReply Reply =
-          C.pace(Record, Run, Percent, T->Token_, AnswerTimeout);
+          C.pace(Record, Run, Percent, Token, AnswerTimeout);
       framework::log::info("run.pace")
           .field("task", Run.Task_.str())
           .field("run", Run.Run_.value())
--- a/src/cell/runstopper.h
+++ b/src/cell/runstopper.h
@@ -115,7 +115,7 @@
     const TimePoint SentAt = now();
     const auto Since = Term_->Table_.unwantedSince(Run);
     const OrderReply Reply =
-        Client_.stop(Row->Record_, Run, Term_->Token_, Row->Answers_.timeout());
+        Client_.stop(Row->Record_, Run, Row->Token_, Row->Answers_.timeout());
     Row->recordStopReply(Reply.Result_, SentAt, now());
     framework::log::info("run.stop")
         .field("task", Run.Task_.str())
@@ -161,8 +161,8 @@
         .field("run", Run.Run_.value())
         .field("worker", Row.Record_.Incarnation_.Id_.str());
     framework::fibers::spawn([Self = this->shared_from_this(),
-                              Record = Row.Record_, Run] {
-      Self->sendUntrackedStop(Record, Run,
+                              Record = Row.Record_, Token = Row.Token_, Run] {
+      Self->sendUntrackedStop(Record, Token, Run,
                               "the journal does not show it on this worker");
       Self->InFlight_.erase(Run);
     });
@@ -171,24 +171,23 @@
   /// Stops a run of a former incarnation on the incarnation that may have
   /// executed its start.
   void stopStaleStart(const WorkerRow &Row, const jobs::RunName &Run) {
-    framework::fibers::spawn(
-        [Self = this->shared_from_this(), Record = Row.Record_, Run] {
-          if (Self->sendUntrackedStop(
-                  Record, Run,
-                  "its start was sent to a former incarnation of the worker"))
-            Self->Tracker_->stopAnsweredByLaterIncarnation(Run, now());
-        });
+    framework::fibers::spawn([Self = this->shared_from_this(),
+                              Record = Row.Record_, Token = Row.Token_, Run] {
+      if (Self->sendUntrackedStop(
+              Record, Token, Run,
+              "its start was sent to a former incarnation of the worker"))
+        Self->Tracker_->stopAnsweredByLaterIncarnation(Run, now());
+    });
   }
 
   /// Sends one stop for a run that the tables do not show on this incarnation.
   /// Returns true if it was executed.
-  bool sendUntrackedStop(const WorkerRecord &Record, const jobs::RunName &Run,
-                         std::string_view Reason) {
+  bool sendUntrackedStop(const WorkerRecord &Record, jobs::FencingToken Token,
+                         const jobs::RunName &Run, std::string_view Reason) {
     // A connection opened after the term would stay open.
     if (!Client_.awaitConnection(Record, MaxConnectionWait) || Term_->ended())
       return false;
-    const OrderReply Reply =
-        Client_.stop(Record, Run, Term_->Token_, MaxAnswerTimeout);
+    const OrderReply Reply = Client_.stop(Record, Run, Token, MaxAnswerTimeout);
     framework::log::info("run.stop")
         .field("task", Run.Task_.str())
         .field("run", Run.Run_.value())
--- a/src/cell/term.h
+++ b/src/cell/term.h
@@ -5,7 +5,7 @@
 #include "cell/leaderload.h"
 #include "cell/pacereporter.h"
 #include "cell/termgauges.h"
-#include "cell/workertable.h"
+#include "cell/workerhistory.h"
 #include "cell/zoneevacuations.h"
 #include "framework/metrics/metrics.h"
 #include "scheduling/admission.h"
@@ -29,7 +29,8 @@
         FirstToken_(Leadership.token()), Token_(FirstToken_),
         Log_(S, Keys, Leadership, Bounds.MaxValueBytes_),
         Commits_(Table_, Log_, Metrics), Evacuations_(Evacuations),
-        Metrics_(Metrics), Bounds_(Bounds), StartedAt_(now()) {}
+        Metrics_(Metrics), Bounds_(Bounds), StartedAt_(now()),
+        History_(StartedAt_) {}
 
   static TimePoint now() { return framework::clock::SteadyClock().now(); }
 
@@ -45,9 +46,7 @@
     if (std::exchange(Row.Ended_, true))
       return;
     EndedIncarnations_.emplace(Row.Record_.Incarnation_, now());
-    if (Row.EndsStored_ > 0)
-      LateHoldsUntil_[Row.Record_.Incarnation_.Id_] =
-          now() + MaxStaleOrderDelay;
+    History_.recordEnd(Row);
     Row.endFirstReplyWaits();
     framework::log::info("worker.over")
         .field("worker", Row.Record_.Incarnation_.Id_.str())
@@ -88,24 +87,10 @@
            !Evacuations_.contains(Row.Record_.Zone_);
   }
 
-  /// Whether a hold that was sent to a former incarnation of the worker may
-  /// still be executed. It acknowledges ends by their numbers, which begin anew
-  /// in each incarnation, so the end of a new task could be dropped unread, and
-  /// the task would be started again.
-  bool mayExecuteLateHold(const WorkerRow &Row) const {
-    const auto Until = LateHoldsUntil_.find(Row.Record_.Incarnation_.Id_);
-    return Until != LateHoldsUntil_.end() && now() < Until->second;
-  }
-
-  /// Forgets the workers for which mayExecuteLateHold() is no longer true.
-  void forgetLateHolds() {
-    absl::erase_if(LateHoldsUntil_,
-                   [](const auto &Item) { return Item.second <= now(); });
-  }
-
   /// Whether new tasks may be planned on the worker.
   bool acceptsTasks(const WorkerRow &Row) const {
-    return Row.acceptsTasks() && takesStarts(Row) && !mayExecuteLateHold(Row) &&
+    return Row.acceptsTasks() && takesStarts(Row) &&
+           !History_.mayDropUnreadEnds(Row, now()) &&
            !Row.Orders_.avoided(now()) &&
            (Row.Synced_ || !Table_.usageOf(Row.Record_.Incarnation_));
   }
@@ -166,9 +151,6 @@
   /// Ended incarnations and when each ended. The platform's worker list may
   /// show them for some seconds more.
   absl::flat_hash_map<WorkerIncarnation, TimePoint> EndedIncarnations_;
-  /// Workers of which an incarnation has ended that was sent acknowledgements,
-  /// and until when such a hold may still arrive.
-  absl::flat_hash_map<WorkerId, TimePoint> LateHoldsUntil_;
   CellConfig Config_;
   const ZoneEvacuations &Evacuations_;
   scheduling::RunTimeEstimator Estimates_;
@@ -185,6 +167,7 @@
   framework::metrics::Registry &Metrics_;
   CellBounds Bounds_;
   TimePoint StartedAt_;
+  WorkerHistory History_;
   /// Whether the journal has been replayed. Until then the tables are
   /// incomplete.
   bool JournalLoaded_ = false;
--- a/src/cell/tests/modelworker.h
+++ b/src/cell/tests/modelworker.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cell/runtracker.h"
+#include "cell/workertable.h"
 
 #include <algorithm>
 
@@ -19,6 +20,13 @@
 /// are often cut, and the leaders do not know it.
 constexpr std::size_t ModelEndsPerReport = 2;
 
+/// A hold that waits at a worker: it drops the ends up to a number that happen
+/// by a time.
+struct WaitingHold {
+  std::uint64_t AcknowledgedEnds_ = 0;
+  TimePoint Until_{};
+};
+
 /// A worker that behaves as the platform specifies.
 struct ModelWorker {
   std::size_t EndsPerReport_ = ModelEndsPerReport;
@@ -27,6 +35,13 @@
   TimePoint StartedAt_{};
   double Rate_ = 1;
   FencingToken Token_;
+  /// When the latest order or event happened.
+  TimePoint Now_{};
+  /// Whether an order has been executed that was meant for this incarnation.
+  bool Reached_ = false;
+  /// Holds that were meant for a former incarnation and wait here, by the
+  /// address of the message.
+  std::map<const void *, WaitingHold> WaitingHolds_;
   std::int64_t LeaseEndMs_ = 0;
   std::set<RunName> Running_;
   std::vector<EndReport> Ends_;
@@ -56,12 +71,16 @@
     Running_.erase(Run);
     Ends_.push_back({NextEnd_++, Run, Kind, jobs::Checkpoint()});
     block(Run);
+    for (const auto &[Message, Hold] : WaitingHolds_)
+      if (Now_ <= Hold.Until_)
+        acknowledge(Hold.AcknowledgedEnds_, false);
   }
   void block(const RunName &Run) {
     RunNumber &Last = Blocked_[Run.Task_];
     Last = std::max(Last, Run.Run_);
   }
   void expireLease(TimePoint Now) {
+    Now_ = Now;
     if (clockMs(Now) < LeaseEndMs_)
       return;
     const auto All = Running_;
@@ -90,6 +109,7 @@
     if (Order.Token_ < Token_)
       return {OrderResult::Fenced, Clock};
     Token_ = Order.Token_;
+    Reached_ = Reached_ || StartedMs == StartedMs_;
     if (Order.DeadlineMs_ < Clock)
       return {OrderResult::TooLate, Clock};
     extend(Order.DeadlineMs_, Now);
@@ -104,11 +124,13 @@
     return {OrderResult::Done, Clock};
   }
 
-  OrderReply stop(const RunName &Run, FencingToken Token, TimePoint Now) {
+  OrderReply stop(const RunName &Run, FencingToken Token,
+                  std::int64_t StartedMs, TimePoint Now) {
     expireLease(Now);
     if (Token < Token_)
       return {OrderResult::Fenced, clockMs(Now)};
     Token_ = Token;
+    Reached_ = Reached_ || StartedMs == StartedMs_;
     if (Running_.contains(Run))
       end(Run, EndKind::Stopped);
     block(Run);
@@ -125,6 +147,7 @@
       return Reply;
     }
     Token_ = Order.Token_;
+    Reached_ = Reached_ || StartedMs == StartedMs_;
     if (Order.DeadlineMs_ > 0)
       extend(Order.DeadlineMs_, Now);
     Reply.Result_ = StartedMs == StartedMs_ ? OrderResult::Done
--- a/src/cell/tests/runmodel.h
+++ b/src/cell/tests/runmodel.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "cell/tests/modelworker.h"
-#include "cell/workertable.h"
+#include "cell/workerhistory.h"
 #include "scheduling/outagestarts.h"
 
 #include <rapidcheck.h>
@@ -10,7 +10,8 @@
 
 // Simulates workers, leaders and the journal in virtual time around the real
 // rules (RunTracker, WorkerRow, CellTable). Orders are executed at once, late
-// or never, replies are lost, leases expire, workers restart, a leader
+// or never, replies are lost, leases expire, workers restart and execute orders
+// that were meant for their former incarnations, a leader
 // continues for a while after its successor has taken over, jobs are cancelled,
 // and a leader knows no worker before it is listed. Tasks of every second job
 // are speculative, and some get a second run. The store may stop answering one
@@ -62,7 +63,8 @@
 /// An entry that leads, or assumes that it does.
 struct ModelLeader : std::enable_shared_from_this<ModelLeader> {
   explicit ModelLeader(FencingToken Token, TimePoint Now)
-      : Token_(Token), ConfirmedAt_(Now), StartedAt_(Now), Tracker_(Table_) {}
+      : Token_(Token), ConfirmedAt_(Now), StartedAt_(Now), Tracker_(Table_),
+        History_(Now), Newest_(Token) {}
 
   const FencingToken Token_;
   TimePoint ConfirmedAt_;
@@ -72,8 +74,9 @@
   /// Null for workers that are not known.
   std::array<WorkerRowPtr, WorkerCount> Rows_;
   std::set<WorkerIncarnation> EndedIncarnations_;
-  /// Until when holds sent to former incarnations of a worker may arrive.
-  std::map<WorkerId, TimePoint> LateHoldsUntil_;
+  WorkerHistory History_;
+  /// The latest revision of the store at which this leader's head was in it.
+  FencingToken Newest_;
   /// Runs with a stop that was neither answered nor given up.
   std::set<RunName> StopsInFlight_;
   /// Runs that are sent when their worker replies to this leader for the first
@@ -310,6 +313,7 @@
     auto Leader = std::make_shared<ModelLeader>(Journal_.Head_, Now_);
     for (const Event &Item : Journal_.Log_)
       Leader->Table_.apply(Item, Now_);
+    Leader->History_.setFormerLeader(!Leaders_.empty());
     Leaders_.push_back(Leader);
     for (std::size_t I = 0; I < WorkerCount; ++I)
       if ((Listed >> I) % 2 == 1)
@@ -365,9 +369,7 @@
   void endIncarnation(ModelLeader &Leader, const WorkerRowPtr &Row) {
     Row->Ended_ = true;
     Leader.EndedIncarnations_.insert(Row->Record_.Incarnation_);
-    if (Row->EndsStored_ > 0)
-      Leader.LateHoldsUntil_[Row->Record_.Incarnation_.Id_] =
-          Now_ + MaxStaleOrderDelay;
+    Leader.History_.recordEnd(*Row);
     endFirstReplyWait(Leader.shared_from_this(), Row);
   }
 
@@ -387,6 +389,7 @@
       return false;
     }
     Leader.ConfirmedAt_ = Now_;
+    Leader.Newest_ = FencingToken(++Revision_);
     for (const Event &Item : Events) {
       Journal_.Log_.push_back(Item);
       Leader.Table_.apply(Item, Now_);
@@ -519,10 +522,7 @@
   }
 
   bool acceptsTasks(const ModelLeader &Leader, const WorkerRow &Row) const {
-    const auto Until =
-        Leader.LateHoldsUntil_.find(Row.Record_.Incarnation_.Id_);
-    return Row.acceptsTasks() &&
-           (Until == Leader.LateHoldsUntil_.end() || Now_ >= Until->second);
+    return Row.acceptsTasks() && !Leader.History_.mayDropUnreadEnds(Row, Now_);
   }
 
   void startTask(int Detail) {
@@ -569,6 +569,7 @@
       if (!Leader->Active_ || !Leader->Table_.find(Run))
         continue;
       if (Row->Synced_ && !Row->Ended_ && Leader->maySendOrders(Now_) &&
+          !Leader->History_.mayDropUnreadEnds(*Row, Now_) &&
           !Leader->Table_.unwantedSince(Run))
         sendStart(Leader, Row, Run);
       else
@@ -640,7 +641,7 @@
     auto Item = std::make_shared<Message>();
     Item->Kind_ = Message::Kind::Start;
     Item->Start_.Run_ = Run;
-    Item->Start_.Token_ = Leader->Token_;
+    Item->Start_.Token_ = Row->Token_;
     Item->Start_.DeadlineMs_ = Row->clockMs(Now_) + StartWindow.count();
     Row->recordOrder(Item->Start_.DeadlineMs_, Now_, Lease);
     Leader->Tracker_.startSent(Run, Item->Start_.DeadlineMs_);
@@ -668,14 +669,32 @@
     WorkerRowPtr &Row = Leader->Rows_[I];
     if (Row && Row->Ended_)
       Row = nullptr;
-    if (!Row)
+    if (!Row || !ensureToken(*Leader, *Row))
       return;
+    // Holds to a worker are told apart by when they were sent.
+    Now_ += std::chrono::microseconds(1);
     auto Item = std::make_shared<Message>();
     Item->Kind_ = Message::Kind::Hold;
-    Item->Hold_ = Row->nextRenewal(Now_, Leader->Token_, Lease, 0ms);
+    Item->Hold_ = Row->nextRenewal(Now_, Lease, 0ms);
+    Row->recordHold(Item->Hold_, Now_);
     send(Leader, Row, std::move(Item));
   }
 
+  /// Gives an incarnation its token; the leader writes to the store if it has
+  /// to.
+  bool ensureToken(ModelLeader &Leader, WorkerRow &Row) {
+    if (Row.Token_.value() != 0)
+      return true;
+    const WorkerId &Id = Row.Record_.Incarnation_.Id_;
+    auto Token = Leader.History_.assignToken(Id, Leader.Newest_);
+    if (!Token && !Leader.StoreDown_ && Leader.Token_ == Journal_.Head_) {
+      Leader.Newest_ = FencingToken(++Revision_);
+      Token = Leader.History_.assignToken(Id, Leader.Newest_);
+    }
+    Row.Token_ = Token.value_or(FencingToken());
+    return Token.has_value();
+  }
+
   /// Stops a run of a job that continues, as when its worker drains.
   void stopRun(int Detail) {
     const LeaderPtr Leader = someLeader(Detail);
@@ -733,12 +752,12 @@
 
   void sendStop(const LeaderPtr &Leader, const WorkerRowPtr &Row,
                 const RunName &Run, Message::Kind Kind) {
-    if (!Leader->maySendOrders(Now_))
+    if (!Leader->maySendOrders(Now_) || Row->Token_.value() == 0)
       return;
     auto Item = std::make_shared<Message>();
     Item->Kind_ = Kind;
     Item->Start_.Run_ = Run;
-    Item->Start_.Token_ = Leader->Token_;
+    Item->Start_.Token_ = Row->Token_;
     if (Kind == Message::Kind::Stop)
       Leader->StopsInFlight_.insert(Run);
     send(Leader, Row, std::move(Item));
@@ -753,6 +772,7 @@
       recordDone(Worker, *Worker.Running_.begin());
     Worker.end(*Worker.Running_.begin(),
                Detail % 5 == 0 ? EndKind::Failed : EndKind::Done);
+    checkAcknowledged(Worker);
   }
 
   /// Ends one of two active runs of a task and reports it.
@@ -775,14 +795,20 @@
     deliverLast();
   }
 
-  /// Messages sent to an earlier process before the restart were lost with its
-  /// connections; those sent to the former incarnation afterwards arrive within
-  /// MaxStaleOrderDelay.
+  /// Orders to a former incarnation are executed up to MaxOrderDelay late. Only
+  /// until the new one has been reached, those sent before the restart are lost
+  /// with the connections, and those sent afterwards arrive within
+  /// MaxStaleOrderDelay, and leaders learn of the restart: nothing tells the
+  /// worker yet that they are not its own.
   bool arrives(const Message &Item) const {
     const ModelWorker &Worker = Workers_[Item.To_];
-    return Item.StartedMs_ == Worker.StartedMs_ ||
-           (Item.SentAt_ > Worker.StartedAt_ &&
-            Now_ - Item.SentAt_ <= MaxStaleOrderDelay);
+    if (Item.StartedMs_ == Worker.StartedMs_)
+      return true;
+    if (Worker.Reached_)
+      return Now_ - Item.SentAt_ <= MaxOrderDelay;
+    return Item.SentAt_ > Worker.StartedAt_ &&
+           Now_ - Worker.StartedAt_ <= MaxUnnoticedRestart &&
+           Now_ - Item.SentAt_ <= MaxStaleOrderDelay;
   }
 
   void execute(int Detail) {
@@ -799,12 +825,17 @@
     ModelWorker &Worker = Workers_[Item.To_];
     if (Item.Kind_ == Message::Kind::Hold) {
       Item.Report_ = Worker.hold(Item.Hold_, Item.StartedMs_, Now_);
+      if (Item.StartedMs_ != Worker.StartedMs_ &&
+          Item.Report_.Result_ != OrderResult::Fenced)
+        Worker.WaitingHolds_[&Item] = {Item.Hold_.AcknowledgedEnds_,
+                                       Now_ + MaxHoldWait};
       checkAcknowledged(Worker);
       CutReports_ += Worker.Ends_.size() > Item.Report_.Ends_.size();
       return;
     }
     if (Item.Kind_ != Message::Kind::Start) {
-      Item.Reply_ = Worker.stop(Item.Start_.Run_, Item.Start_.Token_, Now_);
+      Item.Reply_ = Worker.stop(Item.Start_.Run_, Item.Start_.Token_,
+                                Item.StartedMs_, Now_);
       return;
     }
     const bool Before = Worker.Running_.contains(Item.Start_.Run_);
@@ -893,6 +924,7 @@
 
   void deliverAnswer(const MessagePtr &Item) {
     Item->Abandoned_ = true;
+    Workers_[Item->To_].WaitingHolds_.erase(Item.get());
     ModelLeader &Leader = *Item->From_;
     WorkerRow &Row = *Item->Row_;
     if (!Leader.Active_)
@@ -936,6 +968,7 @@
     ModelLeader &Leader = *From;
     WorkerRow &Row = *Item.Row_;
     const HoldReply &Reply = Item.Report_;
+    Row.recordHoldAnswered(Item.SentAt_);
     if (Reply.Result_ == OrderResult::OtherIncarnation) {
       endIncarnation(Leader, Item.Row_);
       return;
--- a/src/cell/tests/workersessionstest.cpp
+++ b/src/cell/tests/workersessionstest.cpp
@@ -21,6 +21,9 @@
 /// For this long a worker may have no connection free: a hold that waits there.
 constexpr Duration LongestOutageOfConnections = std::chrono::milliseconds(250);
 
+constexpr Duration LateHoldWait =
+    WorkerSessions<FakeStore, SilentClient>::LateHoldWait;
+
 /// Counts the starts, of which the first ones stay unanswered, and records the
 /// stops. Holds are answered by Report_, once.
 struct CountingClient : SilentClient {
@@ -149,6 +152,14 @@
     framework::fibers::sleepFor(std::chrono::milliseconds(5));
   }
 
+  /// The worker's next incarnation, in the platform's list.
+  WorkerRow nextIncarnation() const {
+    WorkerRow Result;
+    Result.Record_ = Row_->Record_;
+    ++Result.Record_.Incarnation_.StartedMs_;
+    return Result;
+  }
+
   /// Lets an unused worker report \p Count ends of unknown runs.
   void reportUnknownEnds(std::uint64_t Count) {
     Client_.Report_.Result_ = OrderResult::Done;
@@ -216,19 +227,59 @@
   BOOST_TEST((Client_.Holds_[1].Wait_ == Duration::zero()));
 }
 
-// Guards against a finished task that is started again: a late hold to the
-// former incarnation of its worker acknowledged its end, which nobody had read.
+// Guards against a finished task that is started again: a hold to the former
+// incarnation of its worker, which waits at the next one, acknowledged its end,
+// which nobody had read.
 BOOST_AUTO_TEST_CASE(RestartedWorkerTakesNoTaskWhileLateHoldsMayArrive) {
   Row_->EndsStored_ = 1;
+  Row_->recordHold(Row_->nextPoll(LateHoldWait), Term_->now());
   Term_->markIncarnationEnded(*Row_, "restarted");
-  WorkerRow Restarted;
-  Restarted.Record_ = Row_->Record_;
-  ++Restarted.Record_.Incarnation_.StartedMs_;
+  WorkerRow Restarted = nextIncarnation();
+  BOOST_TEST(!Term_->acceptsTasks(Restarted));
+  Restarted.markSynced(Term_->now(), CellBounds().MaxLease_);
   BOOST_TEST(!Term_->acceptsTasks(Restarted));
-  framework::fibers::sleepFor(MaxStaleOrderDelay);
+  framework::fibers::sleepFor(LateHoldWait);
   BOOST_TEST(Term_->acceptsTasks(Restarted));
 }
 
+// Guards against a restarted worker that is left unused though no hold can drop
+// its ends: all that acknowledged any were answered, or did not leave.
+BOOST_AUTO_TEST_CASE(RestartedWorkerTakesTasksIfAllHoldsWereAnswered) {
+  Row_->EndsStored_ = 1;
+  const TimePoint SentAt = Term_->now();
+  Row_->recordHold(Row_->nextPoll(LateHoldWait), SentAt);
+  Row_->recordHoldAnswered(SentAt);
+  Term_->markIncarnationEnded(*Row_, "restarted");
+  BOOST_TEST(Term_->acceptsTasks(nextIncarnation()));
+}
+
+// Guards against a finished task that is started again: a late start that was
+// meant for the former incarnation of a worker is executed by the next one. It
+// refuses what has a lower token than its first hold.
+BOOST_AUTO_TEST_CASE(RestartedWorkerIsHeldUnderAHigherToken) {
+  const auto Held = [&](WorkerRow Known) {
+    const auto Row = std::make_shared<WorkerRow>(Known);
+    Row->MayRunStaleStarts_ = true;
+    Term_->Workers_[Row->Record_.Incarnation_] = Row;
+    Sessions_->prepareStart(Row->Record_.Incarnation_);
+    while (Client_.Holds_.empty())
+      framework::fibers::sleepFor(std::chrono::milliseconds(1));
+    Row->Ended_ = true;
+    return std::exchange(Client_.Holds_, {}).front().Token_;
+  };
+  Client_.HoldTime_ = std::chrono::milliseconds(1);
+  WorkerRow First;
+  First.Record_.Incarnation_ = {WorkerId("w9"), 1};
+  const jobs::FencingToken Former = Held(First);
+  BOOST_TEST((Former >= Leadership_.token()));
+  ++First.Record_.Incarnation_.StartedMs_;
+  const jobs::FencingToken Next = Held(First);
+  BOOST_TEST((Next > Former));
+  // A successor takes the next revision of the store.
+  BOOST_TEST((Leadership_.rewriteHead().ok()));
+  BOOST_TEST((Leadership_.token() > Next));
+}
+
 // Guards against reports that are asked for without a pause while ends that
 // the worker returns at once are not stored.
 BOOST_AUTO_TEST_CASE(UnstoredEndsAreAskedForAtIntervals) {
--- a/src/cell/tests/workertabletest.cpp
+++ b/src/cell/tests/workertabletest.cpp
@@ -10,7 +10,6 @@
 
 constexpr auto Lease = 6000ms;
 constexpr auto Wait = 1500ms;
-const jobs::FencingToken Token(7);
 const TimePoint Start(std::chrono::hours(1));
 
 WorkerRow syncedRow() {
@@ -26,14 +25,14 @@
 
 BOOST_AUTO_TEST_CASE(FirstHoldOnlyPolls) {
   WorkerRow Row;
-  const HoldOrder Order = Row.nextRenewal(Start, Token, Lease, Wait);
+  const HoldOrder Order = Row.nextRenewal(Start, Lease, Wait);
   BOOST_TEST(Order.DeadlineMs_ == 0);
   BOOST_TEST((Row.LeaseExpiry_ == TimePoint()));
 }
 
 BOOST_AUTO_TEST_CASE(HoldRequestsAFullLeaseOnTheWorkersClock) {
   WorkerRow Row = syncedRow();
-  const HoldOrder Order = Row.nextRenewal(Start + 500ms, Token, Lease, Wait);
+  const HoldOrder Order = Row.nextRenewal(Start + 500ms, Lease, Wait);
   BOOST_TEST(Order.DeadlineMs_ == 1000 + 500 + 6000);
   // The worker's clock may run 2 % slow.
   BOOST_TEST((Row.LeaseExpiry_ > Start + 6500ms));
@@ -46,17 +45,29 @@
 // other worker got them.
 BOOST_AUTO_TEST_CASE(UnansweredHoldsDoNotExtendTheLease) {
   WorkerRow Row = syncedRow();
-  Row.nextRenewal(Start, Token, Lease, Wait);
+  Row.nextRenewal(Start, Lease, Wait);
   const TimePoint Expiry = Row.LeaseExpiry_;
   for (int I = 1; I < 20; ++I) {
     Row.Unanswered_ = static_cast<std::uint32_t>(I);
-    const HoldOrder Again =
-        Row.nextRenewal(Start + I * 700ms, Token, Lease, Wait);
+    const HoldOrder Again = Row.nextRenewal(Start + I * 700ms, Lease, Wait);
     BOOST_TEST(Again.DeadlineMs_ == 0);
   }
   BOOST_TEST((Row.LeaseExpiry_ == Expiry));
 }
 
+// Guards against an end that nobody has read and that is forgotten: a hold with
+// an acknowledgement that was not needed any more reached the worker's next
+// incarnation.
+BOOST_AUTO_TEST_CASE(EndsAreAcknowledgedOnlyUntilTheWorkerHasForgottenThem) {
+  WorkerRow Row = syncedRow();
+  Row.EndsStored_ = 3;
+  BOOST_TEST(Row.nextPoll(Wait).AcknowledgedEnds_ == 3u);
+  Row.EndsAcknowledged_ = 3;
+  BOOST_TEST(Row.nextPoll(Wait).AcknowledgedEnds_ == 0u);
+  Row.EndsStored_ = 4;
+  BOOST_TEST(Row.nextRenewal(Start, Lease, Wait).AcknowledgedEnds_ == 4u);
+}
+
 // Guards against leaving healthy workers unused: orders are sometimes executed
 // late, and each lost reply took the worker out of use until the next poll.
 BOOST_AUTO_TEST_CASE(WorkerStaysInUseAfterOneLostReply) {
--- /dev/null
+++ b/src/cell/workerhistory.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "cell/workertable.h"
+
+#include <optional>
+
+#include <absl/container/flat_hash_map.h>
+
+namespace laburnumspread::cell {
+
+/// A leader learns within this time that a worker has restarted: its holds are
+/// answered by the new incarnation, or the list names that.
+constexpr Duration MaxUnnoticedRestart = std::chrono::seconds(5);
+
+/// What a leader has sent to earlier incarnations of the workers.
+///
+/// A call names a worker's id alone, so one that was meant for an earlier
+/// incarnation may be executed by the next, up to MaxOrderDelay late. Two rules
+/// keep it from doing harm there:
+///
+///  - Each incarnation of an id gets a higher fencing token than those before
+///    it. Once it has executed its first call, it refuses all that were meant
+///    for them. Without this a late start runs a finished task again. No task
+///    is started before the first reply.
+///  - A hold that was executed before that may still wait, for up to
+///    MaxHoldWait, and drops the ends that happen meanwhile. An end dropped
+///    unread looks like a lost run, and its task would be started again. So no
+///    task is started in this time if such a hold has no answer. Holds without
+///    acknowledgements drop nothing.
+///
+/// A start that is executed between the begin of the incarnation and its first
+/// reply is not covered.
+class WorkerHistory {
+public:
+  /// The leadership began at \p TakeoverAt.
+  explicit WorkerHistory(TimePoint TakeoverAt) : TakeoverAt_(TakeoverAt) {}
+
+  /// Records whether there was a leader before.
+  void setFormerLeader(bool Existed) { FormerLeader_ = Existed; }
+
+  /// Returns the fencing token for a new incarnation of a worker. \p Newest is
+  /// the highest token that this leader may use: a revision of the store at
+  /// which the head key was its own. Returns nullopt if an earlier incarnation
+  /// has been sent it.
+  std::optional<jobs::FencingToken> assignToken(const WorkerId &Id,
+                                                jobs::FencingToken Newest);
+
+  /// Records that an incarnation has ended.
+  void recordEnd(const WorkerRow &Row);
+
+  /// Whether a hold to an earlier incarnation may still acknowledge ends that
+  /// this one lists.
+  bool mayDropUnreadEnds(const WorkerRow &Row, TimePoint Now) const;
+
+  /// Forgets the holds that can no longer be executed.
+  void forgetOldHolds(TimePoint Now);
+
+private:
+  bool mayDropForFormerLeader(const WorkerRow &Row, TimePoint Now) const;
+
+  TimePoint TakeoverAt_;
+  bool FormerLeader_ = false;
+  absl::flat_hash_map<WorkerId, jobs::FencingToken> Tokens_;
+  /// When the last hold was sent that acknowledged ends and had no answer, of
+  /// ended incarnations.
+  absl::flat_hash_map<WorkerId, TimePoint> UnansweredAcks_;
+};
+
+} // namespace laburnumspread::cell
--- a/src/cell/workersessions.h
+++ b/src/cell/workersessions.h
@@ -34,7 +34,7 @@
   static constexpr Duration BusyHoldWait = std::chrono::milliseconds(250);
   /// The same while the leader is late: the longest that the platform allows.
   /// Its time goes to starts then; ends are reported at once anyway.
-  static constexpr Duration LateHoldWait = std::chrono::milliseconds(2000);
+  static constexpr Duration LateHoldWait = MaxHoldWait;
   static constexpr Duration RetryPause = OrderRetryPause;
   /// Pause between two reports of a worker while the store does not answer: its
   /// ends cannot be acknowledged, so that each report is returned at once.
@@ -47,6 +47,8 @@
   /// As many attempts as fit into StartWindow.
   static constexpr int StartAttempts = 6;
   static constexpr double FailureScoreIncrement = 1;
+  /// Time until a session looks again for the token that another one requests.
+  static constexpr Duration TokenPause = std::chrono::milliseconds(5);
   /// Logged for a worker that has not replied to this leader yet.
   static constexpr std::int64_t NeverAnswered = -1;
 
@@ -187,7 +189,7 @@
   /// \p Poll is set if the worker is unused so far.
   void runSession(WorkerRow &Row, ScopedCountPtr Poll) {
     while (!Term_->ended() && !Row.Ended_) {
-      if (!Term_->maySendOrders()) {
+      if (!Term_->maySendOrders() || !ensureToken(Row)) {
         framework::fibers::sleepFor(RetryPause);
         continue;
       }
@@ -204,6 +206,33 @@
     Row.NextPollAt_ = now() + WorkerPolls::SilentInterval;
   }
 
+  /// Gives the incarnation its token, for which the store has to be asked if
+  /// nothing was written since the last one. Returns whether it has one.
+  bool ensureToken(WorkerRow &Row) {
+    if (assignToken(Row))
+      return true;
+    if (std::exchange(RequestingToken_, true)) {
+      framework::fibers::sleepFor(TokenPause);
+      return assignToken(Row);
+    }
+    const absl::Status Written = Term_->Log_.writeFence();
+    RequestingToken_ = false;
+    if (!Written.ok())
+      framework::log::warning("worker.no_token")
+          .field("worker", Row.Record_.Incarnation_.Id_.str())
+          .field("reason", std::string(Written.message()));
+    return !Term_->ended() && assignToken(Row);
+  }
+
+  bool assignToken(WorkerRow &Row) const {
+    if (Row.Token_.value() == 0)
+      Row.Token_ = Term_->History_
+                       .assignToken(Row.Record_.Incarnation_.Id_,
+                                    Term_->Log_.newestToken())
+                       .value_or(jobs::FencingToken());
+    return Row.Token_.value() != 0;
+  }
+
   /// Whether the worker runs something, or may, or has ends to acknowledge.
   bool needsSession(const WorkerRow &Row) const {
     return Row.MayRunStaleStarts_ || Row.HasUnknownRuns_ || Row.HasMoreEnds_ ||
@@ -238,9 +267,12 @@
       return handleNoAnswer(Row, OrderResult::NotSent);
     const HoldOrder Order = nextHold(Row);
     const TimePoint SentAt = now();
+    Row.recordHold(Order, SentAt);
     const HoldReply Reply =
         Client_.hold(Row.Record_, Order, Order.Wait_ + Row.Answers_.timeout());
     Row.recordAnswer(Reply.Result_, SentAt + Order.Wait_, now());
+    if (Reply.Result_ != OrderResult::Unknown)
+      Row.recordHoldAnswered(SentAt);
     Row.Suspect_ = false;
     Holds_.add();
     if (Term_->ended())
@@ -250,7 +282,7 @@
     if (Reply.Result_ == OrderResult::OtherIncarnation)
       return endIncarnation(Row, "another incarnation of the worker replied",
                             true);
-    if (Reply.Result_ == OrderResult::Fenced && Order.Token_ == Term_->Token_)
+    if (Reply.Result_ == OrderResult::Fenced)
       Term_->Superseded_ = true;
     handleNoAnswer(Row, Reply.Result_);
     // The first retry is sent at once, because run ends may be waiting there.
@@ -262,9 +294,8 @@
   /// If only unknown runs are active on the worker, its lease is not renewed.
   HoldOrder nextHold(WorkerRow &Row) const {
     if (Row.HasUnknownRuns_ && !inUse(Row))
-      return Row.nextPoll(Term_->Token_, BusyHoldWait);
-    return Row.nextRenewal(now(), Term_->Token_, Term_->Bounds_.MaxLease_,
-                           holdWait(Row));
+      return Row.nextPoll(BusyHoldWait);
+    return Row.nextRenewal(now(), Term_->Bounds_.MaxLease_, holdWait(Row));
   }
 
   Duration holdWait(const WorkerRow &Row) const {
@@ -541,7 +572,7 @@
     StartOrder Order;
     Order.Run_ = Run;
     Order.Payload_ = Payload;
-    Order.Token_ = Term_->Token_;
+    Order.Token_ = Row->Token_;
     Order.ResumeFrom_ = Term_->Table_.resumePoint(Run.Task_);
     Order.Ticket_ =
         Term_->Advice_
@@ -586,8 +617,9 @@
 
   /// Whether a run that was never sent may be sent now.
   bool maySendFirst(const jobs::RunName &Run, const WorkerRow &Row) const {
-    return Row.Synced_ && !Term_->Table_.unwantedSince(Run) &&
-           Term_->maySendStarts() && Term_->takesStarts(Row);
+    return Row.Synced_ && !Term_->History_.mayDropUnreadEnds(Row, now()) &&
+           !Term_->Table_.unwantedSince(Run) && Term_->maySendStarts() &&
+           Term_->takesStarts(Row);
   }
 
   /// Returns false if no connection to the worker became free.
@@ -656,6 +688,8 @@
   std::size_t UnansweredStarts_ = 0;
   /// Sessions that were opened to poll an unused worker.
   std::size_t PollsInFlight_ = 0;
+  /// Whether a session is asking the store for a token.
+  bool RequestingToken_ = false;
   framework::metrics::Counter &Holds_;
   framework::metrics::Histogram &FirstStartSeconds_;
   framework::metrics::Histogram &StartAnswerSeconds_;
--- a/src/cell/workertable.h
+++ b/src/cell/workertable.h
@@ -9,6 +9,7 @@
 #include "scheduling/pacer.h"
 
 #include <memory>
+#include <optional>
 #include <utility>
 #include <vector>
 
@@ -22,10 +23,18 @@
 /// Safety margin for comparing times of two machines.
 constexpr Duration ClockSkewMargin = std::chrono::milliseconds(300);
 
-/// An order addressed to an earlier incarnation of a restarted worker is
-/// executed within this time, or it is lost with the connection.
+/// An order that is sent to a worker which has just restarted, before the
+/// leader knows, is executed within this time, or it is lost with the
+/// connection.
 constexpr Duration MaxStaleOrderDelay = std::chrono::milliseconds(1000);
 
+/// Longest time after which a sent order may still be executed. The platform
+/// specifies only "seconds later".
+constexpr Duration MaxOrderDelay = std::chrono::seconds(12);
+
+/// Longest time that a hold may wait at the worker; the platform's limit.
+constexpr Duration MaxHoldWait = std::chrono::milliseconds(2000);
+
 /// Time for which a leader without confirmation from the store keeps renewing
 /// leases. Runs survive a store outage of up to this time plus one lease. A
 /// successor waits equally long before it gives up an unreachable worker.
@@ -64,6 +73,12 @@
   /// Whether it has replied to this leader. Then its runs are known, and it
   /// refuses orders of earlier leaders. Until then no start is sent to it.
   bool Synced_ = false;
+  /// When it replied to this leader for the first time.
+  TimePoint SyncedAt_{};
+  /// Token of all orders to this incarnation; 0 until one is known that is
+  /// higher than those of the earlier ones (WorkerHistory). Nothing is sent
+  /// before.
+  jobs::FencingToken Token_;
   /// A start that was sent to an earlier incarnation of this worker may still
   /// be executed here.
   bool MayRunStaleStarts_ = false;
@@ -93,6 +108,10 @@
   std::uint64_t EndsStored_ = 0;
   std::uint64_t EndsStaged_ = 0;
   std::uint64_t EndsAcknowledged_ = 0;
+  /// When the last hold that acknowledged ends was sent, until it is answered,
+  /// and the last one before it that was not.
+  std::optional<TimePoint> AckSentAt_;
+  std::optional<TimePoint> LostAckAt_;
   /// What the replies to starts and stops tell.
   OrderHealth Orders_;
   /// Controls the pace of the filler tasks on this worker.
@@ -162,11 +181,34 @@
                              Now + MaxStaleOrderDelay + NewProcessSpan});
   }
 
-  /// Returns an order that requests a report without renewing the lease.
-  HoldOrder nextPoll(jobs::FencingToken Token, Duration Wait) const {
+  /// Records that a hold is about to be sent.
+  void recordHold(const HoldOrder &Order, TimePoint Now) {
+    if (Order.AcknowledgedEnds_ == 0)
+      return;
+    if (AckSentAt_)
+      LostAckAt_ = AckSentAt_;
+    AckSentAt_ = Now;
+  }
+
+  /// Records that the hold sent at \p SentAt was answered, or was not sent.
+  void recordHoldAnswered(TimePoint SentAt) {
+    if (AckSentAt_ == SentAt)
+      AckSentAt_.reset();
+  }
+
+  /// Returns when the last hold was sent that acknowledged ends and has no
+  /// answer, so that it may still be executed.
+  std::optional<TimePoint> lastUnansweredAck() const {
+    return AckSentAt_ ? AckSentAt_ : LostAckAt_;
+  }
+
+  /// Returns an order that requests a report without renewing the lease. It
+  /// acknowledges only ends that the worker still lists: executed by the next
+  /// incarnation, whose ends have the same numbers, it would drop them unread.
+  HoldOrder nextPoll(Duration Wait) const {
     HoldOrder Order;
-    Order.Token_ = Token;
-    Order.AcknowledgedEnds_ = EndsStored_;
+    Order.Token_ = Token_;
+    Order.AcknowledgedEnds_ = EndsStored_ > EndsAcknowledged_ ? EndsStored_ : 0;
     Order.Wait_ = Wait;
     return Order;
   }
@@ -174,9 +216,8 @@
   /// Returns the next hold to send. A worker that did not reply to the last one
   /// is only polled: a renewal could be executed while its replies are lost,
   /// and the leader could then never assume that the runs there have expired.
-  HoldOrder nextRenewal(TimePoint Now, jobs::FencingToken Token, Duration Lease,
-                        Duration Wait) {
-    HoldOrder Order = nextPoll(Token, Duration::zero());
+  HoldOrder nextRenewal(TimePoint Now, Duration Lease, Duration Wait) {
+    HoldOrder Order = nextPoll(Duration::zero());
     if (!Synced_ || Unanswered_ > 0)
       return Order;
     Order.DeadlineMs_ =
@@ -198,6 +239,7 @@
   /// may go on for one full lease from now.
   void markSynced(TimePoint Now, Duration MaxLease) {
     Synced_ = true;
+    SyncedAt_ = Now;
     const auto Span = Duration(static_cast<std::int64_t>(
         static_cast<double>(MaxLease.count()) / MinClockRate));
     LeaseExpiry_ = std::max(LeaseExpiry_, Now + Span);
--- a/src/journal/journal.h
+++ b/src/journal/journal.h
@@ -85,7 +85,9 @@
     }
     if (absl::Status Read = loadSnapshot(Into, Now); !Read.ok())
       return Read;
-    return loadLog(Into, Now);
+    const absl::Status Read = loadLog(Into, Now);
+    FormerLeader_ = Next_ > 1;
+    return Read;
   }
 
   /// Called with the number of events that the store holds, from the first.
@@ -151,6 +153,34 @@
     return removeCompacted(Old);
   }
 
+  /// Whether an earlier leader has written to the journal; known once it is
+  /// loaded.
+  bool hasFormerLeader() const { return FormerLeader_; }
+
+  /// Returns the highest fencing token that this leader may use: the latest
+  /// revision that the store gave to a write on the condition that the head key
+  /// is this leader's. A successor writes the head key later, so its token is
+  /// higher.
+  jobs::FencingToken newestToken() const {
+    return std::max(Leadership_.token(), Newest_);
+  }
+
+  /// Writes a key that nothing reads, to raise newestToken(). Returns the
+  /// store's error, or Aborted if the head key has changed.
+  absl::Status writeFence() {
+    store::Transaction Txn = fencedTransaction();
+    Txn.Puts_ = {{Keys_.fence(), "1", 0}};
+    const TimePoint SentAt = SteadyClock().now();
+    const auto Written = Store_.commit(Txn, wallDeadline(Answers_.timeout()));
+    if (!Written.ok())
+      return Written.status();
+    if (!Written->Succeeded_ || !Leadership_.holds(Term_))
+      return absl::AbortedError("the head key has changed");
+    Leadership_.recordConfirmation(SentAt);
+    recordWritten(Written->StoreRevision_);
+    return absl::OkStatus();
+  }
+
   /// Whether a new write would be delayed: the store has refused the pending
   /// write, or has not answered it for much longer than recent writes took.
   bool stalled(TimePoint Now) const {
@@ -167,6 +197,10 @@
   static constexpr int CommitTimeSmoothing = 5;
   static constexpr Duration LoadTimeout = std::chrono::milliseconds(2000);
 
+  void recordWritten(fleet::Revision At) {
+    Newest_ = std::max(Newest_, jobs::FencingToken(At.value()));
+  }
+
   jobs::GroupStamp stamp() const {
     return {Leadership_.token(), SteadyClock().now() - Leadership_.startedAt()};
   }
@@ -288,6 +322,7 @@
         Answers_.recordResponse(SteadyClock().now() - SentAt);
       if (Written.ok() && Written->Succeeded_) {
         Leadership_.recordConfirmation(SentAt);
+        recordWritten(Written->StoreRevision_);
         return Written->StoreRevision_;
       }
       if (Written.ok()) {
@@ -353,6 +388,8 @@
   TermNumber Term_;
   std::size_t MaxValueBytes_;
   std::uint64_t Next_ = 1;
+  jobs::FencingToken Newest_;
+  bool FormerLeader_ = false;
   Base Base_;
   fleet::Revision BaseRevision_;
   std::optional<TimePoint> PendingSince_;
--- a/src/journal/leader.h
+++ b/src/journal/leader.h
@@ -39,6 +39,8 @@
   std::string head() const { return Prefix_ + "head"; }
   /// Prefix of the keys with each entry's weight as a candidate for leadership.
   std::string candidates() const { return Prefix_ + "candidates/"; }
+  /// Written to get a new revision of the store; nothing reads it.
+  std::string fence() const { return Prefix_ + "fence"; }
   std::string base() const { return Prefix_ + "base"; }
   std::string logPrefix() const { return Prefix_ + "log/"; }
   std::string log(std::uint64_t Index) const;
