The advisor is asked about each worker of a step once

Change: the table remembers by incarnation which workers a step was asked about. Only those that were not are proposed, and those that were named, when their tickets run out. So a step is done with after as many questions as its pool needs, and one that no worker may run costs nothing after that. A step without waiting tasks is not asked about, nor are workers that lack the label or can never hold the task; those with room come first. A question names as many workers as the advisor can judge in 2 s by its declared times. Tickets belong to an incarnation.

RequestIsRepeatedAfterEmptyOrNoAnswer asked for the same question again after an empty answer, which is the fault: QuestionIsRepeatedAfterNoAnswerOnly now checks that it is not, and that a new worker is asked about.

Red before: AllWorkersOfALargePoolAreAskedAbout, QuestionIsRepeated..., EachIncarnationIsAskedAbout fail if workers count as not asked.

--- a/src/cell/cellservice.h
+++ b/src/cell/cellservice.h
@@ -332,6 +332,10 @@
         Sessions_->maintain();
       T->History_.forgetOldHolds(now());
       T->Table_.forgetEnded(now() - Bounds_.StatusRetention_);
+      T->Advice_.forgetEnded([&](const jobs::JobId &Id) {
+        const jobs::JobRow *Job = T->Table_.find(Id);
+        return Job && !Job->ended();
+      });
       forgetRemovedQueues(*T, InForce_.config());
       loseRunsOnUnknownWorkers(*T);
       if (Planner_ && !T->Commits_.closing())
--- a/src/cell/taskplanner.h
+++ b/src/cell/taskplanner.h
@@ -106,8 +106,7 @@
       Copies = planCopies(Workers, Plan, MaxStarts - Plan.Starts_.size());
     ShareReporter_.report(Plan.Divisions_, now());
     Term_->Admission_.rebuild(std::move(Plan.Backlogs_));
-    for (const scheduling::StepName &Step : Plan.AwaitingAdvice_)
-      askAdvice(Step, Workers);
+    askAdvice(Plan.AwaitingAdvice_, Workers);
     for (const jobs::RunIntended &Item : Plan.Starts_)
       stageStart(Item);
     for (const scheduling::Copy &Item : Copies) {
@@ -188,35 +187,76 @@
     Sessions_->prepareStart(Item.Worker_);
   }
 
-  /// Asks the advisor about a step unless a question is pending. The advisor
-  /// answers one call of this entry at a time, so the next step waits for the
-  /// next pass.
-  void askAdvice(const scheduling::StepName &Step,
+  /// Sends the next question to the advisor, unless one is pending. It answers
+  /// one call of this entry at a time.
+  void askAdvice(const std::vector<scheduling::StepName> &Steps,
                  const std::vector<scheduling::Candidate> &Workers) {
+    auto Question = Term_->Advice_.nextQuestion(
+        Steps,
+        [&](const scheduling::StepName &Step,
+            std::vector<WorkerIncarnation> &Into) {
+          findWorkersFor(Step, Workers, Into);
+        },
+        [&](const scheduling::StepName &Step) { return mostWorkers(Step); },
+        now());
+    if (Question)
+      framework::fibers::spawn(
+          [Self = this->shared_from_this(), Asked = std::move(*Question)] {
+            Self->recordAdvice(Asked);
+          });
+  }
+
+  const QueueConfig *queueOf(const scheduling::StepName &Step) const {
     const jobs::JobRow *Job = Term_->Table_.find(Step.Job_);
-    const QueueConfig *Queue =
-        Job ? Term_->Config_.find(Job->Spec_.Queue_) : nullptr;
-    if (!Queue || AskingAdvisor_ || !Term_->Advice_.beginRequest(Step, now()))
+    return Job ? Term_->Config_.find(Job->Spec_.Queue_) : nullptr;
+  }
+
+  /// Appends the workers that could run a task of the step, those with room for
+  /// one first.
+  void findWorkersFor(const scheduling::StepName &Step,
+                      const std::vector<scheduling::Candidate> &Workers,
+                      std::vector<WorkerIncarnation> &Into) const {
+    const QueueConfig *Queue = queueOf(Step);
+    const jobs::StepSpec *Spec =
+        Term_->Table_.specOf({Step.Job_, Step.Occurrence_, Step.Step_, 0});
+    if (!Queue || !Spec)
       return;
-    std::vector<WorkerId> Ids;
-    for (const scheduling::Candidate &Item : Workers)
-      if (Item.Worker_->Pool_ == Queue->Pool_ &&
-          Ids.size() < MaxWorkersPerQuestion)
-        Ids.push_back(Item.Worker_->Incarnation_.Id_);
-    AskingAdvisor_ = true;
-    framework::fibers::spawn(
-        [Self = this->shared_from_this(), Step, Ids = std::move(Ids)] {
-          Self->recordAdvice(Step, Ids);
-        });
+    const auto Add = [&](bool HasRoom) {
+      for (const scheduling::Candidate &Item : Workers)
+        if (Item.Worker_->Pool_ == Queue->Pool_ &&
+            couldRun(*Spec, *Item.Worker_) &&
+            Spec->demand().fitsInto(Item.Free_) == HasRoom)
+          Into.push_back(Item.Worker_->Incarnation_);
+    };
+    Add(true);
+    Add(false);
   }
 
-  void recordAdvice(const scheduling::StepName &Step,
-                    const std::vector<WorkerId> &Ids) {
+  static bool couldRun(const jobs::StepSpec &Spec, const WorkerRecord &Worker) {
+    return Spec.demand().fitsInto(Worker.Capacity_) &&
+           (Spec.Requirement_.empty() || Worker.hasLabel(Spec.Requirement_));
+  }
+
+  /// As many workers as the advisor can judge before the call times out.
+  std::size_t mostWorkers(const scheduling::StepName &Step) const {
+    const QueueConfig *Queue = queueOf(Step);
+    if (!Queue || !Queue->Advice_ ||
+        Queue->Advice_->TimePerWorker_ <= Duration::zero())
+      return MaxWorkersPerQuestion;
+    const auto InTime = (MaxAdviceTime - Queue->Advice_->DecisionTime_) /
+                        Queue->Advice_->TimePerWorker_;
+    return std::clamp<std::size_t>(std::max<std::int64_t>(InTime, 1), 1,
+                                   MaxWorkersPerQuestion);
+  }
+
+  void recordAdvice(const scheduling::AdviceQuestion &Asked) {
     const TimePoint AskedAt = now();
-    const auto Reply = AskAdvisor_(Step, Ids);
-    AskingAdvisor_ = false;
+    std::vector<WorkerId> Ids;
+    for (const WorkerIncarnation &Worker : Asked.Workers_)
+      Ids.push_back(Worker.Id_);
+    const auto Reply = AskAdvisor_(Asked.Step_, Ids);
     framework::log::info("advice.answered")
-        .field("step", Step.str())
+        .field("step", Asked.Step_.str())
         .field("asked", static_cast<std::uint64_t>(Ids.size()))
         .field("good", static_cast<std::uint64_t>(
                            Reply.ok() ? Reply->Workers_.size() : 0))
@@ -224,16 +264,17 @@
     if (Term_->ended())
       return;
     if (Reply.ok())
-      Term_->Advice_.recordAnswer(Step, Reply->Workers_, Reply->ValidFor_,
-                                  AskedAt);
+      Term_->Advice_.recordAnswer(Asked, *Reply, AskedAt);
     else
-      Term_->Advice_.recordNoAnswer(Step, now());
+      Term_->Advice_.recordNoAnswer(Asked, now());
     Term_->Commits_.wake();
   }
 
   /// The advisor's response time grows with the number of workers in a
-  /// question.
+  /// question; the others follow in the next ones.
   static constexpr std::size_t MaxWorkersPerQuestion = 30;
+  /// Time that the advisor may take for a question; calls time out after 3 s.
+  static constexpr Duration MaxAdviceTime = std::chrono::milliseconds(2000);
   /// A pass takes longer with more waiting tasks. Without a limit, the leader
   /// of a long backlog would only plan, and neither start nor renew anything.
   static constexpr double MaxPlanningShare = 0.25;
@@ -262,7 +303,6 @@
   /// choice of copies.
   absl::flat_hash_set<WorkerIncarnation> Slow_;
   TimePoint NextCopiesAt_{};
-  bool AskingAdvisor_ = false;
   TimePoint NextPassAt_{};
 };
 
--- a/src/cell/workersessions.h
+++ b/src/cell/workersessions.h
@@ -577,7 +577,7 @@
     Order.Ticket_ =
         Term_->Advice_
             .ticket({Run.Task_.Job_, Run.Task_.Occurrence_, Run.Task_.Step_},
-                    Item.Worker_.Id_, now())
+                    Item.Worker_, now())
             .value_or("");
     if (Run.Run_ == jobs::RunNumber(1))
       FirstStartSeconds_.record(
@@ -661,7 +661,7 @@
     const scheduling::StepName Step{Run.Task_.Job_, Run.Task_.Occurrence_,
                                     Run.Task_.Step_};
     if (Reply.Result_ == OrderResult::BadTicket)
-      Term_->Advice_.recordRefusal(Step, Row.Record_.Incarnation_.Id_);
+      Term_->Advice_.recordRefusal(Step, Row.Record_.Incarnation_);
     if (Reply.Result_ == OrderResult::NoRoom)
       Row.FailureScore_ += FailureScoreIncrement;
     if (Ended)
--- a/src/scheduling/advicetable.h
+++ b/src/scheduling/advicetable.h
@@ -2,9 +2,12 @@
 
 #include "jobs/jobtypes.h"
 
+#include <functional>
 #include <map>
 #include <optional>
-#include <set>
+#include <vector>
+
+#include <absl/container/flat_hash_map.h>
 
 namespace laburnumspread::scheduling {
 
@@ -38,52 +41,93 @@
   Duration ValidFor_{};
 };
 
-/// Caches the advisor's answers per step. A ticket is valid for all tasks of
-/// the step, for one incarnation of the worker and for a limited time. A ticket
-/// that could expire before the worker receives it is not used.
+/// A question to the advisor: which of the workers may run the step.
+struct AdviceQuestion {
+  StepName Step_;
+  std::vector<jobs::WorkerIncarnation> Workers_;
+};
+
+/// What the advisor has said of each step.
+///
+/// Which workers may run a step does not change, so each incarnation of a
+/// worker is asked about once for a step; if it was named, again when its
+/// ticket is about to expire. So a step that no worker may run costs a bounded
+/// number of questions, and the workers of a large pool are gone through in
+/// questions of bounded size. Asking about the same workers again took all of
+/// the advisor's time once there were a few such steps, and the others were
+/// never asked about.
+///
+/// A ticket is valid for all tasks of the step, for one incarnation of the
+/// worker and for a limited time. A ticket that could expire before the worker
+/// receives it is not used.
 class AdviceTable {
 public:
   /// Time that a ticket must still be valid to be used. A start request takes
   /// a few milliseconds; with its retries it can take a second.
   static constexpr Duration UseMargin = std::chrono::milliseconds(300);
-  /// Time until the advisor is asked again after it named no or too few
-  /// workers, or did not answer. The needs of a step are fixed, but the set of
-  /// workers changes.
+  /// Time until a question is repeated that had no answer, and until a step is
+  /// looked at again for which there was nothing to ask.
   static constexpr Duration RetryInterval = std::chrono::milliseconds(400);
-  /// The platform's limit on the workers named in one request.
-  static constexpr std::size_t MaxWorkersPerRequest = 100;
-
-  /// Returns whether the advisor should be asked about the step now, and if so
-  /// marks the request as pending.
-  bool beginRequest(const StepName &Step, TimePoint Now);
-  /// Stores the answer to a request that was sent at \p RequestedAt, and
-  /// replaces the step's earlier tickets.
-  void recordAnswer(const StepName &Step,
-                    const std::vector<AdvisedWorker> &Workers,
-                    Duration ValidFor, TimePoint RequestedAt);
-  /// The request failed or timed out; it is repeated after RetryInterval.
-  void recordNoAnswer(const StepName &Step, TimePoint Now);
+
+  /// Appends the workers that the step may run on to its second argument.
+  using FindWorkers = std::function<void(
+      const StepName &, std::vector<jobs::WorkerIncarnation> &)>;
+
+  /// Chooses the next question for \p Steps, given in scheduling order, and
+  /// marks it as pending. \p MostWorkers returns how many workers a question
+  /// about a step may name. Returns nullopt if a question is pending or there
+  /// is nothing to ask.
+  std::optional<AdviceQuestion>
+  nextQuestion(const std::vector<StepName> &Steps, const FindWorkers &Find,
+               const std::function<std::size_t(const StepName &)> &MostWorkers,
+               TimePoint Now);
+
+  /// Stores the answer to a question that was sent at \p AskedAt.
+  void recordAnswer(const AdviceQuestion &Asked, const AdviceReply &Answer,
+                    TimePoint AskedAt);
+  /// The question failed or timed out; it is repeated after RetryInterval.
+  void recordNoAnswer(const AdviceQuestion &Asked, TimePoint Now);
 
   /// Returns the ticket of the step for the worker, or nullopt if there is none
   /// or it expires within UseMargin.
   std::optional<std::string> ticket(const StepName &Step,
-                                    const jobs::WorkerId &Worker,
+                                    const jobs::WorkerIncarnation &Worker,
                                     TimePoint Now) const;
-  /// The worker has refused the ticket. It is dropped; if it was the step's
-  /// last one, the advisor may be asked again at once.
-  void recordRefusal(const StepName &Step, const jobs::WorkerId &Worker);
-  /// Removes all entries of the job.
-  void forget(const jobs::JobId &Job);
+  /// The worker has refused the ticket: it is dropped, and the advisor may be
+  /// asked about the worker again.
+  void recordRefusal(const StepName &Step,
+                     const jobs::WorkerIncarnation &Worker);
+  /// Removes the steps of jobs for which \p IsOpen returns false.
+  void forgetEnded(const std::function<bool(const jobs::JobId &)> &IsOpen);
+
+  std::size_t size() const { return Rows_.size(); }
 
 private:
-  struct Row {
-    std::map<jobs::WorkerId, std::string> Tickets_;
+  struct Ticket {
+    std::string Text_;
     TimePoint ExpiresAt_{};
-    TimePoint NextRequestAt_{};
-    bool RequestPending_ = false;
+    /// When a new one is asked for.
+    TimePoint RenewAt_{};
+  };
+
+  struct Row {
+    /// Of the workers that were named.
+    std::map<jobs::WorkerIncarnation, Ticket> Tickets_;
+    /// Whether the advisor was asked about a worker, by its number.
+    std::vector<bool> Asked_;
+    /// Not before then is it looked at.
+    TimePoint NextAt_{};
   };
 
+  std::vector<jobs::WorkerIncarnation>
+  workersToAskAbout(Row &Of, const std::vector<jobs::WorkerIncarnation> &Among,
+                    std::size_t Most, TimePoint Now);
+  std::uint32_t numberOf(const jobs::WorkerIncarnation &Worker);
+  static bool wasAsked(const Row &Of, std::uint32_t Number);
+
   std::map<StepName, Row> Rows_;
+  absl::flat_hash_map<jobs::WorkerIncarnation, std::uint32_t> Numbers_;
+  bool Pending_ = false;
 };
 
 } // namespace laburnumspread::scheduling
--- a/src/scheduling/internal/advicetable.cpp
+++ b/src/scheduling/internal/advicetable.cpp
@@ -4,61 +4,115 @@
 
 namespace laburnumspread::scheduling {
 
-bool AdviceTable::beginRequest(const StepName &Step, TimePoint Now) {
-  Row &Known = Rows_[Step];
-  if (Known.RequestPending_ || Now < Known.NextRequestAt_)
-    return false;
-  Known.RequestPending_ = true;
-  return true;
+using jobs::WorkerIncarnation;
+
+std::optional<AdviceQuestion> AdviceTable::nextQuestion(
+    const std::vector<StepName> &Steps, const FindWorkers &Find,
+    const std::function<std::size_t(const StepName &)> &MostWorkers,
+    TimePoint Now) {
+  if (Pending_)
+    return std::nullopt;
+  std::vector<WorkerIncarnation> Among;
+  for (const StepName &Step : Steps) {
+    Row &Of = Rows_[Step];
+    if (Of.NextAt_ > Now)
+      continue;
+    Among.clear();
+    Find(Step, Among);
+    AdviceQuestion Question{
+        Step, workersToAskAbout(Of, Among, MostWorkers(Step), Now)};
+    Pending_ = !Question.Workers_.empty();
+    if (Pending_)
+      return Question;
+    Of.NextAt_ = Now + RetryInterval;
+  }
+  return std::nullopt;
 }
 
-void AdviceTable::recordAnswer(const StepName &Step,
-                               const std::vector<AdvisedWorker> &Workers,
-                               Duration ValidFor, TimePoint RequestedAt) {
-  Row &Known = Rows_[Step];
-  Known.RequestPending_ = false;
-  Known.Tickets_.clear();
-  for (const AdvisedWorker &Item : Workers)
-    Known.Tickets_[Item.Worker_] = Item.Ticket_;
-  Known.ExpiresAt_ = RequestedAt + ValidFor;
-  Known.NextRequestAt_ = Workers.empty()
-                             ? RequestedAt + RetryInterval
-                             : std::max(RequestedAt + RetryInterval,
-                                        Known.ExpiresAt_ - 2 * UseMargin);
+std::vector<WorkerIncarnation>
+AdviceTable::workersToAskAbout(Row &Of,
+                               const std::vector<WorkerIncarnation> &Among,
+                               std::size_t Most, TimePoint Now) {
+  std::vector<WorkerIncarnation> Result;
+  // A worker that was named once is named again.
+  for (const WorkerIncarnation &Worker : Among) {
+    const auto Known = Of.Tickets_.find(Worker);
+    if (Result.size() < Most && Known != Of.Tickets_.end() &&
+        Known->second.RenewAt_ <= Now)
+      Result.push_back(Worker);
+  }
+  for (const WorkerIncarnation &Worker : Among)
+    if (Result.size() < Most && !wasAsked(Of, numberOf(Worker)))
+      Result.push_back(Worker);
+  return Result;
 }
 
-void AdviceTable::recordNoAnswer(const StepName &Step, TimePoint Now) {
-  Row &Known = Rows_[Step];
-  Known.RequestPending_ = false;
-  Known.NextRequestAt_ = Now + RetryInterval;
+std::uint32_t AdviceTable::numberOf(const WorkerIncarnation &Worker) {
+  return Numbers_
+      .try_emplace(Worker, static_cast<std::uint32_t>(Numbers_.size()))
+      .first->second;
+}
+
+bool AdviceTable::wasAsked(const Row &Of, std::uint32_t Number) {
+  return Number < Of.Asked_.size() && Of.Asked_[Number];
+}
+
+void AdviceTable::recordAnswer(const AdviceQuestion &Asked,
+                               const AdviceReply &Answer, TimePoint AskedAt) {
+  Pending_ = false;
+  Row &Of = Rows_[Asked.Step_];
+  const TimePoint ExpiresAt = AskedAt + Answer.ValidFor_;
+  const TimePoint RenewAt =
+      std::max(AskedAt + RetryInterval, ExpiresAt - 2 * UseMargin);
+  for (const WorkerIncarnation &Worker : Asked.Workers_) {
+    const std::uint32_t Number = numberOf(Worker);
+    if (Of.Asked_.size() <= Number)
+      Of.Asked_.resize(Number + 1);
+    Of.Asked_[Number] = true;
+    const auto Named = std::find_if(
+        Answer.Workers_.begin(), Answer.Workers_.end(),
+        [&](const AdvisedWorker &Item) { return Item.Worker_ == Worker.Id_; });
+    if (Named == Answer.Workers_.end())
+      Of.Tickets_.erase(Worker);
+    else
+      Of.Tickets_[Worker] = {Named->Ticket_, ExpiresAt, RenewAt};
+  }
+}
+
+void AdviceTable::recordNoAnswer(const AdviceQuestion &Asked, TimePoint Now) {
+  Pending_ = false;
+  Rows_[Asked.Step_].NextAt_ = Now + RetryInterval;
 }
 
 std::optional<std::string> AdviceTable::ticket(const StepName &Step,
-                                               const jobs::WorkerId &Worker,
+                                               const WorkerIncarnation &Worker,
                                                TimePoint Now) const {
   const auto Known = Rows_.find(Step);
-  if (Known == Rows_.end() || Now + UseMargin > Known->second.ExpiresAt_)
+  if (Known == Rows_.end())
     return std::nullopt;
   const auto Found = Known->second.Tickets_.find(Worker);
-  if (Found == Known->second.Tickets_.end())
+  if (Found == Known->second.Tickets_.end() ||
+      Now + UseMargin > Found->second.ExpiresAt_)
     return std::nullopt;
-  return Found->second;
+  return Found->second.Text_;
 }
 
 void AdviceTable::recordRefusal(const StepName &Step,
-                                const jobs::WorkerId &Worker) {
+                                const WorkerIncarnation &Worker) {
   const auto Known = Rows_.find(Step);
   if (Known == Rows_.end())
     return;
-  Known->second.Tickets_.erase(Worker);
-  if (Known->second.Tickets_.empty())
-    Known->second.NextRequestAt_ = TimePoint();
+  Row &Of = Known->second;
+  Of.Tickets_.erase(Worker);
+  if (const std::uint32_t Number = numberOf(Worker); wasAsked(Of, Number))
+    Of.Asked_[Number] = false;
+  Of.NextAt_ = TimePoint();
 }
 
-void AdviceTable::forget(const jobs::JobId &Job) {
-  auto Row = Rows_.lower_bound(StepName{Job, 0, 0});
-  while (Row != Rows_.end() && Row->first.Job_ == Job)
-    Row = Rows_.erase(Row);
+void AdviceTable::forgetEnded(
+    const std::function<bool(const jobs::JobId &)> &IsOpen) {
+  std::erase_if(Rows_,
+                [&](const auto &Item) { return !IsOpen(Item.first.Job_); });
 }
 
 } // namespace laburnumspread::scheduling
--- a/src/scheduling/internal/placement.cpp
+++ b/src/scheduling/internal/placement.cpp
@@ -44,9 +44,11 @@
 }
 
 std::size_t Placement::place(const ReadyStep &Step, Plan &Into) {
-  if (Step.Queue_->Advice_)
+  const std::size_t Unplaced =
+      Step.Spec_->Gang_ ? placeGang(Step, Into) : placeTasks(Step, Into);
+  if (Step.Queue_->Advice_ && Unplaced > 0)
     Into.AwaitingAdvice_.push_back(Step.name());
-  return Step.Spec_->Gang_ ? placeGang(Step, Into) : placeTasks(Step, Into);
+  return Unplaced;
 }
 
 void Placement::reserve(const Plan &Planned) {
@@ -186,7 +188,7 @@
       !Worker.Worker_->hasLabel(Spec.Requirement_))
     return false;
   if (Step.Queue_->Advice_ &&
-      !Advised_.ticket(Step.name(), Worker.Worker_->Incarnation_.Id_, Now_))
+      !Advised_.ticket(Step.name(), Worker.Worker_->Incarnation_, Now_))
     return false;
   return Spec.AntiAffinity_ == 0 ||
          runsOnWorker(Step, Worker) < Spec.AntiAffinity_;
--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -131,8 +131,8 @@
   std::size_t UnplacedTasks_ = 0;
   /// The pools of these tasks.
   absl::flat_hash_set<jobs::PoolName> FullPools_;
-  /// Steps with waiting tasks whose queue has an advisor that must approve the
-  /// workers, in scheduling order.
+  /// Steps with tasks that were not placed, and whose queue has an advisor that
+  /// must approve the workers, in scheduling order.
   std::vector<StepName> AwaitingAdvice_;
   /// The short pools that are divided by share.
   std::vector<PoolDivision> Divisions_;
--- a/src/scheduling/tests/advicetabletest.cpp
+++ b/src/scheduling/tests/advicetabletest.cpp
@@ -7,52 +7,128 @@
 namespace {
 
 using namespace std::chrono_literals;
+using jobs::WorkerIncarnation;
 
 const TimePoint Start(std::chrono::hours(1));
 const StepName Step{jobs::JobId("job"), 0, 1};
-const jobs::WorkerId Advised("good"), Unadvised("bad");
+const WorkerIncarnation Advised{jobs::WorkerId("good"), 1};
+const WorkerIncarnation Unadvised{jobs::WorkerId("bad"), 1};
+constexpr std::size_t MostWorkers = 30;
+
+/// Workers of a pool, all of which could run any step.
+std::vector<WorkerIncarnation> pool(std::size_t Count) {
+  std::vector<WorkerIncarnation> Result;
+  for (std::size_t I = 0; I < Count; ++I)
+    Result.push_back({jobs::WorkerId("w-" + std::to_string(1000 + I)), 1});
+  return Result;
+}
+
+struct Fixture {
+  std::optional<AdviceQuestion> ask(const std::vector<StepName> &Steps,
+                                    TimePoint Now) {
+    return Table_.nextQuestion(
+        Steps,
+        [&](const StepName &, std::vector<WorkerIncarnation> &Into) {
+          Into = Workers_;
+        },
+        [](const StepName &) { return MostWorkers; }, Now);
+  }
+
+  /// Asks about the step at Start, and is told that one worker may run it.
+  void receiveTicket() {
+    const auto Question = ask({Step}, Start);
+    BOOST_REQUIRE(Question.has_value());
+    Table_.recordAnswer(*Question, {{{Advised.Id_, "t"}}, 3000ms}, Start);
+  }
+
+  AdviceTable Table_;
+  std::vector<WorkerIncarnation> Workers_{Advised, Unadvised};
+};
 
 } // namespace
 
-BOOST_AUTO_TEST_SUITE(AdviceTableTest)
+BOOST_FIXTURE_TEST_SUITE(AdviceTableTest, Fixture)
 
 BOOST_AUTO_TEST_CASE(TicketIsUnusableShortlyBeforeItExpires) {
-  AdviceTable Table;
-  BOOST_TEST(Table.beginRequest(Step, Start));
-  BOOST_TEST(!Table.beginRequest(Step, Start));
-  Table.recordAnswer(Step, {{Advised, "t"}}, 3000ms, Start);
-  BOOST_TEST(Table.ticket(Step, Advised, Start).value_or("") == "t");
-  BOOST_TEST(!Table.ticket(Step, Unadvised, Start));
-  BOOST_TEST(!Table.ticket(Step, Advised, Start + 2800ms));
+  const auto Question = ask({Step}, Start);
+  BOOST_REQUIRE(Question.has_value());
+  BOOST_TEST(!ask({Step}, Start));
+  Table_.recordAnswer(*Question, {{{Advised.Id_, "t"}}, 3000ms}, Start);
+  BOOST_TEST(Table_.ticket(Step, Advised, Start).value_or("") == "t");
+  BOOST_TEST(!Table_.ticket(Step, Unadvised, Start));
+  BOOST_TEST(!Table_.ticket(Step, Advised, Start + 2800ms));
 }
 
-BOOST_AUTO_TEST_CASE(RequestIsRepeatedBeforeTicketsExpire) {
-  AdviceTable Table;
-  Table.beginRequest(Step, Start);
-  Table.recordAnswer(Step, {{Advised, "t"}}, 3000ms, Start);
-  BOOST_TEST(!Table.beginRequest(Step, Start + 1s));
-  BOOST_TEST(Table.beginRequest(Step, Start + 2500ms));
+BOOST_AUTO_TEST_CASE(TicketsAreRenewedBeforeTheyExpire) {
+  receiveTicket();
+  BOOST_TEST(!ask({Step}, Start + 1s));
+  const auto Again = ask({Step}, Start + 2500ms);
+  BOOST_REQUIRE(Again.has_value());
+  BOOST_TEST((Again->Workers_ == std::vector{Advised}));
 }
 
-BOOST_AUTO_TEST_CASE(RequestIsRepeatedAfterEmptyOrNoAnswer) {
-  AdviceTable Table;
-  Table.beginRequest(Step, Start);
-  Table.recordAnswer(Step, {}, 3000ms, Start);
-  BOOST_TEST(!Table.beginRequest(Step, Start + 100ms));
-  BOOST_TEST(Table.beginRequest(Step, Start + 500ms));
-  Table.recordNoAnswer(Step, Start + 600ms);
-  BOOST_TEST(Table.beginRequest(Step, Start + 1100ms));
+// The advisor's answer does not change, so the same question tells nothing new.
+BOOST_AUTO_TEST_CASE(QuestionIsRepeatedAfterNoAnswerOnly) {
+  const auto Question = ask({Step}, Start);
+  BOOST_REQUIRE(Question.has_value());
+  Table_.recordNoAnswer(*Question, Start + 100ms);
+  BOOST_TEST(!ask({Step}, Start + 400ms));
+  const auto Again = ask({Step}, Start + 500ms);
+  BOOST_REQUIRE(Again.has_value());
+  BOOST_TEST((Again->Workers_ == Question->Workers_));
+  Table_.recordAnswer(*Again, {{}, 3000ms}, Start + 500ms);
+  BOOST_TEST(!ask({Step}, Start + 60s));
+  Workers_.push_back({jobs::WorkerId("new"), 1});
+  const auto OfTheNew = ask({Step}, Start + 120s);
+  BOOST_REQUIRE(OfTheNew.has_value());
+  BOOST_TEST((OfTheNew->Workers_ == std::vector{Workers_.back()}));
 }
 
 // A worker that was replaced under the same id refuses the ticket. The step
 // must not be sent to it with that ticket again.
 BOOST_AUTO_TEST_CASE(RefusedTicketIsNotUsedAgain) {
-  AdviceTable Table;
-  Table.beginRequest(Step, Start);
-  Table.recordAnswer(Step, {{Advised, "t"}}, 3000ms, Start);
-  Table.recordRefusal(Step, Advised);
-  BOOST_TEST(!Table.ticket(Step, Advised, Start));
-  BOOST_TEST(Table.beginRequest(Step, Start));
+  receiveTicket();
+  Table_.recordRefusal(Step, Advised);
+  BOOST_TEST(!Table_.ticket(Step, Advised, Start));
+  BOOST_TEST(ask({Step}, Start).has_value());
+}
+
+// Guards against a ticket of a worker's former incarnation, and against one
+// that is left out because its predecessor was refused.
+BOOST_AUTO_TEST_CASE(EachIncarnationIsAskedAbout) {
+  receiveTicket();
+  Workers_ = {{Advised.Id_, 2}, {Unadvised.Id_, 2}};
+  BOOST_TEST(!Table_.ticket(Step, Workers_[0], Start));
+  const auto Again = ask({Step}, Start);
+  BOOST_REQUIRE(Again.has_value());
+  BOOST_TEST((Again->Workers_ == Workers_));
+}
+
+// Guards against a job that waits beside idle workers which may run it: the
+// advisor was asked about the first thirty workers of the pool, again and
+// again.
+BOOST_AUTO_TEST_CASE(AllWorkersOfALargePoolAreAskedAbout) {
+  Workers_ = pool(1000);
+  std::vector<WorkerIncarnation> Asked;
+  TimePoint Now = Start;
+  for (int I = 0; I < 34; ++I) {
+    const auto Question = ask({Step}, Now += 10ms);
+    BOOST_REQUIRE(Question.has_value());
+    BOOST_TEST(Question->Workers_.size() <= MostWorkers);
+    Asked.insert(Asked.end(), Question->Workers_.begin(),
+                 Question->Workers_.end());
+    Table_.recordAnswer(*Question, {{}, 5s}, Now);
+  }
+  BOOST_TEST((Asked == Workers_));
+  BOOST_TEST(!ask({Step}, Now + 10s));
+}
+
+BOOST_AUTO_TEST_CASE(StepsOfEndedJobsAreForgotten) {
+  receiveTicket();
+  Table_.forgetEnded([](const jobs::JobId &) { return true; });
+  BOOST_TEST(Table_.size() == 1u);
+  Table_.forgetEnded([](const jobs::JobId &) { return false; });
+  BOOST_TEST(Table_.size() == 0u);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/scheduling/tests/schedulertest.cpp
+++ b/src/scheduling/tests/schedulertest.cpp
@@ -233,8 +233,9 @@
   job("a", {step(2, 100)});
   BOOST_TEST(plan().empty());
   const StepName Step{JobId("a"), 0, 0};
-  Advised_.beginRequest(Step, Start);
-  Advised_.recordAnswer(Step, {{jobs::WorkerId("v"), "t"}}, 3s, Start);
+  const jobs::WorkerIncarnation Worker = Records_.back().Incarnation_;
+  Advised_.recordAnswer({Step, {Worker}}, {{{jobs::WorkerId("v"), "t"}}, 3s},
+                        Start);
   const auto Starts = plan();
   BOOST_REQUIRE(Starts.size() == 2u);
   BOOST_TEST(Starts[0].Worker_.Id_ == jobs::WorkerId("v"));
