Steps take turns at the advisor

Cause: the advisor was asked about the first step in scheduling order whose question was due, lasting steps first. Some five refused ones were always due. Since each worker is asked about once, that ends after one question for each 30 workers of the pool; in a pool of 1,000 it is 34 questions a hopeless step, in which no other step was asked about.

Change: the step that has waited longest is asked about first. Steps of which every worker asked about was refused get one question in four while others wait: most of them can never run, and one that can is not left out.

Red before: AdvisorLoadTest/HopelessStepsOfALargePoolDoNotHoldUpOthers, without the turns of refused steps; HopelessStepsDoNotHoldUpOthers, if workers are asked about again (498 questions, 361 allowed). With a fifth of the steps hopeless, every other one has its ticket within 1 s, in pools of 34 and 1,000.

--- a/src/scheduling/advicetable.h
+++ b/src/scheduling/advicetable.h
@@ -69,6 +69,10 @@
   /// looked at again for which there was nothing to ask.
   static constexpr Duration RetryInterval = std::chrono::milliseconds(400);
 
+  /// Most steps that were refused so far can never run. They get this part of
+  /// the questions, so that one of them that can run is not left out.
+  static constexpr int QuestionsPerRefused = 4;
+
   /// Appends the workers that the step may run on to its second argument.
   using FindWorkers = std::function<void(
       const StepName &, std::vector<jobs::WorkerIncarnation> &)>;
@@ -77,6 +81,10 @@
   /// marks it as pending. \p MostWorkers returns how many workers a question
   /// about a step may name. Returns nullopt if a question is pending or there
   /// is nothing to ask.
+  ///
+  /// Steps take turns, the one that has waited longest first. Those of which
+  /// every worker asked about was refused come after the others, but for one
+  /// question in QuestionsPerRefused.
   std::optional<AdviceQuestion>
   nextQuestion(const std::vector<StepName> &Steps, const FindWorkers &Find,
                const std::function<std::size_t(const StepName &)> &MostWorkers,
@@ -115,10 +123,21 @@
     std::map<jobs::WorkerIncarnation, Ticket> Tickets_;
     /// Whether the advisor was asked about a worker, by its number.
     std::vector<bool> Asked_;
+    /// When it was first seen or last asked about.
+    TimePoint WaitingSince_{};
     /// Not before then is it looked at.
     TimePoint NextAt_{};
+    bool WasAsked_ = false;
+
+    /// Whether every worker that was asked about was refused.
+    bool refused() const { return WasAsked_ && Tickets_.empty(); }
   };
 
+  /// A step that may be asked about, by how long it has waited.
+  using Turn = std::pair<TimePoint, std::size_t>;
+
+  std::vector<Turn> findTurns(const std::vector<StepName> &Steps, bool Refused,
+                              TimePoint Now);
   std::vector<jobs::WorkerIncarnation>
   workersToAskAbout(Row &Of, const std::vector<jobs::WorkerIncarnation> &Among,
                     std::size_t Most, TimePoint Now);
@@ -128,6 +147,8 @@
   std::map<StepName, Row> Rows_;
   absl::flat_hash_map<jobs::WorkerIncarnation, std::uint32_t> Numbers_;
   bool Pending_ = false;
+  /// Questions since the last one about a step that had been refused.
+  int SinceRefused_ = 0;
 };
 
 } // namespace laburnumspread::scheduling
--- a/src/scheduling/internal/advicetable.cpp
+++ b/src/scheduling/internal/advicetable.cpp
@@ -12,23 +12,42 @@
     TimePoint Now) {
   if (Pending_)
     return std::nullopt;
+  const bool RefusedFirst = SinceRefused_ + 1 >= QuestionsPerRefused;
   std::vector<WorkerIncarnation> Among;
-  for (const StepName &Step : Steps) {
-    Row &Of = Rows_[Step];
-    if (Of.NextAt_ > Now)
-      continue;
-    Among.clear();
-    Find(Step, Among);
-    AdviceQuestion Question{
-        Step, workersToAskAbout(Of, Among, MostWorkers(Step), Now)};
-    Pending_ = !Question.Workers_.empty();
-    if (Pending_)
+  for (const bool Refused : {RefusedFirst, !RefusedFirst})
+    for (const auto &[Since, At] : findTurns(Steps, Refused, Now)) {
+      Row &Of = Rows_[Steps[At]];
+      Among.clear();
+      Find(Steps[At], Among);
+      AdviceQuestion Question{
+          Steps[At], workersToAskAbout(Of, Among, MostWorkers(Steps[At]), Now)};
+      if (Question.Workers_.empty()) {
+        Of.NextAt_ = Now + RetryInterval;
+        continue;
+      }
+      Pending_ = true;
+      SinceRefused_ = Refused ? 0 : SinceRefused_ + 1;
+      Of.WaitingSince_ = Now;
       return Question;
-    Of.NextAt_ = Now + RetryInterval;
-  }
+    }
   return std::nullopt;
 }
 
+std::vector<AdviceTable::Turn>
+AdviceTable::findTurns(const std::vector<StepName> &Steps, bool Refused,
+                       TimePoint Now) {
+  std::vector<Turn> Result;
+  for (std::size_t At = 0; At < Steps.size(); ++At) {
+    Row &Of = Rows_[Steps[At]];
+    if (Of.WaitingSince_ == TimePoint())
+      Of.WaitingSince_ = Now;
+    if (Of.refused() == Refused && Of.NextAt_ <= Now)
+      Result.emplace_back(Of.WaitingSince_, At);
+  }
+  std::sort(Result.begin(), Result.end());
+  return Result;
+}
+
 std::vector<WorkerIncarnation>
 AdviceTable::workersToAskAbout(Row &Of,
                                const std::vector<WorkerIncarnation> &Among,
@@ -61,6 +80,7 @@
                                const AdviceReply &Answer, TimePoint AskedAt) {
   Pending_ = false;
   Row &Of = Rows_[Asked.Step_];
+  Of.WasAsked_ = true;
   const TimePoint ExpiresAt = AskedAt + Answer.ValidFor_;
   const TimePoint RenewAt =
       std::max(AskedAt + RetryInterval, ExpiresAt - 2 * UseMargin);
--- a/src/scheduling/tests/advicetabletest.cpp
+++ b/src/scheduling/tests/advicetabletest.cpp
@@ -2,6 +2,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
+
 namespace laburnumspread::scheduling {
 
 namespace {
@@ -45,6 +47,60 @@
   std::vector<WorkerIncarnation> Workers_{Advised, Unadvised};
 };
 
+/// Jobs of one step arrive at a leader with one advisor. Every fifth can never
+/// run, every other may run anywhere.
+struct AdvisorLoad : Fixture {
+  static constexpr auto Between = 200ms;
+  static constexpr int JobsPerHopeless = 5;
+  static constexpr auto DecideTime = 60ms;
+  static constexpr auto TimePerWorker = 2ms;
+
+  static bool hopeless(int Job) { return Job % JobsPerHopeless == 0; }
+
+  /// Returns the longest time until a job that can run had a ticket.
+  Duration playFor(Duration Time, std::size_t PoolSize) {
+    Workers_ = pool(PoolSize);
+    std::vector<TimePoint> Arrived;
+    std::vector<StepName> Waiting;
+    Duration Longest{};
+    TimePoint Now = Start;
+    while (Now < Start + Time) {
+      while (Start + Between * Arrived.size() <= Now) {
+        const auto Id = jobs::JobId("j" + std::to_string(Arrived.size()));
+        Waiting.push_back({Id, 0, 0});
+        Arrived.push_back(Start + Between * Arrived.size());
+      }
+      const auto Question = ask(Waiting, Now);
+      if (!Question) {
+        Now += 10ms;
+        continue;
+      }
+      ++Questions_;
+      const TimePoint AskedAt = Now;
+      Now += DecideTime + TimePerWorker * Question->Workers_.size();
+      const int Job = std::stoi(Question->Step_.Job_.str().substr(1));
+      AdviceReply Reply;
+      Reply.ValidFor_ = 5s;
+      if (!hopeless(Job)) {
+        Reply.Workers_.push_back({Question->Workers_.front().Id_, "t"});
+        std::erase(Waiting, Question->Step_);
+        Longest = std::max<Duration>(
+            Longest, Now - Arrived[static_cast<std::size_t>(Job)]);
+      }
+      Table_.recordAnswer(*Question, Reply, AskedAt);
+    }
+    for (const StepName &Left : Waiting) {
+      const int Job = std::stoi(Left.Job_.str().substr(1));
+      if (!hopeless(Job))
+        Longest = std::max<Duration>(
+            Longest, Now - Arrived[static_cast<std::size_t>(Job)]);
+    }
+    return Longest;
+  }
+
+  std::size_t Questions_ = 0;
+};
+
 } // namespace
 
 BOOST_FIXTURE_TEST_SUITE(AdviceTableTest, Fixture)
@@ -133,4 +189,20 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_FIXTURE_TEST_SUITE(AdvisorLoadTest, AdvisorLoad)
+
+// Guards against jobs that no worker may run and that take all of the advisor's
+// time: no other job was asked about any more.
+BOOST_AUTO_TEST_CASE(HopelessStepsDoNotHoldUpOthers) {
+  BOOST_TEST((playFor(60s, 34) < 1s));
+  // The 60 hopeless steps cost two questions each, the 240 others one.
+  BOOST_TEST(Questions_ <= 2u * 60 + 240 + 1);
+}
+
+BOOST_AUTO_TEST_CASE(HopelessStepsOfALargePoolDoNotHoldUpOthers) {
+  BOOST_TEST((playFor(60s, 1000) < 1s));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 } // namespace laburnumspread::scheduling
