An occurrence takes rows only from its first start until it is settled

Cause: the rows of all tasks of all occurrences were made on acceptance and on load, some 55 MB for such a job, and nothing bounded them.

A job with more than 200,000 rows an occurrence is refused for good, and one that would bring the table above 600,000 with a time to come back (too_many_tasks); what is stored is loaded in any case.

--- a/src/capacity/internal/upkeepplanner.cpp
+++ b/src/capacity/internal/upkeepplanner.cpp
@@ -104,8 +104,8 @@
       if (!Job || !Live || Live->Stopping_)
         continue;
       const StepKey Key{Run.Task_.Job_, Run.Task_.Occurrence_, Run.Task_.Step_};
-      const auto &Step =
-          Job->Occurrences_[Run.Task_.Occurrence_].Steps_[Run.Task_.Step_];
+      const auto &Step = Job->Occurrences_.find(Run.Task_.Occurrence_)
+                             ->Steps_[Run.Task_.Step_];
       const auto Unavailable =
           Unavailable_.try_emplace(Key, unavailableTasks(Step)).first;
       const bool AtFullSpeed = Live->Confirmed_ && Live->Percent_ >= 100;
--- a/src/cell/internal/callergateway.cpp
+++ b/src/cell/internal/callergateway.cpp
@@ -47,7 +47,10 @@
   case peers::RefusalReason::LeaderBusy:
     return "the leader of the cell has too much to do";
   case peers::RefusalReason::TooLarge:
-    return "steps: the job is larger than the leader of the cell can store";
+    return "steps: the job is larger than the leader of the cell can store, or "
+           "has too many tasks";
+  case peers::RefusalReason::TooManyTasks:
+    return "the leader of the cell holds as many tasks as it can";
   case peers::RefusalReason::ConfigNotCurrent:
     return "the leader of the cell waits for the current configuration";
   }
--- a/src/cell/internal/pooldemand.cpp
+++ b/src/cell/internal/pooldemand.cpp
@@ -15,9 +15,12 @@
       [&](std::uint32_t Before) { return Occurrence.Steps_[Before].done(); });
 }
 
-Resources openResources(const jobs::StepRow &Row, const jobs::StepSpec &Spec) {
+/// Returns the resources of the tasks that are not done, in \p Count steps that
+/// are alike.
+Resources openResources(const jobs::StepRow &Row, const jobs::StepSpec &Spec,
+                        std::int64_t Count) {
   const auto Tasks =
-      static_cast<std::int64_t>(Row.Tasks_.size() - Row.DoneCount_);
+      Count * static_cast<std::int64_t>(Row.Tasks_.size() - Row.DoneCount_);
   return {Tasks * Spec.PerTask_.MilliCpus_, Tasks * Spec.PerTask_.MemoryMb_,
           Tasks * Spec.PerTask_.Accelerators_};
 }
@@ -37,26 +40,37 @@
 }
 
 void addLongRunning(const jobs::StepRow &Row, const jobs::StepSpec &Spec,
-                    TimePoint Now, capacity::PoolDemand &Into) {
-  Into.LongRunning_ += openResources(Row, Spec);
+                    std::int64_t Count, TimePoint Now,
+                    capacity::PoolDemand &Into) {
+  Into.LongRunning_ += openResources(Row, Spec, Count);
   if (hasWaitingTask(Row, Now))
     Into.WaitingLongRunning_ =
         componentMax(Into.WaitingLongRunning_, Spec.PerTask_);
 }
 
+/// Adds the steps of \p Count occurrences that are alike.
+void addSteps(const jobs::JobRow &Job, const jobs::OccurrenceRow &Occurrence,
+              std::int64_t Count, bool Late, TimePoint Now,
+              capacity::PoolDemand &Into) {
+  for (std::size_t S = 0; S < Occurrence.Steps_.size(); ++S) {
+    const jobs::StepSpec &Spec = Job.Spec_.Steps_[S];
+    const jobs::StepRow &Row = Occurrence.Steps_[S];
+    if (Spec.Filler_ || !isReady(Occurrence, Spec))
+      continue;
+    if (Spec.LongRunning_)
+      addLongRunning(Row, Spec, Count, Now, Into);
+    else if (!Late)
+      Into.FeasibleFinite_ += openResources(Row, Spec, Count);
+  }
+}
+
 void addSteps(const jobs::JobRow &Job, bool Late, TimePoint Now,
               capacity::PoolDemand &Into) {
-  for (const jobs::OccurrenceRow &Occurrence : Job.Occurrences_)
-    for (std::size_t S = 0; S < Occurrence.Steps_.size(); ++S) {
-      const jobs::StepSpec &Spec = Job.Spec_.Steps_[S];
-      const jobs::StepRow &Row = Occurrence.Steps_[S];
-      if (Spec.Filler_ || !isReady(Occurrence, Spec))
-        continue;
-      if (Spec.LongRunning_)
-        addLongRunning(Row, Spec, Now, Into);
-      else if (!Late)
-        Into.FeasibleFinite_ += openResources(Row, Spec);
-    }
+  const jobs::OccurrenceTable &All = Job.Occurrences_;
+  if (const std::uint32_t Untouched = All.untouchedCount(); Untouched > 0)
+    addSteps(Job, All.untouched(), Untouched, Late, Now, Into);
+  for (const auto &[K, Occurrence] : All.touched())
+    addSteps(Job, Occurrence, 1, Late, Now, Into);
 }
 
 /// Adds the job's work to the current or the previous window, by its age.
--- a/src/cell/jobcallhandler.h
+++ b/src/cell/jobcallhandler.h
@@ -26,6 +26,15 @@
   /// time.
   static constexpr Duration OverloadRetryAfter = std::chrono::seconds(1);
 
+  /// The same for jobs that the leader has no memory for: tasks must end first.
+  static constexpr Duration FullTableRetryAfter = std::chrono::seconds(2);
+  /// Most rows of tasks (OccurrenceTable) with which a job is accepted, and
+  /// most that one job may take. A row takes some 100 bytes, so the tables stay
+  /// below a quarter of a small entry's 260 MB. A leader that exceeds its
+  /// memory is killed, and its successors too, as they load the same jobs.
+  static constexpr std::uint64_t MaxRows = 600'000;
+  static constexpr std::uint64_t MaxRowsOfAJob = 200'000;
+
   JobCallHandler(TermPtr T, SessionsPtr S)
       : Term_(std::move(T)), Sessions_(std::move(S)) {}
 
@@ -111,10 +120,11 @@
       return reject(Call, peers::JobCallStatus::Missing, Reply);
     const jobs::Event &Accepted = Group->Events_.front();
     const auto &Spec = std::get<jobs::JobAccepted>(Accepted).Spec_;
-    const auto Refused =
-        jobs::fitsIntoValue(Call.Spec_.size(), Term_->Bounds_.MaxValueBytes_)
-            ? refusalOf(Spec)
-            : Refusal{peers::RefusalReason::TooLarge, {}};
+    const bool Storable =
+        jobs::fitsIntoValue(Call.Spec_.size(), Term_->Bounds_.MaxValueBytes_) &&
+        jobs::OccurrenceTable::rowsPerOccurrence(Spec) <= MaxRowsOfAJob;
+    const auto Refused = Storable ? refusalOf(Spec)
+                                  : Refusal{peers::RefusalReason::TooLarge, {}};
     countRetry(Spec.Id_, Refused.has_value());
     if (Refused)
       return refuse(Call, Spec.Id_, *Refused, Reply);
@@ -150,6 +160,12 @@
           scheduling::spreadDelay(Spec.Id_, OutageRetryAfter, OutageRetryAfter);
       return Refusal{peers::RefusalReason::StoreUnavailable, Times};
     }
+    if (Term_->Table_.rows() + jobs::OccurrenceTable::rowsPerOccurrence(Spec) >
+        MaxRows) {
+      Times.RetryAfter_ = scheduling::spreadDelay(Spec.Id_, FullTableRetryAfter,
+                                                  FullTableRetryAfter);
+      return Refusal{peers::RefusalReason::TooManyTasks, Times};
+    }
     if (const Duration Excess = excessWait(Spec);
         Term_->Load_.overloaded() || Excess > Duration::zero()) {
       const Duration Least =
@@ -231,7 +247,10 @@
     case peers::RefusalReason::LeaderBusy:
       return "the leader has too little processor time";
     case peers::RefusalReason::TooLarge:
-      return "the job is larger than a value of the store";
+      return "the job is larger than a value of the store, or has too many "
+             "tasks";
+    case peers::RefusalReason::TooManyTasks:
+      return "the leader holds too many tasks";
     case peers::RefusalReason::ConfigNotCurrent:
       return "the configuration is not current";
     }
@@ -252,6 +271,8 @@
       return "too_large";
     case peers::RefusalReason::ConfigNotCurrent:
       return "config_not_current";
+    case peers::RefusalReason::TooManyTasks:
+      return "too_many_tasks";
     }
     return "";
   }
--- a/src/cell/tests/jobcallhandlertest.cpp
+++ b/src/cell/tests/jobcallhandlertest.cpp
@@ -30,6 +30,36 @@
   BOOST_TEST(!known(Large));
 }
 
+// Guards against a leader that exceeds its memory, and its successors after it:
+// a job whose tasks alone take it can never be carried.
+BOOST_AUTO_TEST_CASE(JobWithMoreTasksThanALeaderHoldsIsRefused) {
+  jobs::JobSpec Large = job("0000000000000001");
+  Large.Steps_.resize(1000, Large.Steps_.front());
+  for (jobs::StepSpec &Step : Large.Steps_)
+    Step.Count_ = 100'000;
+  checkRefused(submit(Large), RefusalReason::TooLarge);
+  BOOST_TEST(!known(Large));
+}
+
+// Guards against the same by many jobs, which can come back when others have
+// ended.
+BOOST_AUTO_TEST_CASE(JobsAreRefusedWhileTheLeaderHoldsTooManyTasks) {
+  const auto Large = [](int Number) {
+    jobs::JobSpec Spec =
+        job(("000000000000000" + std::to_string(Number)).c_str());
+    Spec.Occurrences_ = 100'000;
+    Spec.Steps_.front().Count_ = 150'000;
+    return Spec;
+  };
+  for (int I = 1; I <= 3; ++I)
+    submit(Large(I));
+  const auto Reply = submit(Large(4));
+  checkRefused(Reply, RefusalReason::TooManyTasks);
+  BOOST_TEST(Reply->RetryAfterMs_ > 0u);
+  BOOST_TEST(!known(Large(4)));
+  BOOST_TEST(known(Large(3)));
+}
+
 // Guards against refusing a job that was accepted: a caller that lost the
 // answer sends it again.
 BOOST_AUTO_TEST_CASE(KnownJobIsNeverRefused) {
--- a/src/cell/tests/runmodel.h
+++ b/src/cell/tests/runmodel.h
@@ -627,7 +627,8 @@
   static std::optional<TaskName> idleTask(const jobs::CellTable &Table) {
     for (const auto &[Order, Id] : Table.open())
       for (std::uint32_t S = 0; S < StepCount; ++S) {
-        if (S > 0 && !Table.find(Id)->Occurrences_[0].Steps_[S - 1].done())
+        if (S > 0 &&
+            !Table.find(Id)->Occurrences_.find(0)->Steps_[S - 1].done())
           break;
         for (std::uint32_t T = 0; T < TaskCount; ++T)
           if (const TaskName Task{Id, 0, S, T}; Table.find(Task)->idle())
--- a/src/cell/workersessions.h
+++ b/src/cell/workersessions.h
@@ -527,9 +527,9 @@
     if (!Job)
       return;
     std::vector<jobs::RunName> Runs;
-    for (std::uint32_t K = 0; K < Job->Occurrences_.size(); ++K)
-      for (std::uint32_t S = 0; S < Job->Occurrences_[K].Steps_.size(); ++S) {
-        const auto &Tasks = Job->Occurrences_[K].Steps_[S].Tasks_;
+    for (const auto &[K, Occurrence] : Job->Occurrences_.touched())
+      for (std::uint32_t S = 0; S < Occurrence.Steps_.size(); ++S) {
+        const auto &Tasks = Occurrence.Steps_[S].Tasks_;
         for (std::uint32_t I = 0; I < Tasks.size(); ++I)
           for (const jobs::LiveRun &Live : Tasks[I].Runs_)
             Runs.push_back({{Id, K, S, I}, Live.Run_});
--- a/src/jobs/celltable.h
+++ b/src/jobs/celltable.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "jobs/events.h"
+#include "jobs/occurrences.h"
 
 #include <deque>
 #include <functional>
@@ -13,69 +13,11 @@
 
 namespace laburnumspread::jobs {
 
-/// A run that may still be executing on a worker.
-struct LiveRun {
-  RunNumber Run_;
-  WorkerIncarnation Worker_;
-  /// Whether the worker has confirmed the start, or listed the run.
-  bool Confirmed_ = false;
-  /// Whether it is being stopped, and since when by this process's clock.
-  bool Stopping_ = false;
-  TimePoint StoppingSince_{};
-  /// Whether it has been logged that the run continues although it is being
-  /// stopped.
-  bool StillRunningLogged_ = false;
-  /// Speed that the worker reported last, in percent of full speed.
-  int Percent_ = 0;
-  /// When its intent was staged, and when its worker accepted the start; the
-  /// latter is empty if this leader did not see it.
-  TimePoint StartedAt_{};
-  std::optional<TimePoint> AcceptedAt_;
-  /// Whether another run of the task was live when this table added it. After a
-  /// restore, a copy whose original has ended counts as an ordinary run.
-  bool Copy_ = false;
-};
-
-/// State of one task.
-struct TaskRow {
-  bool Done_ = false;
-  /// When it was done.
-  TimePoint DoneAt_{};
-  std::uint32_t Failures_ = 0;
-  RunNumber LastRun_;
-  Checkpoint Saved_;
-  /// Up to StepSpec::maxLiveRuns(), the earliest first. One may still be live
-  /// when the task is done by another.
-  std::vector<LiveRun> Runs_;
-  /// Earliest time of the next start, after a failure.
-  TimePoint NotBefore_{};
-
-  bool idle() const { return !Done_ && Runs_.empty(); }
-};
-
-/// State of one step of one occurrence of a job.
-struct StepRow {
-  std::vector<TaskRow> Tasks_;
-  std::uint32_t DoneCount_ = 0;
-  /// Tasks with a live run that are not done.
-  std::uint32_t LiveCount_ = 0;
-
-  bool done() const { return DoneCount_ == Tasks_.size(); }
-};
-
-/// State of one occurrence of a job.
-struct OccurrenceRow {
-  std::vector<StepRow> Steps_;
-  std::uint32_t StepsDone_ = 0;
-
-  bool done() const { return StepsDone_ == Steps_.size(); }
-};
-
 /// State of one job.
 struct JobRow {
   JobSpec Spec_;
   JobState State_ = JobState::Pending;
-  std::vector<OccurrenceRow> Occurrences_;
+  OccurrenceTable Occurrences_;
   TimePoint AcceptedAt_{};
   /// When it was done, failed or cancelled.
   TimePoint EndedAt_{};
@@ -139,11 +81,13 @@
   /// No other effect of an event depends on the configuration.
   void recordAttemptLimit(Event &Item) const;
 
-  /// The lookups return nullptr if the item is unknown.
+  /// The lookups return nullptr if the item is unknown, or belongs to an
+  /// occurrence that is settled.
   const JobRow *find(const JobId &Job) const;
   const TaskRow *find(const TaskName &Task) const;
   const LiveRun *find(const RunName &Run) const;
   LiveRun *findLive(const RunName &Run);
+  /// Finds only tasks of occurrences that have begun.
   TaskRow *findTask(const TaskName &Task);
   const StepSpec *specOf(const TaskName &Task) const;
   /// Returns the checkpoint from which the next run of a known task resumes, or
@@ -175,6 +119,9 @@
   /// Number of open jobs of the queue of which no task has been started yet.
   std::uint64_t waiting(const QueueName &Queue) const;
 
+  /// Number of rows that the jobs take (OccurrenceTable).
+  std::uint64_t rows() const { return Rows_; }
+
   /// Number of open jobs by queue; only queues that have any.
   const std::map<QueueName, std::uint64_t> &openByQueue() const {
     return OpenByQueue_;
@@ -204,13 +151,19 @@
   /// has live runs.
   void forgetEnded(TimePoint Before);
 
-  /// Adds one job from a snapshot. Has no effect if the job is known.
-  void restore(JobRow Row, TimePoint Now);
+  /// Adds one job from a snapshot, before its tasks and settled occurrences.
+  /// Returns false, and has no effect, if the job is known.
+  bool restore(const JobSpec &Spec, JobState State, TimePoint Now);
 
-  /// Adds a further task of a job from a snapshot, after restore(). Has no
+  /// Adds a task of a job from a snapshot, after restore(). Has no
   /// effect if the job or the task is unknown.
   void restoreTask(const TaskName &Task, TaskRow Row, TimePoint Now);
 
+  /// Records occurrences of a job that are settled, from a snapshot: those from
+  /// \p First up to but not including \p End.
+  void restoreSettled(const JobId &Job, std::uint32_t First, std::uint32_t End,
+                      TimePoint Now);
+
   /// Sets the reported speed of the worker's runs to 0, because its last report
   /// is outdated: the worker does not respond.
   void resetProgress(const WorkerIncarnation &Worker);
@@ -230,6 +183,9 @@
   void applyEvent(const QueueRecorded &Item, TimePoint Now);
   void addLive(JobRow &Job, const RunName &Run, LiveRun Live);
   void taskDone(JobRow &Job, const TaskName &Task, TimePoint Now);
+  TaskRow *touchTask(JobRow &Job, const TaskName &Task);
+  void settle(JobRow &Job, std::uint32_t Occurrence);
+  void occurrenceDone(JobRow &Job, TimePoint Now);
   void gangDone(JobRow &Job, const RunName &Run, TimePoint Now);
   void restoreTask(JobRow &Job, const TaskName &Task, TaskRow &&From,
                    TimePoint Now);
@@ -249,6 +205,7 @@
   absl::flat_hash_map<JobId, std::uint64_t> Order_;
   std::map<std::uint64_t, JobId> Open_;
   std::uint64_t NextOrder_ = 1;
+  std::uint64_t Rows_ = 0;
   std::map<WorkerIncarnation, WorkerUsage> Workers_;
   absl::flat_hash_map<WorkerIncarnation, WorkerUsage *> WorkerIndex_;
   absl::flat_hash_map<WorkspaceName, Resources> Workspaces_;
--- a/src/jobs/internal/celltable.cpp
+++ b/src/jobs/internal/celltable.cpp
@@ -22,14 +22,6 @@
          Task.Runs_.size() < Spec.maxLiveRuns();
 }
 
-OccurrenceRow emptyOccurrence(const JobSpec &Spec) {
-  OccurrenceRow Row;
-  Row.Steps_.resize(Spec.Steps_.size());
-  for (std::size_t I = 0; I < Spec.Steps_.size(); ++I)
-    Row.Steps_[I].Tasks_.resize(Spec.Steps_[I].Count_);
-  return Row;
-}
-
 } // namespace
 
 void CellTable::apply(const Event &Item, TimePoint Now) {
@@ -69,19 +61,42 @@
   Workers_.erase(Worker);
 }
 
+namespace {
+
+/// Returns the task in a row of its job, or nullptr.
+template <typename Row>
+auto taskIn(Row *Occurrence, const TaskName &Task)
+    -> decltype(&Occurrence->Steps_[0].Tasks_[0]) {
+  if (!Occurrence || Task.Step_ >= Occurrence->Steps_.size())
+    return nullptr;
+  auto &Tasks = Occurrence->Steps_[Task.Step_].Tasks_;
+  return Task.Index_ < Tasks.size() ? &Tasks[Task.Index_] : nullptr;
+}
+
+} // namespace
+
 const TaskRow *CellTable::find(const TaskName &Task) const {
-  return const_cast<CellTable *>(this)->findTask(Task);
+  const JobRow *Job = find(Task.Job_);
+  return Job ? taskIn(Job->Occurrences_.find(Task.Occurrence_), Task) : nullptr;
 }
 
 TaskRow *CellTable::findTask(const TaskName &Task) {
   JobRow *Job = mutableJob(Task.Job_);
-  if (!Job || Task.Occurrence_ >= Job->Occurrences_.size())
-    return nullptr;
-  OccurrenceRow &Occurrence = Job->Occurrences_[Task.Occurrence_];
-  if (Task.Step_ >= Occurrence.Steps_.size())
-    return nullptr;
-  StepRow &Step = Occurrence.Steps_[Task.Step_];
-  return Task.Index_ < Step.Tasks_.size() ? &Step.Tasks_[Task.Index_] : nullptr;
+  return Job ? taskIn(Job->Occurrences_.findTouched(Task.Occurrence_), Task)
+             : nullptr;
+}
+
+TaskRow *CellTable::touchTask(JobRow &Job, const TaskName &Task) {
+  Rows_ -= Job.Occurrences_.rows();
+  TaskRow *Result = taskIn(Job.Occurrences_.touch(Task.Occurrence_), Task);
+  Rows_ += Job.Occurrences_.rows();
+  return Result;
+}
+
+void CellTable::settle(JobRow &Job, std::uint32_t Occurrence) {
+  Rows_ -= Job.Occurrences_.rows();
+  Job.Occurrences_.settleIfOver(Occurrence);
+  Rows_ += Job.Occurrences_.rows();
 }
 
 const LiveRun *CellTable::find(const RunName &Run) const {
@@ -124,9 +139,10 @@
   const Checkpoint &Own = find(Task)->Saved_;
   if (!specOf(Task)->Gang_)
     return Own;
-  const JobRow &Job = *find(Task.Job_);
-  const auto &Members =
-      Job.Occurrences_[Task.Occurrence_].Steps_[Task.Step_].Tasks_;
+  const auto &Members = find(Task.Job_)
+                            ->Occurrences_.find(Task.Occurrence_)
+                            ->Steps_[Task.Step_]
+                            .Tasks_;
   const auto First =
       std::find_if(Members.begin(), Members.end(), [](const TaskRow &Member) {
         return !Member.Saved_.empty();
@@ -168,8 +184,8 @@
   JobRow Row;
   Row.Spec_ = Item.Spec_;
   Row.AcceptedAt_ = Now;
-  Row.Occurrences_.assign(Item.Spec_.occurrenceCount(),
-                          emptyOccurrence(Item.Spec_));
+  Row.Occurrences_ = OccurrenceTable(Item.Spec_);
+  Rows_ += Row.Occurrences_.rows();
   const std::uint64_t Order = NextOrder_++;
   Open_[Order] = Item.Spec_.Id_;
   Order_[Item.Spec_.Id_] = Order;
@@ -181,8 +197,10 @@
 
 void CellTable::addLive(JobRow &Job, const RunName &Run, LiveRun Live) {
   const TaskName &Name = Run.Task_;
-  StepRow &Step = Job.Occurrences_[Name.Occurrence_].Steps_[Name.Step_];
+  OccurrenceRow &Occurrence = *Job.Occurrences_.findTouched(Name.Occurrence_);
+  StepRow &Step = Occurrence.Steps_[Name.Step_];
   TaskRow &Task = Step.Tasks_[Name.Index_];
+  ++Occurrence.LiveRuns_;
   Live.Copy_ = !Task.Runs_.empty();
   if (Live.Copy_)
     Copies_.insert(Run);
@@ -201,9 +219,9 @@
 
 void CellTable::applyEvent(const RunIntended &Item, TimePoint Now) {
   JobRow *Job = mutableJob(Item.Run_.Task_.Job_);
-  TaskRow *Task = findTask(Item.Run_.Task_);
+  TaskRow *Task = Job ? touchTask(*Job, Item.Run_.Task_) : nullptr;
   // The journal is replayed on top of a later snapshot that holds the run.
-  if (!Job || !Task || Item.Run_.Run_ <= Task->LastRun_)
+  if (!Task || Item.Run_.Run_ <= Task->LastRun_)
     return;
   const bool Allowed = acceptsIntent(*Job, *specOf(Item.Run_.Task_), *Task);
   Task->LastRun_ = Item.Run_.Run_;
@@ -244,9 +262,11 @@
   std::erase_if(Task->Runs_, [&](const LiveRun &Candidate) {
     return Candidate.Run_ == Item.Run_.Run_;
   });
+  OccurrenceRow &Occurrence = *Job->Occurrences_.findTouched(Name.Occurrence_);
   --Job->LiveRuns_;
+  --Occurrence.LiveRuns_;
   if (Task->Runs_.empty() && !Task->Done_)
-    --Job->Occurrences_[Name.Occurrence_].Steps_[Name.Step_].LiveCount_;
+    --Occurrence.Steps_[Name.Step_].LiveCount_;
   if (!Item.Saved_.empty() && !Task->Done_)
     Task->Saved_ = Item.Saved_;
   // Tasks that last are started again however they end.
@@ -261,18 +281,20 @@
                Item.AttemptLimit_ > 0 ? Item.AttemptLimit_
                                       : attemptLimit(Job->Spec_.Queue_),
                Now);
+  settle(*Job, Item.Run_.Task_.Occurrence_);
 }
 
 /// A gang is done as a whole when one member reports success.
 void CellTable::gangDone(JobRow &Job, const RunName &Run, TimePoint Now) {
   const TaskName &Name = Run.Task_;
-  auto &Tasks = Job.Occurrences_[Name.Occurrence_].Steps_[Name.Step_].Tasks_;
+  const auto &Tasks =
+      Job.Occurrences_.find(Name.Occurrence_)->Steps_[Name.Step_].Tasks_;
   for (std::uint32_t I = 0; I < Tasks.size(); ++I)
     taskDone(Job, {Name.Job_, Name.Occurrence_, Name.Step_, I}, Now);
 }
 
 void CellTable::taskDone(JobRow &Job, const TaskName &Name, TimePoint Now) {
-  OccurrenceRow &Occurrence = Job.Occurrences_[Name.Occurrence_];
+  OccurrenceRow &Occurrence = *Job.Occurrences_.findTouched(Name.Occurrence_);
   StepRow &Step = Occurrence.Steps_[Name.Step_];
   TaskRow &Task = Step.Tasks_[Name.Index_];
   if (Task.Done_)
@@ -283,8 +305,11 @@
   Step.LiveCount_ -= !Task.Runs_.empty();
   if (++Step.DoneCount_ < Step.Tasks_.size())
     return;
-  if (++Occurrence.StepsDone_ < Occurrence.Steps_.size())
-    return;
+  if (++Occurrence.StepsDone_ == Occurrence.Steps_.size())
+    occurrenceDone(Job, Now);
+}
+
+void CellTable::occurrenceDone(JobRow &Job, TimePoint Now) {
   if (++Job.OccurrencesDone_ == Job.Occurrences_.size() && !Job.ended())
     endJob(Job, JobState::Done, Now);
 }
@@ -367,6 +392,8 @@
     if (Row && Row->LiveRuns_ > 0)
       return;
     Ended_.pop_front();
+    if (Row)
+      Rows_ -= Row->Occurrences_.rows();
     JobIndex_.erase(Job);
     Jobs_.erase(Job);
     Order_.erase(Job);
@@ -375,45 +402,51 @@
 
 void CellTable::restoreTask(JobRow &Job, const TaskName &Name, TaskRow &&From,
                             TimePoint Now) {
+  TaskRow *Into = touchTask(Job, Name);
+  if (!Into)
+    return;
   const std::vector<LiveRun> Runs = std::move(From.Runs_);
   const bool Done = From.Done_;
   From.Runs_.clear();
   From.Done_ = false;
-  *findTask(Name) = std::move(From);
+  *Into = std::move(From);
   for (const LiveRun &Live : Runs)
     addLive(Job, {Name, Live.Run_}, Live);
   if (Done)
     taskDone(Job, Name, Now);
-}
-
-void CellTable::restore(JobRow Row, TimePoint Now) {
-  const JobId Id = Row.Spec_.Id_;
-  if (JobIndex_.contains(Id))
-    return;
-  applyEvent(JobAccepted{Row.Spec_}, Now);
-  JobRow &Restored = *mutableJob(Id);
-  // Must precede the tasks: otherwise a job that failed or was cancelled while
-  // its last tasks ended would be closed as done when they are restored.
-  if (Row.ended())
-    endJob(Restored, Row.State_, Now);
-  for (std::uint32_t K = 0; K < Row.Occurrences_.size(); ++K)
-    for (std::uint32_t S = 0; S < Row.Occurrences_[K].Steps_.size(); ++S) {
-      auto &Tasks = Row.Occurrences_[K].Steps_[S].Tasks_;
-      for (std::uint32_t I = 0; I < Tasks.size(); ++I)
-        restoreTask(Restored, {Id, K, S, I}, std::move(Tasks[I]), Now);
-    }
-  if (Row.State_ == JobState::Pending || Restored.ended())
-    return;
-  Restored.State_ = JobState::Running;
-  --Waiting_[Restored.Spec_.Queue_];
+  settle(Job, Name.Occurrence_);
+}
+
+bool CellTable::restore(const JobSpec &Spec, JobState State, TimePoint Now) {
+  if (JobIndex_.contains(Spec.Id_))
+    return false;
+  applyEvent(JobAccepted{Spec}, Now);
+  JobRow &Restored = *mutableJob(Spec.Id_);
+  const bool Ended = State == JobState::Done || State == JobState::Failed ||
+                     State == JobState::Cancelled;
+  if (Ended) {
+    endJob(Restored, State, Now);
+  } else if (State == JobState::Running) {
+    Restored.State_ = JobState::Running;
+    --Waiting_[Spec.Queue_];
+  }
+  return true;
 }
 
 void CellTable::restoreTask(const TaskName &Task, TaskRow Row, TimePoint Now) {
-  JobRow *Job = mutableJob(Task.Job_);
-  if (Job && findTask(Task))
+  if (JobRow *Job = mutableJob(Task.Job_))
     restoreTask(*Job, Task, std::move(Row), Now);
 }
 
+void CellTable::restoreSettled(const JobId &Job, std::uint32_t First,
+                               std::uint32_t End, TimePoint Now) {
+  JobRow *Row = mutableJob(Job);
+  for (std::uint32_t K = First;
+       Row && K < std::min(End, Row->Occurrences_.size()); ++K)
+    if (Row->Occurrences_.restoreSettled(K))
+      occurrenceDone(*Row, Now);
+}
+
 void CellTable::resetProgress(const WorkerIncarnation &Worker) {
   const WorkerUsage *Use = usageOf(Worker);
   if (!Use)
--- a/src/jobs/internal/eventcodec.cpp
+++ b/src/jobs/internal/eventcodec.cpp
@@ -254,9 +254,14 @@
     To.mutable_job()->clear_steps();
     return;
   }
-  for (std::uint32_t K = 0; K < From.Occurrences_.size(); ++K)
-    for (std::uint32_t S = 0; S < From.Occurrences_[K].Steps_.size(); ++S) {
-      const auto &Tasks = From.Occurrences_[K].Steps_[S].Tasks_;
+  for (const auto &[First, End] : From.Occurrences_.settledRanges()) {
+    wire::OccurrenceRange &Range = *To.add_settled();
+    Range.set_first(First);
+    Range.set_end(End);
+  }
+  for (const auto &[K, Occurrence] : From.Occurrences_.touched())
+    for (std::uint32_t S = 0; S < Occurrence.Steps_.size(); ++S) {
+      const auto &Tasks = Occurrence.Steps_[S].Tasks_;
       for (std::uint32_t I = 0; I < Tasks.size(); ++I)
         if (!untouched(Tasks[I]))
           write({From.Spec_.Id_, K, S, I}, Tasks[I], *To.add_tasks());
@@ -279,38 +284,25 @@
   return To;
 }
 
-JobRow read(const wire::JobRow &From, TimePoint Now) {
-  JobRow To;
-  To.Spec_ = read(From.job());
-  if (From.state() <= static_cast<std::uint32_t>(JobState::Cancelled))
-    To.State_ = static_cast<JobState>(From.state());
-  To.Occurrences_.resize(To.Spec_.occurrenceCount());
-  for (OccurrenceRow &Occurrence : To.Occurrences_) {
-    Occurrence.Steps_.resize(To.Spec_.Steps_.size());
-    for (std::size_t S = 0; S < To.Spec_.Steps_.size(); ++S)
-      Occurrence.Steps_[S].Tasks_.resize(To.Spec_.Steps_[S].Count_);
-  }
-  for (const wire::TaskRow &Task : From.tasks()) {
-    if (Task.occurrence() >= To.Occurrences_.size())
-      continue;
-    auto &Steps = To.Occurrences_[Task.occurrence()].Steps_;
-    if (Task.step() < Steps.size() &&
-        Task.index() < Steps[Task.step()].Tasks_.size())
-      Steps[Task.step()].Tasks_[Task.index()] = read(Task, Now);
-  }
-  return To;
+JobState stateOf(const wire::JobRow &Row) {
+  return Row.state() <= static_cast<std::uint32_t>(JobState::Cancelled)
+             ? static_cast<JobState>(Row.state())
+             : JobState::Pending;
 }
 
-/// Whether the row holds further tasks of a job that an earlier part contains.
-/// A job has steps, or has ended and is stored without tasks.
+/// Whether the row holds more of a job that an earlier part contains. A job has
+/// steps, or has ended and is stored without tasks.
 bool continuesJob(const wire::JobRow &Row) {
-  return Row.job().steps().empty() && !Row.tasks().empty();
+  return Row.job().steps().empty() &&
+         !(Row.tasks().empty() && Row.settled().empty());
 }
 
 void restoreRow(const wire::JobRow &Row, TimePoint Now, CellTable &Into) {
-  if (!continuesJob(Row))
-    return Into.restore(read(Row, Now), Now);
+  if (!continuesJob(Row) && !Into.restore(read(Row.job()), stateOf(Row), Now))
+    return;
   const JobId Job(Row.job().id());
+  for (const wire::OccurrenceRange &Range : Row.settled())
+    Into.restoreSettled(Job, Range.first(), Range.end(), Now);
   for (const wire::TaskRow &Task : Row.tasks())
     Into.restoreTask({Job, Task.occurrence(), Task.step(), Task.index()},
                      read(Task, Now), Now);
@@ -383,21 +375,33 @@
       endPart();
   }
 
+  /// Adds a row that \p More bytes do not fit into, and begins the next one.
+  void endRowIfFull(const std::string &Id, std::size_t More, wire::JobRow &Row,
+                    std::size_t &Bytes) {
+    if (Bytes + More > MaxBytes_) {
+      addWhole(std::exchange(Row, {}));
+      Row.mutable_job()->set_id(Id);
+      Bytes = sizeOf(Row);
+    }
+    Bytes += More;
+  }
+
   /// Adds the job in rows that each fit into a part; all but the first hold
-  /// only the job's id and tasks.
+  /// only the job's id, settled occurrences and tasks.
   void split(wire::JobRow Whole) {
     const std::string Id = Whole.job().id();
     auto Tasks = std::move(*Whole.mutable_tasks());
+    auto Settled = std::move(*Whole.mutable_settled());
     wire::JobRow Row = std::move(Whole);
     Row.clear_tasks();
+    Row.clear_settled();
     std::size_t Bytes = sizeOf(Row);
+    for (wire::OccurrenceRange &Range : Settled) {
+      endRowIfFull(Id, sizeOf(Range), Row, Bytes);
+      *Row.add_settled() = std::move(Range);
+    }
     for (wire::TaskRow &Task : Tasks) {
-      if (Bytes + sizeOf(Task) > MaxBytes_) {
-        addWhole(std::exchange(Row, {}));
-        Row.mutable_job()->set_id(Id);
-        Bytes = sizeOf(Row);
-      }
-      Bytes += sizeOf(Task);
+      endRowIfFull(Id, sizeOf(Task), Row, Bytes);
       *Row.add_tasks() = std::move(Task);
     }
     addWhole(std::move(Row));
--- a/src/jobs/tests/celltabletest.cpp
+++ b/src/jobs/tests/celltabletest.cpp
@@ -60,7 +60,7 @@
     return {{Copied, 0, 0, 0}, RunNumber(Run)};
   }
   const StepRow &copiedStep(const CellTable &Table) const {
-    return Table.find(Copied)->Occurrences_[0].Steps_[0];
+    return Table.find(Copied)->Occurrences_.find(0)->Steps_[0];
   }
   CellTable restored() const {
     CellTable Result;
--- a/src/peers/internal/messagecodec.cpp
+++ b/src/peers/internal/messagecodec.cpp
@@ -394,7 +394,7 @@
           From.retry_after_ms(),
           From.config_version(),
           From.has_leader() ? std::optional(read(From.leader())) : std::nullopt,
-          readEnum(From.refusal(), RefusalReason::ConfigNotCurrent,
+          readEnum(From.refusal(), RefusalReason::TooManyTasks,
                    RefusalReason::StoreUnavailable),
           From.has_reply_to() ? std::optional(read(From.reply_to()))
                               : std::nullopt,
--- a/src/peers/messages.h
+++ b/src/peers/messages.h
@@ -188,10 +188,13 @@
   Leaving,
   /// The leader has too little processor time for more jobs.
   LeaderBusy,
-  /// The job is larger than a value of the store may be.
+  /// The job is larger than a value of the store may be, or has more tasks than
+  /// a leader can hold.
   TooLarge,
   /// The leader may lack changes of the configuration that must be in force.
   ConfigNotCurrent,
+  /// The leader holds as many tasks as its memory allows.
+  TooManyTasks,
 };
 
 struct JobReply {
--- a/src/scheduling/internal/backlogprojection.cpp
+++ b/src/scheduling/internal/backlogprojection.cpp
@@ -107,7 +107,7 @@
         Queue ? find(Queue->Pool_, Job.Spec_.Workspace_) : nullptr;
     if (!Into)
       continue;
-    for (const jobs::OccurrenceRow &Occurrence : Job.Occurrences_)
+    for (const auto &[K, Occurrence] : Job.Occurrences_.touched())
       for (std::size_t S = 0; S < Occurrence.Steps_.size(); ++S) {
         const StepSpec &Spec = Job.Spec_.Steps_[S];
         const StepRow &Row = Occurrence.Steps_[S];
@@ -176,18 +176,26 @@
 
 BacklogProjection::JobWork
 BacklogProjection::waitingWork(const jobs::JobRow &Job) const {
-  JobWork Sum{&Job, {}};
-  for (const jobs::OccurrenceRow &Occurrence : Job.Occurrences_)
-    for (std::size_t S = 0; S < Occurrence.Steps_.size(); ++S) {
-      const StepSpec &Spec = Job.Spec_.Steps_[S];
-      const std::size_t Idle = idleTasks(Occurrence.Steps_[S]);
-      if (Spec.LongRunning_ || Idle == 0)
-        continue;
-      const Duration Expected =
-          Estimator_.expectedRunTime(Job.Spec_.Queue_, Spec);
-      Sum.Work_ =
-          Sum.Work_ + workOf(Spec, Expected * static_cast<std::int64_t>(Idle));
-    }
+  const jobs::OccurrenceTable &All = Job.Occurrences_;
+  JobWork Sum{&Job, waitingWork(Job, All.untouched()) * All.untouchedCount()};
+  for (const auto &[K, Occurrence] : All.touched())
+    Sum.Work_ = Sum.Work_ + waitingWork(Job, Occurrence);
+  return Sum;
+}
+
+ResourceTime
+BacklogProjection::waitingWork(const jobs::JobRow &Job,
+                               const jobs::OccurrenceRow &Occurrence) const {
+  ResourceTime Sum;
+  for (std::size_t S = 0; S < Occurrence.Steps_.size(); ++S) {
+    const StepSpec &Spec = Job.Spec_.Steps_[S];
+    const std::size_t Idle = idleTasks(Occurrence.Steps_[S]);
+    if (Spec.LongRunning_ || Idle == 0)
+      continue;
+    const Duration Expected =
+        Estimator_.expectedRunTime(Job.Spec_.Queue_, Spec);
+    Sum = Sum + workOf(Spec, Expected * static_cast<std::int64_t>(Idle));
+  }
   return Sum;
 }
 
--- a/src/scheduling/internal/backlogprojection.h
+++ b/src/scheduling/internal/backlogprojection.h
@@ -74,6 +74,8 @@
   /// Whether the workspace's limit keeps the step from starting.
   bool heldByLimit(Projection &Into, const ReadyStep &Step) const;
   JobWork waitingWork(const jobs::JobRow &Job) const;
+  ResourceTime waitingWork(const jobs::JobRow &Job,
+                           const jobs::OccurrenceRow &Occurrence) const;
   /// Latest start of the step that still counts as in time: a projection that
   /// is off by less than run times usually deviate proves nothing.
   TimePoint latestStart(const ReadyStep &Step) const;
--- a/src/scheduling/internal/outagestarts.cpp
+++ b/src/scheduling/internal/outagestarts.cpp
@@ -100,12 +100,15 @@
     const jobs::QueueConfig *Queue = Config_.find(Job->Spec_.Queue_);
     if (!Queue || Queue->Advice_)
       return;
+    const jobs::OccurrenceRow *Occurrence =
+        Job->Occurrences_.find(Ended.Occurrence_);
+    if (!Occurrence)
+      return;
     for (std::uint32_t S = Ended.Step_ + 1; S < Job->Spec_.Steps_.size(); ++S) {
       const StepSpec &Spec = Job->Spec_.Steps_[S];
       const bool Follows = std::find(Spec.After_.begin(), Spec.After_.end(),
                                      Ended.Step_) != Spec.After_.end();
-      if (Follows && mayRunInPlace(Spec) &&
-          ready(Job->Occurrences_[Ended.Occurrence_], Spec) &&
+      if (Follows && mayRunInPlace(Spec) && ready(*Occurrence, Spec) &&
           suits(Spec, *Worker->second.Worker_))
         startTasks(*Job, Ended.Occurrence_, S, Worker->second);
     }
@@ -117,7 +120,7 @@
   void startTasks(const JobRow &Job, std::uint32_t Occurrence,
                   std::uint32_t Step, Candidate &On) {
     const StepSpec &Spec = Job.Spec_.Steps_[Step];
-    const StepRow &Row = Job.Occurrences_[Occurrence].Steps_[Step];
+    const StepRow &Row = Job.Occurrences_.find(Occurrence)->Steps_[Step];
     const WorkerIncarnation &Worker = On.Worker_->Incarnation_;
     std::uint32_t Here = runsOn(Row, Worker) + plannedOn(Worker, Job, Step);
     for (std::uint32_t I = 0; I < Row.Tasks_.size(); ++I) {
--- a/src/scheduling/internal/poolbacklogs.cpp
+++ b/src/scheduling/internal/poolbacklogs.cpp
@@ -100,15 +100,25 @@
 
   /// Returns the work of the due occurrences that is not done.
   ResourceTime workLeft(const JobRow &Job) const {
-    ResourceTime Sum;
+    const jobs::OccurrenceTable &All = Job.Occurrences_;
     const std::uint32_t Due = dueOccurrences(Job.Spec_, At_.WallMs_);
-    for (std::uint32_t K = 0; K < Due; ++K)
-      for (std::size_t S = 0; S < Job.Spec_.Steps_.size(); ++S) {
-        const StepSpec &Spec = Job.Spec_.Steps_[S];
-        const StepRow &Row = Job.Occurrences_[K].Steps_[S];
-        if (!Spec.LongRunning_ && !Row.done())
-          Sum += workLeft(Job.Spec_.Queue_, Spec, Row);
-      }
+    ResourceTime Sum =
+        workLeft(Job, All.untouched()) * All.untouchedBefore(Due);
+    for (const auto &[K, Occurrence] : All.touched())
+      if (K < Due)
+        Sum += workLeft(Job, Occurrence);
+    return Sum;
+  }
+
+  ResourceTime workLeft(const JobRow &Job,
+                        const jobs::OccurrenceRow &Occurrence) const {
+    ResourceTime Sum;
+    for (std::size_t S = 0; S < Occurrence.Steps_.size(); ++S) {
+      const StepSpec &Spec = Job.Spec_.Steps_[S];
+      const StepRow &Row = Occurrence.Steps_[S];
+      if (!Spec.LongRunning_ && !Row.done())
+        Sum += workLeft(Job.Spec_.Queue_, Spec, Row);
+    }
     return Sum;
   }
 
--- a/src/scheduling/internal/scheduler.cpp
+++ b/src/scheduling/internal/scheduler.cpp
@@ -58,7 +58,7 @@
 /// not done.
 Duration remainingCriticalPath(const JobRow &Job, std::uint32_t Occurrence,
                                const RunTimeEstimator &Estimator) {
-  const auto &Steps = Job.Occurrences_[Occurrence].Steps_;
+  const auto &Steps = Job.Occurrences_.find(Occurrence)->Steps_;
   absl::InlinedVector<Duration, 8> EndOf(Steps.size());
   Duration Longest{};
   for (std::size_t S = 0; S < Steps.size(); ++S) {
@@ -74,19 +74,30 @@
   return Longest;
 }
 
-/// Returns the expected CPU time of all tasks of the job that are not done, in
-/// millicores times seconds.
-double remainingCpuWork(const JobRow &Job, const RunTimeEstimator &Estimator) {
+/// Returns the expected CPU time of the tasks of an occurrence that are not
+/// done, in millicores times seconds.
+double remainingCpuWork(const JobRow &Job,
+                        const jobs::OccurrenceRow &Occurrence,
+                        const RunTimeEstimator &Estimator) {
   double Sum = 0;
-  for (const jobs::OccurrenceRow &Occurrence : Job.Occurrences_)
-    for (std::size_t S = 0; S < Occurrence.Steps_.size(); ++S) {
-      const StepSpec &Spec = Job.Spec_.Steps_[S];
-      const StepRow &Row = Occurrence.Steps_[S];
-      Sum += static_cast<double>(Row.Tasks_.size() - Row.DoneCount_) *
-             static_cast<double>(Spec.PerTask_.MilliCpus_) * 1e-6 *
-             static_cast<double>(
-                 Estimator.expectedRunTime(Job.Spec_.Queue_, Spec).count());
-    }
+  for (std::size_t S = 0; S < Occurrence.Steps_.size(); ++S) {
+    const StepSpec &Spec = Job.Spec_.Steps_[S];
+    const StepRow &Row = Occurrence.Steps_[S];
+    Sum += static_cast<double>(Row.Tasks_.size() - Row.DoneCount_) *
+           static_cast<double>(Spec.PerTask_.MilliCpus_) * 1e-6 *
+           static_cast<double>(
+               Estimator.expectedRunTime(Job.Spec_.Queue_, Spec).count());
+  }
+  return Sum;
+}
+
+/// The same for all occurrences of the job.
+double remainingCpuWork(const JobRow &Job, const RunTimeEstimator &Estimator) {
+  const jobs::OccurrenceTable &All = Job.Occurrences_;
+  double Sum =
+      All.untouchedCount() * remainingCpuWork(Job, All.untouched(), Estimator);
+  for (const auto &[K, Occurrence] : All.touched())
+    Sum += remainingCpuWork(Job, Occurrence, Estimator);
   return Sum;
 }
 
@@ -115,12 +126,12 @@
     Base.Job_ = &Job;
     Base.Queue_ = Queue;
     bool JobPrepared = false;
-    const std::uint32_t Due = dueOccurrences(Job.Spec_, At.WallMs_);
-    for (std::uint32_t K = 0; K < Due; ++K)
+    for (const std::uint32_t K : openDueOccurrences(Job, At.WallMs_))
       for (std::uint32_t S = 0; S < Job.Spec_.Steps_.size(); ++S) {
         const StepSpec &Spec = Job.Spec_.Steps_[S];
-        const StepRow &Row = Job.Occurrences_[K].Steps_[S];
-        if (!hasIdleTask(Row, Spec) || !stepReady(Job.Occurrences_[K], Spec))
+        const jobs::OccurrenceRow &Occurrence = *Job.Occurrences_.find(K);
+        const StepRow &Row = Occurrence.Steps_[S];
+        if (!hasIdleTask(Row, Spec) || !stepReady(Occurrence, Spec))
           continue;
         if (!JobPrepared) {
           JobPrepared = true;
--- a/src/scheduling/internal/startprojection.cpp
+++ b/src/scheduling/internal/startprojection.cpp
@@ -11,21 +11,30 @@
 
 namespace {
 
-/// Returns the number of finite tasks of the job that are to be started yet,
-/// those of later steps included.
-std::size_t startsLeft(const jobs::JobRow &Job) {
+/// Returns the number of finite tasks of the occurrence that are to be started
+/// yet, those of later steps included.
+std::size_t startsLeft(const jobs::JobRow &Job,
+                       const jobs::OccurrenceRow &Occurrence) {
   std::size_t Sum = 0;
-  for (const jobs::OccurrenceRow &Occurrence : Job.Occurrences_)
-    for (std::size_t S = 0; S < Occurrence.Steps_.size(); ++S)
-      if (!Job.Spec_.Steps_[S].LongRunning_)
-        Sum += idleTasks(Occurrence.Steps_[S]);
+  for (std::size_t S = 0; S < Occurrence.Steps_.size(); ++S)
+    if (!Job.Spec_.Steps_[S].LongRunning_)
+      Sum += idleTasks(Occurrence.Steps_[S]);
+  return Sum;
+}
+
+/// The same for all occurrences of the job.
+std::size_t startsLeft(const jobs::JobRow &Job) {
+  const jobs::OccurrenceTable &All = Job.Occurrences_;
+  std::size_t Sum = All.untouchedCount() * startsLeft(Job, All.untouched());
+  for (const auto &[K, Occurrence] : All.touched())
+    Sum += startsLeft(Job, Occurrence);
   return Sum;
 }
 
 /// Returns the number of steps of the occurrence that are not done. Each waits
 /// for its turn at the leader.
 std::int64_t stepsLeft(const ReadyStep &Step) {
-  const auto &Steps = Step.Job_->Occurrences_[Step.Occurrence_].Steps_;
+  const auto &Steps = Step.Job_->Occurrences_.find(Step.Occurrence_)->Steps_;
   return std::count_if(Steps.begin(), Steps.end(),
                        [](const jobs::StepRow &Row) { return !Row.done(); });
 }
--- a/src/scheduling/internal/stragglers.cpp
+++ b/src/scheduling/internal/stragglers.cpp
@@ -117,10 +117,10 @@
     Step.Queue_ = Config_.find(Step.Job_->Spec_.Queue_);
     if (!Step.Queue_ || Planned.FullPools_.contains(Step.Queue_->Pool_))
       continue;
-    for (std::uint32_t K = 0; K < Step.Job_->Occurrences_.size(); ++K)
+    for (const auto &[K, Occurrence] : Step.Job_->Occurrences_.touched())
       for (std::uint32_t S = 0; S < Step.Job_->Spec_.Steps_.size(); ++S) {
         Step.Spec_ = &Step.Job_->Spec_.Steps_[S];
-        Step.Row_ = &Step.Job_->Occurrences_[K].Steps_[S];
+        Step.Row_ = &Occurrence.Steps_[S];
         Step.Occurrence_ = K;
         Step.Step_ = S;
         if (isEligible(*Step.Spec_) && Step.Row_->LiveCount_ > 0)
