A leader that lacks a job's queue asks for the configuration that has it

Cause: the leader accepts what an entry has admitted under a newer configuration. Without the queue it can neither start the job nor record the queue's settings; once a later version has removed it, nobody ever can.

Change: such a call is denied as not to be decided yet. The version in it makes the leader read the configuration, and the entry repeats the call. A job that is known, or was decided, is answered as before.

Red before: CallCheckTest/JobOfAQueueThatOnlyANewerVersionHasWaitsForIt (the rule did not exist).

--- a/src/cell/callcheck.h
+++ b/src/cell/callcheck.h
@@ -16,4 +16,10 @@
 std::optional<peers::JobCallStatus>
 refusalByNewerConfig(const CellConfig &InForce, const peers::JobCall &Call);
 
+/// Whether the call hands in a job for a queue that only a configuration newer
+/// than \p InForce has. Accepted without it, the job could never be started: a
+/// later version may remove the queue before the leader has read the one that
+/// has it.
+bool needsNewerConfig(const CellConfig &InForce, const peers::JobCall &Call);
+
 } // namespace laburnumspread::cell
--- a/src/cell/cellservice.h
+++ b/src/cell/cellservice.h
@@ -148,7 +148,8 @@
         };
     if (!leads() || isForAnotherTerm(Call, Term_->tokens()))
       return Complete(denial(Call));
-    if (!InForce_.current(now()))
+    if (!InForce_.current(now()) ||
+        Calls_->awaitsConfig(InForce_.config(), Call))
       return Complete(denialWithoutConfig(Call));
     if (const auto Refusal = Calls_->refusalUnder(InForce_.config(), Call))
       return Calls_->reject(Call, *Refusal, Complete);
--- a/src/cell/internal/callcheck.cpp
+++ b/src/cell/internal/callcheck.cpp
@@ -19,4 +19,10 @@
   return std::nullopt;
 }
 
+bool needsNewerConfig(const CellConfig &InForce, const peers::JobCall &Call) {
+  return Call.Kind_ == peers::JobCallKind::Submit &&
+         Call.ConfigVersion_ > InForce.Version_.value() &&
+         !InForce.find(QueueName(Call.Queue_));
+}
+
 } // namespace laburnumspread::cell
--- a/src/cell/jobcallhandler.h
+++ b/src/cell/jobcallhandler.h
@@ -71,6 +71,14 @@
     return Refusal;
   }
 
+  /// Whether the call can be decided only under a configuration that the leader
+  /// has not read yet. A job that is known is not decided anew.
+  bool awaitsConfig(const CellConfig &InForce,
+                    const peers::JobCall &Call) const {
+    return needsNewerConfig(InForce, Call) &&
+           !isInEffect(Call, Term_->Table_) && !earlierReply(Call);
+  }
+
   /// Rejects a call, and each later attempt of it during this term.
   void reject(const peers::JobCall &Call, const peers::JobReply &Rejection,
               const JobReplyFn &Reply) {
--- a/src/cell/tests/callchecktest.cpp
+++ b/src/cell/tests/callchecktest.cpp
@@ -76,6 +76,18 @@
   BOOST_TEST(!refusalByNewerConfig(config(false), Call));
 }
 
+// Guards against an accepted job that is never started: its queue came with a
+// version that the leader has not read, and went with the next one.
+BOOST_AUTO_TEST_CASE(JobOfAQueueThatOnlyANewerVersionHasWaitsForIt) {
+  peers::JobCall Call = call("/new/1", Key, Version + 1);
+  Call.Kind_ = peers::JobCallKind::Submit;
+  BOOST_TEST(!needsNewerConfig(config(false), Call));
+  Call.Queue_ = "new";
+  BOOST_TEST(needsNewerConfig(config(false), Call));
+  Call.ConfigVersion_ = Version;
+  BOOST_TEST(!needsNewerConfig(config(false), Call));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace laburnumspread::cell
