The number of occurrences that have not begun is not counted one by one

Cause: each first start of an occurrence counted the rows of all others, so that a job of 100,000 took 10^9 steps.

Change: the number follows from the sizes of the three parts.

--- a/src/jobs/internal/occurrences.cpp
+++ b/src/jobs/internal/occurrences.cpp
@@ -50,7 +50,14 @@
               .first->second;
 }
 
+std::uint32_t OccurrenceTable::untouchedCount() const {
+  return Count_ - SettledThrough_ -
+         static_cast<std::uint32_t>(SettledAhead_.size() + Touched_.size());
+}
+
 std::uint32_t OccurrenceTable::untouchedBefore(std::uint32_t K) const {
+  if (K >= Count_)
+    return untouchedCount();
   if (K <= SettledThrough_)
     return 0;
   const auto Ahead =
--- a/src/jobs/occurrences.h
+++ b/src/jobs/occurrences.h
@@ -103,7 +103,7 @@
   const OccurrenceRow &untouched() const { return Untouched_; }
   /// Number of occurrences below \p K that have not begun.
   std::uint32_t untouchedBefore(std::uint32_t K) const;
-  std::uint32_t untouchedCount() const { return untouchedBefore(Count_); }
+  std::uint32_t untouchedCount() const;
 
   /// Drops the row of an occurrence that is done and has no live runs. The row
   /// of a job's only occurrence stays.
