--- a/src/cell/workersessions.h
+++ b/src/cell/workersessions.h
@@ -4,8 +4,9 @@
 #include "cell/failuredomains.h"
 #include "cell/fillerpacecontroller.h"
 #include "cell/runstopper.h"
-#include "cell/term.h"
+#include "cell/runtimelearner.h"
 #include "cell/workerpolls.h"
+#include "cell/workertokens.h"
 #include "scheduling/scheduler.h"
 
 namespace laburnumspread::cell {
@@ -46,9 +47,6 @@
   static constexpr Duration FirstReplyWait = 2 * MaxAnswerTimeout;
   /// As many attempts as fit into StartWindow.
   static constexpr int StartAttempts = 6;
-  static constexpr double FailureScoreIncrement = 1;
-  /// Time until a session looks again for the token that another one requests.
-  static constexpr Duration TokenPause = std::chrono::milliseconds(5);
   /// Logged for a worker that has not replied to this leader yet.
   static constexpr std::int64_t NeverAnswered = -1;
 
@@ -59,7 +57,8 @@
             jobs::maxCheckpointBytes(Term_->Bounds_.MaxValueBytes_))),
         Stopper_(
             std::make_shared<RunStopper<Store, Client>>(Term_, C, Tracker_)),
-        Fillers_(Term_, Client_), CopyReporter_(Term_->Metrics_),
+        Tokens_(Term_), Learner_(Term_), Fillers_(Term_, Client_),
+        CopyReporter_(Term_->Metrics_),
         Holds_(Term_->Metrics_.counter("holds_total")),
         FirstStartSeconds_(
             Term_->Metrics_.histogram("task_first_start_seconds")),
@@ -189,7 +188,7 @@
   /// \p Poll is set if the worker is unused so far.
   void runSession(WorkerRow &Row, ScopedCountPtr Poll) {
     while (!Term_->ended() && !Row.Ended_) {
-      if (!Term_->maySendOrders() || !ensureToken(Row)) {
+      if (!Term_->maySendOrders() || !Tokens_.ensure(Row)) {
         framework::fibers::sleepFor(RetryPause);
         continue;
       }
@@ -206,33 +205,6 @@
     Row.NextPollAt_ = now() + WorkerPolls::SilentInterval;
   }
 
-  /// Gives the incarnation its token, for which the store has to be asked if
-  /// nothing was written since the last one. Returns whether it has one.
-  bool ensureToken(WorkerRow &Row) {
-    if (assignToken(Row))
-      return true;
-    if (std::exchange(RequestingToken_, true)) {
-      framework::fibers::sleepFor(TokenPause);
-      return assignToken(Row);
-    }
-    const absl::Status Written = Term_->Log_.writeFence();
-    RequestingToken_ = false;
-    if (!Written.ok())
-      framework::log::warning("worker.no_token")
-          .field("worker", Row.Record_.Incarnation_.Id_.str())
-          .field("reason", std::string(Written.message()));
-    return !Term_->ended() && assignToken(Row);
-  }
-
-  bool assignToken(WorkerRow &Row) const {
-    if (Row.Token_.value() == 0)
-      Row.Token_ = Term_->History_
-                       .assignToken(Row.Record_.Incarnation_.Id_,
-                                    Term_->Log_.newestToken())
-                       .value_or(jobs::FencingToken());
-    return Row.Token_.value() != 0;
-  }
-
   /// Whether the worker runs something, or may, or has ends to acknowledge.
   bool needsSession(const WorkerRow &Row) const {
     return Row.MayRunStaleStarts_ || Row.HasUnknownRuns_ || Row.HasMoreEnds_ ||
@@ -344,7 +316,7 @@
     adoptUnstoredStarts(Row, Reply);
     for (const EndReport &Item : Reply.Ends_)
       if (Item.Number_ > Row.EndsStaged_)
-        learnFromEnd(Row, Item);
+        Learner_.recordEnd(Row, Item);
     const RunTracker::Report Report = Tracker_->processReport(
         Row.Record_.Incarnation_, Reply, SentAt, Row.EndsStaged_);
     for (const RunTracker::EndedRun &Item : Report.Ended_)
@@ -400,44 +372,6 @@
                                               : HoldWait));
   }
 
-  /// Updates the run time estimates and the worker's failure score from the end
-  /// of a run.
-  void learnFromEnd(WorkerRow &Row, const EndReport &Item) {
-    if (Item.Kind_ == jobs::EndKind::Failed)
-      Row.FailureScore_ += FailureScoreIncrement;
-    if (Item.Kind_ != jobs::EndKind::Done)
-      return;
-    const jobs::JobRow *Job = Term_->Table_.find(Item.Run_.Task_.Job_);
-    const jobs::StepSpec *Step = Term_->Table_.specOf(Item.Run_.Task_);
-    const jobs::LiveRun *Live = Term_->Table_.find(Item.Run_);
-    const jobs::TaskRow *Task = Term_->Table_.find(Item.Run_.Task_);
-    if (!Job || !Step || !Live || !Task || Step->LongRunning_ ||
-        !Term_->Table_.resumePoint(Item.Run_.Task_).empty())
-      return;
-    // Without the time that the start took to arrive: while the leader is short
-    // of processor that would make all tasks look longer, and late jobs in
-    // time.
-    const Duration Measured =
-        now() - Live->AcceptedAt_.value_or(Live->StartedAt_);
-    learnWorkerSpeed(Row, Job->Spec_.Queue_, *Step, Measured);
-    Term_->Estimates_.recordRun(Job->Spec_.Queue_, Step->Estimate_, Measured);
-  }
-
-  /// Records how long a run took compared with what is expected, unless it may
-  /// have been slow for a reason other than its worker: the distance to its
-  /// data, the other tasks of its step, or the pace that it was given.
-  void learnWorkerSpeed(const WorkerRow &Row, const QueueName &Queue,
-                        const jobs::StepSpec &Step, Duration Measured) {
-    const bool FarFromData =
-        !Step.DataRack_.empty() && !Row.Record_.hasLabel(Step.DataRack_);
-    if (FarFromData || Step.Gang_ || Step.TightlyCoupled_ || Step.Filler_ ||
-        !Term_->Estimates_.knowsRunTimes(Queue))
-      return;
-    Term_->Speeds_.recordRun(Row.Record_.Incarnation_,
-                             Term_->Estimates_.expectedRunTime(Queue, Step),
-                             Measured);
-  }
-
   void endRun(const RunTracker::EndedRun &Item) {
     const jobs::RunName &Run = Item.Run_;
     const jobs::LiveRun *Live = Term_->Table_.find(Run);
@@ -663,7 +597,7 @@
     if (Reply.Result_ == OrderResult::BadTicket)
       Term_->Advice_.recordRefusal(Step, Row.Record_.Incarnation_);
     if (Reply.Result_ == OrderResult::NoRoom)
-      Row.FailureScore_ += FailureScoreIncrement;
+      Learner_.recordNoRoom(Row);
     if (Ended)
       endRun(*Ended);
     return !isUnanswered(Reply.Result_);
@@ -683,13 +617,13 @@
   Client &Client_;
   std::shared_ptr<RunTracker> Tracker_;
   std::shared_ptr<RunStopper<Store, Client>> Stopper_;
+  WorkerTokens<Store> Tokens_;
+  RunTimeLearner<Store> Learner_;
   FillerPaceController<Store, Client> Fillers_;
   CopyReporter CopyReporter_;
   std::size_t UnansweredStarts_ = 0;
   /// Sessions that were opened to poll an unused worker.
   std::size_t PollsInFlight_ = 0;
-  /// Whether a session is asking the store for a token.
-  bool RequestingToken_ = false;
   framework::metrics::Counter &Holds_;
   framework::metrics::Histogram &FirstStartSeconds_;
   framework::metrics::Histogram &StartAnswerSeconds_;
