--- a/src/cell/workerhistory.h
+++ b/src/cell/workerhistory.h
@@ -28,14 +28,19 @@
 ///    task is started in this time if such a hold has no answer. Holds without
 ///    acknowledgements drop nothing.
 ///
-/// A start that is executed between the begin of the incarnation and its first
-/// reply is not covered.
+/// What a former leader has sent is not known. Its token is lower, so the first
+/// rule holds. For the second the worker's clock decides, which begins anew in
+/// each incarnation: one that was born before the takeover gets no task until
+/// all holds that may wait there are over.
+///
+/// Not covered is a start that the new incarnation executes before its first
+/// hold: a worker that has just started has seen no token.
 class WorkerHistory {
 public:
   /// The leadership began at \p TakeoverAt.
   explicit WorkerHistory(TimePoint TakeoverAt) : TakeoverAt_(TakeoverAt) {}
 
-  /// Records whether there was a leader before.
+  /// Records whether there was a leader before, as the journal tells.
   void setFormerLeader(bool Existed) { FormerLeader_ = Existed; }
 
   /// Returns the fencing token for a new incarnation of a worker. \p Newest is
@@ -45,7 +50,8 @@
   std::optional<jobs::FencingToken> assignToken(const WorkerId &Id,
                                                 jobs::FencingToken Newest);
 
-  /// Records that an incarnation has ended.
+  /// Records that an incarnation has ended, with the holds that it has not
+  /// answered.
   void recordEnd(const WorkerRow &Row);
 
   /// Whether a hold to an earlier incarnation may still acknowledge ends that
