Reports of waves have a file of their own

machinemanager.h held lists, plans, moves and the reports to the operator; the waves' rows, their progress lines and the writes under status/ are WaveReporter now.

--- a/src/cell/machinemanager.h
+++ b/src/cell/machinemanager.h
@@ -4,17 +4,12 @@
 #include "cell/listreads.h"
 #include "cell/machineorders.h"
 #include "cell/pooldemand.h"
+#include "cell/wavereporter.h"
 #include "cell/workersessions.h"
 #include "scheduling/scheduler.h"
 
 namespace laburnumspread::cell {
 
-/// Key and value under which a wave's progress is reported to the operator.
-struct WaveStatusCodec {
-  std::function<std::string(WaveNumber)> Key_;
-  std::function<std::string(bool Done)> Value_;
-};
-
 /// Orders the upkeep of machines and moves machines between pools, for one
 /// term.
 ///
@@ -40,18 +35,16 @@
   /// The list may be this old when it is requested. What it says about a worker
   /// that replied later is ignored.
   static constexpr Duration MaxListLag = std::chrono::milliseconds(1000);
-  static constexpr Duration ProgressInterval = std::chrono::milliseconds(1000);
-  static constexpr Duration RetryPause = std::chrono::milliseconds(400);
-  static constexpr Duration ReportTimeout = std::chrono::milliseconds(900);
 
   MachineManager(TermPtr T, SessionsPtr S, Store &Kv, Service &Api,
                  WaveStatusCodec WaveStatus)
-      : Term_(std::move(T)), Sessions_(std::move(S)), Store_(Kv), Api_(Api),
-        WaveStatus_(std::move(WaveStatus)),
+      : Term_(std::move(T)), Sessions_(std::move(S)), Api_(Api),
         Table_(std::make_shared<MachineTable>(std::max(
             Term_->Bounds_.MoveDuration_, Term_->Bounds_.UpkeepDuration_))),
         Orders_(std::make_shared<MachineOrders<Store, Service>>(Term_, Api,
-                                                                Table_)) {}
+                                                                Table_)),
+        Waves_(std::make_shared<WaveReporter<Store>>(Term_, Kv,
+                                                     std::move(WaveStatus))) {}
 
   /// Loads the machines ordered by earlier leaders and starts the list and
   /// planning loops.
@@ -68,21 +61,12 @@
         [Self = this->shared_from_this()] { Self->planLoop(); });
   }
 
+  /// Sets the keys of the cell; see WaveReporter.
+  void setKeys(const journal::CellKeys &Keys) { Waves_->setKeys(Keys); }
+
   /// Adds waves that were not known before.
   void setWaves(const std::map<WaveNumber, WaveRecord> &Waves) {
-    for (const auto &[Number, Record] : Waves) {
-      auto [Row, Inserted] = Waves_.try_emplace(Number);
-      if (!Inserted)
-        continue;
-      Row->second.Record_ = Record;
-      Row->second.FirstSeenAt_ = now();
-      framework::log::info("wave.seen")
-          .field("wave", Number.value())
-          .field("machines",
-                 static_cast<std::uint64_t>(Record.Machines_.size()))
-          .field("at_once", static_cast<std::uint64_t>(Record.MaxAllowed_))
-          .field("duration_ms", Record.Duration_.count() / 1000);
-    }
+    Waves_->add(Waves);
   }
 
   /// Records that a worker was listed; its record tells the pool of its
@@ -159,10 +143,7 @@
       if ((Row->Unanswered_ > 0 || !Row->Listed_) &&
           Term_->Table_.usageOf(Incarnation) != nullptr)
         return true;
-    for (const auto &[Number, Wave] : Waves_)
-      if (!Wave.DoneReported_)
-        return true;
-    return false;
+    return Waves_->anyOpen();
   }
 
   void updateFromList(const std::vector<MachineRecord> &List,
@@ -283,23 +264,15 @@
   // Upkeep.
 
   void planUpkeep() {
-    for (auto &[Number, Wave] : Waves_)
-      if (const auto Found = Term_->Table_.upkeep().find(Number);
-          Found != Term_->Table_.upkeep().end())
-        Wave.Started_ = Found->second;
+    Waves_->updateStarted();
     const capacity::UpkeepPlanner Planner(Term_->Table_,
                                           Term_->Bounds_.UpkeepDuration_);
     const capacity::UpkeepPlan Plan =
-        Planner.plan(Table_->views(), Waves_, standbyPools(), now());
+        Planner.plan(Table_->views(), Waves_->waves(), standbyPools(), now());
     Table_->changeViews([&](const MachineId &Id, capacity::MachineView &View) {
       View.Cordoned_ = Plan.Cordon_.contains(Id);
     });
-    for (auto &[Number, Wave] : Waves_)
-      if (!Wave.RunningReported_)
-        report(Number, Wave, false);
-    for (const WaveNumber Number : Plan.Done_)
-      report(Number, Waves_.at(Number), true);
-    logProgress(Plan.Progress_);
+    Waves_->report(Plan);
     if (!maySendUpkeepOrders())
       return;
     for (const jobs::RunName &Run : Plan.Evacuate_) {
@@ -312,61 +285,6 @@
       Orders_->upkeep(Order);
   }
 
-  /// Logs the progress of each wave once per ProgressInterval.
-  void
-  logProgress(const std::map<WaveNumber, capacity::WaveProgress> &Progress) {
-    if (now() < NextProgressAt_)
-      return;
-    NextProgressAt_ = now() + ProgressInterval;
-    for (const auto &[Number, Wave] : Progress)
-      framework::log::info("wave.progress")
-          .field("wave", Number.value())
-          .field("remaining", static_cast<std::uint64_t>(Wave.Remaining_))
-          .field("idle", static_cast<std::uint64_t>(Wave.RemainingIdle_))
-          .field("busy_machine", Wave.Busy_.str())
-          .field("down", static_cast<std::uint64_t>(Wave.Down_))
-          .field("urgent", Wave.Urgent_ ? "yes" : "no");
-  }
-
-  void report(WaveNumber Number, capacity::WaveRow &Wave, bool Done) {
-    if (Wave.DoneReported_)
-      return;
-    Wave.RunningReported_ = true;
-    Wave.DoneReported_ = Done;
-    framework::fibers::spawn([Self = this->shared_from_this(), Number, Done] {
-      Self->sendReport(Number, Done);
-    });
-  }
-
-  void sendReport(WaveNumber Number, bool Done) {
-    store::Transaction Txn;
-    Txn.Puts_ = {{WaveStatus_.Key_(Number), WaveStatus_.Value_(Done), 0}};
-    while (!Term_->ended()) {
-      // A report of an earlier state that is written late must not overwrite a
-      // newer one.
-      if (!Done && Waves_.at(Number).DoneReported_)
-        return;
-      Txn.Compares_ = {{Keys_.head(), fleet::Revision(Term_->Token_.value())}};
-      const auto Written =
-          Store_.commit(Txn, framework::clock::wallDeadline(ReportTimeout));
-      // If the head key is being rewritten at this moment, nothing is written,
-      // and the next attempt uses the new token.
-      if (Written.ok() && Written->Succeeded_) {
-        framework::log::info("wave.reported")
-            .field("wave", Number.value())
-            .field("state", Done ? "done" : "running");
-        return;
-      }
-      framework::fibers::sleepFor(RetryPause);
-    }
-  }
-
-public:
-  /// Sets the keys of the cell; reports are written only while its head key has
-  /// this term's token.
-  void setKeys(const journal::CellKeys &Keys) { Keys_ = Keys; }
-
-private:
   // Moves.
 
   void planMoves() {
@@ -383,14 +301,10 @@
 
   TermPtr Term_;
   SessionsPtr Sessions_;
-  Store &Store_;
   Service &Api_;
-  WaveStatusCodec WaveStatus_;
-  journal::CellKeys Keys_{""};
   std::shared_ptr<MachineTable> Table_;
   std::shared_ptr<MachineOrders<Store, Service>> Orders_;
-  std::map<WaveNumber, capacity::WaveRow> Waves_;
-  TimePoint NextProgressAt_{};
+  std::shared_ptr<WaveReporter<Store>> Waves_;
   /// When the latest list that was read was requested.
   TimePoint ListedAt_ = now();
   ListReads Reads_{"machines", LongestUnread, Term_->Metrics_, now()};
