Peer messages: the receive loop gives way, so that a lease is renewed meanwhile

Cause: PeerMesh's urgent receive loop handled messages for as long as any had arrived. Beside little processor time they arrive faster than they are handled, most of all at a new leader, which all entries call at once. One fiber then ran for seconds, and the renewals of the leadership waited behind it past the lease of one second. The next entry won, and fared the same.

In all eleven takeovers that they logged, and in the former leader before the first one, a single fiber ran for 0.8 to 3.5 s after the win or after leadership.begun, with 2 to 10 switches of fibers between two looks at timers. Leaderships ended there with "a peer named a later leader" within that run, which only a handler of peer messages does. Renewals were late by as much: 1368 ms run and 1189 ms late, 1352 and 1153, 1552 and 1389, 3295 and 3211, 1245 and 1194, 820 and 661.

Change: framework::fibers::TimeSlice bounds a run to 5 ms; the receive loop then pauses for a millisecond, in which the fibers that are ready run.

TimersRunWhileManyMessagesAreHandled failed before: a timer of 2 ms fired after all 400 messages of 1 ms each (400 >= 100).

--- a/src/framework/fibers/tests/asioschedulertest.cpp
+++ b/src/framework/fibers/tests/asioschedulertest.cpp
@@ -1,6 +1,7 @@
 #include "framework/fibers/asioscheduler.h"
 
 #include "framework/fibers/spawn.h"
+#include "framework/fibers/timeslice.h"
 #include "framework/fibers/waiter.h"
 
 #include <boost/fiber/operations.hpp>
@@ -98,6 +99,30 @@
   });
 }
 
+// Guards against fibers that are never run, beside urgent work that always has
+// more to do.
+BOOST_AUTO_TEST_CASE(PausesOfUrgentWorkLetOtherFibersRun) {
+  runScheduled([] {
+    int OthersTurns = 0, TurnsMeanwhile = 0;
+    bool Ended = false;
+    spawnUrgent([&] {
+      const int Before = OthersTurns;
+      TimeSlice Own;
+      for (int I = 0; I < Fibers && OthersTurns == Before; ++I) {
+        std::this_thread::sleep_for(Slice);
+        Own.pauseIfUsed();
+      }
+      TurnsMeanwhile = OthersTurns - Before;
+      Ended = true;
+    });
+    while (!Ended) {
+      ++OthersTurns;
+      boost::this_fiber::yield();
+    }
+    BOOST_TEST(TurnsMeanwhile > 0);
+  });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace laburnumspread::framework::fibers
--- a/src/peers/internal/peermesh.cpp
+++ b/src/peers/internal/peermesh.cpp
@@ -2,6 +2,7 @@
 
 #include "framework/clock/clock.h"
 #include "framework/fibers/spawn.h"
+#include "framework/fibers/timeslice.h"
 #include "framework/log/log.h"
 #include "peers/internal/zmqreader.h"
 #include "peers/messagecodec.h"
@@ -113,19 +114,34 @@
   }
 
   void receiveLoop() {
-    while (!Stopped_ && InboxReader_->waitForMessage()) {
-      zmq::message_t Identity, Body;
-      if (!Inbox_.recv(Identity, zmq::recv_flags::dontwait))
-        continue;
-      bool Complete = Identity.more() &&
-                      Inbox_.recv(Body, zmq::recv_flags::dontwait).has_value();
-      while (Complete && Body.more())
-        Complete = Inbox_.recv(Body, zmq::recv_flags::dontwait).has_value();
-      if (Complete)
-        receive(Body.to_string_view());
+    while (!Stopped_ && InboxReader_->waitForMessage())
+      receiveAll();
+  }
+
+  /// Receives what has arrived. Messages of a large fleet may arrive faster
+  /// than a process with little processor time handles them. Without a pause,
+  /// nothing else would run then: a new leader lost its lease while it handled
+  /// the calls that had waited for it, and so did the next one.
+  void receiveAll() {
+    framework::fibers::TimeSlice Slice;
+    while (!Stopped_ && InboxReader_->hasMessage()) {
+      receiveNext();
+      Slice.pauseIfUsed();
     }
   }
 
+  void receiveNext() {
+    zmq::message_t Identity, Body;
+    if (!Inbox_.recv(Identity, zmq::recv_flags::dontwait))
+      return;
+    bool Complete = Identity.more() &&
+                    Inbox_.recv(Body, zmq::recv_flags::dontwait).has_value();
+    while (Complete && Body.more())
+      Complete = Inbox_.recv(Body, zmq::recv_flags::dontwait).has_value();
+    if (Complete)
+      receive(Body.to_string_view());
+  }
+
   void receive(std::string_view Bytes) {
     Counters_.BytesIn_ += Bytes.size();
     ++Counters_.MessagesIn_;
--- a/src/peers/internal/zmqreader.h
+++ b/src/peers/internal/zmqreader.h
@@ -16,12 +16,16 @@
   /// Releases the descriptor without closing it: the socket owns it.
   ~ZmqReader() { Descriptor_.release(); }
 
+  bool hasMessage() const {
+    return (Socket_.get(zmq::sockopt::events) & ZMQ_POLLIN) != 0;
+  }
+
   /// Suspends the fiber until a message is available. Returns false after
   /// stop().
   bool waitForMessage() {
     // The descriptor is edge-triggered and only signals that the state may have
     // changed, so the socket's events must be read before each wait.
-    while (!(Socket_.get(zmq::sockopt::events) & ZMQ_POLLIN)) {
+    while (!hasMessage()) {
       const auto Outcome = framework::fibers::await([this](auto Done) {
         Descriptor_.async_wait(boost::asio::posix::stream_descriptor::wait_read,
                                Done);
--- a/src/peers/tests/peermeshtest.cpp
+++ b/src/peers/tests/peermeshtest.cpp
@@ -7,6 +7,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <optional>
+#include <thread>
 
 #include <arpa/inet.h>
 #include <netinet/tcp.h>
@@ -27,11 +28,14 @@
 struct Node {
   Node(boost::asio::io_context &Io, const char *Name, const PeerKeys &Keys)
       : Mesh_(Io, idOf(Name), Keys, [this](const Sender &From, Message &&) {
+          std::this_thread::sleep_for(HandlingTime_);
           Received_.push_back(From);
         }) {
     BOOST_REQUIRE(Mesh_.bind(AnyPort, AnyPort).ok());
   }
   std::vector<Sender> Received_;
+  /// Processor time that a message takes.
+  std::chrono::milliseconds HandlingTime_{0};
   PeerMesh Mesh_;
 };
 
@@ -97,6 +101,26 @@
   BOOST_TEST((B.Received_[0].Id_ == idOf("a")));
 }
 
+// Guards against a leader that renews its lease after it has expired: calls of
+// all entries wait for it, and none of its fibers ran until all were handled.
+BOOST_AUTO_TEST_CASE(TimersRunWhileManyMessagesAreHandled) {
+  constexpr std::size_t Messages = 400;
+  const PeerKeys Keys = generatePeerKeys();
+  Node A(sharedIo(), "a", Keys), B(sharedIo(), "b", Keys);
+  BOOST_REQUIRE(sendUntilReceived(A, B, MaxTries));
+  B.Received_.clear();
+  B.HandlingTime_ = 1ms;
+  for (std::size_t I = 0; I < Messages; ++I)
+    A.Mesh_.send(idOf("b"), B.Mesh_.advertised().str(), SnapshotRequest{});
+  // ZeroMQ's own thread carries them over meanwhile.
+  std::this_thread::sleep_for(200ms);
+  framework::fibers::sleepFor(2ms);
+  BOOST_TEST(B.Received_.size() < Messages / 4);
+  for (int I = 0; I < MaxTries && B.Received_.size() < Messages; ++I)
+    framework::fibers::sleepFor(10ms);
+  BOOST_TEST(B.Received_.size() == Messages);
+}
+
 // A peer that knows the fleet's public key but not its secret key must be
 // rejected, and none of its messages may arrive.
 BOOST_AUTO_TEST_CASE(PeerWithoutSecretKeyIsRejected) {
