Fibers: urgent fibers run in turn

Cause: the urgent fiber that was ready last ran first. A fiber that yields is ready after those that a poll of the sockets has woken, so an urgent one that yields runs ahead of them again and again.

When the load ended, five to eight urgent fibers had waited for 0.1 to 1.2 s, mostly one each 0.2 s, the interval of lease renewals; one leader offered its leadership at once, 1055 ms after its last confirmation. That these fibers were the renewals' is inferred from the interval, not logged.

Change: urgent fibers have a queue of their own, first in, first out.

UrgentFibersTakeTurns failed before: 2 1 2 1 0 0 instead of 0 1 2 0 1 2.

--- a/src/framework/fibers/asioscheduler.cpp
+++ b/src/framework/fibers/asioscheduler.cpp
@@ -18,10 +18,7 @@
                              FiberPriority &Priority) noexcept {
   if (Fiber->is_context(boost::fibers::type::dispatcher_context))
     Dispatcher_ = Fiber;
-  if (Priority.urgent())
-    Ready_.push_front(*Fiber);
-  else
-    Fiber->ready_link(Ready_);
+  Fiber->ready_link(Priority.urgent() ? Urgent_ : Ready_);
 }
 
 void AsioScheduler::property_change(boost::fibers::context *Fiber,
@@ -29,7 +26,7 @@
   if (!Priority.urgent() || !Fiber->ready_is_linked())
     return;
   Fiber->ready_unlink();
-  Ready_.push_front(*Fiber);
+  Fiber->ready_link(Urgent_);
 }
 
 bool AsioScheduler::dispatchDue() {
@@ -38,9 +35,11 @@
 }
 
 boost::fibers::context *AsioScheduler::pick_next() noexcept {
-  if (Ready_.empty())
+  if (!has_ready_fibers())
     return nullptr;
-  boost::fibers::context *Next = dispatchDue() ? Dispatcher_ : &Ready_.front();
+  boost::fibers::context *Next = dispatchDue()      ? Dispatcher_
+                                 : !Urgent_.empty() ? &Urgent_.front()
+                                                    : &Ready_.front();
   Next->ready_unlink();
   // Fibers that keep waking each other would starve all I/O without this poll.
   if (Next->is_context(boost::fibers::type::dispatcher_context)) {
@@ -51,7 +50,7 @@
 }
 
 bool AsioScheduler::has_ready_fibers() const noexcept {
-  return !Ready_.empty();
+  return !Ready_.empty() || !Urgent_.empty();
 }
 
 void AsioScheduler::suspend_until(const TimePoint &Until) noexcept {
--- a/src/framework/fibers/asioscheduler.h
+++ b/src/framework/fibers/asioscheduler.h
@@ -14,11 +14,11 @@
 /// While no fiber is ready, the thread blocks in the io_context. Handlers run
 /// on the scheduler's stack and must not block; they only wake fibers.
 ///
-/// Urgent fibers run before the others, and I/O and timers are looked at within
-/// MaxDispatchDelay. With a plain round, a process that has hundreds of fibers
-/// ready and little processor time looks at its timers once in seconds: a
-/// leader renewed its lease only after it had expired, however short that work
-/// is.
+/// Urgent fibers run in turn, before the others, and I/O and timers are looked
+/// at within MaxDispatchDelay. With a plain round, a process that has hundreds
+/// of fibers ready and little processor time looks at its timers once in
+/// seconds: a leader renewed its lease only after it had expired, however short
+/// that work is.
 class AsioScheduler final
     : public boost::fibers::algo::algorithm_with_properties<FiberPriority> {
 public:
@@ -47,6 +47,9 @@
       WorkGuard_;
   boost::asio::steady_timer WakeTimer_;
   std::chrono::steady_clock::time_point WakeAt_;
+  /// Urgent fibers in the order in which they became ready.
+  boost::fibers::scheduler::ready_queue_type Urgent_;
+  /// The others and the dispatcher, likewise.
   boost::fibers::scheduler::ready_queue_type Ready_;
   boost::fibers::context *Dispatcher_ = nullptr;
   std::chrono::steady_clock::time_point DispatchedAt_;
--- a/src/framework/fibers/tests/asioschedulertest.cpp
+++ b/src/framework/fibers/tests/asioschedulertest.cpp
@@ -99,6 +99,26 @@
   });
 }
 
+// Guards against a leader that loads its journal and does not read the answers
+// to its lease renewals: whoever was ready last ran first, also after a yield.
+BOOST_AUTO_TEST_CASE(UrgentFibersTakeTurns) {
+  runScheduled([] {
+    std::vector<int> Order;
+    int Ended = 0;
+    for (int I = 0; I < 3; ++I)
+      spawnUrgent([&Order, &Ended, I] {
+        Order.push_back(I);
+        boost::this_fiber::yield();
+        Order.push_back(I);
+        ++Ended;
+      });
+    while (Ended < 3)
+      boost::this_fiber::yield();
+    const std::vector<int> Expected{0, 1, 2, 0, 1, 2};
+    BOOST_TEST(Order == Expected, boost::test_tools::per_element());
+  });
+}
+
 // Guards against fibers that are never run, beside urgent work that always has
 // more to do.
 BOOST_AUTO_TEST_CASE(PausesOfUrgentWorkLetOtherFibersRun) {
