--- a/src/cell/cellservice.h
+++ b/src/cell/cellservice.h
@@ -284,7 +284,8 @@
     while (!T.ended()) {
       T.Table_ = emptyTable(T);
       T.Config_ = InForce_.config();
-      const absl::Status Read = T.Log_.load(T.Table_, now());
+      const absl::Status Read =
+          T.Log_.load(T.Table_, now(), [&T] { return T.ended(); });
       if (Read.ok()) {
         T.History_.setFormerLeader(T.Log_.hasFormerLeader());
         T.Table_.restoreAcceptTimes(
--- a/src/journal/journal.h
+++ b/src/journal/journal.h
@@ -4,6 +4,7 @@
 #include "framework/fibers/waiter.h"
 #include "jobs/eventcodec.h"
 #include "journal/leadership.h"
+#include "journal/loadsteps.h"
 
 #include <span>
 
@@ -67,8 +68,11 @@
 
   /// Loads the snapshot and replays the journal into \p Into. Called once after
   /// a takeover, when no other process can write any more. Returns DataLoss if
-  /// a part or an entry is missing or malformed, or the store's error.
-  absl::Status load(jobs::CellTable &Into, TimePoint Now) {
+  /// a part or an entry is missing or malformed, Aborted once \p GivenUp
+  /// returns true, or the store's error. Lets other fibers run.
+  absl::Status load(jobs::CellTable &Into, TimePoint Now,
+                    const std::function<bool()> &GivenUp = nullptr) {
+    LoadSteps Steps(GivenUp);
     Next_ = 1;
     const auto Head = Store_.range(Keys_.base(), fleet::Revision(0),
                                    wallDeadline(LoadTimeout));
@@ -83,9 +87,9 @@
       Base_ = *Read;
       BaseRevision_ = Item.ModRevision_;
     }
-    if (absl::Status Read = loadSnapshot(Into, Now); !Read.ok())
+    if (absl::Status Read = loadSnapshot(Into, Now, Steps); !Read.ok())
       return Read;
-    const absl::Status Read = loadLog(Into, Now);
+    const absl::Status Read = loadLog(Into, Now, Steps);
     FormerLeader_ = Next_ > 1;
     return Read;
   }
@@ -251,7 +255,8 @@
     return {Keys_.head(), fleet::Revision(Token.value())};
   }
 
-  absl::Status loadSnapshot(jobs::CellTable &Into, TimePoint Now) {
+  absl::Status loadSnapshot(jobs::CellTable &Into, TimePoint Now,
+                            LoadSteps &Steps) {
     if (Base_.Parts_ == 0)
       return absl::OkStatus();
     const auto Parts =
@@ -261,14 +266,17 @@
       return Parts.status();
     if (Parts->Items_.size() != Base_.Parts_)
       return absl::DataLossError("a part of the snapshot is missing");
-    for (const store::KeyValue &Item : Parts->Items_)
+    for (const store::KeyValue &Item : Parts->Items_) {
+      if (absl::Status Next = Steps.next(); !Next.ok())
+        return Next;
       if (absl::Status Read = jobs::decodeSnapshot(Item.Value_, Now, Into);
           !Read.ok())
         return Read;
+    }
     return absl::OkStatus();
   }
 
-  absl::Status loadLog(jobs::CellTable &Into, TimePoint Now) {
+  absl::Status loadLog(jobs::CellTable &Into, TimePoint Now, LoadSteps &Steps) {
     const auto Log = Store_.range(Keys_.logPrefix(), fleet::Revision(0),
                                   wallDeadline(LoadTimeout));
     if (!Log.ok())
@@ -276,6 +284,8 @@
     Next_ = Base_.Index_ + 1;
     JournalClock Clock;
     for (const store::KeyValue &Item : Log->Items_) {
+      if (absl::Status Next = Steps.next(); !Next.ok())
+        return Next;
       const std::uint64_t Index = indexOfLogKey(Item.Key_);
       if (Index <= Base_.Index_)
         continue;
--- a/src/journal/tests/journaltest.cpp
+++ b/src/journal/tests/journaltest.cpp
@@ -174,6 +174,45 @@
   BOOST_TEST(Next->append({accepted("b")}).ok());
 }
 
+// Guards against a leader that loses its lease by loading the journal: the
+// renewals waited until the whole journal was read.
+BOOST_AUTO_TEST_CASE(OtherFibersRunWhileALongJournalIsLoaded) {
+  constexpr int Entries = 300, JobsPerEntry = 100;
+  BOOST_REQUIRE(*First_.campaign());
+  for (int I = 0; I < Entries; ++I) {
+    std::vector<Event> Group;
+    for (int J = 0; J < JobsPerEntry; ++J)
+      Group.push_back(accepted(std::to_string(I * JobsPerEntry + J)));
+    BOOST_REQUIRE(First_.Log_->append(Group).ok());
+  }
+  bool Loaded = false;
+  int Turns = 0;
+  boost::fibers::fiber Other([&] {
+    while (!Loaded) {
+      ++Turns;
+      boost::this_fiber::yield();
+    }
+  });
+  const CellTable Table = loadBy(First_);
+  Loaded = true;
+  Other.join();
+  BOOST_TEST(Table.jobs().size() == 0u + Entries * JobsPerEntry);
+  BOOST_TEST(Turns > 1);
+}
+
+// Guards against entries that lost their leadership and spend their processor
+// time on its journal, while the next one needs it.
+BOOST_AUTO_TEST_CASE(LoadEndsOnceItIsGivenUp) {
+  BOOST_REQUIRE(*First_.campaign());
+  BOOST_REQUIRE(First_.Log_->append({accepted("a")}).ok());
+  Store_.BeforeList_ = [&] { First_.Leadership_.markLost(); };
+  CellTable Table;
+  const absl::Status Read = First_.Log_->load(
+      Table, TimePoint(), [&] { return !First_.Leadership_.held(); });
+  BOOST_TEST(absl::IsAborted(Read));
+  BOOST_TEST(!Table.find(JobId("a")));
+}
+
 // A leader was paused while its lease expired. After resuming it must not
 // acknowledge a job.
 BOOST_AUTO_TEST_CASE(FormerLeaderCannotAppend) {
