Workers: the time for a reply counts from sending the order

Cause: one deadline covered connecting and the reply. A leader whose fibers run 0.4 s late goes on that long after the connection is made, so that the 0.3 s for the reply were over when the order left. The call was given up, its connection closed, and the repetition had to connect again and was late again: a metastable state, in which no worker without an open connection could be reached.

A leader that is in time connects within milliseconds, and waits as long as before. When an order leaves is unchanged.

--- a/src/framework/http/httpclient.cpp
+++ b/src/framework/http/httpclient.cpp
@@ -396,20 +396,27 @@
     Limit_->recordReset(Open_ - 1, clock::SteadyClock().now());
 }
 
-absl::Status Client::send(Lease &On, const Request &Message,
-                          clock::TimePoint Deadline) {
-  if (!isSendable(Message))
-    return absl::UnavailableError(std::string(NotSent) +
-                                  ": the target or a header field holds a "
-                                  "character that HTTP does not allow");
+absl::Status Client::connect(Lease &On, clock::TimePoint Deadline) {
+  if (!On.isNew())
+    return absl::OkStatus();
+  absl::Status Status = On.connection().connect(To_, Deadline);
+  if (Status.ok())
+    return Status;
+  recordFailure(On, Status);
+  return absl::UnavailableError(std::string(NotSent) + ": " +
+                                std::string(Status.message()));
+}
+
+absl::StatusOr<Response>
+Client::call(Lease &On, const Request &Message, clock::TimePoint HeadDeadline,
+             const std::function<clock::TimePoint()> &PartDeadline,
+             std::size_t MaxBody) {
   Connection &Conn = On.connection();
-  if (On.isNew())
-    if (absl::Status Status = Conn.connect(To_, Deadline); !Status.ok()) {
-      recordFailure(On, Status);
-      return absl::UnavailableError(std::string(NotSent) + ": " +
-                                    std::string(Status.message()));
-    }
-  return Conn.send(Message, Message.Body_.size(), Deadline);
+  if (absl::Status Sent =
+          Conn.send(Message, Message.Body_.size(), HeadDeadline);
+      !Sent.ok())
+    return Sent;
+  return receive(Conn, HeadDeadline, PartDeadline, MaxBody);
 }
 
 absl::StatusOr<Response> Client::exchange(const Request &Message,
@@ -423,13 +430,36 @@
 Client::exchange(const Request &Message, clock::TimePoint HeadDeadline,
                  const std::function<clock::TimePoint()> &PartDeadline,
                  std::size_t MaxBody) {
+  return exchangeOnLease(
+      Message, HeadDeadline, [HeadDeadline] { return HeadDeadline; },
+      PartDeadline, MaxBody);
+}
+
+absl::StatusOr<Response>
+Client::exchange(const Request &Message, clock::TimePoint ConnectBy,
+                 const std::function<clock::TimePoint()> &ReplyDeadline) {
+  clock::TimePoint ReplyBy{};
+  return exchangeOnLease(
+      Message, ConnectBy, [&] { return ReplyBy = ReplyDeadline(); },
+      [&] { return ReplyBy; }, DefaultMaxBody);
+}
+
+absl::StatusOr<Response>
+Client::exchangeOnLease(const Request &Message, clock::TimePoint ConnectBy,
+                        const std::function<clock::TimePoint()> &HeadDeadline,
+                        const std::function<clock::TimePoint()> &PartDeadline,
+                        std::size_t MaxBody) {
   absl::StatusOr<Lease> On = lease();
   if (!On.ok())
     return On.status();
-  absl::Status Sent = send(*On, Message, HeadDeadline);
+  if (!isSendable(Message))
+    return absl::UnavailableError(std::string(NotSent) +
+                                  ": the target or a header field holds a "
+                                  "character that HTTP does not allow");
+  if (absl::Status Status = connect(*On, ConnectBy); !Status.ok())
+    return Status;
   absl::StatusOr<Response> Answer =
-      Sent.ok() ? receive(On->connection(), HeadDeadline, PartDeadline, MaxBody)
-                : absl::StatusOr<Response>(std::move(Sent));
+      call(*On, Message, HeadDeadline(), PartDeadline, MaxBody);
   if (Answer.ok())
     On->setAnswered();
   else if (!wasNotSent(Answer.status()))
--- a/src/framework/http/httpclient.h
+++ b/src/framework/http/httpclient.h
@@ -77,6 +77,8 @@
 /// HTTP client for one server with a pool of idle connections.
 class Client {
 public:
+  static constexpr std::size_t DefaultMaxBody = 8 * 1024 * 1024;
+
   Client(boost::asio::io_context &Io, Address To, ClientBounds Bounds = {});
   ~Client();
 
@@ -87,7 +89,7 @@
   /// which the request may have run.
   absl::StatusOr<Response> exchange(const Request &Message,
                                     clock::TimePoint Deadline,
-                                    std::size_t MaxBody = 8 * 1024 * 1024);
+                                    std::size_t MaxBody = DefaultMaxBody);
 
   /// As above, with separate deadlines: \p HeadDeadline covers connecting,
   /// sending and reading the head of the response. \p PartDeadline is called
@@ -97,6 +99,15 @@
            const std::function<clock::TimePoint()> &PartDeadline,
            std::size_t MaxBody);
 
+  /// As above, with a time of its own for the response: a process that is late
+  /// goes on long after the connection was made, and what it lost until then
+  /// says nothing of the server. \p ReplyDeadline is called when the request is
+  /// sent and returns the deadline of the response; a connection has to be made
+  /// by \p ConnectBy.
+  absl::StatusOr<Response>
+  exchange(const Request &Message, clock::TimePoint ConnectBy,
+           const std::function<clock::TimePoint()> &ReplyDeadline);
+
   /// Sends \p Message on a new connection and streams the response. \p OnHead
   /// gets the head and returns whether to read the body; \p OnPart gets each
   /// part of the body until it returns false or the response ends. \p ConnectBy
@@ -139,9 +150,20 @@
   bool mayHaveOpen(std::size_t Connections) const;
   /// Lets later calls share the open connections if the server reset a new one.
   void recordFailure(const Lease &On, const absl::Status &Error);
-  /// Connects the connection if it is new, and sends the request.
-  absl::Status send(Lease &On, const Request &Message,
-                    clock::TimePoint Deadline);
+  /// Connects the connection if it is new.
+  absl::Status connect(Lease &On, clock::TimePoint Deadline);
+  /// Sends the request and reads the answer.
+  absl::StatusOr<Response>
+  call(Lease &On, const Request &Message, clock::TimePoint HeadDeadline,
+       const std::function<clock::TimePoint()> &PartDeadline,
+       std::size_t MaxBody);
+  /// Sends the request on a leased connection, connecting it before if needed,
+  /// and reads the answer.
+  absl::StatusOr<Response>
+  exchangeOnLease(const Request &Message, clock::TimePoint ConnectBy,
+                  const std::function<clock::TimePoint()> &HeadDeadline,
+                  const std::function<clock::TimePoint()> &PartDeadline,
+                  std::size_t MaxBody);
   /// Reads the answer to a request that was sent.
   absl::StatusOr<Response>
   receive(Connection &Conn, clock::TimePoint HeadDeadline,
