Starts of a late leader wait for first replies as long as these take

Cause: a start gave up 0.6 s after it asked its worker for the first reply, while each turn of a fiber took 0.4 to 1.3 s: the reply needs up to six. After a takeover all 512 starts of the first pass ended "not sent" and were planned again.

Change: the wait is longer by six times the leader's delay if it is late. A silent worker still ends it, as its session does when two polls are unanswered; a leader in time waits as before.

Test: LateLeaderWaitsLongerForFirstReplies failed before (no start). That a leader in time gives up as before is LeaderInTimeGivesUpLateFirstReplies.

--- a/src/cell/leaderload.h
+++ b/src/cell/leaderload.h
@@ -78,6 +78,12 @@
                                               StartsPerMicro_));
   }
 
+  /// Returns how long something takes here that takes \p Time and so many turns
+  /// of fibers: what this process loses must not count as silence of another.
+  Duration timeFor(Duration Time, int Turns) const {
+    return late() ? Time + Turns * Delay_ : Time;
+  }
+
   /// Smoothed delay of a fiber.
   Duration delay() const { return Delay_; }
   bool late() const { return Delay_ > NormalDelay; }
--- a/src/cell/tests/leaderloadtest.cpp
+++ b/src/cell/tests/leaderloadtest.cpp
@@ -86,6 +86,7 @@
     Load.record(LeaderLoad::NormalDelay, Now);
   BOOST_TEST(Load.startsAllowed(MostStarts) == MostStarts);
   BOOST_TEST(!Load.overloaded());
+  BOOST_TEST((Load.timeFor(1s, 6) == Duration(1s)));
   ShortLeader Leader(true);
   Leader.run(10, 20s);
   BOOST_TEST(Leader.refused() == 0u);
--- a/src/cell/tests/workersessionstest.cpp
+++ b/src/cell/tests/workersessionstest.cpp
@@ -23,6 +23,8 @@
 
 constexpr Duration LateHoldWait =
     WorkerSessions<FakeStore, SilentClient>::LateHoldWait;
+constexpr Duration FirstReplyWait =
+    WorkerSessions<FakeStore, SilentClient>::FirstReplyWait;
 
 /// Counts the starts, of which the first ones stay unanswered, and records the
 /// stops. Holds are answered by Report_, once.
@@ -342,6 +344,27 @@
   BOOST_TEST(!Term_->acceptsTasks(*Row_));
 }
 
+// Guards against a late leader whose starts all end unsent: it reads the first
+// replies of their workers only after it has given these up.
+BOOST_AUTO_TEST_CASE(LateLeaderWaitsLongerForFirstReplies) {
+  Client_.Report_.Result_ = OrderResult::Done;
+  Client_.HoldTime_ = FirstReplyWait + std::chrono::milliseconds(100);
+  for (int Tick = 0; Tick < 20; ++Tick)
+    Term_->Load_.record(4 * LeaderLoad::NormalDelay, Term_->now());
+  startBeforeFirstReply();
+  BOOST_TEST(Client_.Starts_ == 1u);
+}
+
+// Guards against a task that waits for a silent worker although the leader is
+// in time.
+BOOST_AUTO_TEST_CASE(LeaderInTimeGivesUpLateFirstReplies) {
+  Client_.HoldTime_ = 2 * FirstReplyWait;
+  const TimePoint Since = Term_->now();
+  startBeforeFirstReply();
+  BOOST_TEST((Term_->now() - Since < Client_.HoldTime_));
+  BOOST_TEST(Client_.Starts_ == 0u);
+}
+
 // Guards against tasks for a worker that may run those of an earlier leader.
 BOOST_AUTO_TEST_CASE(WorkerInUseAcceptsTasksOnceItHasReplied) {
   Row_->Synced_ = false;
--- a/src/cell/workersessions.h
+++ b/src/cell/workersessions.h
@@ -43,8 +43,12 @@
       std::chrono::milliseconds(150);
   /// A worker ignores a start that arrives later than this after it was sent.
   static constexpr Duration StartWindow = std::chrono::milliseconds(1500);
-  /// Longest time for which a start waits for its worker's first reply.
+  /// Longest time for which a start waits for its worker's first reply, without
+  /// the leader's own delay.
   static constexpr Duration FirstReplyWait = 2 * MaxAnswerTimeout;
+  /// Turns of fibers until the reply to a poll that is repeated once: the
+  /// session begins, connects and reads twice, and the start goes on.
+  static constexpr int FirstReplyTurns = 6;
   /// As many attempts as fit into StartWindow.
   static constexpr int StartAttempts = 6;
   /// Logged for a worker that has not replied to this leader yet.
@@ -546,7 +550,8 @@
     auto Replied = std::make_shared<framework::fibers::Waiter>();
     Row->AwaitingFirstReply_.push_back(Replied);
     openSession(Row);
-    Replied->waitUntil(framework::clock::wallDeadline(FirstReplyWait));
+    Replied->waitUntil(framework::clock::wallDeadline(
+        Term_->Load_.timeFor(FirstReplyWait, FirstReplyTurns)));
   }
 
   /// Whether a run that was never sent may be sent now.
