Silent workers are polled in turn

Cause: the polls of silent workers went to the first 32 due in the order of their ids. With polls of 0.3 s and a pause of 0.5 s, the first 96 used all of them; the others got none, and so no task, though they may have replied.

Change: those whose polls have been due for longest go first.

Test: EachSilentWorkerIsPolledInTurn failed before (96 of 320 workers polled).

--- a/src/cell/internal/workerpolls.cpp
+++ b/src/cell/internal/workerpolls.cpp
@@ -1,5 +1,7 @@
 #include "cell/workerpolls.h"
 
+#include <algorithm>
+
 #include <absl/container/flat_hash_map.h>
 
 namespace laburnumspread::cell {
@@ -25,6 +27,16 @@
   return Row.Listed_ && !Row.Ended_ && !Row.Record_.Draining_;
 }
 
+/// Removes all but the \p Most workers whose polls have been due for longest.
+void keepLongestDue(std::vector<WorkerRowPtr> &Workers, std::size_t Most) {
+  if (Workers.size() <= Most)
+    return;
+  std::ranges::nth_element(
+      Workers, Workers.begin() + static_cast<std::ptrdiff_t>(Most), {},
+      [](const WorkerRowPtr &Row) { return Row->NextPollAt_; });
+  Workers.resize(Most);
+}
+
 } // namespace
 
 std::vector<WorkerRowPtr> WorkerPolls::choose(const WorkerTable &Workers,
@@ -39,7 +51,7 @@
       continue;
     PoolContacts &Pool = Pools[Row->Record_.Pool_];
     if (Row->Unanswered_ > 0) {
-      if (!Row->HasSession_ && Row->NextPollAt_ <= Now && Result.size() < Most)
+      if (!Row->HasSession_ && Row->NextPollAt_ <= Now)
         Result.push_back(Row);
     } else if (!Row->Synced_ && !Row->HasSession_) {
       Pool.Unproven_.push_back(Row);
@@ -49,6 +61,7 @@
       ++Pool.Unused_;
     }
   }
+  keepLongestDue(Result, Most);
   for (const auto &[Name, Pool] : Pools)
     for (std::size_t I = 0; I < Pool.missing() && Result.size() < Most; ++I)
       Result.push_back(Pool.Unproven_[I]);
--- a/src/cell/tests/workerpollstest.cpp
+++ b/src/cell/tests/workerpollstest.cpp
@@ -2,6 +2,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <set>
+
 namespace laburnumspread::cell {
 
 namespace {
@@ -107,6 +109,26 @@
   BOOST_TEST(choose(0, 100ms).size() == 1u);
 }
 
+// Guards against workers that reply again and get no task: the silent ones
+// before them in the table used up all polls that may be in flight.
+BOOST_AUTO_TEST_CASE(EachSilentWorkerIsPolledInTurn) {
+  constexpr std::size_t Silent = 10 * WorkerPolls::MaxInFlight;
+  constexpr Duration PollTime = 300ms;
+  addSilent(Silent);
+  std::set<WorkerId> Polled;
+  Duration Later{};
+  for (std::size_t Round = 0; Round < Silent / WorkerPolls::MaxInFlight;
+       ++Round) {
+    const auto Chosen = choose(0, Later);
+    Later += PollTime;
+    for (const WorkerRowPtr &Row : Chosen) {
+      Polled.insert(Row->Record_.Incarnation_.Id_);
+      Row->NextPollAt_ = Now + Later + WorkerPolls::SilentInterval;
+    }
+  }
+  BOOST_TEST(Polled.size() == Silent);
+}
+
 // Guards against two fibers that poll one worker.
 BOOST_AUTO_TEST_CASE(WorkersWithASessionAreNotPolled) {
   addSilent(1);
--- a/src/cell/workerpolls.h
+++ b/src/cell/workerpolls.h
@@ -13,7 +13,8 @@
 /// that have never replied are polled ahead of need, so that a peak seldom
 /// waits for first replies or meets a worker that is gone.
 ///
-/// The number of polls in flight is bounded. Without a bound, a leader that is
+/// The number of polls in flight is bounded; of the silent workers, those whose
+/// polls have been due for longest go first. Without a bound, a leader that is
 /// short of processor time reads replies late, takes the workers for silent,
 /// polls all of them again, and has no time left for those in use.
 class WorkerPolls {
