Leader: count the workers by what keeps them from new tasks

Change: WorkerRestriction names them. TaskPlanner::restrictionOf decides by WorkerRow, Term and MachineTable, in this order; candidates() and the count use it, and acceptsTasks is derived from the same functions. Once a second leader.workers beside leader.pace, which also tells whether starts may be sent (may_start); gauges workers_unusable{reason}.

--- a/src/cell/cellservice.h
+++ b/src/cell/cellservice.h
@@ -127,7 +127,10 @@
         .set(static_cast<double>(Evacuations_.zones().size()));
     Into.gauge("evacuations_current").set(Evacuations_.current(now()) ? 1 : 0);
     const bool Active = Term_ && Term_->maySendOrders();
-    (Active ? Term_->gauges() : TermGauges()).publish(Into);
+    TermGauges Gauges = Active ? Term_->gauges() : TermGauges();
+    if (Active && Planner_)
+      Gauges.Restricted_ = Planner_->countWorkers();
+    Gauges.publish(Into);
   }
 
   /// Serves a call if this entry leads and the call was not meant for another
@@ -357,8 +360,11 @@
     Sample.WorkersAge_ = now() - T.WorkersSeenAt_;
     if (Sessions_)
       Sample.UnansweredStarts_ = Sessions_->unansweredStarts();
+    Sample.MaySendStarts_ = T.maySendStarts();
     if (Machines_)
       Machines_->describePace(Sample);
+    if (Planner_)
+      Sample.Workers_ = Planner_->countWorkers();
     T.Pace_.report(Sample, now());
   }
 
--- a/src/cell/internal/machinetable.cpp
+++ b/src/cell/internal/machinetable.cpp
@@ -128,11 +128,12 @@
   return Result;
 }
 
-bool MachineTable::isUnschedulable(const MachineId &Machine) const {
+WorkerRestriction MachineTable::restrictionOf(const MachineId &Machine) const {
   if (busy(Machine))
-    return true;
+    return WorkerRestriction::MachineOrder;
   const capacity::MachineView *View = findView(Machine);
-  return View && View->Cordoned_;
+  return View && View->Cordoned_ ? WorkerRestriction::Cordoned
+                                 : WorkerRestriction::None;
 }
 
 bool MachineTable::showsWorkerGone(const WorkerRecord &Worker) const {
--- a/src/cell/internal/pacereporter.cpp
+++ b/src/cell/internal/pacereporter.cpp
@@ -1,7 +1,5 @@
 #include "cell/pacereporter.h"
 
-#include "framework/log/log.h"
-
 #include <ctime>
 
 namespace laburnumspread::cell {
@@ -15,11 +13,25 @@
 } // namespace
 
 void PaceReporter::report(const PaceSample &Sample, TimePoint Now) {
+  reportPace(Sample, Now);
+  reportWorkers(Sample.Workers_);
+  NextReportAt_ = Now + ReportInterval;
+  ReportedAt_ = Now;
+  ProcessorTimeBefore_ = Sample.ProcessorTime_;
+  Passes_ = 0;
+  Planning_ = Duration::zero();
+  Starts_ = 0;
+}
+
+framework::log::Level PaceReporter::level() const {
+  // Tasks that wait are worth lines that are not left out under load.
+  return Waiting_ > 0 ? framework::log::Level::Warning
+                      : framework::log::Level::Info;
+}
+
+void PaceReporter::reportPace(const PaceSample &Sample, TimePoint Now) const {
   const bool First = ReportedAt_ == TimePoint();
-  // Tasks that wait are worth a line that is not left out under load.
-  framework::log::Event Line(Waiting_ > 0 ? framework::log::Level::Warning
-                                          : framework::log::Level::Info,
-                             "leader.pace");
+  framework::log::Event Line(level(), "leader.pace");
   Line.field("interval_ms", First ? 0 : toMs(Now - ReportedAt_))
       .field("processor_ms",
              First ? 0 : toMs(Sample.ProcessorTime_ - ProcessorTimeBefore_))
@@ -35,13 +47,15 @@
       .field("workers_age_ms", toMs(Sample.WorkersAge_))
       .field("machines_age_ms", toMs(Sample.MachinesAge_))
       .field("machines_ordered",
-             static_cast<std::uint64_t>(Sample.MachinesOrdered_));
-  NextReportAt_ = Now + ReportInterval;
-  ReportedAt_ = Now;
-  ProcessorTimeBefore_ = Sample.ProcessorTime_;
-  Passes_ = 0;
-  Planning_ = Duration::zero();
-  Starts_ = 0;
+             static_cast<std::uint64_t>(Sample.MachinesOrdered_))
+      .field("may_start", Sample.MaySendStarts_ ? "yes" : "no");
+}
+
+void PaceReporter::reportWorkers(const WorkerCounts &Workers) const {
+  framework::log::Event Line(level(), "leader.workers");
+  Workers.forEach([&](WorkerRestriction Reason, std::size_t Count) {
+    Line.field(nameOf(Reason), static_cast<std::uint64_t>(Count));
+  });
 }
 
 framework::clock::Duration processorTime() {
--- a/src/cell/internal/termgauges.cpp
+++ b/src/cell/internal/termgauges.cpp
@@ -16,6 +16,11 @@
       std::chrono::duration<double>(OldestUnwanted_).count());
   Set("workers", static_cast<double>(Workers_));
   Set("workers_silent", static_cast<double>(WorkersSilent_));
+  Restricted_.forEach([&](WorkerRestriction Reason, std::size_t Count) {
+    if (Reason != WorkerRestriction::None)
+      Set("workers_unusable{reason=\"" + std::string(nameOf(Reason)) + "\"}",
+          static_cast<double>(Count));
+  });
   Set("workers_evacuated", static_cast<double>(WorkersEvacuated_));
   Set("runs_evacuated", static_cast<double>(RunsEvacuated_));
   Set("workers_list_age_seconds",
--- a/src/cell/machinemanager.h
+++ b/src/cell/machinemanager.h
@@ -75,9 +75,9 @@
     Table_->recordWorker(Record, now());
   }
 
-  /// Whether the worker receives no tasks because of an order for its machine.
-  bool isUnschedulable(const WorkerRecord &Record) const {
-    return Table_->isUnschedulable(Record.Machine_);
+  /// Returns what keeps the worker from new tasks: its machine, or nothing.
+  WorkerRestriction restrictionOf(const WorkerRecord &Record) const {
+    return Table_->restrictionOf(Record.Machine_);
   }
 
   /// Returns the machines on their way between pools.
--- a/src/cell/machinetable.h
+++ b/src/cell/machinetable.h
@@ -2,6 +2,7 @@
 
 #include "capacity/capacitytypes.h"
 #include "cell/celltypes.h"
+#include "cell/workerrestriction.h"
 #include "scheduling/scheduler.h"
 
 #include <map>
@@ -81,9 +82,9 @@
     OrdersBlockedUntil_[Machine] = Until;
   }
 
-  /// Whether the worker on the machine receives no tasks, because an order is
-  /// open or an upkeep is planned.
-  bool isUnschedulable(const MachineId &Machine) const;
+  /// Returns what keeps the worker on the machine from new tasks: an open order
+  /// or a planned upkeep.
+  WorkerRestriction restrictionOf(const MachineId &Machine) const;
 
   /// Whether the platform's list shows that a worker's process is gone: its
   /// machine is not listed, is not up, or runs another worker. Used only for
--- a/src/cell/pacereporter.h
+++ b/src/cell/pacereporter.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include "cell/workerrestriction.h"
 #include "framework/clock/clock.h"
+#include "framework/log/log.h"
 
 #include <algorithm>
 #include <cstddef>
@@ -27,9 +29,14 @@
   Duration MachinesAge_{};
   /// Machines with an open order.
   std::size_t MachinesOrdered_ = 0;
+  /// Whether the leader may start tasks: its leadership and the evacuations of
+  /// zones were confirmed recently.
+  bool MaySendStarts_ = false;
+  /// Workers by what keeps them from new tasks.
+  WorkerCounts Workers_;
 };
 
-/// Writes a line a second on the pace of one term.
+/// Writes a line a second on the pace of one term, and one on its workers.
 class PaceReporter {
 public:
   using Duration = framework::clock::Duration;
@@ -55,6 +62,10 @@
   void report(const PaceSample &Sample, TimePoint Now);
 
 private:
+  void reportPace(const PaceSample &Sample, TimePoint Now) const;
+  void reportWorkers(const WorkerCounts &Workers) const;
+  framework::log::Level level() const;
+
   TimePoint NextReportAt_{};
   TimePoint ReportedAt_{};
   Duration ProcessorTimeBefore_{};
--- a/src/cell/taskplanner.h
+++ b/src/cell/taskplanner.h
@@ -73,6 +73,14 @@
     framework::log::info("outage.continued").field("starts", Sent);
   }
 
+  /// Counts the workers by what keeps them from new tasks.
+  WorkerCounts countWorkers() const {
+    WorkerCounts Result;
+    for (const auto &[Incarnation, Row] : Term_->Workers_)
+      Result.add(restrictionOf(*Row));
+    return Result;
+  }
+
 private:
   static TimePoint now() { return Term<Store>::now(); }
 
@@ -137,18 +145,28 @@
     return Result;
   }
 
+  /// Returns what keeps the worker from new tasks.
+  WorkerRestriction restrictionOf(const WorkerRow &Row) const {
+    const WorkerRestriction Own = Term_->restrictionOf(Row);
+    if (!allowsTasks(Own))
+      return Own;
+    const WorkerRestriction Machine = Machines_->restrictionOf(Row.Record_);
+    return allowsTasks(Machine) ? Own : Machine;
+  }
+
   std::vector<scheduling::Candidate> candidates() const {
     std::vector<scheduling::Candidate> Result;
     for (const auto &[Incarnation, Row] : Term_->Workers_) {
-      if (!Term_->acceptsTasks(*Row) ||
-          Machines_->isUnschedulable(Row->Record_))
+      const WorkerRestriction Restriction = restrictionOf(*Row);
+      if (!allowsTasks(Restriction))
         continue;
       const jobs::WorkerUsage *Use = Term_->Table_.usageOf(Incarnation);
       Result.push_back(
           {&Row->Record_,
            Use ? Row->Record_.Capacity_ - Use->Used_ : Row->Record_.Capacity_,
            Row->FailureScore_ < MinFailureScore ? 0 : Row->FailureScore_,
-           Slow_.contains(Incarnation), !Row->Synced_, Row->Orders_.onTrial()});
+           Slow_.contains(Incarnation), !Row->Synced_,
+           Restriction == WorkerRestriction::OnTrial});
     }
     return Result;
   }
--- a/src/cell/term.h
+++ b/src/cell/term.h
@@ -87,12 +87,26 @@
            !Evacuations_.contains(Row.Record_.Zone_);
   }
 
-  /// Whether new tasks may be planned on the worker.
+  /// Returns what keeps the worker from new tasks, apart from its machine. One
+  /// that has not replied yet accepts them only if the journal shows no runs on
+  /// it.
+  WorkerRestriction restrictionOf(const WorkerRow &Row) const {
+    if (const auto Own = Row.restriction(); !allowsTasks(Own))
+      return Own;
+    if (Evacuations_.contains(Row.Record_.Zone_))
+      return WorkerRestriction::EvacuatedZone;
+    if (History_.mayDropUnreadEnds(Row, now()))
+      return WorkerRestriction::UnreadEnds;
+    if (Row.Orders_.avoided(now()))
+      return WorkerRestriction::OrdersUnanswered;
+    if (!Row.Synced_ && Table_.usageOf(Row.Record_.Incarnation_))
+      return WorkerRestriction::FirstReply;
+    return Row.Orders_.onTrial() ? WorkerRestriction::OnTrial
+                                 : WorkerRestriction::None;
+  }
+  /// Whether new tasks may be planned on the worker, apart from its machine.
   bool acceptsTasks(const WorkerRow &Row) const {
-    return Row.acceptsTasks() && takesStarts(Row) &&
-           !History_.mayDropUnreadEnds(Row, now()) &&
-           !Row.Orders_.avoided(now()) &&
-           (Row.Synced_ || !Table_.usageOf(Row.Record_.Incarnation_));
+    return allowsTasks(restrictionOf(Row));
   }
 
   /// Returns the time after which no run ordered by an earlier leader is active
--- a/src/cell/termgauges.h
+++ b/src/cell/termgauges.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "cell/workerrestriction.h"
 #include "framework/clock/clock.h"
 #include "framework/metrics/metrics.h"
 
@@ -20,6 +21,8 @@
   framework::clock::Duration OldestUnwanted_{};
   std::size_t Workers_ = 0;
   std::size_t WorkersSilent_ = 0;
+  /// Workers by what keeps them from new tasks.
+  WorkerCounts Restricted_;
   /// Workers in evacuated zones, and the runs that continue there.
   std::size_t WorkersEvacuated_ = 0;
   std::size_t RunsEvacuated_ = 0;
--- a/src/cell/workertable.h
+++ b/src/cell/workertable.h
@@ -3,6 +3,7 @@
 #include "cell/celltypes.h"
 #include "cell/orderattempts.h"
 #include "cell/orderhealth.h"
+#include "cell/workerrestriction.h"
 #include "framework/clock/adaptivetimeout.h"
 #include "framework/clock/steadyclock.h"
 #include "framework/fibers/waiter.h"
@@ -258,13 +259,22 @@
     Suspect_ = true;
   }
 
-  /// Whether new tasks may be started on the worker, as far as its replies and
-  /// the platform's list tell. One that has not replied yet accepts them only
-  /// if the journal shows no runs on it.
-  bool acceptsTasks() const {
-    return Listed_ && !Ended_ && !MayRunStaleStarts_ && !Record_.Draining_ &&
-           Unanswered_ <= MaxUnansweredInUse;
+  /// Returns what keeps the worker from new tasks, as far as its replies and
+  /// the platform's list tell.
+  WorkerRestriction restriction() const {
+    if (!Listed_)
+      return WorkerRestriction::Unlisted;
+    if (Ended_)
+      return WorkerRestriction::Ended;
+    if (MayRunStaleStarts_)
+      return WorkerRestriction::StaleStarts;
+    if (Record_.Draining_)
+      return WorkerRestriction::Draining;
+    return Unanswered_ > MaxUnansweredInUse ? WorkerRestriction::Silent
+                                            : WorkerRestriction::None;
   }
+  /// Whether new tasks may be started on the worker by its restriction().
+  bool acceptsTasks() const { return allowsTasks(restriction()); }
 
   /// Whether the end of one more run would fit into a report, beside the ends
   /// that have not been acknowledged and those of \p LiveRuns runs.
