Leader: count the waiting tasks by why the pass did not start them

Change: Plan::Waiting_ counts all ready tasks that are not started by WaitReason; Placement::chooseWorker returns the worker or the reason. leader.waiting is logged beside leader.pace while tasks wait.

Measured: a case of SchedulerTest for each reason passes.

--- a/src/cell/internal/pacereporter.cpp
+++ b/src/cell/internal/pacereporter.cpp
@@ -10,11 +10,32 @@
   return std::chrono::duration_cast<std::chrono::milliseconds>(Time).count();
 }
 
+std::string_view nameOf(scheduling::WaitReason Reason) {
+  using scheduling::WaitReason;
+  switch (Reason) {
+  case WaitReason::UnknownQueue:
+    return "unknown_queue";
+  case WaitReason::WorkspaceLimit:
+    return "workspace_limit";
+  case WaitReason::NoWorkers:
+    return "no_workers";
+  case WaitReason::NoRoom:
+    return "no_room";
+  case WaitReason::NotAllowed:
+    return "not_allowed";
+  case WaitReason::StartLimit:
+    return "start_limit";
+  }
+  return "unknown";
+}
+
 } // namespace
 
 void PaceReporter::report(const PaceSample &Sample, TimePoint Now) {
   reportPace(Sample, Now);
   reportWorkers(Sample.Workers_);
+  if (Reasons_.total() > 0)
+    reportWaiting();
   NextReportAt_ = Now + ReportInterval;
   ReportedAt_ = Now;
   ProcessorTimeBefore_ = Sample.ProcessorTime_;
@@ -58,6 +79,13 @@
   });
 }
 
+void PaceReporter::reportWaiting() const {
+  framework::log::Event Line(framework::log::Level::Warning, "leader.waiting");
+  Reasons_.forEach([&](scheduling::WaitReason Reason, std::size_t Count) {
+    Line.field(nameOf(Reason), static_cast<std::uint64_t>(Count));
+  });
+}
+
 framework::clock::Duration processorTime() {
   return std::chrono::duration_cast<framework::clock::Duration>(
       std::chrono::duration<double>(static_cast<double>(std::clock()) /
--- a/src/cell/pacereporter.h
+++ b/src/cell/pacereporter.h
@@ -3,6 +3,7 @@
 #include "cell/workerrestriction.h"
 #include "framework/clock/clock.h"
 #include "framework/log/log.h"
+#include "scheduling/scheduler.h"
 
 #include <algorithm>
 #include <cstddef>
@@ -36,7 +37,8 @@
   WorkerCounts Workers_;
 };
 
-/// Writes a line a second on the pace of one term, and one on its workers.
+/// Writes a line a second on the pace of one term, one on its workers and,
+/// while tasks wait, one on why the latest pass did not start them.
 class PaceReporter {
 public:
   using Duration = framework::clock::Duration;
@@ -49,12 +51,13 @@
     ++Passes_;
     Planning_ += Took;
   }
-  /// Adds what a pass planned, the finite tasks that were ready before, and
-  /// those that fit on no worker.
-  void planned(std::size_t Starts, std::size_t Ready, std::size_t Unplaced) {
-    Starts_ += Starts;
-    Waiting_ = Ready - std::min(Starts, Ready);
-    Unplaced_ = Unplaced;
+  /// Adds what a pass planned.
+  void planned(const scheduling::Plan &Result) {
+    Starts_ += Result.Starts_.size();
+    Waiting_ = Result.ReadyTasks_ -
+               std::min(Result.Starts_.size(), Result.ReadyTasks_);
+    Unplaced_ = Result.UnplacedTasks_;
+    Reasons_ = Result.Waiting_;
   }
 
   bool due(TimePoint Now) const { return Now >= NextReportAt_; }
@@ -64,6 +67,7 @@
 private:
   void reportPace(const PaceSample &Sample, TimePoint Now) const;
   void reportWorkers(const WorkerCounts &Workers) const;
+  void reportWaiting() const;
   framework::log::Level level() const;
 
   TimePoint NextReportAt_{};
@@ -74,6 +78,7 @@
   std::uint64_t Starts_ = 0;
   std::size_t Waiting_ = 0;
   std::size_t Unplaced_ = 0;
+  scheduling::WaitCounts Reasons_;
 };
 
 /// Returns the processor time that this process has used since it started.
--- a/src/cell/taskplanner.h
+++ b/src/cell/taskplanner.h
@@ -108,7 +108,7 @@
         Planned, Plan.ReadyTasks_ - std::min(Planned, Plan.ReadyTasks_), now());
     if (Planned >= MaxStarts)
       Term_->Load_.recordBound(now());
-    Term_->Pace_.planned(Planned, Plan.ReadyTasks_, Plan.UnplacedTasks_);
+    Term_->Pace_.planned(Plan);
     std::vector<scheduling::Copy> Copies;
     if (CopiesDue && Plan.Starts_.size() < MaxStarts)
       Copies = planCopies(Workers, Plan, MaxStarts - Plan.Starts_.size());
--- a/src/scheduling/internal/placement.cpp
+++ b/src/scheduling/internal/placement.cpp
@@ -1,5 +1,7 @@
 #include "scheduling/internal/placement.h"
 
+#include "scheduling/internal/shortpools.h"
+
 #include <algorithm>
 
 namespace laburnumspread::scheduling {
@@ -98,22 +100,26 @@
 
 std::size_t Placement::placeTasks(const ReadyStep &Step, Plan &Into) {
   std::size_t Unplaced = 0;
-  bool NoneFits = false;
+  // All tasks of a step have the same demand: if one does not fit, none will.
+  std::optional<WaitReason> NoneFits;
   for (std::uint32_t I = 0; I < Step.Row_->Tasks_.size(); ++I) {
-    if (Into.Starts_.size() >= MaxStarts_)
-      return Unplaced;
     const TaskRow &Task = Step.Row_->Tasks_[I];
     if (!Task.idle() || Task.NotBefore_ > Now_)
       continue;
-    // All tasks of a step have the same demand: if one does not fit, none
-    // will.
-    Candidate *Chosen = NoneFits ? nullptr : chooseWorker(Step);
-    if (!Chosen) {
-      NoneFits = true;
-      ++Unplaced;
+    if (Into.Starts_.size() >= MaxStarts_) {
+      Into.Waiting_.add(WaitReason::StartLimit);
       continue;
     }
-    assign(Step, I, Task.LastRun_.next(), *Chosen, Into);
+    if (!NoneFits) {
+      const Choice Chosen = chooseWorker(Step);
+      if (Chosen.Worker_) {
+        assign(Step, I, Task.LastRun_.next(), *Chosen.Worker_, Into);
+        continue;
+      }
+      NoneFits = Chosen.Reason_;
+    }
+    ++Unplaced;
+    Into.Waiting_.add(*NoneFits);
   }
   return Unplaced;
 }
@@ -128,8 +134,9 @@
   const auto SavedPerWorker = PlannedPerWorker_;
   const auto Count = static_cast<std::uint32_t>(Step.Row_->Tasks_.size());
   for (std::uint32_t I = 0; I < Count; ++I) {
-    Candidate *Chosen = chooseWorker(Step);
-    if (!Chosen) {
+    const Choice Chosen = chooseWorker(Step);
+    if (!Chosen.Worker_) {
+      Into.Waiting_.add(Chosen.Reason_, idleTasks(*Step.Row_));
       Workers_ = Saved;
       // What did not fit beside the gang's first tasks may fit without them.
       for (auto &[Name, Pool] : Pools_)
@@ -138,7 +145,7 @@
       PlannedPerWorker_ = SavedPerWorker;
       return Count;
     }
-    assign(Step, I, Run.next(), *Chosen, Trial);
+    assign(Step, I, Run.next(), *Chosen.Worker_, Trial);
   }
   Into.Starts_.insert(Into.Starts_.end(), Trial.Starts_.begin(),
                       Trial.Starts_.end());
@@ -156,13 +163,15 @@
        On.Worker_->Incarnation_});
 }
 
-Candidate *Placement::chooseWorker(const ReadyStep &Step) {
+Placement::Choice Placement::chooseWorker(const ReadyStep &Step) {
   if (!withinWorkspaceLimit(Step))
-    return nullptr;
+    return {nullptr, WaitReason::WorkspaceLimit};
   const auto Found = Pools_.find(Step.Queue_->Pool_);
+  if (Found == Pools_.end())
+    return {nullptr, WaitReason::NoWorkers};
   const Resources Demand = Step.Spec_->demand();
-  if (Found == Pools_.end() || Found->second.knownNotToFit(Demand))
-    return nullptr;
+  if (Found->second.knownNotToFit(Demand))
+    return {nullptr, WaitReason::NoRoom};
   PoolCandidates &Pool = Found->second;
   Candidate *Best = nullptr;
   bool AnyFits = false;
@@ -178,7 +187,7 @@
   }
   if (!AnyFits)
     Pool.recordUnfit(Demand);
-  return Best;
+  return {Best, AnyFits ? WaitReason::NotAllowed : WaitReason::NoRoom};
 }
 
 bool Placement::isAllowed(const ReadyStep &Step,
--- a/src/scheduling/internal/placement.h
+++ b/src/scheduling/internal/placement.h
@@ -61,8 +61,8 @@
             const AdviceTable &Advised, std::vector<Candidate> Workers,
             TimePoint Now, std::size_t MaxStarts);
 
-  /// Places the waiting tasks of a step. Returns the number of tasks for which
-  /// no worker was found.
+  /// Places the waiting tasks of a step, and counts the others by their reason.
+  /// Returns the number of tasks for which no worker was found.
   std::size_t place(const ReadyStep &Step, Plan &Into);
 
   /// Counts the starts of an earlier plan as placed.
@@ -89,11 +89,17 @@
   std::size_t placeGang(const ReadyStep &Step, Plan &Into);
   void assign(const ReadyStep &Step, std::uint32_t Index, jobs::RunNumber Run,
               Candidate &On, Plan &Into);
-  /// Returns the best worker for one task, or nullptr if none is eligible.
+  /// The worker for a task, or why there is none.
+  struct Choice {
+    Candidate *Worker_ = nullptr;
+    WaitReason Reason_ = WaitReason::NoRoom;
+  };
+
+  /// Returns the best worker for one task, if any is eligible.
   /// Prefers the lowest penalty, then a worker on the rack of the input data,
   /// then best fit, so that other workers stay empty and their machines can be
   /// moved to other pools.
-  Candidate *chooseWorker(const ReadyStep &Step);
+  Choice chooseWorker(const ReadyStep &Step);
   /// Whether the step may run on the worker, apart from its free resources.
   bool isAllowed(const ReadyStep &Step, const Candidate &Worker) const;
   /// Counts the tasks of the step that run, may run, or are planned on the
--- a/src/scheduling/internal/scheduler.cpp
+++ b/src/scheduling/internal/scheduler.cpp
@@ -115,13 +115,12 @@
   return Job.AcceptedAt_ + allowanceOf(Job.Spec_, Queue, Estimator);
 }
 
-std::vector<ReadyStep> Scheduler::findReadySteps(PlanTime At) const {
+std::vector<ReadyStep> Scheduler::findReadySteps(PlanTime At,
+                                                 WaitCounts &Waiting) const {
   std::vector<ReadyStep> Ready;
   for (const auto &[Order, Id] : Table_.open()) {
     const JobRow &Job = *Table_.find(Id);
     const QueueConfig *Queue = Config_.find(Job.Spec_.Queue_);
-    if (!Queue)
-      continue;
     ReadyStep Base;
     Base.Job_ = &Job;
     Base.Queue_ = Queue;
@@ -133,6 +132,10 @@
         const StepRow &Row = Occurrence.Steps_[S];
         if (!hasIdleTask(Row, Spec) || !stepReady(Occurrence, Spec))
           continue;
+        if (!Queue) {
+          Waiting.add(WaitReason::UnknownQueue, idleTasks(Row));
+          continue;
+        }
         if (!JobPrepared) {
           JobPrepared = true;
           Base.LatestStart_ = deadlineOf(Job, *Queue, Estimator_) -
@@ -157,7 +160,8 @@
 Plan Scheduler::plan(std::vector<Candidate> Workers, PlanTime At,
                      std::size_t MaxStarts,
                      const std::vector<CapacityArrival> &Arrivals) const {
-  std::vector<ReadyStep> Ready = findReadySteps(At);
+  Plan Result;
+  std::vector<ReadyStep> Ready = findReadySteps(At, Result.Waiting_);
   std::sort(Ready.begin(), Ready.end(), runsBefore);
   const ShortPools Short =
       findShortPools(Ready, Workers, Arrivals, Table_, Config_);
@@ -170,14 +174,17 @@
                    MaxStarts);
   const ShortPools Shared = Enabled_.WorkspaceShares_ ? Short : ShortPools();
   ShareOrder Order(Ready, Shared, Config_, Shares_);
-  Plan Result;
   Result.Divisions_ = Order.divisions();
-  for (const ReadyStep &Step : Ready)
+  std::size_t NotOffered = 0;
+  for (const ReadyStep &Step : Ready) {
+    NotOffered += idleTasks(*Step.Row_);
     if (!Step.Spec_->LongRunning_)
       Result.ReadyTasks_ += idleTasks(*Step.Row_);
+  }
   while (const ReadyStep *Step = Order.next()) {
     if (Result.Starts_.size() >= MaxStarts)
       break;
+    NotOffered -= idleTasks(*Step->Row_);
     const std::size_t Before = Result.Starts_.size();
     const std::size_t Unplaced = Places.place(*Step, Result);
     Result.UnplacedTasks_ += Unplaced;
@@ -185,6 +192,7 @@
       Result.FullPools_.insert(Step->Queue_->Pool_);
     Order.charge(*Step, Result.Starts_.size() - Before);
   }
+  Result.Waiting_.add(WaitReason::StartLimit, NotOffered);
   if (Enabled_.Admission_)
     Result.Backlogs_ = findBacklogs(Short, Ready, Result.Starts_, Table_,
                                     Config_, Estimator_, At);
--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "framework/metrics/countsby.h"
 #include "jobs/cellconfig.h"
 #include "jobs/celltable.h"
 #include "scheduling/advicetable.h"
@@ -121,6 +122,27 @@
   absl::flat_hash_map<jobs::WorkspaceName, WorkspaceBacklog> Workspaces_;
 };
 
+/// Why a pass does not start a ready task.
+enum class WaitReason {
+  /// The configuration does not contain the job's queue.
+  UnknownQueue,
+  /// The workspace holds as much as its upper limit allows.
+  WorkspaceLimit,
+  /// The pool has no worker that accepts tasks.
+  NoWorkers,
+  /// No worker of the pool has room for it.
+  NoRoom,
+  /// Workers have room, but lack the label, run enough of the step's tasks, or
+  /// are not approved by the advisor.
+  NotAllowed,
+  /// The pass had planned as many starts as it may.
+  StartLimit,
+};
+
+/// Number of ready tasks by the reason why they were not started.
+using WaitCounts =
+    framework::metrics::CountsBy<WaitReason, WaitReason::StartLimit>;
+
 /// Result of one scheduling pass.
 struct Plan {
   std::vector<jobs::RunIntended> Starts_;
@@ -129,6 +151,8 @@
   /// Number of tasks that are ready and were compared with the workers, but did
   /// not fit on any.
   std::size_t UnplacedTasks_ = 0;
+  /// The ready tasks that are not started, finite and long-running ones.
+  WaitCounts Waiting_;
   /// The pools of these tasks.
   absl::flat_hash_set<jobs::PoolName> FullPools_;
   /// Steps with tasks that were not placed, and whose queue has an advisor that
@@ -170,7 +194,8 @@
       std::numeric_limits<std::size_t>::max();
 
 private:
-  std::vector<ReadyStep> findReadySteps(PlanTime At) const;
+  /// Counts the ready tasks of unknown queues in \p Waiting.
+  std::vector<ReadyStep> findReadySteps(PlanTime At, WaitCounts &Waiting) const;
 
   const CellTable &Table_;
   const CellConfig &Config_;
--- a/src/scheduling/tests/schedulertest.cpp
+++ b/src/scheduling/tests/schedulertest.cpp
@@ -57,6 +57,17 @@
 
   std::vector<jobs::RunIntended>
   plan(TimePoint Now = Start, std::size_t MaxStarts = Scheduler::NoLimit) {
+    return pass(Now, MaxStarts).Starts_;
+  }
+
+  /// Whether a pass leaves \p Count tasks waiting, all for \p Reason.
+  bool allWaitFor(WaitReason Reason, std::size_t Count,
+                  std::size_t MaxStarts = Scheduler::NoLimit) {
+    const WaitCounts Waiting = pass(Start, MaxStarts).Waiting_;
+    return Waiting.of(Reason) == Count && Waiting.total() == Count;
+  }
+
+  Plan pass(TimePoint Now, std::size_t MaxStarts) {
     std::vector<Candidate> Workers;
     for (const workers::WorkerRecord &Record : Records_)
       Workers.push_back(
@@ -64,8 +75,7 @@
            std::find(OnTrial_.begin(), OnTrial_.end(),
                      Record.Incarnation_.Id_.str()) != OnTrial_.end()});
     return Scheduler(Table_, Config_, Estimator_, Advised_, {})
-        .plan(std::move(Workers), {Now, 1'000'000}, MaxStarts)
-        .Starts_;
+        .plan(std::move(Workers), {Now, 1'000'000}, MaxStarts);
   }
 
   static std::size_t startsOf(const std::vector<jobs::RunIntended> &Starts,
@@ -282,6 +292,53 @@
   BOOST_TEST(startsOf(Starts, "small") == 1u);
 }
 
+// Guards against jobs that wait for ever and are in no count, as the leader's
+// configuration lacks their queue.
+BOOST_AUTO_TEST_CASE(TasksOfAnUnknownQueueAreCounted) {
+  worker("w", 1000);
+  job("a", {step(3, 100)});
+  Config_.Queues_.clear();
+  BOOST_TEST(allWaitFor(WaitReason::UnknownQueue, 3));
+}
+
+BOOST_AUTO_TEST_CASE(TasksAboveTheWorkspaceLimitAreCounted) {
+  worker("w", 10000);
+  Config_.Workspaces_[jobs::WorkspaceName("ws")].MaxAllowed_ = {400, 0, 0};
+  job("a", {step(3, 400)});
+  BOOST_TEST(allWaitFor(WaitReason::WorkspaceLimit, 2));
+}
+
+BOOST_AUTO_TEST_CASE(TasksWithoutRoomAreCounted) {
+  StepSpec Gang = step(3, 400);
+  Gang.Gang_ = true;
+  job("gang", {Gang});
+  BOOST_TEST(allWaitFor(WaitReason::NoWorkers, 3));
+  worker("w", 1000);
+  BOOST_TEST(allWaitFor(WaitReason::NoRoom, 3));
+  job("larger", {step(2, 1500)});
+  BOOST_TEST(allWaitFor(WaitReason::NoRoom, 5));
+}
+
+BOOST_AUTO_TEST_CASE(TasksThatNoWorkerMayRunAreCounted) {
+  worker("w", 1000);
+  StepSpec Labelled = step(1, 100), Spread = step(3, 100);
+  Labelled.Requirement_ = jobs::Label("gpu");
+  Spread.AntiAffinity_ = 1;
+  job("labelled", {Labelled});
+  job("apart", {Spread});
+  BOOST_TEST(allWaitFor(WaitReason::NotAllowed, 3));
+  Config_.Queues_[0].Advice_ = jobs::AdviceTerms{};
+  BOOST_TEST(allWaitFor(WaitReason::NotAllowed, 4));
+}
+
+// The rest of a step, and the steps that the pass does not come to.
+BOOST_AUTO_TEST_CASE(TasksAboveTheStartLimitAreCounted) {
+  worker("w", 1000);
+  job("a", {step(4, 100)});
+  job("b", {step(3, 100)});
+  BOOST_TEST(allWaitFor(WaitReason::StartLimit, 5, 2));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace laburnumspread::scheduling
