--- a/src/journal/journal.h
+++ b/src/journal/journal.h
@@ -129,6 +129,7 @@
   /// these on top of the snapshot has no effect. Returns the errors of
   /// append().
   absl::Status writeSnapshot(const jobs::CellTable &Table) {
+    const TimePoint StartedAt = SteadyClock().now();
     const Base Old = Base_;
     const std::uint64_t Index = Next_ - 1;
     const auto Parts = jobs::encodeSnapshot(
@@ -154,7 +155,9 @@
     BaseRevision_ = *Written;
     Base_ = NewBase;
     ++Counters_.Snapshots_;
-    return removeCompacted(Old);
+    absl::Status Removed = removeCompacted(Old);
+    reportIfSlow(Parts, SteadyClock().now() - StartedAt);
+    return Removed;
   }
 
   /// Whether an earlier leader has written to the journal; known once it is
@@ -199,8 +202,24 @@
   /// Divisor of the moving average of commit times: about the last five writes
   /// count.
   static constexpr int CommitTimeSmoothing = 5;
+  /// Time from which a snapshot is logged.
+  static constexpr Duration SlowSnapshot = std::chrono::milliseconds(250);
   static constexpr Duration LoadTimeout = std::chrono::milliseconds(2000);
 
+  /// Nothing else is stored while a snapshot is written.
+  static void reportIfSlow(const std::vector<std::string> &Parts,
+                           Duration Took) {
+    if (Took < SlowSnapshot)
+      return;
+    std::uint64_t Bytes = 0;
+    for (const std::string &Part : Parts)
+      Bytes += Part.size();
+    framework::log::warning("journal.snapshot_slow")
+        .field("took_ms", Took.count() / 1000)
+        .field("parts", static_cast<std::uint64_t>(Parts.size()))
+        .field("bytes", Bytes);
+  }
+
   void recordWritten(fleet::Revision At) {
     Newest_ = std::max(Newest_, jobs::FencingToken(At.value()));
   }
