Pools: late work gets a machine where the pool has none

Cause: computePoolDemand counts late jobs as no demand. In a pool without machines all jobs become late, and accepted jobs never run: PoolPlanner ordered none for them.

Change: PoolDemand::SmallestLateTask_; a pool without machines whose late tasks fit into one asks for one. Pools with machines ask as before.

Measured: PoolWithoutMachinesGetsOneForLateJobs failed before (no move 24 h after the acceptance), and passes now.

--- a/src/capacity/internal/poolplanner.cpp
+++ b/src/capacity/internal/poolplanner.cpp
@@ -84,6 +84,8 @@
       Row.MachineCapacity_ = LargestCapacity_;
     Row.Required_ = machinesRequired(Wanted, Row.LongRunningInEvacuatedZones_,
                                      Row.MachineCapacity_);
+    if (needsMachineForLateWork(Row, Wanted.SmallestLateTask_))
+      Row.Required_ = std::max<std::size_t>(Row.Required_, 1);
     if (needsExtraMachine(Pool, Row, Wanted.WaitingLongRunning_))
       Row.Required_ = std::max(Row.Required_, Row.Available_ + 1);
   }
@@ -153,6 +155,13 @@
       Row.IdleMachines_.push_back(&Machine);
   }
 
+  /// Without this, accepted jobs never run: all jobs of a pool without machines
+  /// become late, and late work is no demand.
+  static bool needsMachineForLateWork(const PoolState &Row,
+                                      const std::optional<Resources> &Task) {
+    return Row.Available_ == 0 && Task && Task->fitsInto(Row.MachineCapacity_);
+  }
+
   /// Whether a waiting long-running task needs an additional machine although
   /// the pool has enough capacity in total: no single machine has enough free
   /// resources for it, and no empty machine is on its way.
--- a/src/capacity/poolplanner.h
+++ b/src/capacity/poolplanner.h
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cmath>
 #include <map>
+#include <optional>
 #include <set>
 #include <string_view>
 
@@ -64,6 +65,9 @@
   /// Free resources with which a worker could take any one of the waiting
   /// long-running tasks; zero if none waits.
   Resources WaitingLongRunning_;
+  /// Demand of the smallest finite task that waits and whose job is late. Late
+  /// work asks for no machine in a pool that has any.
+  std::optional<Resources> SmallestLateTask_;
   /// Finite tasks of the jobs that arrived in the latest window, waiting or
   /// not.
   Arrivals RecentArrivals_;
--- a/src/cell/internal/pooldemand.cpp
+++ b/src/cell/internal/pooldemand.cpp
@@ -48,6 +48,15 @@
         componentMax(Into.WaitingLongRunning_, Spec.PerTask_);
 }
 
+void addLate(const jobs::StepRow &Row, const jobs::StepSpec &Spec,
+             TimePoint Now, capacity::PoolDemand &Into) {
+  std::optional<Resources> &Known = Into.SmallestLateTask_;
+  const Resources Task = Spec.demand();
+  if (hasWaitingTask(Row, Now) &&
+      (!Known || Task.MilliCpus_ < Known->MilliCpus_))
+    Known = Task;
+}
+
 /// Adds the steps of \p Count occurrences that are alike.
 void addSteps(const jobs::JobRow &Job, const jobs::OccurrenceRow &Occurrence,
               std::int64_t Count, bool Late, TimePoint Now,
@@ -61,6 +70,8 @@
       addLongRunning(Row, Spec, Count, Now, Into);
     else if (!Late)
       Into.FeasibleFinite_ += openResources(Row, Spec, Count);
+    else
+      addLate(Row, Spec, Now, Into);
   }
 }
 
--- a/src/cell/tests/pooldemandtest.cpp
+++ b/src/cell/tests/pooldemandtest.cpp
@@ -146,6 +146,30 @@
   BOOST_TEST(demand(0s).RecentArrivals_.MilliCpus_.lowerEstimate() == Done);
 }
 
+// Guards against accepted jobs that never run: all jobs of a pool without
+// machines were late, late jobs count as no demand, and no machine came.
+BOOST_AUTO_TEST_CASE(PoolWithoutMachinesGetsOneForLateJobs) {
+  accept("a", {step(2)});
+  std::map<MachineId, capacity::MachineView> Machines;
+  for (const char *Name : {"m1", "m2", "m3", "m4"}) {
+    capacity::MachineView &View = Machines[MachineId(Name)];
+    View.Record_.Id_ = MachineId(Name);
+    View.Record_.Pool_ = PoolName("other");
+    View.Record_.State_ = MachineState::Up;
+    View.Record_.Capacity_ = {16000, 32768, 0};
+    View.Usable_ = true;
+  }
+  const auto Moves = [&](Duration After) {
+    return capacity::PoolPlanner().plan(Machines, {{Kitchen, demand(After)}},
+                                        {}, {}, Start + After);
+  };
+  BOOST_TEST(Moves(10min).size() == 1u);
+  BOOST_REQUIRE(Moves(24h).size() == 1u);
+  // The one that it has is enough.
+  Machines[Moves(24h).front().Machine_].Record_.Pool_ = Kitchen;
+  BOOST_TEST(Moves(24h).empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace laburnumspread::cell
