A start that fails exits with 1, not by a signal or never

Seen: an address already taken: entry.cannot_start is logged, then the process ends by signal 11. The test shows more: some of these starts never end.

Cause: serve() and serveCell() returned from main() after a failed start, and so did the stand-ins. That destroyed the io_context and the services while their fibers and the thread's fiber scheduler still used them; a clean stop leaves by _Exit for that reason.

Change: exitProcess (src/framework/process) is the one way out of a process that uses a fiber scheduler: it flushes the log and ends without destructors.

--- a/bench/load/main.cpp
+++ b/bench/load/main.cpp
@@ -3,6 +3,7 @@
 #include "bench/load/withdrawals.h"
 #include "framework/fibers/asioscheduler.h"
 #include "framework/http/httpclient.h"
+#include "framework/process/exitprocess.h"
 #include "framework/settings/jsonreader.h"
 
 #include <csignal>
@@ -123,7 +124,7 @@
   std::cout << boost::json::serialize(runWithdrawals(
                    Io, Plan.Servers_, std::min<std::size_t>(Rounds, 1000)))
             << std::endl;
-  std::_Exit(0);
+  framework::process::exitProcess(0);
 }
 
 int run(const LoadPlan &Plan) {
@@ -142,7 +143,7 @@
         fetch(Io, Plan.Platform_, "/platform/ledger")["mostByTeam"];
   }
   std::cout << boost::json::serialize(Report) << std::endl;
-  std::_Exit(Consistent ? 0 : CheckFailed);
+  framework::process::exitProcess(Consistent ? 0 : CheckFailed);
 }
 
 } // namespace
--- a/soak/soak.cpp
+++ b/soak/soak.cpp
@@ -3,6 +3,7 @@
 #include "framework/fibers/spawn.h"
 #include "framework/fibers/waiter.h"
 #include "framework/log/log.h"
+#include "framework/process/exitprocess.h"
 #include "platform/standin/testrequests.h"
 #include "soak/callers.h"
 #include "soak/configprobes.h"
@@ -25,10 +26,12 @@
 using namespace laburnumspread;
 using namespace laburnumspread::soak;
 using framework::fibers::sleepFor;
+using framework::process::BadUsage;
+using framework::process::exitProcess;
+using framework::process::failStart;
 using platform::standin::CellPlatform;
 using namespace std::chrono_literals;
 
-constexpr int BadUsage = 2;
 constexpr std::size_t MachineCount = 4;
 constexpr std::size_t CallerCount = 3;
 /// Longest time of fault injection before a recovery check.
@@ -279,16 +282,11 @@
   static boost::asio::io_context Io;
   framework::fibers::useAsioScheduler(Io);
   SoakRun &Run = *new SoakRun(Io, RunOptions);
-  if (absl::Status Ready = Run.prepare(); !Ready.ok()) {
-    std::cerr << "laburnum-soak: " << Ready.message() << '\n';
-    std::_Exit(1);
-  }
+  if (absl::Status Ready = Run.prepare(); !Ready.ok())
+    failStart("laburnum-soak", std::string(Ready.message()));
   std::ofstream(RunOptions.Folder_ + "/ready") << "ready\n";
   Run.run();
-  const int Code = Run.writeVerdict();
-  framework::log::flush();
-  std::cout.flush();
-  std::_Exit(Code);
+  exitProcess(Run.writeVerdict());
 }
 
 } // namespace
--- a/src/app/laburnumspreadd.cpp
+++ b/src/app/laburnumspreadd.cpp
@@ -6,6 +6,7 @@
 #include "framework/fibers/spawn.h"
 #include "framework/fibers/waiter.h"
 #include "framework/log/log.h"
+#include "framework/process/exitprocess.h"
 #include "framework/settings/settingswatch.h"
 
 #include <functional>
@@ -20,6 +21,8 @@
 namespace {
 
 using namespace laburnumspread;
+using framework::process::exitProcess;
+using framework::process::StartFailed;
 
 /// Where the settings come from, at the start and at each reload.
 struct SettingsSource {
@@ -29,7 +32,6 @@
 };
 
 constexpr int BadSettings = 2;
-constexpr int StartFailure = 1;
 /// Limits the log lines lost when the process is killed.
 constexpr auto LogFlushInterval = std::chrono::milliseconds(50);
 /// Interval at which the settings file is checked for changes without SIGHUP. A
@@ -83,19 +85,17 @@
   while (!StopSignal.signalled())
     StopSignal.waitUntil(framework::clock::SystemClock().now() +
                          std::chrono::hours(24));
-  const bool Clean = Stop();
-  framework::log::flush();
-  std::cout.flush();
-  // The services' fibers never end, and nothing outside the process depends on
-  // destructors, so exit without unwinding.
-  std::_Exit(Clean ? 0 : 1);
+  exitProcess(Stop() ? 0 : 1);
 }
 
-int reportStartFailure(const absl::Status &Reason) {
+/// Ends the process if \p Started is an error. Returning from main() would
+/// destroy what the fibers of a partly started app use.
+void exitUnlessStarted(const absl::Status &Started) {
+  if (Started.ok())
+    return;
   framework::log::error("entry.cannot_start")
-      .field("reason", std::string(Reason.message()));
-  framework::log::flush();
-  return StartFailure;
+      .field("reason", std::string(Started.message()));
+  exitProcess(StartFailed);
 }
 
 int serve(const entry::EntrySettings &Settings, const SettingsSource &Source) {
@@ -104,8 +104,7 @@
   app::ProcessSignals Signals(Io);
   framework::fibers::useAsioScheduler(Io);
   app::EntryApp App(Io, Settings);
-  if (absl::Status Started = App.start(); !Started.ok())
-    return reportStartFailure(Started);
+  exitUnlessStarted(App.start());
   framework::log::info("entry.listening")
       .field("entry", Settings.Name_.str())
       .field("http_port", App.httpPort())
@@ -129,8 +128,7 @@
   app::ProcessSignals Signals(Io);
   framework::fibers::useAsioScheduler(Io);
   app::CellApp App(Io, Settings);
-  if (absl::Status Started = App.start(); !Started.ok())
-    return reportStartFailure(Started);
+  exitUnlessStarted(App.start());
   framework::log::info("entry.listening")
       .field("entry", Settings.Name_.str())
       .field("callers", Settings.CallerAddress_.str());
--- a/src/ctl/laburnumctl.cpp
+++ b/src/ctl/laburnumctl.cpp
@@ -1,5 +1,6 @@
 #include "ctl/commands.h"
 #include "framework/fibers/asioscheduler.h"
+#include "framework/process/exitprocess.h"
 
 #include <csignal>
 #include <cstdlib>
@@ -103,6 +104,5 @@
   boost::asio::io_context Io(1);
   laburnumspread::framework::fibers::useAsioScheduler(Io);
   const ExitCode Code = runCommand(Io, Cmd);
-  std::cout.flush();
-  std::_Exit(static_cast<int>(Code));
+  laburnumspread::framework::process::exitProcess(static_cast<int>(Code));
 }
--- a/standin/main.cpp
+++ b/standin/main.cpp
@@ -1,6 +1,7 @@
 #include "framework/clock/clock.h"
 #include "framework/fibers/asioscheduler.h"
 #include "framework/fibers/waiter.h"
+#include "framework/process/exitprocess.h"
 #include "framework/settings/jsonreader.h"
 #include "standin/platform.h"
 
@@ -19,10 +20,13 @@
 namespace {
 
 using namespace laburnumspread;
+using framework::process::BadUsage;
+using framework::process::exitProcess;
+using framework::process::failStart;
 using framework::settings::FieldErrors;
 using framework::settings::JsonReader;
 
-constexpr int ExitUsageError = 2;
+constexpr std::string_view Program = "laburnum-standin";
 
 struct DeclaredEndpoint {
   std::string Vm_;
@@ -56,39 +60,31 @@
   return Result;
 }
 
-int serve(const std::string &Listen, const std::string &Fleet,
-          std::int64_t RebootMs) {
+[[noreturn]] void serve(const std::string &Listen, const std::string &Fleet,
+                        std::int64_t RebootMs) {
   boost::asio::io_context Io;
   framework::fibers::useAsioScheduler(Io);
   const auto Control = framework::http::parseAddress(Listen);
-  if (!Control) {
-    std::cerr << "laburnum-standin: --listen: not an ip:port\n";
-    return ExitUsageError;
-  }
+  if (!Control)
+    failStart(Program, "--listen: not an ip:port");
   standin::PlatformOptions Options;
   Options.Control_ = *Control;
   Options.RebootTime_ = std::chrono::milliseconds(RebootMs);
   standin::Platform Platform(Io, Options);
   const auto Endpoints = readFleet(Fleet);
-  if (!Endpoints.ok()) {
-    std::cerr << "laburnum-standin: " << Endpoints.status().message() << '\n';
-    return ExitUsageError;
-  }
+  if (!Endpoints.ok())
+    failStart(Program, std::string(Endpoints.status().message()));
   for (const DeclaredEndpoint &Item : *Endpoints) {
     const auto At = framework::http::parseAddress(Item.Address_);
     const auto Port =
         At ? Platform.addEndpoint(Item.Vm_, Item.Slots_, *At)
            : absl::StatusOr<std::uint16_t>(
                  absl::InvalidArgumentError(Item.Address_ + ": bad address"));
-    if (!Port.ok()) {
-      std::cerr << "laburnum-standin: " << Port.status().message() << '\n';
-      return 1;
-    }
-  }
-  if (absl::Status Status = Platform.start(); !Status.ok()) {
-    std::cerr << "laburnum-standin: " << Status.message() << '\n';
-    return 1;
+    if (!Port.ok())
+      failStart(Program, std::string(Port.status().message()));
   }
+  if (absl::Status Status = Platform.start(); !Status.ok())
+    failStart(Program, std::string(Status.message()));
   std::cout << "laburnum-standin: " << Endpoints->size()
             << " endpoints, control on " << Control->Ip_ << ':'
             << Platform.port() << std::endl;
@@ -97,7 +93,7 @@
   Signals.async_wait([&](auto, int) { Stop.signal(); });
   Stop.waitUntil(framework::clock::SystemClock().now() +
                  std::chrono::hours(24 * 365));
-  std::_Exit(0);
+  exitProcess(0);
 }
 
 } // namespace
@@ -116,13 +112,12 @@
     const auto Parsed = Options.parse(ArgumentCount, Arguments);
     if (Parsed.count("help") || !Parsed.count("fleet")) {
       std::cout << Options.help() << '\n';
-      return Parsed.count("help") ? 0 : ExitUsageError;
+      return Parsed.count("help") ? 0 : BadUsage;
     }
-    return serve(Parsed["listen"].as<std::string>(),
-                 Parsed["fleet"].as<std::string>(),
-                 Parsed["reboot-ms"].as<std::int64_t>());
+    serve(Parsed["listen"].as<std::string>(), Parsed["fleet"].as<std::string>(),
+          Parsed["reboot-ms"].as<std::int64_t>());
   } catch (const cxxopts::exceptions::exception &Error) {
     std::cerr << "laburnum-standin: " << Error.what() << '\n';
-    return ExitUsageError;
+    return BadUsage;
   }
 }
