An entry whose settings are rejected exits with 1, like other failed starts

Seen: settings that are missing, unreadable or rejected exit with 2, an address that is taken with 1, so that whoever restarts entries has to know both. A folder in place of the file is reported as incomplete JSON.

A file that can be opened but not read is reported as such.

--- a/src/app/laburnumspreadd.cpp
+++ b/src/app/laburnumspreadd.cpp
@@ -21,6 +21,7 @@
 namespace {
 
 using namespace laburnumspread;
+using framework::process::BadUsage;
 using framework::process::exitProcess;
 using framework::process::StartFailed;
 
@@ -31,7 +32,6 @@
   std::shared_ptr<framework::settings::SettingsWatch> Watch_;
 };
 
-constexpr int BadSettings = 2;
 /// Limits the log lines lost when the process is killed.
 constexpr auto LogFlushInterval = std::chrono::milliseconds(50);
 /// Interval at which the settings file is checked for changes without SIGHUP. A
@@ -162,7 +162,7 @@
                  const SettingsSource &Source) {
   if (!Read.ok()) {
     std::cerr << Read.status().message() << '\n';
-    return BadSettings;
+    return StartFailed;
   }
   if (OnlyCheck) {
     std::cout << "settings are valid\n";
@@ -214,7 +214,7 @@
     }
     if (!Parsed.count("config")) {
       std::cerr << "laburnumspreadd: --config is required\n";
-      return BadSettings;
+      return BadUsage;
     }
     const std::string File = Parsed["config"].as<std::string>();
     const bool OnlyCheck = Parsed.count("check") > 0;
@@ -222,7 +222,7 @@
     if (!Overrides.ok()) {
       std::cerr << "laburnumspreadd: --set " << Overrides.status().message()
                 << '\n';
-      return BadSettings;
+      return BadUsage;
     }
     // The watch is created before the settings are read, so that no change is
     // missed.
@@ -236,6 +236,6 @@
                         serve, Source);
   } catch (const cxxopts::exceptions::exception &Error) {
     std::cerr << "laburnumspreadd: " << Error.what() << '\n';
-    return BadSettings;
+    return BadUsage;
   }
 }
--- a/src/app/tests/failedstarts.sh
+++ b/src/app/tests/failedstarts.sh
@@ -71,7 +71,7 @@
 $(cell) >"$folder/running" &
 running=$!
 for _ in $(seq 200); do
-  grep -q event=entry.listening "$folder/running" && break
+  grep -qs event=entry.listening "$folder/running" && break
   sleep 0.1
 done
 taken=$callers
@@ -114,6 +114,14 @@
 expect "soak, folder missing" "$folder/missing" \
   "$build/soak/laburnum-soak" --folder "$folder/missing" --seconds 0
 
+expect "settings missing" "$folder/missing" "$entry" --config "$folder/missing"
+expect "settings a folder" "$folder: cannot be read" "$entry" --config "$folder"
+expect "settings not JSON" "$0" "$entry" --config "$0"
+expect "cell, settings rejected" listen.callers "$entry" \
+  --config "$examples/cell/entry-1.json" --set listen.callers=here
+expect "entry, settings rejected" listen.http "$entry" \
+  --config "$examples/folha-comum/entry-1.json" --set listen.http=here
+
 # An entry starts without its store and waits for it.
 code=0
 kill "$running"
--- a/src/framework/settings/settingsfile.cpp
+++ b/src/framework/settings/settingsfile.cpp
@@ -41,7 +41,9 @@
 
 absl::StatusOr<std::string> readSettingsFile(const std::string &File) {
   std::ifstream In(File);
-  if (!In)
+  // A folder can be opened, but not read.
+  In.peek();
+  if (!In.is_open() || In.bad())
     return absl::NotFoundError(File + ": cannot be read");
   std::stringstream Text;
   Text << In.rdbuf();
