A peer key that is no Z85 text is rejected with the field's name

Cause: only the length of the key was checked; the socket refused it later.

Change: the settings reader checks the digits too.

--- a/src/app/tests/failedstarts.sh
+++ b/src/app/tests/failedstarts.sh
@@ -121,6 +121,10 @@
   --config "$examples/cell/entry-1.json" --set listen.callers=here
 expect "entry, settings rejected" listen.http "$entry" \
   --config "$examples/folha-comum/entry-1.json" --set listen.http=here
+# Forty characters, as a key has, but none of its alphabet.
+key=$(printf '"%.0s' $(seq 40))
+expect "cell, key rejected" peerKeys.secret "$entry" \
+  --config "$examples/cell/entry-1.json" --set "peerKeys.secret=$key"
 
 # An entry starts without its store and waits for it.
 code=0
--- a/src/framework/settings/settingsfile.cpp
+++ b/src/framework/settings/settingsfile.cpp
@@ -9,6 +9,15 @@
 namespace {
 
 constexpr std::size_t CurveKeyLength = 40;
+/// Digits of Z85 (ZeroMQ RFC 32).
+constexpr std::string_view Z85Digits =
+    "0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ"
+    ".-:+=^!/*?&<>()[]{}@%$#";
+
+bool isCurveKey(std::string_view Text) {
+  return Text.size() == CurveKeyLength &&
+         Text.find_first_not_of(Z85Digits) == std::string_view::npos;
+}
 
 /// Where the field of an error was given: "file", "file:line" or "command
 /// line".
@@ -52,7 +61,7 @@
 
 std::string readCurveKey(JsonReader &Reader, std::string_view Field) {
   std::string Key = Reader.requiredString(Field);
-  if (!Key.empty() && Key.size() != CurveKeyLength)
+  if (!Key.empty() && !isCurveKey(Key))
     Reader.addError(Field, "must be a Z85 key of 40 characters");
   return Key;
 }
--- a/src/framework/settings/settingsfile.h
+++ b/src/framework/settings/settingsfile.h
@@ -41,7 +41,7 @@
 absl::StatusOr<std::string> readSettingsFile(const std::string &File);
 
 /// Reads a required field with a Z85-encoded CURVE key. Records an error if it
-/// does not have 40 characters.
+/// does not have 40 characters, or one that is no digit of Z85.
 std::string readCurveKey(JsonReader &Reader, std::string_view Field);
 
 } // namespace laburnumspread::framework::settings
