--- a/review/common-3/entries.cpp
+++ b/review/common-3/entries.cpp
@@ -112,14 +112,15 @@
 }
 
 int Entries::send(const std::string &Method, const std::string &Target,
-                  const std::string &Body, std::int64_t TimeMs) {
+                  const std::string &Body, std::int64_t TimeMs,
+                  const std::string &Key) {
   int Status = 0;
   for (const std::int64_t Until = nowMs() + TimeMs; nowMs() < Until;) {
     const Entry &To = All_[Next_++ % All_.size()];
     const auto Reply = call(To.Callers_, Method, Target,
                             {{"Host", "jobs.example"},
                              {"Content-Type", "application/json"},
-                             {"X-Credential", "trial-key"},
+                             {"X-Credential", Key},
                              {"X-Timeout-Ms", "3000"}},
                             Body, 3200);
     Status = Reply ? Reply->Status_ : 0;
@@ -132,12 +133,13 @@
   return Status;
 }
 
-std::string Entries::stateOf(const std::string &Target) {
+std::string Entries::stateOf(const std::string &Target,
+                             const std::string &Key) {
   for (std::size_t I = 0; I < All_.size(); ++I) {
     const Entry &To = All_[Next_++ % All_.size()];
     const auto Reply = call(To.Callers_, "GET", Target,
                             {{"Host", "jobs.example"},
-                             {"X-Credential", "trial-key"},
+                             {"X-Credential", Key},
                              {"X-Timeout-Ms", "3000"}},
                             "", 3200);
     if (!Reply || Reply->Status_ != 200)
--- a/review/common-3/entries.h
+++ b/review/common-3/entries.h
@@ -30,9 +30,11 @@
   /// Sends a call to the entries in turn, until one answers with 2xx, or the
   /// time is over. Returns the last status; 0 if there was no answer.
   int send(const std::string &Method, const std::string &Target,
-           const std::string &Body, std::int64_t TimeMs);
+           const std::string &Body, std::int64_t TimeMs,
+           const std::string &Key = "trial-key");
   /// Returns the state of a job, or an empty text without an answer.
-  std::string stateOf(const std::string &Target);
+  std::string stateOf(const std::string &Target,
+                      const std::string &Key = "trial-key");
 
 private:
   struct Entry {
--- a/review/common-3/platform.cpp
+++ b/review/common-3/platform.cpp
@@ -146,6 +146,32 @@
   }
 
   HttpReply handle(const HttpRequest &Request) {
+    std::int64_t Late = 0;
+    if (Request.Path_ == "/api/run-start") {
+      const Platform::Lock Lock(Of_.Mutex_);
+      const json::object Body = parseObject(Request.Body_);
+      const Run Item{textOf(Body, "task"), numberOf(Body, "run")};
+      ++Of_.StartOrders_;
+      if (Up_ && Of_.StartLateness_)
+        Late = Of_.StartLateness_(Item, Of_.StartOrders_);
+      if (Late > 0)
+        Of_.Log_.line("not answered, and carried out after " +
+                      std::to_string(Late) + " ms: start of " + nameOf(Item) +
+                      " at worker " + Id_);
+    }
+    if (Late == 0)
+      return carryOut(Request);
+    std::thread([this, Request, Late] {
+      sleepMs(Late);
+      const HttpReply Reply = carryOut(Request);
+      Of_.Log_.line("carried out late at worker " + Id_ + ": start: " +
+                    std::to_string(Reply.Status_) + " " + Reply.Body_);
+    }).detach();
+    sleepMs(Late);
+    return dropped();
+  }
+
+  HttpReply carryOut(const HttpRequest &Request) {
     Platform::Lock Lock(Of_.Mutex_);
     if (!Up_)
       return dropped();
--- a/review/common-3/platform.h
+++ b/review/common-3/platform.h
@@ -88,6 +88,11 @@
   /// many milliseconds.
   std::function<std::int64_t(const MachineOrder &, int)> Lateness_;
 
+  /// The same for orders to workers to start a task; the number counts all of
+  /// them. An order that is late is carried out by the process that then has
+  /// the worker's id and address.
+  std::function<std::int64_t(const Run &, int)> StartLateness_;
+
   std::vector<Start> starts() const;
   std::vector<MachineOrder> orders() const;
   std::vector<Upkeep> upkeeps() const;
@@ -160,6 +165,7 @@
   /// When each worker wrote its entry last, by the entry's key.
   std::map<std::string, std::int64_t> BeatAt_;
   std::vector<Start> Starts_;
+  int StartOrders_ = 0;
   std::vector<MachineOrder> Orders_;
   std::vector<Upkeep> Upkeeps_;
   std::vector<std::string> Twice_;
