--- a/review/common-3/entries.cpp
+++ b/review/common-3/entries.cpp
@@ -152,6 +152,24 @@
   return "";
 }
 
+std::vector<std::int64_t> Entries::waiting(const std::string &Prefix) {
+  std::vector<std::int64_t> Result;
+  for (const Entry &To : All_) {
+    const auto Reply = call(To.Callers_, "GET", Prefix,
+                            {{"Host", "jobs.example"},
+                             {"X-Credential", "trial-key"},
+                             {"X-Timeout-Ms", "3000"}},
+                            "", 3200);
+    boost::json::error_code Error;
+    const auto Body =
+        boost::json::parse(Reply ? Reply->Body_ : std::string(), Error);
+    const bool Read = Reply && Reply->Status_ == 200 && !Error &&
+                      Body.is_object() && Body.as_object().contains("waiting");
+    Result.push_back(Read ? Body.at("waiting").to_number<std::int64_t>() : -1);
+  }
+  return Result;
+}
+
 std::string configuration() {
   return R"({"version": 1,
  "routes": [{"name": "orders", "hostname": "jobs.example",
--- a/review/common-3/entries.h
+++ b/review/common-3/entries.h
@@ -32,6 +32,9 @@
   int send(const std::string &Method, const std::string &Target,
            const std::string &Body, std::int64_t TimeMs,
            const std::string &Key = "trial-key");
+  /// Returns how many jobs of the queue wait, as each entry answers; -1 for one
+  /// that does not.
+  std::vector<std::int64_t> waiting(const std::string &Prefix);
   /// Returns the state of a job, or an empty text without an answer.
   std::string stateOf(const std::string &Target,
                       const std::string &Key = "trial-key");
--- a/review/common-3/platform.cpp
+++ b/review/common-3/platform.cpp
@@ -187,6 +187,11 @@
     if (Request.Path_ == "/api/hold")
       return hold(Body, Lock);
     const Run Item{textOf(Body, "task"), numberOf(Body, "run")};
+    if (Request.Path_ == "/api/run-start" &&
+        Of_.Machines_[Machine_].Unhealthy_) {
+      Of_.Log_.line("worker " + Id_ + " refuses with 503: " + nameOf(Item));
+      return answer(503, {});
+    }
     if (Request.Path_ == "/api/run-start")
       return begin(Item, Body);
     if (Request.Path_ == "/api/run-stop")
@@ -361,11 +366,12 @@
 }
 
 void Platform::addMachine(const std::string &Name, const std::string &Service,
-                          const std::string &Rack) {
+                          const std::string &Rack, const std::string &Kind) {
   const Lock Held(Mutex_);
   Machine &Host = Machines_[Name];
   Host.Pool_ = Service;
   Host.Rack_ = Rack;
+  Host.Kind_ = Kind;
   addWorkerLocked(Name);
 }
 
@@ -392,13 +398,20 @@
       {"machine", Name},
       {"born", Host.Worker_->born()},
       {"room", json::object{{"cpu", 16000}, {"mem_mb", 32768}, {"gpu", 0}}},
-      {"labels", json::array{"a", Host.Rack_}},
+      {"labels", json::array{Host.Kind_, Host.Rack_}},
       {"sequence", Sequence_}};
   const std::string Key = "servers/" + Host.Worker_->id();
   BeatAt_[Key] = nowMs();
   putLocked(Key, json::serialize(Entry), 0);
 }
 
+void Platform::setUnhealthy(const std::string &Name, bool Unhealthy) {
+  const Lock Held(Mutex_);
+  Machines_[Name].Unhealthy_ = Unhealthy;
+  Log_.line("worker " + Machines_[Name].Worker_->id() +
+            (Unhealthy ? " is unhealthy" : " is healthy again"));
+}
+
 void Platform::crashWorker(const std::string &Name) {
   const Lock Held(Mutex_);
   Log_.line("worker " + Machines_[Name].Worker_->id() + " crashes");
@@ -603,7 +616,7 @@
         {"pool", Host.Pool_},
         {"state", Host.State_},
         {"zone", "z1"},
-        {"labels", json::array{"a", Host.Rack_}},
+        {"labels", json::array{Host.Kind_, Host.Rack_}},
         {"room", json::object{{"cpu", 16000}, {"mem_mb", 32768}, {"gpu", 0}}},
         {"id", Host.Worker_->id()}});
   return answer(200, {{"machines", Rows}, {"next_page_token", nullptr}});
--- a/review/common-3/platform.h
+++ b/review/common-3/platform.h
@@ -71,7 +71,7 @@
 
   /// Adds a machine with 16 cores and 32 GB, and a worker on it.
   void addMachine(const std::string &Machine, const std::string &Service,
-                  const std::string &Rack);
+                  const std::string &Rack, const std::string &Kind = "a");
   /// The worker's process is gone at once; its entry expires later.
   void crashWorker(const std::string &Machine);
   /// It starts again under the id that it had. Its machine's time of day is
@@ -93,6 +93,10 @@
   /// the worker's id and address.
   std::function<std::int64_t(const Run &, int)> StartLateness_;
 
+  /// Machines whose workers are unhealthy: they answer starts with 503 and do
+  /// nothing else with them.
+  void setUnhealthy(const std::string &Machine, bool Unhealthy);
+
   std::vector<Start> starts() const;
   std::vector<MachineOrder> orders() const;
   std::vector<Upkeep> upkeeps() const;
@@ -124,6 +128,8 @@
     std::string Pool_;
     std::string State_ = "up";
     std::string Rack_;
+    std::string Kind_;
+    bool Unhealthy_ = false;
     std::shared_ptr<Worker> Worker_;
     std::set<std::int64_t> Waves_;
     std::int64_t Wave_ = 0;
