--- a/review/common-3/entries.cpp
+++ b/review/common-3/entries.cpp
@@ -6,6 +6,7 @@
 
 #include <boost/json/parse.hpp>
 #include <fcntl.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -62,6 +63,8 @@
   Item.Process_ = fork();
   if (Item.Process_ != 0)
     return;
+  // An entry must not outlive a program that is killed.
+  prctl(PR_SET_PDEATHSIG, SIGKILL);
   const int Out =
       open(Output.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
   dup2(Out, STDOUT_FILENO);
