--- a/src/cell/internal/termgauges.cpp
+++ b/src/cell/internal/termgauges.cpp
@@ -16,6 +16,7 @@
       std::chrono::duration<double>(OldestUnwanted_).count());
   Set("workers", static_cast<double>(Workers_));
   Set("workers_silent", static_cast<double>(WorkersSilent_));
+  Set("workers_unfenced", static_cast<double>(WorkersUnfenced_));
   Restricted_.forEach([&](WorkerRestriction Reason, std::size_t Count) {
     if (Reason != WorkerRestriction::None)
       Set("workers_unusable{reason=\"" + std::string(nameOf(Reason)) + "\"}",
--- a/src/cell/internal/workerhistory.cpp
+++ b/src/cell/internal/workerhistory.cpp
@@ -13,6 +13,19 @@
   return Newest;
 }
 
+TimePoint WorkerHistory::formerOrdersUntil(const WorkerId &Id, Duration Age,
+                                           TimePoint Now) const {
+  if (Tokens_.contains(Id))
+    return Now + MaxOrderDelay;
+  const bool Old = Age > MaxAgeForFormerOrders + MaxWallClockDifference;
+  return Old ? Now : std::max(Now, formerLeaderOrdersUntil());
+}
+
+TimePoint WorkerHistory::formerLeaderOrdersUntil() const {
+  return FormerLeader_ ? TakeoverAt_ + StoreOutageTolerance + MaxOrderDelay
+                       : TimePoint::min();
+}
+
 void WorkerHistory::recordEnd(const WorkerRow &Row) {
   const auto SentAt = Row.lastUnansweredAck();
   if (!SentAt)
--- a/src/cell/internal/workerpolls.cpp
+++ b/src/cell/internal/workerpolls.cpp
@@ -37,35 +37,72 @@
   Workers.resize(Most);
 }
 
-} // namespace
+bool isDue(const WorkerRow &Row, TimePoint Now) {
+  return !Row.HasSession_ && Row.NextPollAt_ <= Now;
+}
 
-std::vector<WorkerRowPtr> WorkerPolls::choose(const WorkerTable &Workers,
-                                              const jobs::CellTable &Table,
-                                              std::size_t InFlight,
-                                              TimePoint Now) {
-  std::vector<WorkerRowPtr> Result;
-  const std::size_t Most = MaxInFlight - std::min(MaxInFlight, InFlight);
-  absl::flat_hash_map<PoolName, PoolContacts> Pools;
-  for (const auto &[Incarnation, Row] : Workers) {
+/// Whether the worker has to be called now, also if it drains or is never used.
+bool needsCall(const WorkerRow &Row, TimePoint Now) {
+  return Row.Listed_ && !Row.Ended_ && Row.mayExecuteFormerOrders(Now) &&
+         isDue(Row, Now);
+}
+
+/// The workers that may be polled now, by the reason.
+class PollCandidates {
+public:
+  PollCandidates(const jobs::CellTable &Table, TimePoint Now)
+      : Table_(Table), Now_(Now) {}
+
+  void add(const WorkerRowPtr &Row) {
+    const bool Called = needsCall(*Row, Now_);
+    if (Called)
+      ToCall_.push_back(Row);
     if (!mayBecomeUsed(*Row))
-      continue;
-    PoolContacts &Pool = Pools[Row->Record_.Pool_];
+      return;
+    PoolContacts &Pool = Pools_[Row->Record_.Pool_];
     if (Row->Unanswered_ > 0) {
-      if (!Row->HasSession_ && Row->NextPollAt_ <= Now)
-        Result.push_back(Row);
-    } else if (!Row->Synced_ && !Row->HasSession_) {
+      if (!Called && isDue(*Row, Now_))
+        Silent_.push_back(Row);
+    } else if (!Called && !Row->Synced_ && !Row->HasSession_) {
       Pool.Unproven_.push_back(Row);
-    } else if (Table.usageOf(Incarnation)) {
+    } else if (Table_.usageOf(Row->Record_.Incarnation_)) {
       ++Pool.InUse_;
     } else {
       ++Pool.Unused_;
     }
   }
-  keepLongestDue(Result, Most);
-  for (const auto &[Name, Pool] : Pools)
-    for (std::size_t I = 0; I < Pool.missing() && Result.size() < Most; ++I)
-      Result.push_back(Pool.Unproven_[I]);
-  return Result;
+
+  /// Returns at most \p Most workers.
+  std::vector<WorkerRowPtr> choose(std::size_t Most) && {
+    std::vector<WorkerRowPtr> Result = std::move(ToCall_);
+    keepLongestDue(Result, Most);
+    keepLongestDue(Silent_, Most - Result.size());
+    Result.insert(Result.end(), Silent_.begin(), Silent_.end());
+    for (const auto &[Name, Pool] : Pools_)
+      for (std::size_t I = 0; I < Pool.missing() && Result.size() < Most; ++I)
+        Result.push_back(Pool.Unproven_[I]);
+    return Result;
+  }
+
+private:
+  const jobs::CellTable &Table_;
+  const TimePoint Now_;
+  std::vector<WorkerRowPtr> ToCall_;
+  std::vector<WorkerRowPtr> Silent_;
+  absl::flat_hash_map<PoolName, PoolContacts> Pools_;
+};
+
+} // namespace
+
+std::vector<WorkerRowPtr> WorkerPolls::choose(const WorkerTable &Workers,
+                                              const jobs::CellTable &Table,
+                                              std::size_t InFlight,
+                                              TimePoint Now) {
+  PollCandidates Candidates(Table, Now);
+  for (const auto &[Incarnation, Row] : Workers)
+    Candidates.add(Row);
+  return std::move(Candidates)
+      .choose(MaxInFlight - std::min(MaxInFlight, InFlight));
 }
 
 } // namespace laburnumspread::cell
--- a/src/cell/term.h
+++ b/src/cell/term.h
@@ -131,6 +131,8 @@
         countRun(Run, Result);
     for (const auto &[Incarnation, Row] : Workers_) {
       Result.WorkersSilent_ += Row->Unanswered_ > 0;
+      Result.WorkersUnfenced_ +=
+          Row->Listed_ && Row->mayExecuteFormerOrders(now());
       if (!Evacuations_.contains(Row->Record_.Zone_))
         continue;
       ++Result.WorkersEvacuated_;
--- a/src/cell/termgauges.h
+++ b/src/cell/termgauges.h
@@ -21,6 +21,9 @@
   framework::clock::Duration OldestUnwanted_{};
   std::size_t Workers_ = 0;
   std::size_t WorkersSilent_ = 0;
+  /// Workers that may execute orders meant for an earlier incarnation, as they
+  /// have not replied yet.
+  std::size_t WorkersUnfenced_ = 0;
   /// Workers by what keeps them from new tasks.
   WorkerCounts Restricted_;
   /// Workers in evacuated zones, and the runs that continue there.
--- a/src/cell/tests/runmodel.h
+++ b/src/cell/tests/runmodel.h
@@ -277,6 +277,10 @@
   std::uint64_t copiesToStop() const { return CopiesToStop_; }
   /// Number of reports into which not all ends of their worker fitted.
   std::uint64_t cutReports() const { return CutReports_; }
+  /// Number of new incarnations that leaders had to call.
+  std::uint64_t callsToNewIncarnations() const {
+    return CallsToNewIncarnations_;
+  }
 
 private:
   static constexpr int AllWorkers = (1 << WorkerCount) - 1;
@@ -349,6 +353,10 @@
     Row->Record_.Incarnation_ = Incarnation;
     Row->ClockAt_ = Now_;
     Row->MayRunStaleStarts_ = Leader.Tracker_.mayRunStaleStarts(Incarnation);
+    const Duration Age = Now_ - Workers_[I].StartedAt_;
+    Row->FormerOrdersUntil_ =
+        Leader.History_.formerOrdersUntil(Incarnation.Id_, Age, Now_);
+    CallsToNewIncarnations_ += Row->mayExecuteFormerOrders(Now_);
   }
 
   void listAllWorkers(ModelLeader &Leader) {
@@ -797,21 +805,33 @@
   }
 
   /// Orders to a former incarnation are executed up to MaxOrderDelay late. Only
-  /// until the new one has been reached, those sent before the restart are lost
-  /// with the connections, and those sent afterwards arrive within
-  /// MaxStaleOrderDelay, and leaders learn of the restart: nothing tells the
-  /// worker yet that they are not its own.
+  /// until the new one has been reached, or the leader does not call it as it
+  /// needs no call, those sent before the restart are lost with the
+  /// connections, and those sent afterwards arrive within MaxStaleOrderDelay:
+  /// nothing tells the worker yet that they are not its own. Leaders learn of a
+  /// restart within MaxUnnoticedRestart.
   bool arrives(const Message &Item) const {
     const ModelWorker &Worker = Workers_[Item.To_];
     if (Item.StartedMs_ == Worker.StartedMs_)
       return true;
     if (Worker.Reached_)
       return Now_ - Item.SentAt_ <= MaxOrderDelay;
+    if (staysUncalled(Item.To_))
+      return Now_ - Item.SentAt_ <= MaxOrderDelay &&
+             Item.SentAt_ <= Worker.StartedAt_ + MaxUnnoticedRestart;
     return Item.SentAt_ > Worker.StartedAt_ &&
            Now_ - Worker.StartedAt_ <= MaxUnnoticedRestart &&
            Now_ - Item.SentAt_ <= MaxStaleOrderDelay;
   }
 
+  /// Whether the last leader knows the present incarnation and has no reason to
+  /// call it.
+  bool staysUncalled(std::size_t I) const {
+    const WorkerRowPtr &Row = Leaders_.back()->Rows_[I];
+    return Row && Row->Record_.Incarnation_ == Workers_[I].incarnation() &&
+           !Row->mayExecuteFormerOrders(Now_);
+  }
+
   void execute(int Detail) {
     std::vector<MessagePtr> Waiting;
     for (const MessagePtr &Item : Messages_)
@@ -1183,6 +1203,7 @@
   std::uint64_t Copies_ = 0;
   std::uint64_t CopiesToStop_ = 0;
   std::uint64_t CutReports_ = 0;
+  std::uint64_t CallsToNewIncarnations_ = 0;
 };
 
 } // namespace laburnumspread::cell::model
--- a/src/cell/tests/runmodeltest.cpp
+++ b/src/cell/tests/runmodeltest.cpp
@@ -37,6 +37,7 @@
   std::uint64_t AdoptedStarts = 0;
   std::uint64_t Copies = 0;
   std::uint64_t CopiesToStop = 0;
+  std::uint64_t CallsToNewIncarnations = 0;
   const auto Property = [&] {
     Model Simulation;
     const Schedule Steps = *anySchedule();
@@ -49,6 +50,7 @@
     AdoptedStarts += Simulation.adoptedStarts();
     Copies += Simulation.copies();
     CopiesToStop += Simulation.copiesToStop();
+    CallsToNewIncarnations += Simulation.callsToNewIncarnations();
   };
   BOOST_TEST(rc::check("one place at a time, and an end", Property));
   // The check means nothing unless the adversary lets tasks start and leaves
@@ -59,6 +61,7 @@
   BOOST_TEST(CopiesToStop > 10u);
   BOOST_TEST(OutageStarts > 100u);
   BOOST_TEST(AdoptedStarts > 10u);
+  BOOST_TEST(CallsToNewIncarnations > 100u);
   BOOST_TEST_MESSAGE("starts " << Starts << ", in an outage " << OutageStarts
                                << ", adopted " << AdoptedStarts);
 }
@@ -114,6 +117,37 @@
   }));
 }
 
+/// The first attempt of a start is still on its way when its task is done, by
+/// the second one, and the worker restarts. The attempt arrives once \p Then
+/// has happened, and again after the worker has been called.
+void playLateStart(const Schedule &Then) {
+  const Schedule CancelASpeculativeJob{{16, 0}, {15, 2}, {12, 1}, {17, 0},
+                                       {17, 0}, {16, 0}, {16, 0}};
+  const Schedule StartInTwoAttempts{{1, 2}, {0, 9}, {7, 1}, {3, 1}, {5, 0}};
+  const Schedule EndAndRestart{{8, 2}, {16, 0}, {10, 0}};
+  const Schedule Arrive{{3, 0}, {16, 0}, {3, 0}};
+  Model Simulation;
+  for (const Schedule &Part :
+       {CancelASpeculativeJob, StartInTwoAttempts, EndAndRestart, Then, Arrive})
+    for (const auto &[Choice, Detail] : Part)
+      Simulation.step(Choice, Detail);
+  Simulation.settle(3);
+}
+
+// Guards against a finished task that runs again on a worker that started anew
+// and that its leader had no need to call.
+BOOST_AUTO_TEST_CASE(LateStartDoesNotRunOnARestartedWorker) {
+  const Schedule List{{18, 0}};
+  BOOST_TEST(rc::check("one run of a task", [&] { playLateStart(List); }));
+}
+
+// Guards against the same by a start of a former leader.
+BOOST_AUTO_TEST_CASE(LateStartOfAFormerLeaderDoesNotRunOnARestartedWorker) {
+  const Schedule TakeOverAndList{{9, 0}, {18, 0}};
+  BOOST_TEST(
+      rc::check("one run of a task", [&] { playLateStart(TakeOverAndList); }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace laburnumspread::cell
--- a/src/cell/tests/workerhistorytest.cpp
+++ b/src/cell/tests/workerhistorytest.cpp
@@ -52,6 +52,42 @@
   BOOST_TEST(!History.mayDropUnreadEnds(Young, BornAt + HoldsOver));
 }
 
+// Guards against a finished task that runs again on a worker that started anew:
+// no call had made it refuse the late first attempt of its start.
+BOOST_AUTO_TEST_CASE(RestartedWorkerMayExecuteFormerOrders) {
+  WorkerHistory History(Takeover);
+  const TimePoint Listed = Takeover + 1h;
+  BOOST_TEST((History.formerOrdersUntil(Id, 0s, Listed) == Listed));
+  History.assignToken(Id, FencingToken(5));
+  BOOST_TEST(
+      (History.formerOrdersUntil(Id, 0s, Listed) == Listed + MaxOrderDelay));
+}
+
+// Guards against the same after a takeover: nobody tells the successor which
+// ids its predecessor has called.
+BOOST_AUTO_TEST_CASE(YoungWorkerMayExecuteOrdersOfAFormerLeader) {
+  WorkerHistory History(Takeover);
+  History.setFormerLeader(true);
+  const Duration Old = MaxAgeForFormerOrders + MaxWallClockDifference;
+  const TimePoint Over = Takeover + StoreOutageTolerance + MaxOrderDelay;
+  BOOST_TEST((History.formerOrdersUntil(Id, Old, Takeover) == Over));
+  BOOST_TEST((History.formerOrdersUntil(Id, 0s, Over - 1ms) == Over));
+  // Its time of day may be ahead of the leader's.
+  BOOST_TEST((History.formerOrdersUntil(Id, -1h, Takeover) == Over));
+}
+
+// Guards against polls of the whole fleet: after each takeover, and as workers
+// of new ids come.
+BOOST_AUTO_TEST_CASE(OldWorkersAndNewIdsNeedNoCall) {
+  WorkerHistory History(Takeover);
+  BOOST_TEST((History.formerOrdersUntil(Id, 0s, Takeover) == Takeover));
+  History.setFormerLeader(true);
+  const Duration Older = MaxAgeForFormerOrders + MaxWallClockDifference + 1ms;
+  BOOST_TEST((History.formerOrdersUntil(Id, Older, Takeover) == Takeover));
+  const TimePoint Later = Takeover + StoreOutageTolerance + MaxOrderDelay;
+  BOOST_TEST((History.formerOrdersUntil(Id, 0s, Later) == Later));
+}
+
 // Guards against sound workers that are left unused after each takeover, and
 // when the cell starts for the first time.
 BOOST_AUTO_TEST_CASE(OtherWorkersTakeTasksAtOnce) {
--- a/src/cell/tests/workerpollstest.cpp
+++ b/src/cell/tests/workerpollstest.cpp
@@ -138,6 +138,33 @@
   BOOST_TEST(choose().empty());
 }
 
+// Guards against a task that runs again on a worker that started anew: in a
+// pool with enough other idle workers nobody called it, drained or not.
+BOOST_AUTO_TEST_CASE(WorkerThatMayExecuteFormerOrdersIsPolledFirst) {
+  addUnproven(WorkerPolls::MinReserve);
+  pollAll();
+  addSilent(2 * WorkerPolls::MaxInFlight);
+  WorkerRow &Restarted = add();
+  Restarted.FormerOrdersUntil_ = Now + 1ms;
+  Restarted.Record_.Draining_ = true;
+  BOOST_REQUIRE(choose().size() == WorkerPolls::MaxInFlight);
+  BOOST_TEST(choose().front().get() == &Restarted);
+  Restarted.Synced_ = true;
+  BOOST_TEST(choose().front().get() != &Restarted);
+}
+
+// Guards against polls without need, and without a pause between them.
+BOOST_AUTO_TEST_CASE(WorkerIsPolledOnlyWhileFormerOrdersMayArrive) {
+  addUnproven(WorkerPolls::MinReserve);
+  pollAll();
+  WorkerRow &Restarted = add();
+  Restarted.FormerOrdersUntil_ = Now + 200ms;
+  Restarted.NextPollAt_ = Now + 100ms;
+  BOOST_TEST(choose().empty());
+  BOOST_TEST(choose(0, 100ms).size() == 1u);
+  BOOST_TEST(choose(0, 200ms).empty());
+}
+
 BOOST_AUTO_TEST_CASE(WorkersThatLeaveAreNotPolled) {
   add().Listed_ = false;
   add().Record_.Draining_ = true;
--- a/src/cell/tests/workersessionstest.cpp
+++ b/src/cell/tests/workersessionstest.cpp
@@ -282,6 +282,27 @@
   BOOST_TEST((Leadership_.token() > Next));
 }
 
+// Guards against a finished task that runs again: the late first attempt of its
+// start reaches a worker that has started anew, and that nobody has called.
+BOOST_AUTO_TEST_CASE(RestartedWorkerIsCalledThoughNothingRanThere) {
+  Client_.HoldTime_ = std::chrono::milliseconds(1);
+  Client_.Report_.Result_ = OrderResult::Done;
+  Term_->History_.assignToken(Row_->Record_.Incarnation_.Id_,
+                              Leadership_.token());
+  Term_->Table_.apply(
+      jobs::RunEnded{Run, jobs::EndKind::Done, jobs::Checkpoint(), 0},
+      Term_->now());
+  const auto Restarted = std::make_shared<WorkerRow>(nextIncarnation());
+  Term_->Workers_[Restarted->Record_.Incarnation_] = Restarted;
+  Sessions_->add(Restarted);
+  BOOST_TEST(Term_->gauges().WorkersUnfenced_ == 1u);
+  for (int Waits = 0; Waits < 2000 && !Restarted->Synced_; ++Waits)
+    framework::fibers::sleepFor(std::chrono::milliseconds(1));
+  BOOST_REQUIRE(Restarted->Synced_);
+  BOOST_TEST((Client_.Holds_.front().Token_ > Leadership_.token()));
+  BOOST_TEST(Term_->gauges().WorkersUnfenced_ == 0u);
+}
+
 // Guards against reports that are asked for without a pause while ends that
 // the worker returns at once are not stored.
 BOOST_AUTO_TEST_CASE(UnstoredEndsAreAskedForAtIntervals) {
--- a/src/cell/workerhistory.h
+++ b/src/cell/workerhistory.h
@@ -12,6 +12,15 @@
 /// answered by the new incarnation, or the list names that.
 constexpr Duration MaxUnnoticedRestart = std::chrono::seconds(5);
 
+/// Largest difference between the wall clocks of a worker and a leader; the
+/// platform allows for 5 s where clocks jump.
+constexpr Duration MaxWallClockDifference = std::chrono::seconds(5);
+
+/// A worker of this age is not sent anything late that was meant for an earlier
+/// incarnation: leaders have noticed its start, and what they had sent before
+/// has been executed or lost.
+constexpr Duration MaxAgeForFormerOrders = MaxUnnoticedRestart + MaxOrderDelay;
+
 /// What a leader has sent to earlier incarnations of the workers.
 ///
 /// A call names a worker's id alone, so one that was meant for an earlier
@@ -21,7 +30,8 @@
 ///  - Each incarnation of an id gets a higher fencing token than those before
 ///    it. Once it has executed its first call, it refuses all that were meant
 ///    for them. Without this a late start runs a finished task again. No task
-///    is started before the first reply.
+///    is started before the first reply. An incarnation that may receive such
+///    orders is called as soon as it is listed, needed or not.
 ///  - A hold that was executed before that may still wait, for up to
 ///    MaxHoldWait, and drops the ends that happen meanwhile. An end dropped
 ///    unread looks like a lost run, and its task would be started again. So no
@@ -33,8 +43,12 @@
 /// each incarnation: one that was born before the takeover gets no task until
 /// all holds that may wait there are over.
 ///
+/// Which ids a former leader has called is not known either, so for a time
+/// after the takeover each worker that may be young is called.
+///
 /// Not covered is a start that the new incarnation executes before its first
-/// hold: a worker that has just started has seen no token.
+/// hold: a worker that has just started has seen no token. This time lasts
+/// until the worker has been listed and one hold has arrived there.
 class WorkerHistory {
 public:
   /// The leadership began at \p TakeoverAt.
@@ -50,6 +64,12 @@
   std::optional<jobs::FencingToken> assignToken(const WorkerId &Id,
                                                 jobs::FencingToken Newest);
 
+  /// Returns until when an incarnation listed at \p Now may execute orders that
+  /// were meant for an earlier one, unless it is called before; \p Now if there
+  /// are none. \p Age is its age by the wall clocks.
+  TimePoint formerOrdersUntil(const WorkerId &Id, Duration Age,
+                              TimePoint Now) const;
+
   /// Records that an incarnation has ended, with the holds that it has not
   /// answered.
   void recordEnd(const WorkerRow &Row);
@@ -62,6 +82,7 @@
   void forgetOldHolds(TimePoint Now);
 
 private:
+  TimePoint formerLeaderOrdersUntil() const;
   bool mayDropForFormerLeader(const WorkerRow &Row, TimePoint Now) const;
 
   TimePoint TakeoverAt_;
--- a/src/cell/workersessions.h
+++ b/src/cell/workersessions.h
@@ -71,9 +71,13 @@
 
   /// Takes in a newly listed worker.
   void add(const WorkerRowPtr &Row) {
-    Row->MayRunStaleStarts_ =
-        Tracker_->mayRunStaleStarts(Row->Record_.Incarnation_);
-    if (needsSession(*Row))
+    const WorkerIncarnation &Incarnation = Row->Record_.Incarnation_;
+    Row->MayRunStaleStarts_ = Tracker_->mayRunStaleStarts(Incarnation);
+    Row->FormerOrdersUntil_ = Term_->History_.formerOrdersUntil(
+        Incarnation.Id_, ageByWallClock(Incarnation), now());
+    const bool Called = Row->mayExecuteFormerOrders(now()) &&
+                        PollsInFlight_ < WorkerPolls::MaxInFlight;
+    if (needsSession(*Row) || Called)
       openSession(Row);
   }
 
@@ -175,6 +179,13 @@
 
   static TimePoint now() { return Term<Store>::now(); }
 
+  /// Returns how long ago the incarnation started, by its own wall clock and
+  /// this machine's.
+  static Duration ageByWallClock(const WorkerIncarnation &Incarnation) {
+    return framework::clock::SystemClock().now() -
+           framework::clock::fromMillis(Incarnation.StartedMs_);
+  }
+
   /// Polls the worker at least once, and for as long as it needs a session.
   void openSession(const WorkerRowPtr &Row) {
     if (std::exchange(Row->HasSession_, true))
--- a/src/cell/workertable.h
+++ b/src/cell/workertable.h
@@ -83,6 +83,9 @@
   /// A start that was sent to an earlier incarnation of this worker may still
   /// be executed here.
   bool MayRunStaleStarts_ = false;
+  /// Until then this incarnation may execute orders that were meant for an
+  /// earlier one, if it has not replied before (WorkerHistory).
+  TimePoint FormerOrdersUntil_{};
   /// The worker reports runs that the journal does not show on it. It is polled
   /// until they are gone, so that a lost stop is sent again.
   bool HasUnknownRuns_ = false;
@@ -145,6 +148,13 @@
       Answers_.recordResponse(Now - Expected);
   }
 
+  /// Whether the worker has to be called because orders that were meant for an
+  /// earlier incarnation may still arrive there. Its first reply shows that it
+  /// refuses them.
+  bool mayExecuteFormerOrders(TimePoint Now) const {
+    return !Synced_ && Now < FormerOrdersUntil_;
+  }
+
   /// Records the outcome of a start that was sent at \p SentAt.
   void recordStartReply(OrderResult Result, TimePoint SentAt, TimePoint Now) {
     recordAnswer(Result, SentAt, Now);
