--- a/src/scheduling/internal/placement.cpp
+++ b/src/scheduling/internal/placement.cpp
@@ -73,7 +73,7 @@
     const ReadyStep &Step, std::uint32_t Index, const WorkerRecord &Beside,
     const std::function<bool(const WorkerRecord &)> &IsImpaired) {
   const auto Pool = Pools_.find(Step.Queue_->Pool_);
-  if (Pool == Pools_.end() || !withinWorkspaceLimit(Step))
+  if (Pool == Pools_.end() || !hasRoomForCopy(Step))
     return std::nullopt;
   // Workers of one rack or zone have labels in common.
   const auto Rank = [&](const Candidate &C) {
@@ -111,7 +111,7 @@
       continue;
     }
     if (!NoneFits) {
-      const Choice Chosen = chooseWorker(Step);
+      const Choice Chosen = chooseWorker(Step, heldByWorkspace(Step), 1);
       if (Chosen.Worker_) {
         assign(Step, I, Task.LastRun_.next(), *Chosen.Worker_, Into);
         continue;
@@ -132,9 +132,10 @@
   const auto Saved = Workers_;
   const auto SavedUsage = PlannedUsage_;
   const auto SavedPerWorker = PlannedPerWorker_;
+  const Resources Held = heldByWorkspace(Step);
   const auto Count = static_cast<std::uint32_t>(Step.Row_->Tasks_.size());
   for (std::uint32_t I = 0; I < Count; ++I) {
-    const Choice Chosen = chooseWorker(Step);
+    const Choice Chosen = chooseWorker(Step, Held, Count);
     if (!Chosen.Worker_) {
       Into.Waiting_.add(Chosen.Reason_, idleTasks(*Step.Row_));
       Workers_ = Saved;
@@ -163,8 +164,11 @@
        On.Worker_->Incarnation_});
 }
 
-Placement::Choice Placement::chooseWorker(const ReadyStep &Step) {
-  if (!withinWorkspaceLimit(Step))
+Placement::Choice Placement::chooseWorker(const ReadyStep &Step,
+                                          const Resources &Held,
+                                          std::uint32_t Together) {
+  const Resources &Each = Step.Spec_->PerTask_;
+  if (!limitOf(Step).admits(Held, times(Each, Together), Each))
     return {nullptr, WaitReason::WorkspaceLimit};
   const auto Found = Pools_.find(Step.Queue_->Pool_);
   if (Found == Pools_.end())
@@ -236,20 +240,23 @@
   return Count;
 }
 
-bool Placement::withinWorkspaceLimit(const ReadyStep &Step) const {
-  const auto Row = Config_.Workspaces_.find(Step.Job_->Spec_.Workspace_);
-  if (Row == Config_.Workspaces_.end())
-    return true;
-  Resources Used = Table_.usedBy(Row->first);
-  if (const auto InThisPass = PlannedUsage_.find(Row->first);
+Resources Placement::heldByWorkspace(const ReadyStep &Step) const {
+  const jobs::WorkspaceName &Workspace = Step.Job_->Spec_.Workspace_;
+  Resources Held = Table_.usedBy(Workspace);
+  if (const auto InThisPass = PlannedUsage_.find(Workspace);
       InThisPass != PlannedUsage_.end())
-    Used += InThisPass->second;
-  Used += Step.Spec_->PerTask_;
-  const Resources &Limit = Row->second.MaxAllowed_;
-  return (Limit.MilliCpus_ == 0 || Used.MilliCpus_ <= Limit.MilliCpus_) &&
-         (Limit.MemoryMb_ == 0 || Used.MemoryMb_ <= Limit.MemoryMb_) &&
-         (Limit.Accelerators_ == 0 ||
-          Used.Accelerators_ <= Limit.Accelerators_);
+    Held += InThisPass->second;
+  return Held;
+}
+
+WorkspaceLimit Placement::limitOf(const ReadyStep &Step) const {
+  const auto Row = Config_.Workspaces_.find(Step.Job_->Spec_.Workspace_);
+  return WorkspaceLimit(
+      Row == Config_.Workspaces_.end() ? Resources() : Row->second.MaxAllowed_);
+}
+
+bool Placement::hasRoomForCopy(const ReadyStep &Step) const {
+  return limitOf(Step).contains(heldByWorkspace(Step) + Step.Spec_->PerTask_);
 }
 
 } // namespace laburnumspread::scheduling
--- a/src/scheduling/internal/placement.h
+++ b/src/scheduling/internal/placement.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "scheduling/scheduler.h"
+#include "scheduling/workspacelimit.h"
 
 #include <functional>
 #include <map>
@@ -95,18 +96,25 @@
     WaitReason Reason_ = WaitReason::NoRoom;
   };
 
-  /// Returns the best worker for one task, if any is eligible.
-  /// Prefers the lowest penalty, then a worker on the rack of the input data,
-  /// then best fit, so that other workers stay empty and their machines can be
-  /// moved to other pools.
-  Choice chooseWorker(const ReadyStep &Step);
+  /// Returns the best worker for one task, if any is eligible, of the \p
+  /// Together tasks that start at once beside what the workspace holds, \p
+  /// Held. Prefers the lowest penalty, then a worker on the rack of the input
+  /// data, then best fit, so that other workers stay empty and their machines
+  /// can be moved to other pools.
+  Choice chooseWorker(const ReadyStep &Step, const Resources &Held,
+                      std::uint32_t Together);
   /// Whether the step may run on the worker, apart from its free resources.
   bool isAllowed(const ReadyStep &Step, const Candidate &Worker) const;
   /// Counts the tasks of the step that run, may run, or are planned on the
   /// worker.
   std::uint32_t runsOnWorker(const ReadyStep &Step,
                              const Candidate &Worker) const;
-  bool withinWorkspaceLimit(const ReadyStep &Step) const;
+  /// Returns what the step's workspace holds, with the starts of this pass.
+  Resources heldByWorkspace(const ReadyStep &Step) const;
+  WorkspaceLimit limitOf(const ReadyStep &Step) const;
+  /// Whether the workspace may hold a second run of a task, which is not owed
+  /// and so stays within the limit.
+  bool hasRoomForCopy(const ReadyStep &Step) const;
 
   const CellTable &Table_;
   const CellConfig &Config_;
--- a/src/scheduling/tests/schedulertest.cpp
+++ b/src/scheduling/tests/schedulertest.cpp
@@ -206,6 +206,31 @@
   BOOST_TEST(plan().size() == 2u);
 }
 
+// Guards against an accepted job that is never finished: its workspace's limit
+// was lowered below the size of one of its tasks.
+BOOST_AUTO_TEST_CASE(TaskLargerThanItsWorkspaceLimitStarts) {
+  worker("w", 10000);
+  Config_.Workspaces_[jobs::WorkspaceName("ws")].MaxAllowed_ = {1500, 0, 0};
+  job("a", {step(2, 2000)});
+  BOOST_TEST(plan().size() == 1u);
+  BOOST_TEST(allWaitFor(WaitReason::WorkspaceLimit, 1));
+}
+
+// Guards against half a gang, or one that its workspace's limit holds back for
+// ever: the whole gang may exceed the limit by one task.
+BOOST_AUTO_TEST_CASE(GangMayExceedItsWorkspaceLimitByOneTask) {
+  worker("w", 10000);
+  jobs::Resources &Limit =
+      Config_.Workspaces_[jobs::WorkspaceName("ws")].MaxAllowed_;
+  StepSpec Gang = step(3, 1000);
+  Gang.Gang_ = true;
+  job("gang", {Gang});
+  Limit = {1999, 0, 0};
+  BOOST_TEST(plan().empty());
+  Limit = {2000, 0, 0};
+  BOOST_TEST(plan().size() == 3u);
+}
+
 BOOST_AUTO_TEST_CASE(AntiAffinityLabelsAndGangs) {
   worker("w", 10000, {jobs::Label("gpu")});
   worker("v", 10000);
