A process that replies in place of a restarted worker is called before it is listed

Seen in a test, not in a deployment.

Cause: the new incarnation is called once it is listed. While the store is away the list shows it seconds later, although the session of the former incarnation hears of it at once: a hold or start names another "born". Until it is listed only the former incarnation's token has reached it, under which late starts are carried out.

Change: a session that ends so calls that process under a higher token, without acknowledgements, at most twice. It is called again when it is listed.

Red before (the call left out): ProcessThatRepliesInPlaceOfAWorkerIsCalled, critical check Holds_.size() >= 2. Green with it.

Measured: the cell's tests. What is left is a restart while nothing was at work there, so that no reply tells of it before the list does.

--- a/src/cell/tests/workersessionstest.cpp
+++ b/src/cell/tests/workersessionstest.cpp
@@ -303,6 +303,21 @@
   BOOST_TEST(Term_->gauges().WorkersUnfenced_ == 0u);
 }
 
+// Guards against a finished task that runs again on a restarted worker that is
+// not listed yet, as while the store is away: its reply tells of the restart.
+BOOST_AUTO_TEST_CASE(ProcessThatRepliesInPlaceOfAWorkerIsCalled) {
+  Client_.HoldTime_ = std::chrono::milliseconds(1);
+  Client_.Report_.Result_ = OrderResult::OtherIncarnation;
+  Row_->HasSession_ = false;
+  Row_->EndsStored_ = 1;
+  Sessions_->add(Row_);
+  for (int Waits = 0; Waits < 2000 && Row_->HasSession_; ++Waits)
+    framework::fibers::sleepFor(std::chrono::milliseconds(1));
+  BOOST_REQUIRE(Client_.Holds_.size() >= 2u);
+  BOOST_TEST((Client_.Holds_[1].Token_ > Client_.Holds_[0].Token_));
+  BOOST_TEST(Client_.Holds_[1].AcknowledgedEnds_ == 0u);
+}
+
 // Guards against reports that are asked for without a pause while ends that
 // the worker returns at once are not stored.
 BOOST_AUTO_TEST_CASE(UnstoredEndsAreAskedForAtIntervals) {
--- a/src/cell/workersessions.h
+++ b/src/cell/workersessions.h
@@ -5,6 +5,7 @@
 #include "cell/fillerpacecontroller.h"
 #include "cell/runstopper.h"
 #include "cell/runtimelearner.h"
+#include "cell/successorcaller.h"
 #include "cell/workerpolls.h"
 #include "cell/workertokens.h"
 #include "scheduling/scheduler.h"
@@ -61,8 +62,8 @@
             jobs::maxCheckpointBytes(Term_->Bounds_.MaxValueBytes_))),
         Stopper_(
             std::make_shared<RunStopper<Store, Client>>(Term_, C, Tracker_)),
-        Tokens_(Term_), Learner_(Term_), Fillers_(Term_, Client_),
-        CopyReporter_(Term_->Metrics_),
+        Tokens_(Term_), Successors_(Term_, C), Learner_(Term_),
+        Fillers_(Term_, Client_), CopyReporter_(Term_->Metrics_),
         Holds_(Term_->Metrics_.counter("holds_total")),
         FirstStartSeconds_(
             Term_->Metrics_.histogram("task_first_start_seconds")),
@@ -217,9 +218,17 @@
     }
     if (!Row.Synced_)
       Row.endFirstReplyWaits();
+    if (Row.Replaced_)
+      Successors_.call(Row, Tokens_);
     Row.NextPollAt_ = now() + WorkerPolls::SilentInterval;
   }
 
+  /// Ends an incarnation in whose place another process has replied.
+  void endReplaced(WorkerRow &Row) {
+    Row.Replaced_ = true;
+    endIncarnation(Row, "another incarnation of the worker replied", true);
+  }
+
   /// Whether the worker runs something, or may, or has ends to acknowledge.
   bool needsSession(const WorkerRow &Row) const {
     return Row.MayRunStaleStarts_ || Row.HasUnknownRuns_ || Row.HasMoreEnds_ ||
@@ -267,8 +276,7 @@
     if (Reply.Result_ == OrderResult::Done)
       return handleReport(Row, Reply, Order, SentAt);
     if (Reply.Result_ == OrderResult::OtherIncarnation)
-      return endIncarnation(Row, "another incarnation of the worker replied",
-                            true);
+      return endReplaced(Row);
     if (Reply.Result_ == OrderResult::Fenced)
       Term_->Superseded_ = true;
     handleNoAnswer(Row, Reply.Result_);
@@ -607,7 +615,7 @@
     const auto Ended =
         Tracker_->startAnswered(Run, Reply.Result_, Attempt, now());
     if (Reply.Result_ == OrderResult::OtherIncarnation)
-      endIncarnation(Row, "another incarnation of the worker replied", true);
+      endReplaced(Row);
     const scheduling::StepName Step{Run.Task_.Job_, Run.Task_.Occurrence_,
                                     Run.Task_.Step_};
     if (Reply.Result_ == OrderResult::BadTicket)
@@ -634,6 +642,7 @@
   std::shared_ptr<RunTracker> Tracker_;
   std::shared_ptr<RunStopper<Store, Client>> Stopper_;
   WorkerTokens<Store> Tokens_;
+  SuccessorCaller<Store, Client> Successors_;
   RunTimeLearner<Store> Learner_;
   FillerPaceController<Store, Client> Fillers_;
   CopyReporter CopyReporter_;
--- a/src/cell/workertable.h
+++ b/src/cell/workertable.h
@@ -93,6 +93,8 @@
   bool HasMoreEnds_ = false;
   /// The incarnation has ended, and all runs on it are gone.
   bool Ended_ = false;
+  /// Another incarnation has replied in its place.
+  bool Replaced_ = false;
   /// Latest known reading of the worker's clock, and the local time at which it
   /// was received.
   std::int64_t ClockMs_ = 0;
