--- a/src/app/internal/cellapp.cpp
+++ b/src/app/internal/cellapp.cpp
@@ -157,24 +157,9 @@
         .set(static_cast<double>(Router_.contradictedCalls()));
     Metrics_.gauge("caller_requests_in_flight")
         .set(static_cast<double>(InFlight_));
-    publishPeerCalls();
     Cell_.publishGauges(Metrics_);
   }
 
-  void publishPeerCalls() {
-    const peers::MeshCounters Counters = Mesh_.counters();
-    const auto Set = [&](std::string_view Name, auto Value) {
-      Metrics_.gauge(Name).set(static_cast<double>(Value));
-    };
-    Set("peer_calls_waiting", Counters.CallsWaiting_);
-    Set("peer_call_bytes_waiting", Counters.CallBytesWaiting_);
-    Metrics_.gauge("peer_oldest_call_seconds")
-        .set(std::chrono::duration<double>(Counters.OldestCall_).count());
-    Set("peer_calls_dropped{reason=\"expired\"}", Counters.CallsExpired_);
-    Set("peer_calls_dropped{reason=\"displaced\"}", Counters.CallsDisplaced_);
-    Set("peer_calls_dropped{reason=\"superseded\"}", Counters.CallsSuperseded_);
-  }
-
   bool ready() const {
     return !Leaving_ && InForce_.known() &&
            InForce_.heardOf(SteadyClock().now());
--- a/src/app/internal/entryapp.cpp
+++ b/src/app/internal/entryapp.cpp
@@ -168,7 +168,7 @@
   }
 
   void addToDump(boost::json::object &Into) const {
-    const peers::MeshCounters Counters = Mesh_.counters();
+    const peers::MeshCounters &Counters = Mesh_.counters();
     Into["peers"] = boost::json::object{{"bytesOut", Counters.BytesOut_},
                                         {"bytesIn", Counters.BytesIn_},
                                         {"messagesOut", Counters.MessagesOut_},
--- a/src/peers/internal/peermesh.cpp
+++ b/src/peers/internal/peermesh.cpp
@@ -1,10 +1,9 @@
 #include "peers/peermesh.h"
 
-#include "framework/clock/steadyclock.h"
+#include "framework/clock/clock.h"
 #include "framework/fibers/spawn.h"
 #include "framework/fibers/timeslice.h"
 #include "framework/log/log.h"
-#include "peers/internal/callbacklog.h"
 #include "peers/internal/zmqreader.h"
 #include "peers/messagecodec.h"
 
@@ -31,9 +30,6 @@
 /// sent again only after seconds, in which their callers get no answer. The
 /// kernel reduces a higher number to its own limit.
 constexpr int MaxPendingConnections = 4096;
-/// Messages that are read between two calls that are handled. Reading takes a
-/// hundredth of the time, and what is left in the socket has no bound in bytes.
-constexpr std::size_t MaxReadsPerCall = 64;
 constexpr const char *ZapEndpoint = "inproc://zeromq.zap.01";
 constexpr const char *ZapDomain = "laburnumspread";
 /// A ZAP request consists of the frames version, request id, domain, address,
@@ -122,31 +118,16 @@
       receiveAll();
   }
 
-  /// Handles what has arrived. Messages of a large fleet may arrive faster than
-  /// a process with little processor time handles them. Without a pause,
+  /// Receives what has arrived. Messages of a large fleet may arrive faster
+  /// than a process with little processor time handles them. Without a pause,
   /// nothing else would run then: a new leader lost its lease while it handled
   /// the calls that had waited for it, and so did the next one.
   void receiveAll() {
     framework::fibers::TimeSlice Slice;
-    while (!Stopped_ && receiveOrHandle())
-      Slice.pauseIfUsed();
-  }
-
-  /// Reads a message, or handles a call that waits if none has arrived. Returns
-  /// false if there is nothing to do.
-  bool receiveOrHandle() {
-    const bool CallsTurn =
-        ReadsSinceCall_ >= MaxReadsPerCall && !Calls_.empty();
-    if (!CallsTurn && InboxReader_->hasMessage()) {
-      ++ReadsSinceCall_;
+    while (!Stopped_ && InboxReader_->hasMessage()) {
       receiveNext();
-      return true;
+      Slice.pauseIfUsed();
     }
-    ReadsSinceCall_ = 0;
-    auto Next = Calls_.takeNext(now());
-    if (Next)
-      Handle_(Next->From_, std::move(Next->Call_));
-    return Next.has_value() || InboxReader_->hasMessage();
   }
 
   void receiveNext() {
@@ -175,24 +156,9 @@
       ++Counters_.Refused_;
       return;
     }
-    if (auto *Call = std::get_if<JobCall>(&Decoded->Message_))
-      return Calls_.add(Decoded->From_, std::move(*Call), Bytes.size(), now());
     Handle_(Decoded->From_, std::move(Decoded->Message_));
   }
 
-  static TimePoint now() { return framework::clock::SteadyClock().now(); }
-
-  MeshCounters counters() const {
-    MeshCounters Result = Counters_;
-    Result.CallsWaiting_ = Calls_.size();
-    Result.CallBytesWaiting_ = Calls_.bytes();
-    Result.OldestCall_ = Calls_.oldestAge(now());
-    Result.CallsExpired_ = Calls_.expired();
-    Result.CallsDisplaced_ = Calls_.displaced();
-    Result.CallsSuperseded_ = Calls_.superseded();
-    return Result;
-  }
-
   zmq::socket_t *outboxFor(const std::string &Address) {
     const auto Known = Outboxes_.find(Address);
     if (Known != Outboxes_.end())
@@ -245,9 +211,6 @@
   std::map<std::string, zmq::socket_t> Outboxes_;
   framework::http::Address Advertised_;
   MeshCounters Counters_;
-  CallBacklog Calls_;
-  /// Messages read since a call was handled.
-  std::size_t ReadsSinceCall_ = 0;
   bool Stopped_ = false;
 };
 
@@ -298,7 +261,7 @@
   });
 }
 
-MeshCounters PeerMesh::counters() const { return State_->counters(); }
+const MeshCounters &PeerMesh::counters() const { return State_->Counters_; }
 
 void PeerMesh::stop() {
   State_->Stopped_ = true;
--- a/src/peers/peermesh.h
+++ b/src/peers/peermesh.h
@@ -34,16 +34,6 @@
   /// Messages that could not be decoded or were addressed to another entry or
   /// incarnation.
   std::uint64_t Refused_ = 0;
-  /// Calls that have arrived and wait to be handled, their bytes, and for how
-  /// long the oldest has waited.
-  std::size_t CallsWaiting_ = 0;
-  std::size_t CallBytesWaiting_ = 0;
-  framework::clock::Duration OldestCall_{};
-  /// Calls that were dropped unhandled: too old, one of too many bytes, or sent
-  /// again meanwhile.
-  std::uint64_t CallsExpired_ = 0;
-  std::uint64_t CallsDisplaced_ = 0;
-  std::uint64_t CallsSuperseded_ = 0;
 };
 
 /// Sends and receives messages between entries over ZeroMQ with CURVE.
@@ -51,10 +41,6 @@
 /// Delivery is at most once: messages to a peer that is not connected are
 /// dropped, so that no stale message arrives after an interruption. Callers
 /// must tolerate lost messages.
-///
-/// Calls (JobCall) wait behind all other messages, so that notices of a new
-/// leader and replies are not late beside many of them. Those that wait are
-/// bounded in bytes and age; what exceeds that is dropped.
 class PeerMesh {
 public:
   using Handler = std::function<void(const Sender &, Message &&)>;
@@ -78,7 +64,7 @@
   /// Closes connections to addresses that are not in \p Wanted.
   void closeConnectionsExcept(const std::vector<std::string> &Wanted);
 
-  MeshCounters counters() const;
+  const MeshCounters &counters() const;
 
   void stop();
 
