--- a/src/app/internal/cellapp.cpp
+++ b/src/app/internal/cellapp.cpp
@@ -155,6 +155,16 @@
     Metrics_.gauge("store_calls").set(static_cast<double>(Store_.calls()));
     Metrics_.gauge("calls_contradicted")
         .set(static_cast<double>(Router_.contradictedCalls()));
+    const cell::CallWindow &Window = Router_.window();
+    Metrics_.gauge("leader_calls_in_flight")
+        .set(static_cast<double>(Window.inFlight()));
+    Metrics_.gauge("leader_calls_waiting")
+        .set(static_cast<double>(Window.waiting()));
+    Metrics_.gauge("leader_calls_limit").set(Window.limit());
+    Metrics_.gauge("leader_calls_refused")
+        .set(static_cast<double>(Window.refused()));
+    Metrics_.gauge("peer_messages_dropped")
+        .set(static_cast<double>(Mesh_.counters().Dropped_));
     Metrics_.gauge("caller_requests_in_flight")
         .set(static_cast<double>(InFlight_));
     Cell_.publishGauges(Metrics_);
--- a/src/cell/callreplies.h
+++ b/src/cell/callreplies.h
@@ -19,6 +19,9 @@
   /// replies do not change it.
   void add(const peers::JobReply &Reply);
 
+  /// No further attempt is sent.
+  void notSent(peers::RefusalReason Why) { DeniedBecause_ = Why; }
+
   const CallAttempts &attempts() const { return Attempts_; }
   /// The answer to the caller; nullopt while an attempt may yet be accepted.
   const std::optional<peers::JobReply> &answer() const { return Answer_; }
--- a/src/cell/callrouter.h
+++ b/src/cell/callrouter.h
@@ -3,6 +3,7 @@
 #include "cell/answeredcalls.h"
 #include "cell/callrelays.h"
 #include "cell/callreplies.h"
+#include "cell/callwindow.h"
 #include "framework/clock/steadyclock.h"
 #include "framework/fibers/spawn.h"
 #include "framework/fibers/waiter.h"
@@ -50,13 +51,15 @@
         Send_;
   };
 
-  /// Time after which an unanswered call is resent. A reply between
+  /// Least time after which an unanswered call is resent. A reply between
   /// availability zones and a commit take a few milliseconds each.
   static constexpr Duration ResendInterval = std::chrono::milliseconds(120);
   /// From the third attempt on, the interval doubles up to this. A leader that
   /// is short of processor time gets each call several times otherwise, and has
   /// the less time for any.
   static constexpr Duration MaxResendInterval = std::chrono::milliseconds(480);
+  /// Longest interval, if calls wait that long before the leader reads them.
+  static constexpr Duration MaxTransitInterval = std::chrono::milliseconds(960);
   /// Time in which a successor is found in a large cell: it is elected, and
   /// reads the journal. A call that is refused meanwhile returns a second later
   /// at the earliest.
@@ -68,7 +71,8 @@
   /// attempt can be accepted any more. The status is Refused if no leader has
   /// processed the call by \p LeaderDeadline, while a successor is being found
   /// by TakeoverTime after the former leader left, and always by \p Deadline.
-  /// If one may have accepted it and no reply arrived, it is Unknown then.
+  /// If one may have accepted it and no reply arrived, it is Unknown then. A
+  /// call that the leader has no time for (CallWindow) is Refused unsent.
   CallResult call(peers::JobCall Call, TimePoint LeaderDeadline,
                   TimePoint Deadline);
 
@@ -76,6 +80,7 @@
   void handleReply(const peers::JobReply &Reply);
   /// Sends the calls again that wait for a reply: there is a new leader.
   void resendAll();
+  const CallWindow &window() const { return Window_; }
 
   /// Number of calls that were answered as rejected, although a leader has
   /// accepted them.
@@ -98,12 +103,25 @@
     std::uint32_t Denials_ = 0;
     /// Whether a relay has forwarded the call.
     bool Forwarded_ = false;
+    /// Whether the call is counted as in flight.
+    bool Entered_ = false;
+    /// Whether any attempt was replied to.
+    bool Replied_ = false;
   };
 
-  static Duration resendInterval(std::uint32_t Attempts);
+  Duration resendInterval(std::uint32_t Attempts) const;
+  /// Whether the leader is known and another process.
+  bool leaderIsRemote() const;
+  /// Sends the call until it is answered or \p Deadline has passed.
+  void sendUntilAnswered(PendingCall &Own, TimePoint LeaderDeadline,
+                         TimePoint Deadline);
+  /// Waits until the call may be sent to a remote leader. Returns false if that
+  /// takes too long.
+  bool enterWindow(PendingCall &Own, TimePoint Deadline);
+  void leaveWindow(const PendingCall &Own);
   /// Sends the call to the leader, if one is known.
   void sendAttempt(PendingCall &Own);
-  static void waitForReply(PendingCall &Own, TimePoint Deadline);
+  void waitForReply(PendingCall &Own, TimePoint Deadline) const;
   /// Waits before the next attempt, unless a reply has named a later leader or
   /// one is found meanwhile.
   void pauseAfterDenial(PendingCall &Own) const;
@@ -119,6 +137,7 @@
   std::optional<TimePoint> LeaderMissingSince_;
   std::uint64_t Next_ = 1;
   std::map<std::uint64_t, std::shared_ptr<PendingCall>> Pending_;
+  CallWindow Window_;
   AnsweredCalls Answered_;
 };
 
--- a/src/cell/cellservice.h
+++ b/src/cell/cellservice.h
@@ -143,10 +143,12 @@
   /// while its caller waits.
   void handle(const peers::JobCall &Call, const JobReplyFn &Reply) {
     const auto Complete =
-        [Reply, Attempt = Call.Attempt_,
+        [Reply, Attempt = Call.Attempt_, SentAt = Call.SentAt_, ReadAt = now(),
          Version = InForce_.version().value()](peers::JobReply Answer) {
           Answer.Attempt_ = Attempt;
           Answer.ConfigVersion_ = Version;
+          if (SentAt)
+            Answer.Timing_ = {*SentAt, now() - ReadAt};
           Reply(Answer);
         };
     if (!leads() || isForAnotherTerm(Call, Term_->tokens()))
--- a/src/cell/tests/callmodel.h
+++ b/src/cell/tests/callmodel.h
@@ -261,11 +261,16 @@
     return &Found->second;
   }
 
-  /// The caller waits no longer.
+  /// The caller waits no longer, or the entry sends no further attempt as the
+  /// leader is busy.
   void giveUp(std::size_t Which) {
     ModelEntry &Entry = Entries_[Which % EntryCount];
-    if (WaitingCall *const Call = someCall(Entry, Which / EntryCount))
-      answer(Entry, *Call, Call->Replies_.answerAtDeadline().Status_);
+    WaitingCall *const Call = someCall(Entry, Which / EntryCount);
+    if (!Call)
+      return;
+    if (Which / EntryCount % 2 == 1)
+      Call->Replies_.notSent(peers::RefusalReason::LeaderBusy);
+    answer(Entry, *Call, Call->Replies_.answerAtDeadline().Status_);
   }
 
   void answer(ModelEntry &Entry, const WaitingCall &Call,
--- a/src/peers/internal/messagecodec.cpp
+++ b/src/peers/internal/messagecodec.cpp
@@ -329,6 +329,8 @@
     write(*From.ReplyTo_, *To.mutable_reply_to());
   To.set_attempt(From.Attempt_);
   To.set_token(From.Token_);
+  if (From.SentAt_)
+    To.set_sent_micros(toMicros(*From.SentAt_));
   if (!From.Origin_)
     return;
   To.mutable_origin()->set_host(From.Origin_->Host_);
@@ -357,7 +359,9 @@
                               : std::nullopt,
           From.attempt(),
           From.has_reply_to() ? read(From.reply_to()).Id_ : Sender,
-          From.token()};
+          From.token(),
+          From.has_sent_micros() ? std::optional(fromMicros(From.sent_micros()))
+                                 : std::nullopt};
 }
 
 void write(const LeaderNotice &From, wire::Envelope &Out) {
@@ -368,6 +372,16 @@
   Out.mutable_leader_query();
 }
 
+void write(const CallTiming &From, wire::CallTiming &To) {
+  To.set_sent_micros(toMicros(From.SentAt_));
+  To.set_held_micros(From.Held_.count());
+}
+
+CallTiming read(const wire::CallTiming &From) {
+  return {fromMicros(From.sent_micros()),
+          framework::clock::Duration(From.held_micros())};
+}
+
 void write(const JobReply &From, wire::Envelope &Out) {
   wire::JobReply &To = *Out.mutable_job_reply();
   To.set_sequence(From.Sequence_);
@@ -383,23 +397,26 @@
     write(*From.ReplyTo_, *To.mutable_reply_to());
   To.set_attempt(From.Attempt_);
   To.set_token(From.Token_);
+  if (From.Timing_)
+    write(*From.Timing_, *To.mutable_timing());
 }
 
 JobReply read(const wire::JobReply &From) {
-  return {From.sequence(),
-          readEnum(From.verdict(), JobCallStatus::Forwarded,
-                   JobCallStatus::Unknown),
-          From.state(),
-          From.waiting(),
-          From.retry_after_ms(),
-          From.config_version(),
-          From.has_leader() ? std::optional(read(From.leader())) : std::nullopt,
-          readEnum(From.refusal(), RefusalReason::TooManyTasks,
-                   RefusalReason::StoreUnavailable),
-          From.has_reply_to() ? std::optional(read(From.reply_to()))
-                              : std::nullopt,
-          From.attempt(),
-          From.token()};
+  return {
+      From.sequence(),
+      readEnum(From.verdict(), JobCallStatus::Forwarded,
+               JobCallStatus::Unknown),
+      From.state(),
+      From.waiting(),
+      From.retry_after_ms(),
+      From.config_version(),
+      From.has_leader() ? std::optional(read(From.leader())) : std::nullopt,
+      readEnum(From.refusal(), RefusalReason::TooManyTasks,
+               RefusalReason::StoreUnavailable),
+      From.has_reply_to() ? std::optional(read(From.reply_to())) : std::nullopt,
+      From.attempt(),
+      From.token(),
+      From.has_timing() ? std::optional(read(From.timing())) : std::nullopt};
 }
 
 absl::StatusOr<Message> readBody(const wire::Envelope &In,
--- a/src/peers/messages.h
+++ b/src/peers/messages.h
@@ -123,6 +123,14 @@
   std::string Address_;
 };
 
+/// When an attempt of a call was sent, and how long the leader took for it.
+struct CallTiming {
+  /// By the steady clock of the entry that admitted the call.
+  TimePoint SentAt_{};
+  /// Time from reading the attempt to replying.
+  framework::clock::Duration Held_{};
+};
+
 /// A caller's request about a job, for the leader of the cell.
 struct JobCall {
   /// Unique per sender; copied into the reply.
@@ -151,6 +159,9 @@
   /// Fencing token of the leader that is asked; 0 if the sender knows none, or
   /// from earlier releases.
   std::uint64_t Token_ = 0;
+  /// When this attempt was sent, by the steady clock of the entry that admitted
+  /// the call; copied into the reply. Not set by earlier releases.
+  std::optional<TimePoint> SentAt_ = std::nullopt;
 };
 
 enum class JobCallStatus {
@@ -218,6 +229,8 @@
   /// With a rejection, the fencing token of the leader that decided; 0 from
   /// earlier releases.
   std::uint64_t Token_ = 0;
+  /// Set if the call tells when it was sent. Not set by earlier releases.
+  std::optional<CallTiming> Timing_ = std::nullopt;
 };
 
 /// Whether a call of this kind changes jobs.
--- a/src/peers/tests/messagecodectest.cpp
+++ b/src/peers/tests/messagecodectest.cpp
@@ -38,6 +38,25 @@
   BOOST_TEST(!std::get<JobReply>(Without.Message_).Leader_);
 }
 
+// Guards against an entry that reads no time on the way, or a wrong one, and so
+// sends too many calls to a busy leader, or too few.
+BOOST_AUTO_TEST_CASE(CallAndReplyTellWhenTheAttemptWasSent) {
+  const TimePoint SentAt(std::chrono::microseconds(12'345'678));
+  JobCall Call;
+  Call.SentAt_ = SentAt;
+  const Envelope Sent = *decode(encode(envelopeWith(Call)));
+  BOOST_TEST((std::get<JobCall>(Sent.Message_).SentAt_ == SentAt));
+  JobReply Reply;
+  Reply.Timing_ = {SentAt, std::chrono::microseconds(77)};
+  const Envelope Received = *decode(encode(envelopeWith(Reply)));
+  const auto &Body = std::get<JobReply>(Received.Message_);
+  BOOST_REQUIRE(Body.Timing_);
+  BOOST_TEST((Body.Timing_->SentAt_ == SentAt));
+  BOOST_TEST((Body.Timing_->Held_ == std::chrono::microseconds(77)));
+  const Envelope Earlier = *decode(encode(envelopeWith(JobReply())));
+  BOOST_TEST(!std::get<JobReply>(Earlier.Message_).Timing_);
+}
+
 // Guards against a caller that is told of an outage when its pool is full, and
 // against a reason of a later release that is read as another one.
 BOOST_AUTO_TEST_CASE(ReplyTellsTheReasonOfARefusal) {
