--- a/src/cell/cellservice.h
+++ b/src/cell/cellservice.h
@@ -19,6 +19,7 @@
   using TermPtr = std::shared_ptr<Term<Store>>;
   using SessionsPtr = std::shared_ptr<WorkerSessions<Store, Client>>;
   using MachinesPtr = std::shared_ptr<MachineManager<Store, Client, Service>>;
+  using FollowerPtr = std::shared_ptr<WorkerFollower<Store, Client, Service>>;
 
   static constexpr Duration TickInterval = std::chrono::milliseconds(100);
   /// Delay before another attempt to load the journal.
@@ -83,8 +84,11 @@
   /// The configuration in force has changed.
   void adoptNewConfig() {
     // A term adopts it once its journal is loaded.
-    if (serving())
-      adoptConfig(*Term_, InForce_.config());
+    if (!serving())
+      return;
+    adoptConfig(*Term_, InForce_.config());
+    if (Follower_)
+      Follower_->takeInConfiguredWorkers();
   }
 
   /// Adds or updates a wave of machine upkeep.
@@ -225,6 +229,7 @@
     Term_ = nullptr;
     Sessions_ = nullptr;
     Machines_ = nullptr;
+    Follower_ = nullptr;
     Planner_ = nullptr;
     Calls_ = nullptr;
   }
@@ -258,12 +263,13 @@
                static_cast<std::uint64_t>(T->Table_.jobs().size()))
         .field("runs_unwanted", countUnwantedRuns(*T))
         .field("load_ms", (now() - StartedAt).count() / 1000);
+    const auto Follower =
+        std::make_shared<WorkerFollower<Store, Client, Service>>(
+            Store_, Directory_, T, Sessions, Machines);
+    if (Term_ == T)
+      Follower_ = Follower;
     // A watch that is answered late is given up, and the full list read again.
-    framework::fibers::spawnUrgent(
-        [Follower = std::make_shared<WorkerFollower<Store, Client, Service>>(
-             Store_, Directory_, T, Sessions, Machines)] {
-          Follower->follow();
-        });
+    framework::fibers::spawnUrgent([Follower] { Follower->follow(); });
     Machines->setWaves(Waves_);
     Machines->start();
     const auto Planner = std::make_shared<TaskPlanner<Store, Client, Service>>(
@@ -421,7 +427,8 @@
   TermPtr Term_;
   SessionsPtr Sessions_;
   MachinesPtr Machines_;
-  /// Set once the journal of the term is loaded.
+  /// Set once the journal of the term is loaded, and the planner too.
+  FollowerPtr Follower_;
   std::shared_ptr<TaskPlanner<Store, Client, Service>> Planner_;
   std::shared_ptr<JobCallHandler<Store, Client>> Calls_;
   std::map<WaveNumber, WaveRecord> Waves_;
--- a/src/cell/tests/workerfollowertest.cpp
+++ b/src/cell/tests/workerfollowertest.cpp
@@ -5,6 +5,8 @@
 #include <boost/fiber/operations.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <sstream>
+
 namespace laburnumspread::cell {
 
 namespace {
@@ -30,13 +32,19 @@
 using Manager = MachineManager<FakeStore, SilentClient, UnusedMachines>;
 using Follower = WorkerFollower<FakeStore, SilentClient, UnusedMachines>;
 
-/// Reads an entry whose value is "MACHINE STARTED_MS".
+const PoolName Pool("pool");
+const PoolName OtherPool("other");
+
+/// Reads an entry whose value is "MACHINE STARTED_MS POOL".
 std::optional<WorkerRecord> readEntry(const store::KeyValue &Item) {
-  const auto Space = Item.Value_.find(' ');
+  std::istringstream Value(Item.Value_);
+  std::string Machine, Pool;
+  std::int64_t StartedMs = 0;
+  Value >> Machine >> StartedMs >> Pool;
   WorkerRecord Record;
-  Record.Incarnation_ = {WorkerId(Item.Key_.substr(Prefix.size())),
-                         std::stoll(Item.Value_.substr(Space + 1))};
-  Record.Machine_ = MachineId(Item.Value_.substr(0, Space));
+  Record.Incarnation_ = {WorkerId(Item.Key_.substr(Prefix.size())), StartedMs};
+  Record.Machine_ = MachineId(Machine);
+  Record.Pool_ = PoolName(Pool);
   return Record;
 }
 
@@ -46,6 +54,7 @@
     BOOST_REQUIRE(*Leadership_.campaign());
     Term_ = std::make_shared<Term<FakeStore>>(
         Store_, Keys, Leadership_, Metrics_, CellBounds(), Evacuations_);
+    Term_->Config_.Pools_[Pool] = PoolConfig{Pool};
     Sessions_ = std::make_shared<WorkerSessions<FakeStore, SilentClient>>(
         Term_, Client_);
     Machines_ = std::make_shared<Manager>(
@@ -65,10 +74,11 @@
   }
 
   void list(const std::string &Worker, const std::string &Machine,
-            std::int64_t StartedMs) {
+            std::int64_t StartedMs, const PoolName &Of = Pool) {
     store::Transaction Txn;
-    Txn.Puts_ = {
-        {Prefix + Worker, Machine + " " + std::to_string(StartedMs), 0}};
+    Txn.Puts_ = {{Prefix + Worker,
+                  Machine + " " + std::to_string(StartedMs) + " " + Of.str(),
+                  0}};
     BOOST_REQUIRE(Store_.commit(Txn, {}).ok());
   }
 
@@ -161,6 +171,51 @@
   BOOST_TEST(!Other->Ended_);
 }
 
+// Guards against tasks that run twice because an agent of another team is
+// listed on their worker's machine, or under its id.
+BOOST_AUTO_TEST_CASE(WorkerOfAnUnknownPoolReplacesNone) {
+  list("w1", "m1", 1);
+  list("w2", "m2", 1);
+  follow();
+  runUntil([&] { return taken() == 2; });
+  list("agent", "m1", 2, OtherPool);
+  list("w2", "m2", 2, OtherPool);
+  list("w3", "m3", 1);
+  runUntil([&] { return taken() >= 3; });
+  for (const auto &[Incarnation, Row] : Term_->Workers_)
+    BOOST_TEST(!Row->Ended_);
+}
+
+// Guards against workers of a new pool that are never used, as they were listed
+// before the leader had its configuration.
+BOOST_AUTO_TEST_CASE(WorkerIsTakenInOnceItsPoolIsConfigured) {
+  list("w1", "m1", 1, OtherPool);
+  list("w2", "m2", 1);
+  follow();
+  runUntil([&] { return taken() >= 1; });
+  Follower_->takeInConfiguredWorkers();
+  BOOST_TEST(taken() == 1u);
+  Term_->Config_.Pools_[OtherPool] = PoolConfig{OtherPool};
+  Follower_->takeInConfiguredWorkers();
+  BOOST_TEST(taken() == 2u);
+}
+
+// Guards against runs whose leases are not renewed by a new leader, as their
+// pool was removed from the configuration.
+BOOST_AUTO_TEST_CASE(WorkerInUseIsKeptThoughItsPoolWasRemoved) {
+  const WorkerIncarnation InUse{WorkerId("w1"), 1};
+  jobs::JobAccepted Job;
+  Job.Spec_.Id_ = jobs::JobId("0123456789abcdef");
+  Job.Spec_.Steps_.resize(1);
+  Term_->Commits_.stage(Job);
+  Term_->Commits_.stage(
+      jobs::RunIntended{{{Job.Spec_.Id_, 0, 0, 0}, jobs::RunNumber(1)}, InUse});
+  list("w1", "m1", 1, OtherPool);
+  follow();
+  runUntil([&] { return taken() == 1; });
+  BOOST_TEST(Term_->Workers_.contains(InUse));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace laburnumspread::cell
--- a/src/cell/workerfollower.h
+++ b/src/cell/workerfollower.h
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <map>
 
 #include <absl/container/flat_hash_map.h>
 #include <absl/container/flat_hash_set.h>
@@ -74,7 +75,7 @@
                          for (const store::KeyValue &Item : Batch.Puts_)
                            recordEntry(*T, Item);
                          for (const std::string &Key : Batch.Deletes_)
-                           markUnlisted(*T, Key);
+                           recordDeletion(*T, Key);
                          return true;
                        });
       if (!Ended.ok())
@@ -82,11 +83,26 @@
     }
   }
 
+  /// Takes in the listed workers whose pool the term's configuration has now.
+  void takeInConfiguredWorkers() {
+    std::vector<WorkerRecord> Configured;
+    std::erase_if(OfUnknownPools_, [&](const auto &Listed) {
+      const auto Record = Directory_.Read_(Listed.second);
+      const bool Usable = Record && namesWorkerToUse(*Term_, *Record);
+      if (Usable)
+        Configured.push_back(*Record);
+      return Usable;
+    });
+    for (const WorkerRecord &Record : Configured)
+      recordWorker(*Term_, Record);
+  }
+
 private:
   static TimePoint now() { return Term<Store>::now(); }
 
   void applyFullList(Term<Store> &T, std::vector<store::KeyValue> Items) {
     moveWorkersInUseToFront(T, Items);
+    OfUnknownPools_.clear();
     std::set<WorkerIncarnation> Listed;
     for (std::size_t I = 0; I < Items.size(); ++I) {
       if (I % ListBatch == ListBatch - 1)
@@ -123,13 +139,34 @@
   /// its own item again, as after a full list.
   std::optional<WorkerIncarnation> recordEntry(Term<Store> &T,
                                                const store::KeyValue &Item) {
-    if (const auto Record = Directory_.Read_(Item))
+    const auto Record = Directory_.Read_(Item);
+    OfUnknownPools_.erase(Item.Key_);
+    if (Record && namesWorkerToUse(T, *Record))
       return recordWorker(T, *Record);
-    T.Metrics_.counter("worker_entries_unreadable_total").add();
+    if (Record)
+      OfUnknownPools_.insert({Item.Key_, Item});
+    T.Metrics_
+        .counter(Record ? "worker_entries_of_unknown_pools_total"
+                        : "worker_entries_unreadable_total")
+        .add();
     markUnlisted(T, Item.Key_);
     return std::nullopt;
   }
 
+  /// Whether the item names a worker of a pool of the configuration, or one
+  /// that was in use when its pool was removed. Without this check, the item of
+  /// another writer on a worker's machine ended that worker, and its tasks ran
+  /// a second time elsewhere.
+  static bool namesWorkerToUse(const Term<Store> &T,
+                               const WorkerRecord &Record) {
+    if (T.Config_.Pools_.contains(Record.Pool_))
+      return true;
+    const auto Known = T.Workers_.find(Record.Incarnation_);
+    if (Known != T.Workers_.end())
+      return Known->second->Record_.Pool_ == Record.Pool_;
+    return T.Table_.usageOf(Record.Incarnation_) != nullptr;
+  }
+
   std::optional<WorkerIncarnation> recordWorker(Term<Store> &T,
                                                 const WorkerRecord &Record) {
     if (T.EndedIncarnations_.contains(Record.Incarnation_))
@@ -204,6 +241,11 @@
                                     Record.Incarnation_.Id_);
   }
 
+  void recordDeletion(Term<Store> &T, const std::string &Key) {
+    OfUnknownPools_.erase(Key);
+    markUnlisted(T, Key);
+  }
+
   void markUnlisted(Term<Store> &T, const std::string &Key) {
     const WorkerId Id = idOf(Key);
     forEachIncarnation(T, Id, [&](const WorkerRowPtr &Row) {
@@ -218,6 +260,9 @@
   SessionsPtr Sessions_;
   MachinesPtr Machines_;
   ListReads Reads_;
+  /// Items that name a worker of a pool that the configuration does not have,
+  /// by their keys.
+  std::map<std::string, store::KeyValue> OfUnknownPools_;
   /// Incarnations that were listed on each machine.
   absl::flat_hash_map<MachineId, std::vector<WorkerIncarnation>> OnMachine_;
 };
