--- a/src/cell/callwindow.h
+++ b/src/cell/callwindow.h
@@ -59,8 +59,8 @@
   /// Another entry leads now.
   void reset();
 
-  /// Time that calls and replies are on the way: the latest, or less than the
-  /// greatest of earlier ones. Zero if not known.
+  /// Greatest time that a call and its reply were on the way lately, less a
+  /// part for each reply since. Zero if not known.
   Duration transit() const { return Transit_; }
   double limit() const { return Limit_; }
   std::size_t inFlight() const { return InFlight_; }
@@ -69,6 +69,7 @@
   std::uint64_t refused() const { return Refused_; }
 
 private:
+  /// Takes a place, waiting for it until \p Until at most.
   bool tryEnter(TimePoint Now, TimePoint Until);
   /// Time until the next call, if the limit is below 1.
   Duration pause() const;
@@ -79,6 +80,7 @@
   Duration expectedWait(TimePoint Now) const;
   /// Waits for one of the calls in flight to end.
   bool waitForPlace(TimePoint Until);
+  /// Gives free places to the calls that wait.
   void admitWaiting();
   void recordTimes(Duration Total, Duration Transit);
   /// Raises the limit if about as many calls are in flight.
--- a/src/cell/tests/workerfollowertest.cpp
+++ b/src/cell/tests/workerfollowertest.cpp
@@ -211,8 +211,10 @@
   Term_->Commits_.stage(
       jobs::RunIntended{{{Job.Spec_.Id_, 0, 0, 0}, jobs::RunNumber(1)}, InUse});
   list("w1", "m1", 1, OtherPool);
+  list("w2", "m2", 1);
   follow();
-  runUntil([&] { return taken() == 1; });
+  // Workers in use are taken in first.
+  runUntil([&] { return Term_->Workers_.contains({WorkerId("w2"), 1}); });
   BOOST_TEST(Term_->Workers_.contains(InUse));
 }
 
